--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! `hawthornwall`, the operators' tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/admission/gate.rs
@@ -0,0 +1,305 @@
+//! The gate in front of one target.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::time::Duration;
+
+use crate::ids::InstanceId;
+use crate::load::{LoadReport, TargetState};
+use crate::outcome::Refusal;
+use crate::time::Time;
+
+/// Weight of a new service time in the moving average.
+const SERVICE_WEIGHT: f64 = 0.1;
+/// Weight of a new answer in the moving share of failures.
+const FAILING_WEIGHT: f64 = 0.1;
+/// Queue places per slot.
+const QUEUE_PER_SLOT: usize = 8;
+/// Service time assumed for the expected wait while none has been seen.
+const ASSUMED_SERVICE: Duration = Duration::from_millis(5);
+
+/// One request held by the gate.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WorkId(pub u64);
+
+impl fmt::Display for WorkId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "work{}", self.0)
+    }
+}
+
+/// What the configuration allows the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Longest expected wait at which a request is still queued.
+    pub queue_wait: Duration,
+    /// Requests that run at once.
+    pub slots: u32,
+}
+
+/// A request that reached the gate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Arrival {
+    /// When its answer is useless.
+    pub deadline: Time,
+    /// Identifies it in effects.
+    pub id: WorkId,
+    /// Longest expected wait at which the sender prefers this target to another.
+    pub patience: Duration,
+}
+
+/// What happens to a gate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// A request arrived.
+    Arrive(Arrival),
+    /// The sender no longer wants an answer.
+    Cancel(WorkId),
+    /// New limits came into force.
+    Configure(Limits),
+    /// The target or its daemon begins to leave.
+    Drain,
+    /// A started request ended.
+    Finish {
+        /// Whether the answer was a server error or broken.
+        failed: bool,
+        /// The request.
+        id: WorkId,
+    },
+    /// The target became reachable or unreachable.
+    Reachable(bool),
+    /// Time has passed.
+    Tick,
+}
+
+/// What the owner of a gate must do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Cancel the request at the target; its `Finish` still follows.
+    Abort(WorkId),
+    /// Nothing runs or waits any more after a drain.
+    Drained,
+    /// Tell the sender that the request was not run.
+    Refuse(WorkId, Refusal),
+    /// Send the request to the target.
+    Start(WorkId),
+}
+
+/// Slots, queue and state of the local target.
+///
+/// ```
+/// use std::time::Duration;
+/// use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, WorkId};
+/// use hawthornwall_core::prelude::*;
+///
+/// let limits = Limits { queue_wait: Duration::from_millis(50), slots: 1 };
+/// let mut gate = Gate::new(InstanceId(1), limits);
+/// let arrival = |id| Event::Arrive(Arrival {
+///     deadline: Time::from_micros(1_000_000),
+///     id: WorkId(id),
+///     patience: Duration::ZERO,
+/// });
+/// let now = Time::ZERO;
+/// assert_eq!(gate.on(&arrival(1), now), vec![Effect::Start(WorkId(1))]);
+/// assert_eq!(gate.on(&arrival(2), now), vec![Effect::Refuse(WorkId(2), Refusal::Full)]);
+/// ```
+#[derive(Debug)]
+pub struct Gate {
+    draining: bool,
+    failing: f64,
+    instance: InstanceId,
+    limits: Limits,
+    queue: VecDeque<(Arrival, Time)>,
+    reachable: bool,
+    running: BTreeMap<WorkId, Time>,
+    seq: u64,
+    service: Duration,
+}
+
+impl Gate {
+    /// An idle gate.
+    pub fn new(instance: InstanceId, limits: Limits) -> Self {
+        Self {
+            draining: false,
+            failing: 0.0,
+            instance,
+            limits,
+            queue: VecDeque::new(),
+            reachable: true,
+            running: BTreeMap::new(),
+            seq: 0,
+            service: Duration::ZERO,
+        }
+    }
+
+    /// Takes one event and returns what must be done, in order.
+    pub fn on(&mut self, event: &Event, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match *event {
+            Event::Arrive(arrival) => effects.extend(self.admit(&arrival, now)),
+            Event::Cancel(id) => self.cancel(id, &mut effects),
+            Event::Configure(limits) => self.limits = limits,
+            Event::Drain => self.draining = true,
+            Event::Finish { failed, id } => self.finish(id, failed, now),
+            Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
+            Event::Tick => {}
+        }
+        self.start_waiting(now, &mut effects);
+        if self.draining && self.running.is_empty() && self.queue.is_empty() {
+            effects.push(Effect::Drained);
+        }
+        effects
+    }
+
+    /// The report that goes out with the next reply.
+    pub fn report(&mut self, now: Time) -> LoadReport {
+        self.seq += 1;
+        LoadReport {
+            failing: (self.failing * 100.0).round() as u8,
+            instance: self.instance,
+            queued: self.queue.len() as u32,
+            running: self.running.len() as u32,
+            seq: self.seq,
+            service: self.service_estimate(now),
+            slots: self.limits.slots,
+            state: self.state(),
+        }
+    }
+
+    /// Whether the target takes new work.
+    pub fn state(&self) -> TargetState {
+        match (self.draining, self.reachable) {
+            (true, _) => TargetState::Draining,
+            (false, true) => TargetState::Serving,
+            (false, false) => TargetState::Down,
+        }
+    }
+
+    /// Broken invariants.
+    pub fn verify(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let limit = self.queue_limit();
+        if self.queue.len() > limit {
+            faults.push(format!("{} requests wait, {limit} may", self.queue.len()));
+        }
+        for (waiting, _) in &self.queue {
+            if self.running.contains_key(&waiting.id) {
+                faults.push(format!("{} runs and waits", waiting.id));
+            }
+        }
+        if !self.queue.is_empty() && self.running.len() < self.limits.slots as usize {
+            faults.push("a request waits while a slot is free".to_owned());
+        }
+        faults
+    }
+
+    fn admit(&mut self, arrival: &Arrival, now: Time) -> Option<Effect> {
+        let refusal = self.check(arrival, now).err();
+        if refusal.is_none() {
+            self.queue.push_back((*arrival, now));
+        }
+        refusal.map(|refusal| Effect::Refuse(arrival.id, refusal))
+    }
+
+    fn check(&self, arrival: &Arrival, now: Time) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(Refusal::Draining);
+        }
+        if !self.reachable {
+            return Err(Refusal::Down);
+        }
+        if arrival.deadline <= now {
+            return Err(Refusal::Expired);
+        }
+        if self.running.len() < self.limits.slots as usize {
+            return Ok(());
+        }
+        let wait = self.expected_wait(now);
+        let allowed = arrival
+            .patience
+            .min(self.limits.queue_wait)
+            .min(arrival.deadline - now);
+        if self.queue.len() >= self.queue_limit() || wait > allowed {
+            return Err(Refusal::Full);
+        }
+        Ok(())
+    }
+
+    fn expected_wait(&self, now: Time) -> Duration {
+        let ahead = self.queue.len() as u32 + 1;
+        let seen = self.service_estimate(now);
+        let service = if seen.is_zero() { ASSUMED_SERVICE } else { seen };
+        service * ahead / self.limits.slots.max(1)
+    }
+
+    fn queue_limit(&self) -> usize {
+        self.limits.slots as usize * QUEUE_PER_SLOT
+    }
+
+    fn cancel(&mut self, id: WorkId, effects: &mut Vec<Effect>) {
+        if self.running.contains_key(&id) {
+            effects.push(Effect::Abort(id));
+            return;
+        }
+        let before = self.queue.len();
+        self.queue.retain(|(waiting, _)| waiting.id != id);
+        if self.queue.len() < before {
+            effects.push(Effect::Refuse(id, Refusal::Cancelled));
+        }
+    }
+
+    fn finish(&mut self, id: WorkId, failed: bool, now: Time) {
+        let Some(started) = self.running.remove(&id) else {
+            return;
+        };
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failing += FAILING_WEIGHT * (sample - self.failing);
+        // A failure says nothing about how long an answer takes.
+        if !failed {
+            self.learn_service(now - started);
+        }
+    }
+
+    fn learn_service(&mut self, sample: Duration) {
+        if self.service.is_zero() {
+            self.service = sample;
+            return;
+        }
+        let old = self.service.as_secs_f64();
+        let new = old + SERVICE_WEIGHT * (sample.as_secs_f64() - old);
+        self.service = Duration::from_secs_f64(new);
+    }
+
+    fn set_reachable(&mut self, reachable: bool, effects: &mut Vec<Effect>) {
+        self.reachable = reachable;
+        if !reachable {
+            let waiting = self.queue.drain(..);
+            effects.extend(waiting.map(|(w, _)| Effect::Refuse(w.id, Refusal::Down)));
+        }
+    }
+
+    fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let expired = |w: &Arrival| w.deadline <= now;
+        self.queue.retain(|(waiting, _)| {
+            if expired(waiting) {
+                effects.push(Effect::Refuse(waiting.id, Refusal::Expired));
+            }
+            !expired(waiting)
+        });
+        while self.running.len() < self.limits.slots as usize {
+            let Some((waiting, _)) = self.queue.pop_front() else {
+                break;
+            };
+            self.running.insert(waiting.id, now);
+            effects.push(Effect::Start(waiting.id));
+        }
+    }
+
+    /// The average service time, raised by the requests that already run longer. A target that
+    /// stalls finishes nothing, so its average alone would stay low.
+    fn service_estimate(&self, now: Time) -> Duration {
+        let ages = self.running.values().map(|started| now - *started);
+        let mean_age = ages.sum::<Duration>() / (self.running.len().max(1) as u32);
+        self.service.max(mean_age)
+    }
+}
--- /dev/null
+++ b/crates/core/src/calls/call.rs
@@ -0,0 +1,333 @@
+//! The state of one call and its transitions.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::ids::TargetId;
+use crate::outcome::{AttemptResult, Loss, Outcome, Refusal};
+use crate::routing::Choice;
+use crate::time::Time;
+
+/// Attempts of one call, the first included.
+pub const MAX_ATTEMPTS: usize = 4;
+/// Wait past the deadline for the reply of a daemon that refuses the expired request, since a
+/// definite refusal is worth more to the caller than an unknown outcome.
+const REPLY_GRACE: Duration = Duration::from_millis(20);
+
+/// One attempt of a call, numbered from 0.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AttemptId(pub u8);
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "attempt{}", self.0)
+    }
+}
+
+/// What is known of a call when it arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Spec {
+    /// When its answer is useless.
+    pub deadline: Time,
+    /// Whether a second target may be asked while the first is late.
+    pub hedge: bool,
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+    /// The only target that may run it, named by its idempotency key.
+    pub pinned: Option<TargetId>,
+}
+
+/// Why a target is picked.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum PickKind {
+    /// For the first attempt.
+    First,
+    /// For a second attempt beside one that is late; takes from the retry budget.
+    Hedge,
+    /// After a definite refusal.
+    Reroute,
+    /// After a loss; takes from the retry budget.
+    Retry,
+}
+
+/// What happens to a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Event {
+    /// The caller closed its connection.
+    CallerGone,
+    /// An attempt ended.
+    Ended(AttemptId, AttemptResult),
+    /// No target was picked.
+    NotPicked(Refusal),
+    /// A target was picked.
+    Picked(Choice),
+    /// The time named by [`Call::next_timer`] has come.
+    Timer,
+}
+
+/// What the owner of a call must do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Stop waiting for an attempt and tell its daemon.
+    Cancel(AttemptId),
+    /// Tell the caller; the answer is that of the attempt, if one is named.
+    Finish(Outcome, Option<AttemptId>),
+    /// Ask the router for a target.
+    Pick(PickKind),
+    /// Send the request to a target.
+    Send {
+        /// The attempt's number.
+        attempt: AttemptId,
+        /// Longest wait for a slot before the daemon should refuse.
+        patience: Duration,
+        /// The target.
+        target: TargetId,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Attempt {
+    result: Option<AttemptResult>,
+    target: TargetId,
+}
+
+/// One caller's request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    attempts: Vec<Attempt>,
+    finished: bool,
+    hedge: Option<Time>,
+    picking: bool,
+    spec: Spec,
+}
+
+impl Call {
+    /// A call and the first thing to do for it.
+    pub fn start(spec: Spec, now: Time) -> (Self, Vec<Effect>) {
+        let mut call = Self {
+            attempts: Vec::new(),
+            finished: false,
+            hedge: None,
+            picking: false,
+            spec,
+        };
+        let mut effects = Vec::new();
+        if spec.deadline <= now {
+            call.finish(Outcome::Refused(Refusal::Expired), None, &mut effects);
+        } else if let Some(target) = spec.pinned {
+            call.send(target, Duration::MAX, &mut effects);
+        } else {
+            call.pick(PickKind::First, &mut effects);
+        }
+        (call, effects)
+    }
+
+    /// Takes one event and returns what must be done, in order.
+    pub fn on(&mut self, event: &Event, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.finished {
+            return effects;
+        }
+        match *event {
+            Event::CallerGone => self.give_up(Loss::Cancelled, Refusal::Cancelled, &mut effects),
+            Event::Ended(attempt, result) => self.end(attempt, result, now, &mut effects),
+            Event::NotPicked(refusal) => self.miss(refusal, &mut effects),
+            Event::Picked(choice) => self.take(&choice, now, &mut effects),
+            Event::Timer => self.expire(now, &mut effects),
+        }
+        effects
+    }
+
+    /// When [`Event::Timer`] is due next.
+    pub fn next_timer(&self) -> Time {
+        let end = self.deadline_timer();
+        self.hedge.map_or(end, |hedge| hedge.min(end))
+    }
+
+    /// When the caller no longer wants an answer.
+    pub fn deadline(&self) -> Time {
+        self.spec.deadline
+    }
+
+    /// Targets that the call has tried.
+    pub fn tried(&self) -> Vec<TargetId> {
+        self.attempts.iter().map(|a| a.target).collect()
+    }
+
+    /// Whether the outcome is decided.
+    pub fn finished(&self) -> bool {
+        self.finished
+    }
+
+    /// Broken invariants.
+    pub fn verify(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        if self.attempts.len() > MAX_ATTEMPTS {
+            faults.push(format!(
+                "{} attempts, {MAX_ATTEMPTS} may be made",
+                self.attempts.len()
+            ));
+        }
+        let refused = |a: &&Attempt| matches!(a.result, Some(AttemptResult::Refused(_)));
+        let perhaps_run = self.attempts.len() - self.attempts.iter().filter(refused).count();
+        if !self.spec.idempotent && perhaps_run > 1 {
+            faults.push(format!(
+                "{perhaps_run} attempts of a non-idempotent call may have run"
+            ));
+        }
+        faults
+    }
+
+    fn deadline_timer(&self) -> Time {
+        if self.open().next().is_some() {
+            self.spec.deadline + REPLY_GRACE
+        } else {
+            self.spec.deadline
+        }
+    }
+
+    fn open(&self) -> impl Iterator<Item = AttemptId> + '_ {
+        let open = self
+            .attempts
+            .iter()
+            .enumerate()
+            .filter(|(_, a)| a.result.is_none());
+        open.map(|(index, _)| AttemptId(index as u8))
+    }
+
+    fn pick(&mut self, kind: PickKind, effects: &mut Vec<Effect>) {
+        self.picking = true;
+        effects.push(Effect::Pick(kind));
+    }
+
+    fn send(&mut self, target: TargetId, patience: Duration, effects: &mut Vec<Effect>) {
+        let attempt = AttemptId(self.attempts.len() as u8);
+        self.attempts.push(Attempt {
+            result: None,
+            target,
+        });
+        effects.push(Effect::Send {
+            attempt,
+            patience,
+            target,
+        });
+    }
+
+    fn take(&mut self, choice: &Choice, now: Time, effects: &mut Vec<Effect>) {
+        self.picking = false;
+        let more = self.attempts.len() + 1 < MAX_ATTEMPTS && choice.alternatives > 0;
+        let patience = if more { choice.patience } else { Duration::MAX };
+        let first = self.attempts.is_empty();
+        self.send(choice.target, patience, effects);
+        if first && self.spec.hedge && self.spec.idempotent && choice.alternatives > 0 {
+            self.hedge = Some(now + choice.hedge);
+        }
+    }
+
+    fn miss(&mut self, refusal: Refusal, effects: &mut Vec<Effect>) {
+        self.picking = false;
+        if self.open().next().is_none() {
+            let outcome = self.outcome_without_answer(refusal);
+            self.finish(outcome, None, effects);
+        }
+    }
+
+    fn end(&mut self, id: AttemptId, result: AttemptResult, now: Time, effects: &mut Vec<Effect>) {
+        let Some(attempt) = self.attempts.get_mut(usize::from(id.0)) else {
+            return;
+        };
+        attempt.result = Some(result);
+        match result {
+            AttemptResult::Answered => self.finish(Outcome::Answered, Some(id), effects),
+            AttemptResult::Lost(loss) if !self.spec.idempotent => {
+                self.finish(Outcome::Unknown(loss), None, effects);
+            }
+            AttemptResult::Lost(_) => {
+                self.try_again(PickKind::Retry, Refusal::Budget, now, effects);
+            }
+            AttemptResult::Refused(refusal) if elsewhere(refusal) => {
+                self.try_again(PickKind::Reroute, refusal, now, effects);
+            }
+            AttemptResult::Refused(refusal) => self.miss(refusal, effects),
+        }
+    }
+
+    fn try_again(
+        &mut self,
+        kind: PickKind,
+        refusal: Refusal,
+        now: Time,
+        effects: &mut Vec<Effect>,
+    ) {
+        let busy = self.picking || self.open().next().is_some();
+        let spent = self.attempts.len() >= MAX_ATTEMPTS || now >= self.spec.deadline;
+        if !busy && (spent || self.spec.pinned.is_some()) {
+            let outcome = self.outcome_without_answer(refusal);
+            self.finish(outcome, None, effects);
+        } else if !busy {
+            self.pick(kind, effects);
+        }
+    }
+
+    fn expire(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if now >= self.deadline_timer() {
+            self.give_up(Loss::Expired, Refusal::Expired, effects);
+        } else if self.hedge.is_some_and(|due| due <= now) {
+            self.hedge = None;
+            if !self.picking && self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline {
+                self.pick(PickKind::Hedge, effects);
+            }
+        }
+    }
+
+    /// Ends the call without an answer: open attempts may have run, so they decide the outcome.
+    fn give_up(&mut self, loss: Loss, refusal: Refusal, effects: &mut Vec<Effect>) {
+        let outcome = match (self.open().next().is_some(), self.spec.idempotent) {
+            (true, true) => Outcome::Failed(loss),
+            (true, false) => Outcome::Unknown(loss),
+            (false, _) => self.outcome_without_answer(refusal),
+        };
+        self.finish(outcome, None, effects);
+    }
+
+    /// The outcome once no attempt is open: a loss outweighs refusals, since that attempt may have
+    /// run.
+    fn outcome_without_answer(&self, refusal: Refusal) -> Outcome {
+        let loss = self.attempts.iter().find_map(|a| match a.result {
+            Some(AttemptResult::Lost(loss)) => Some(loss),
+            Some(AttemptResult::Answered | AttemptResult::Refused(_)) | None => None,
+        });
+        match loss {
+            Some(loss) if self.spec.idempotent => Outcome::Failed(loss),
+            Some(loss) => Outcome::Unknown(loss),
+            None => Outcome::Refused(refusal),
+        }
+    }
+
+    fn finish(&mut self, outcome: Outcome, answer: Option<AttemptId>, effects: &mut Vec<Effect>) {
+        self.finished = true;
+        effects.extend(self.open().map(Effect::Cancel));
+        effects.push(Effect::Finish(outcome, answer));
+    }
+}
+
+/// Whether another target may accept what this one refused.
+fn elsewhere(refusal: Refusal) -> bool {
+    match refusal {
+        Refusal::Down
+        | Refusal::Draining
+        | Refusal::Full
+        | Refusal::NotReady
+        | Refusal::Shed
+        | Refusal::Unreachable
+        | Refusal::WrongTarget => true,
+        Refusal::Budget
+        | Refusal::Cancelled
+        | Refusal::Expired
+        | Refusal::KeyInvalid
+        | Refusal::KeyMismatch
+        | Refusal::NoTarget
+        | Refusal::Overload
+        | Refusal::UnknownService => false,
+    }
+}
--- /dev/null
+++ b/crates/core/src/keys/mod.rs
@@ -0,0 +1,16 @@
+//! The key aggregate: idempotency keys issued by this daemon and what became of them.
+//!
+//! A key names the run of the daemon that issued it. Only that run executes requests under the key,
+//! and only if its ledger still holds the key as never started. No clock, lease or agreement between
+//! daemons enters the guarantee.
+//!
+//! Rules kept here:
+//! - a key starts at most one execution, unless the execution was definitely refused;
+//! - a record is dropped only when its time has passed, never to make room;
+//! - a key without a record never starts.
+
+mod key;
+mod ledger;
+
+pub use key::{Key, ParseKeyError};
+pub use ledger::{Decision, KeyEnd, KeyLimits, Ledger};
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,24 @@
+//! Load-balancing decisions without I/O.
+//!
+//! Every module holds one aggregate: plain data whose rules are its methods. An aggregate takes one
+//! event and returns typed effects or a typed decision. No module reads a clock, a socket or a
+//! source of randomness: time and seeds are arguments, so a run can be replayed exactly.
+//!
+//! ```
+//! use hawthornwall_core::prelude::*;
+//!
+//! let id: TargetId = "target7".parse()?;
+//! assert_eq!(id.to_string(), "target7");
+//! # Ok::<(), hawthornwall_core::ids::ParseIdError>(())
+//! ```
+
+pub mod admission;
+pub mod calls;
+pub mod config;
+pub mod ids;
+pub mod keys;
+pub mod load;
+pub mod outcome;
+pub mod prelude;
+pub mod routing;
+pub mod time;
--- /dev/null
+++ b/crates/core/src/routing/view.rs
@@ -0,0 +1,194 @@
+//! What is believed about one target, and the cost estimate made from it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{InstanceId, ServiceId};
+use crate::load::{LoadReport, TargetState};
+use crate::time::Time;
+
+/// Assumed while no report has named a service time.
+const DEFAULT_SERVICE: Duration = Duration::from_millis(5);
+/// Weight of a new round trip in the moving average.
+const RTT_WEIGHT: f64 = 0.1;
+/// A report's deviation from the mean halves its weight over about this many service times.
+const REPORT_LIFE_SERVICES: f64 = 4.0;
+/// Shortest life of a report, for very fast services.
+const REPORT_LIFE_MIN: Duration = Duration::from_millis(10);
+/// First pause after a target was unreachable; doubles with each further failure.
+const AVOID_FIRST: Duration = Duration::from_millis(50);
+/// Longest pause before an unreachable target is tried again.
+const AVOID_LIMIT: Duration = Duration::from_secs(5);
+/// A new instance's cost falls to normal over this time, so that it is not flooded while cold.
+const RAMP: Duration = Duration::from_secs(5);
+/// Cost multiplier of an instance that has just appeared.
+const RAMP_FACTOR: f64 = 4.0;
+/// Added to the cost for a target whose recent answers all failed while others' did not.
+const FAILING_COST: Duration = Duration::from_millis(500);
+/// Share of the service time charged at full occupancy before any queue forms, since the
+/// occupancy at arrival is uncertain.
+const BUSY_COST: f64 = 0.5;
+
+/// The parts of a cost estimate, for traces.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    /// Age of the report that it rests on; `None` without a report.
+    pub age: Option<Duration>,
+    /// Expected time to an answer.
+    pub cost: Duration,
+    /// Requests expected at the target on arrival.
+    pub occupancy: f64,
+}
+
+/// Averages over the targets of one service, toward which old reports decay.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Mean {
+    /// Share of recent answers that failed, in percent.
+    pub failing: f64,
+    /// Occupied share of the slots; above 1 when requests queue.
+    pub load: f64,
+    /// Service time, zero when unknown.
+    pub service: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct View {
+    pub avoid: Time,
+    pub domain: String,
+    pub failures: u32,
+    pub instance: Option<InstanceId>,
+    pub leaving: bool,
+    pub ramp: Option<Time>,
+    pub report: Option<(LoadReport, Time)>,
+    pub rtt: Duration,
+    pub sent: BTreeMap<u64, Time>,
+    pub service: ServiceId,
+    pub slots: u32,
+}
+
+impl View {
+    pub fn new(service: ServiceId, domain: &str, slots: u32, rtt: Duration) -> Self {
+        Self {
+            avoid: Time::ZERO,
+            domain: domain.to_owned(),
+            failures: 0,
+            instance: None,
+            leaving: false,
+            ramp: None,
+            report: None,
+            rtt,
+            sent: BTreeMap::new(),
+            service,
+            slots,
+        }
+    }
+
+    /// Whether new work may be sent, apart from the pause after failures.
+    pub fn accepts(&self) -> bool {
+        let draining = |(r, _): &(LoadReport, Time)| r.state == TargetState::Draining;
+        !self.leaving && !self.report.as_ref().is_some_and(draining)
+    }
+
+    /// Takes over a report unless a newer one of the same instance is known.
+    pub fn take_report(&mut self, report: &LoadReport, now: Time) {
+        if self.instance != Some(report.instance) {
+            self.replace_instance(report.instance, now);
+        } else if self
+            .report
+            .is_some_and(|(known, _)| known.seq >= report.seq)
+        {
+            return;
+        }
+        self.report = Some((*report, now));
+        self.slots = report.slots.max(1);
+    }
+
+    /// Forgets what was known about an earlier instance and starts the ramp-up of the new one.
+    pub fn replace_instance(&mut self, instance: InstanceId, now: Time) {
+        if self.instance.is_some() {
+            self.ramp = Some(now);
+            self.report = None;
+            self.failures = 0;
+            self.avoid = Time::ZERO;
+        }
+        self.instance = Some(instance);
+    }
+
+    pub fn take_rtt(&mut self, sample: Duration) {
+        let old = self.rtt.as_secs_f64();
+        let new = old + RTT_WEIGHT * (sample.as_secs_f64() - old);
+        self.rtt = Duration::from_secs_f64(new);
+    }
+
+    /// Notes that the target could not be used; each failure doubles the pause.
+    pub fn note_failure(&mut self, now: Time) {
+        let pause = AVOID_FIRST * (1 << self.failures.min(10));
+        self.avoid = now + pause.min(AVOID_LIMIT);
+        self.failures += 1;
+    }
+
+    pub fn note_success(&mut self) {
+        self.failures = 0;
+        self.avoid = Time::ZERO;
+    }
+
+    pub fn estimate(&self, mean: &Mean, now: Time) -> Estimate {
+        let service = self.service_time(mean);
+        let slots = f64::from(self.slots);
+        let occupancy = self.expected_occupancy(mean, service, now);
+        let waiting = (occupancy + 1.0 - slots).max(0.0) / slots;
+        let busy = BUSY_COST * (occupancy / slots).min(1.0).powi(2);
+        let mut cost = service.mul_f64(1.0 + waiting + busy) + self.rtt;
+        cost += self.overdue(service, now);
+        cost += FAILING_COST.mul_f64(self.excess_failures(mean));
+        cost = cost.mul_f64(self.ramp_factor(now));
+        Estimate {
+            age: self.report.map(|(_, at)| now - at),
+            cost,
+            occupancy,
+        }
+    }
+
+    fn service_time(&self, mean: &Mean) -> Duration {
+        let reported = self.report.map_or(Duration::ZERO, |(r, _)| r.service);
+        let known = [reported, mean.service].into_iter().find(|s| !s.is_zero());
+        known.unwrap_or(DEFAULT_SERVICE)
+    }
+
+    fn expected_occupancy(&self, mean: &Mean, service: Duration, now: Time) -> f64 {
+        let usual = mean.load * f64::from(self.slots);
+        let Some((report, at)) = self.report else {
+            return usual + self.sent.len() as f64;
+        };
+        let life = service.mul_f64(REPORT_LIFE_SERVICES).max(REPORT_LIFE_MIN);
+        let weight = (-(now - at).as_secs_f64() / life.as_secs_f64()).exp();
+        let reported = f64::from(report.running + report.queued);
+        let unseen = self
+            .sent
+            .values()
+            .filter(|sent| **sent + self.rtt > at)
+            .count();
+        usual + (reported - usual) * weight + unseen as f64
+    }
+
+    /// How much later the oldest outstanding request is than expected. A target that stalls sends no
+    /// reports, so silence itself must raise its cost.
+    fn overdue(&self, service: Duration, now: Time) -> Duration {
+        let oldest = self.sent.values().next();
+        let waited = oldest.map_or(Duration::ZERO, |sent| now - *sent);
+        waited.saturating_sub(service * 2 + self.rtt)
+    }
+
+    /// Share of failed answers above the service's mean. A target that fails fast looks idle and
+    /// would otherwise attract the work of all others.
+    fn excess_failures(&self, mean: &Mean) -> f64 {
+        let own = self.report.map_or(0.0, |(r, _)| f64::from(r.failing));
+        ((own - mean.failing) / 100.0).max(0.0)
+    }
+
+    fn ramp_factor(&self, now: Time) -> f64 {
+        let Some(start) = self.ramp else { return 1.0 };
+        let done = (now - start).as_secs_f64() / RAMP.as_secs_f64();
+        (RAMP_FACTOR - (RAMP_FACTOR - 1.0) * done).max(1.0)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! `hawthornwalld`, the process that runs beside each target.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,8 @@
+//! The daemon's tasks.
+//!
+//! One thread, one monoio runtime. Each task owns its sockets and its state; tasks talk by the
+//! messages of [`messages`]. Decisions are taken by the aggregates of `hawthornwall-core`; a task
+//! only carries their effects out.
+
+pub mod clock;
+pub mod messages;
--- /dev/null
+++ b/crates/node/src/messages.rs
@@ -0,0 +1,256 @@
+//! Messages between the tasks of a daemon.
+//!
+//! Invariant: a message carries owned values and reply channels, never a reference to another task's
+//! state. A dropped reply receiver means that nobody waits for the reply any more.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures::channel::{mpsc, oneshot};
+use hawthornwall_core::admission::WorkId;
+use hawthornwall_core::calls::PickKind;
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::routing::{Choice, Ticket};
+use hawthornwall_wire::peer::{Exchange, Reply, Request, Run, RunReply};
+use serde::Serialize;
+
+/// What is known of the instance beside a target.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Its run, if it has announced itself.
+    pub instance: Option<InstanceId>,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Address of its daemon.
+    pub peer: SocketAddr,
+}
+
+/// Configuration in force and members, as `control` hands them to the other tasks.
+#[derive(Clone, Debug, Default)]
+pub struct World {
+    /// The configuration in force.
+    pub config: Configuration,
+    /// The members by target.
+    pub members: BTreeMap<TargetId, Member>,
+}
+
+/// The end of an attempt, as an ingress connection saw it.
+#[derive(Clone, Debug)]
+pub struct Observed {
+    /// From sending to the reply or its loss.
+    pub elapsed: std::time::Duration,
+    /// Time that the target's daemon held the request.
+    pub held: std::time::Duration,
+    /// The report on the reply.
+    pub report: Option<LoadReport>,
+    /// How the attempt ended.
+    pub result: AttemptResult,
+    /// The attempt.
+    pub ticket: Ticket,
+}
+
+/// To the `router` task.
+#[derive(Debug)]
+pub enum RouterMessage {
+    /// An attempt ended.
+    Observe(Observed),
+    /// Pick a target.
+    Pick {
+        /// Why.
+        kind: PickKind,
+        /// The choice, or why none was made.
+        reply: oneshot::Sender<Result<Choice, Refusal>>,
+        /// The service.
+        service: ServiceId,
+        /// Targets that the call has tried.
+        tried: Vec<TargetId>,
+    },
+    /// Register an attempt at a target that the call names.
+    Pin {
+        /// The attempt's ticket.
+        reply: oneshot::Sender<Ticket>,
+        /// The target.
+        target: TargetId,
+    },
+    /// Configuration or members changed.
+    World(Rc<World>),
+}
+
+/// What the probe task learned about the local target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ProbeResult {
+    /// Whether the target says that it is draining.
+    pub draining: bool,
+    /// Whether it answered at all.
+    pub reachable: bool,
+}
+
+/// To the `gate` task.
+#[derive(Debug)]
+pub enum GateMessage {
+    /// The sender no longer waits.
+    Cancel(WorkId),
+    /// Take no new work; reply when nothing is left.
+    Drain(oneshot::Sender<()>),
+    /// Issue an idempotency key.
+    Issue {
+        /// Repeated in the reply.
+        id: hawthornwall_wire::peer::RequestId,
+        /// The reply.
+        reply: oneshot::Sender<RunReply>,
+        /// The service.
+        service: ServiceId,
+        /// The target that the sender chose.
+        target: TargetId,
+    },
+    /// A probe ended.
+    Probed(ProbeResult),
+    /// Run a request.
+    Run {
+        /// Repeated in the reply.
+        id: hawthornwall_wire::peer::RequestId,
+        /// The reply.
+        reply: oneshot::Sender<RunReply>,
+        /// The request.
+        run: Box<Run>,
+        /// Identifies it in a cancellation.
+        work: WorkId,
+    },
+    /// Report the load of the local target.
+    Status(oneshot::Sender<GateStatus>),
+    /// Configuration or members changed.
+    World(Rc<World>),
+}
+
+/// State of the gate for operators.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct GateStatus {
+    /// Records of idempotency keys held.
+    pub keys: usize,
+    /// The load report that a reply would carry now.
+    pub report: LoadReport,
+    /// The local target's id, if the configuration names it.
+    pub target: Option<TargetId>,
+}
+
+/// Why a request to a peer has no reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerFault {
+    /// It was sent, and may have been received.
+    Lost(Loss),
+    /// Nothing was sent.
+    Unreachable,
+}
+
+/// Whom to send a request to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerAddress {
+    /// The daemon at an address.
+    Socket(SocketAddr),
+    /// The daemon beside a target.
+    Target(TargetId),
+}
+
+/// To the `peers` task.
+#[derive(Debug)]
+pub enum PeersMessage {
+    /// Close all connections once replies in hand are sent; reply when done.
+    Close(oneshot::Sender<()>),
+    /// Send a request to a peer.
+    Send {
+        /// The reply, or why there is none.
+        reply: oneshot::Sender<Result<Reply, PeerFault>>,
+        /// The request.
+        request: Request,
+        /// The peer.
+        to: PeerAddress,
+    },
+    /// Report traffic.
+    Status(oneshot::Sender<PeersStatus>),
+    /// Configuration or members changed.
+    World(Rc<World>),
+}
+
+/// Traffic with peers for operators.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct PeersStatus {
+    /// Connections open.
+    pub connections: usize,
+    /// Bytes of exchanges received, without datagram overhead.
+    pub control_received: u64,
+    /// Bytes of exchanges sent, without datagram overhead.
+    pub control_sent: u64,
+    /// Bytes received in datagrams.
+    pub received: u64,
+    /// Bytes sent in datagrams.
+    pub sent: u64,
+}
+
+/// To the `control` task.
+#[derive(Debug)]
+pub enum ControlMessage {
+    /// A peer compares versions.
+    Exchange {
+        /// What the peer has.
+        exchange: Box<Exchange>,
+        /// What it lacks.
+        reply: oneshot::Sender<Exchange>,
+    },
+    /// This daemon takes no new work from now on.
+    Leaving,
+    /// Report configuration and members.
+    Status(oneshot::Sender<ControlStatus>),
+}
+
+/// Configuration and membership for operators.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ControlStatus {
+    /// Digest of the configuration in force.
+    pub digest: u64,
+    /// Time since the version came into force, in milliseconds.
+    pub in_force_ms: u64,
+    /// Members by target name.
+    pub members: BTreeMap<String, Member>,
+    /// Reads of the platform since the start.
+    pub platform_reads: u64,
+    /// Version in force.
+    pub version: Version,
+}
+
+/// A sender to the `router` task.
+pub type RouterSender = mpsc::UnboundedSender<RouterMessage>;
+/// A sender to the `peers` task.
+pub type PeersSender = mpsc::UnboundedSender<PeersMessage>;
+/// A sender to the `control` task.
+pub type ControlSender = mpsc::UnboundedSender<ControlMessage>;
+
+/// A sender to the `gate` task, with the source of work ids.
+#[derive(Clone, Debug)]
+pub struct GateSender {
+    next: Rc<Cell<u64>>,
+    sender: mpsc::UnboundedSender<GateMessage>,
+}
+
+impl GateSender {
+    /// A sender whose work ids start at 0.
+    pub fn new(sender: mpsc::UnboundedSender<GateMessage>) -> Self {
+        Self {
+            next: Rc::default(),
+            sender,
+        }
+    }
+
+    /// Sends a message. A gate that has ended takes none; its reply channels close.
+    pub fn send(&self, message: GateMessage) {
+        let _ = self.sender.unbounded_send(message);
+    }
+
+    /// An id that no other work of this process has.
+    pub fn next_work(&self) -> WorkId {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        WorkId(id)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/model.rs
@@ -0,0 +1,316 @@
+//! The settings as typed data.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hawthornwall_core::routing::Policy;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// Everything that one daemon is told at its start.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where operators reach the daemon.
+    pub admin: AdminSettings,
+    /// Where callers reach the daemon, and what they may send.
+    pub caller: CallerSettings,
+    /// Exchange of configuration and membership with peers.
+    #[serde(default)]
+    pub control: ControlSettings,
+    /// Failure domain of this instance.
+    pub domain: String,
+    /// Idempotency keys.
+    #[serde(default)]
+    pub keys: KeySettings,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Metrics.
+    #[serde(default)]
+    pub metrics: MetricSettings,
+    /// Name of the target beside this daemon, as in the configuration.
+    pub name: String,
+    /// Other daemons.
+    pub peer: PeerSettings,
+    /// The platform's services.
+    pub platform: PlatformSettings,
+    /// Budget for measuring the target.
+    #[serde(default)]
+    pub probe: ProbeSettings,
+    /// How targets are chosen.
+    #[serde(default)]
+    pub routing: RoutingSettings,
+    /// The target beside this daemon.
+    pub target: TargetSettings,
+    /// Traces.
+    #[serde(default)]
+    pub trace: TraceSettings,
+}
+
+/// Where operators reach the daemon.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdminSettings {
+    /// TCP address of the operators' listener.
+    pub listen: SocketAddr,
+}
+
+/// Where callers reach the daemon, and what they may send.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerSettings {
+    /// Longest body of a request or answer, in bytes.
+    #[serde(default = "body_limit")]
+    pub body_limit: usize,
+    /// Open caller connections.
+    #[serde(default = "connections")]
+    pub connections: usize,
+    /// Longest request head, in bytes.
+    #[serde(default = "head_limit")]
+    pub head_limit: usize,
+    /// Longest time between two requests of a connection, or between two parts of one request.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "idle", rename = "idle_ms")]
+    pub idle: Duration,
+    /// TCP address of the callers' listener.
+    pub listen: SocketAddr,
+    /// Requests in flight for each service.
+    #[serde(default = "service_limit")]
+    pub service_limit: usize,
+}
+
+/// Exchange of configuration and membership.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Time between two exchanges with a peer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "exchange", rename = "exchange_ms")]
+    pub exchange: Duration,
+    /// How long a daemon that has heard only one source waits for others before it serves.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "start_wait", rename = "start_wait_ms")]
+    pub start_wait: Duration,
+    /// Daemons of each failure domain that watch the platform.
+    #[serde(default = "watchers")]
+    pub watchers: usize,
+}
+
+/// Idempotency keys.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeySettings {
+    /// Total size of the stored answers, in bytes.
+    #[serde(default = "answer_bytes")]
+    pub answer_bytes: usize,
+    /// How long a key's record is kept.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "keep", rename = "keep_ms")]
+    pub keep: Duration,
+    /// Most records at once.
+    #[serde(default = "records")]
+    pub records: usize,
+}
+
+/// Lowest level that is logged.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Everything.
+    Debug,
+    /// Faults of this daemon.
+    Error,
+    /// Changes that operators care about.
+    #[default]
+    Info,
+    /// Faults that the daemon works around.
+    Warn,
+}
+
+/// Logs.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogSettings {
+    /// Lowest level that is logged.
+    #[serde(default)]
+    pub level: LogLevel,
+}
+
+/// Metrics.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct MetricSettings {
+    /// UDP address of a statsd server; without one, metrics only appear in the status.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+}
+
+/// Other daemons.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Address that peers use, if it differs from `listen`.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// UDP address of the peers' listener.
+    pub listen: SocketAddr,
+    /// 32 bytes in hexadecimal that all daemons of the fleet share.
+    pub secret: String,
+    /// Peers asked at the start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// A connection on which nothing arrives for this long while something is expected is replaced.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "silence", rename = "silence_ms")]
+    pub silence: Duration,
+}
+
+/// The platform's services.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// TCP address of the configuration service.
+    pub config: SocketAddr,
+    /// TCP address of the instance list.
+    pub instances: SocketAddr,
+}
+
+/// Budget for measuring the target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProbeSettings {
+    /// Probes in each 100 seconds.
+    #[serde(default = "probe_rate")]
+    pub per_100s: u32,
+    /// Share of the target's slot time that probes may take, in hundredths of a percent.
+    #[serde(default = "probe_share")]
+    pub slot_share: u32,
+}
+
+/// How targets are chosen.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoutingSettings {
+    /// The policy; all but the default are baselines for experiments.
+    #[serde(default)]
+    pub policy: Policy,
+}
+
+/// The target beside this daemon.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetSettings {
+    /// TCP address of the target.
+    pub address: SocketAddr,
+    /// Longest time without any byte from the target while a request runs.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "target_silence", rename = "silence_ms")]
+    pub silence: Duration,
+    /// Path of the target's health endpoint.
+    #[serde(default = "health_path")]
+    pub health: String,
+    /// Path of the target's load endpoint.
+    #[serde(default = "load_path")]
+    pub load: String,
+}
+
+/// Traces.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TraceSettings {
+    /// Share of requests without a sampled `traceparent` that are traced, in hundredths of a
+    /// percent.
+    #[serde(default)]
+    pub share: u32,
+}
+
+fn body_limit() -> usize {
+    1 << 20
+}
+
+fn connections() -> usize {
+    1_000
+}
+
+fn head_limit() -> usize {
+    16 << 10
+}
+
+fn idle() -> Duration {
+    Duration::from_mins(1)
+}
+
+fn service_limit() -> usize {
+    500
+}
+
+fn exchange() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn start_wait() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn watchers() -> usize {
+    2
+}
+
+fn answer_bytes() -> usize {
+    8 << 20
+}
+
+fn keep() -> Duration {
+    Duration::from_mins(10)
+}
+
+fn records() -> usize {
+    10_000
+}
+
+fn silence() -> Duration {
+    Duration::from_secs(1)
+}
+
+fn probe_rate() -> u32 {
+    50
+}
+
+fn probe_share() -> u32 {
+    10
+}
+
+fn target_silence() -> Duration {
+    Duration::from_secs(10)
+}
+
+fn health_path() -> String {
+    "/health".to_owned()
+}
+
+fn load_path() -> String {
+    "/load".to_owned()
+}
+
+macro_rules! default_from_empty {
+    ($($name:ident { $($field:ident: $value:expr),* }),* $(,)?) => {
+        $(impl Default for $name {
+            fn default() -> Self {
+                Self { $($field: $value),* }
+            }
+        })*
+    };
+}
+
+default_from_empty! {
+    ControlSettings { exchange: exchange(), start_wait: start_wait(), watchers: watchers() },
+    KeySettings { answer_bytes: answer_bytes(), keep: keep(), records: records() },
+    ProbeSettings { per_100s: probe_rate(), slot_share: probe_share() },
+    TraceSettings { share: 0 },
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fakes of the platform and of targets, launcher, history checker, load and experiment tool.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,8 @@
+//! Encodings between processes. No module here takes a decision.
+//!
+//! Invariant: whatever bytes arrive, decoding returns a value or an error; it never panics.
+
+pub mod head;
+pub mod instances;
+pub mod peer;
+pub mod trace;
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,225 @@
+//! Messages between daemons: one postcard value each way on a stream that FIN ends.
+//!
+//! Invariant: a reply repeats the id of its request, so an answer can't reach another caller.
+
+use std::fmt;
+use std::time::Duration;
+
+use hawthornwall_core::config::{Configuration, Patch};
+use hawthornwall_core::ids::{InstanceId, ServiceId, TargetId, Version};
+use hawthornwall_core::keys::Key;
+use hawthornwall_core::load::LoadReport;
+use hawthornwall_core::outcome::{Loss, Refusal};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMicroSeconds, serde_as};
+
+/// Identifies a request on a connection between two daemons.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct RequestId(pub u64);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "request{:016x}", self.0)
+    }
+}
+
+/// An HTTP header as text and bytes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Header {
+    /// Lower-case name.
+    pub name: String,
+    /// Value.
+    pub value: Vec<u8>,
+}
+
+/// A caller's HTTP request without hop-by-hop headers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HttpRequest {
+    /// The whole body.
+    pub body: Vec<u8>,
+    /// End-to-end headers.
+    pub headers: Vec<Header>,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+}
+
+/// A target's HTTP answer without hop-by-hop headers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HttpAnswer {
+    /// The whole body.
+    pub body: Vec<u8>,
+    /// End-to-end headers.
+    pub headers: Vec<Header>,
+    /// Status code.
+    pub status: u16,
+}
+
+/// A request to run at the target beside the receiving daemon.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Run {
+    /// The caller's request.
+    pub http: HttpRequest,
+    /// Idempotency key.
+    pub key: Option<Key>,
+    /// Time left until the deadline.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub left: Duration,
+    /// Longest wait for a slot that the sender prefers to another target.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub patience: Duration,
+    /// The service.
+    pub service: ServiceId,
+    /// The target that the sender chose.
+    pub target: TargetId,
+    /// `traceparent` of the sender's span, if the request is traced.
+    pub trace: Option<String>,
+}
+
+/// What one daemon knows of itself, passed on by others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Announcement {
+    /// Its failure domain.
+    pub domain: String,
+    /// Its run.
+    pub instance: InstanceId,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Address for peers.
+    pub peer: std::net::SocketAddr,
+    /// Rises with each change that the daemon announces.
+    pub seq: u64,
+    /// Name of the target beside it.
+    pub target: String,
+}
+
+/// One side's versions, and what the other side lacks as far as it is known.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Exchange {
+    /// Changed or new announcements.
+    pub announcements: Vec<Announcement>,
+    /// The whole configuration, if patches can't bridge the gap.
+    pub checkpoint: Option<Configuration>,
+    /// Digest of the configuration in force.
+    pub digest: u64,
+    /// Digest over all announcements known.
+    pub members: u64,
+    /// Patches that follow the version the other side named.
+    pub patches: Vec<Patch>,
+    /// Version in force.
+    pub version: Version,
+}
+
+/// What one daemon asks of another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Request {
+    /// Compare configuration and membership.
+    Exchange(Box<Exchange>),
+    /// Issue an idempotency key for the target beside you.
+    Issue {
+        /// Identifies the request.
+        id: RequestId,
+        /// The service.
+        service: ServiceId,
+        /// The target that the sender chose.
+        target: TargetId,
+    },
+    /// Run a request at the target beside you.
+    Run(RequestId, Box<Run>),
+}
+
+/// How a request to run ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RunEnd {
+    /// The target's whole answer.
+    Answered(HttpAnswer),
+    /// A key, for a request to issue one.
+    Issued(Key),
+    /// It may have run.
+    Lost(Loss),
+    /// It was not run.
+    Refused(Refusal),
+}
+
+/// A reply to [`Request::Run`] or [`Request::Issue`].
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RunReply {
+    /// The end.
+    pub end: RunEnd,
+    /// How long the daemon held the request.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub held: Duration,
+    /// The id of the request.
+    pub id: RequestId,
+    /// Load of the target.
+    pub report: LoadReport,
+}
+
+/// What one daemon replies to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Reply {
+    /// To [`Request::Exchange`].
+    Exchange(Box<Exchange>),
+    /// To [`Request::Run`] and [`Request::Issue`].
+    Run(Box<RunReply>),
+}
+
+/// Bytes that are no message of the expected type.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DecodeError(pub String);
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "malformed peer message: {}", self.0)
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// Encodes a request.
+///
+/// # Panics
+///
+/// Never: no message holds a type that postcard can't encode.
+pub fn encode_request(request: &Request) -> Vec<u8> {
+    postcard::to_stdvec(request).expect("peer messages hold only types that postcard encodes")
+}
+
+/// Encodes a reply.
+///
+/// # Panics
+///
+/// Never: no message holds a type that postcard can't encode.
+pub fn encode_reply(reply: &Reply) -> Vec<u8> {
+    postcard::to_stdvec(reply).expect("peer messages hold only types that postcard encodes")
+}
+
+/// Decodes a request.
+///
+/// # Errors
+///
+/// If the bytes are not exactly one request.
+pub fn decode_request(bytes: &[u8]) -> Result<Request, DecodeError> {
+    decode(postcard::take_from_bytes(bytes))
+}
+
+/// Decodes a reply.
+///
+/// # Errors
+///
+/// If the bytes are not exactly one reply.
+pub fn decode_reply(bytes: &[u8]) -> Result<Reply, DecodeError> {
+    decode(postcard::take_from_bytes(bytes))
+}
+
+fn decode<T>(taken: Result<(T, &[u8]), postcard::Error>) -> Result<T, DecodeError> {
+    let (value, rest) = taken.map_err(|e| DecodeError(e.to_string()))?;
+    if rest.is_empty() {
+        Ok(value)
+    } else {
+        Err(DecodeError(format!("{} bytes too many", rest.len())))
+    }
+}
