--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -228,7 +228,11 @@
     fn expected_wait(&self, now: Time) -> Duration {
         let ahead = self.queue.len() as u32 + 1;
         let seen = self.service_estimate(now);
-        let service = if seen.is_zero() { ASSUMED_SERVICE } else { seen };
+        let service = if seen.is_zero() {
+            ASSUMED_SERVICE
+        } else {
+            seen
+        };
         service * ahead / self.limits.slots.max(1)
     }
 
