Add the data path: callers, router, gate, target connections and QUIC peers

Each task owns its sockets and state and talks by messages. quinn runs on monoio through an adapter that keeps the endpoint on one thread; the fleet shares one raw public key. Not yet started by the daemon: control and platform tasks follow.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Requests that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Broken invariants.
     pub fn verify(&self) -> Vec<String> {
         let mut faults = Vec::new();
--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -33,7 +33,8 @@
     pub hedge: bool,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
-    /// The only target that may run it, named by its idempotency key.
+    /// The only target that may run it, named by its idempotency key. Its ledger runs the request at
+    /// most once, so the request may be sent to it again.
     pub pinned: Option<TargetId>,
 }
 
@@ -113,7 +114,7 @@
         };
         let mut effects = Vec::new();
         if spec.deadline <= now {
-            call.finish(Outcome::Refused(Refusal::Expired), None, &mut effects);
+            call.give_up(Loss::Expired, Refusal::Expired, &mut effects);
         } else if let Some(target) = spec.pinned {
             call.send(target, Duration::MAX, &mut effects);
         } else {
@@ -239,6 +240,12 @@
         attempt.result = Some(result);
         match result {
             AttemptResult::Answered => self.finish(Outcome::Answered, Some(id), effects),
+            AttemptResult::Lost(loss) if self.spec.pinned.is_some() => {
+                self.repeat(loss, now, effects);
+            }
+            AttemptResult::Refused(Refusal::Unreachable) if self.spec.pinned.is_some() => {
+                self.repeat(Loss::KeyUnreachable, now, effects);
+            }
             AttemptResult::Lost(loss) if !self.spec.idempotent => {
                 self.finish(Outcome::Unknown(loss), None, effects);
             }
@@ -252,6 +259,21 @@
         }
     }
 
+    /// Sends a keyed request again to the target that its key names, since the ledger there can tell
+    /// what became of the earlier attempt.
+    fn repeat(&mut self, loss: Loss, now: Time, effects: &mut Vec<Effect>) {
+        let target = self.spec.pinned.filter(|_| match loss {
+            Loss::Closed | Loss::KeyUnreachable => true,
+            Loss::Cancelled | Loss::Expired | Loss::KeyForgotten | Loss::Malformed => false,
+        });
+        match target {
+            Some(target) if self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline => {
+                self.send(target, Duration::MAX, effects);
+            }
+            Some(_) | None => self.finish(Outcome::Unknown(loss), None, effects),
+        }
+    }
+
     fn try_again(
         &mut self,
         kind: PickKind,
@@ -285,6 +307,7 @@
         let outcome = match (self.open().next().is_some(), self.spec.idempotent) {
             (true, true) => Outcome::Failed(loss),
             (true, false) => Outcome::Unknown(loss),
+            (false, _) if self.spec.pinned.is_some() => Outcome::Unknown(Loss::KeyUnreachable),
             (false, _) => self.outcome_without_answer(refusal),
         };
         self.finish(outcome, None, effects);
@@ -305,12 +328,42 @@
     }
 
     fn finish(&mut self, outcome: Outcome, answer: Option<AttemptId>, effects: &mut Vec<Effect>) {
+        let outcome = match outcome {
+            Outcome::Refused(refusal) if self.spec.pinned.is_some() => keyed_outcome(refusal),
+            Outcome::Answered | Outcome::Failed(_) | Outcome::Refused(_) | Outcome::Unknown(_) => {
+                outcome
+            }
+        };
         self.finished = true;
         effects.extend(self.open().map(Effect::Cancel));
         effects.push(Effect::Finish(outcome, answer));
     }
 }
 
+/// What a caller is told of a refused request under a key.
+///
+/// An earlier request may have run under the same key, so only the ledger that knows the key may say
+/// "not run". Refusals by this daemon alone leave the outcome unknown.
+pub fn keyed_outcome(refusal: Refusal) -> Outcome {
+    match refusal {
+        Refusal::Budget
+        | Refusal::NoTarget
+        | Refusal::NotReady
+        | Refusal::Overload
+        | Refusal::Unreachable
+        | Refusal::UnknownService
+        | Refusal::WrongTarget => Outcome::Unknown(Loss::KeyUnreachable),
+        Refusal::Cancelled
+        | Refusal::Down
+        | Refusal::Draining
+        | Refusal::Expired
+        | Refusal::Full
+        | Refusal::KeyInvalid
+        | Refusal::KeyMismatch
+        | Refusal::Shed => Outcome::Refused(refusal),
+    }
+}
+
 /// Whether another target may accept what this one refused.
 fn elsewhere(refusal: Refusal) -> bool {
     match refusal {
--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -5,10 +5,11 @@
 //!   of it can have run;
 //! - a call finishes exactly once, and every attempt still open is cancelled then;
 //! - a call never makes more than [`MAX_ATTEMPTS`] attempts;
-//! - "refused" is reported only if every attempt was refused or none was made.
+//! - "refused" is reported only if every attempt was refused or none was made, and for a keyed
+//!   request only if the ledger that knows the key refused.
 
 mod budget;
 mod call;
 
 pub use budget::RetryBudget;
-pub use call::{AttemptId, Call, Effect, Event, MAX_ATTEMPTS, PickKind, Spec};
+pub use call::{AttemptId, Call, Effect, Event, MAX_ATTEMPTS, PickKind, Spec, keyed_outcome};
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -82,6 +82,8 @@
     Expired,
     /// The run that held the idempotency key is gone, or has dropped the key's record.
     KeyForgotten,
+    /// The run that issued the idempotency key could not be asked what became of it.
+    KeyUnreachable,
     /// The answer broke the protocol or exceeded the size limit.
     Malformed,
 }
@@ -94,6 +96,7 @@
             Self::Closed => "connection-closed",
             Self::Expired => "deadline-expired-running",
             Self::KeyForgotten => "key-forgotten",
+            Self::KeyUnreachable => "key-unreachable",
             Self::Malformed => "answer-malformed",
         }
     }
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -325,7 +325,7 @@
 fn note_loss(view: &mut View, loss: Loss, now: Time) {
     match loss {
         Loss::Closed | Loss::Expired | Loss::Malformed => view.note_failure(now),
-        Loss::Cancelled | Loss::KeyForgotten => {}
+        Loss::Cancelled | Loss::KeyForgotten | Loss::KeyUnreachable => {}
     }
 }
 
--- /dev/null
+++ b/crates/node/src/gate/task.rs
@@ -0,0 +1,408 @@
+//! The task that owns the gate and the ledger.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::{mpsc, oneshot};
+use futures::{FutureExt, StreamExt, select_biased};
+use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, WorkId};
+use hawthornwall_core::keys::{Decision, KeyEnd, KeyLimits, Ledger};
+use hawthornwall_core::prelude::*;
+use hawthornwall_settings::Settings;
+use hawthornwall_wire::peer::{RequestId, Run, RunEnd, RunReply};
+use rand::Rng;
+
+use super::answers::Answers;
+use super::conn::{self, Finished, Job, JobEnd, TargetAddress};
+use super::work::{Held, Waiter, WorkTable, print};
+use crate::clock::Clock;
+use crate::http;
+use crate::messages::{GateMessage, GateStatus, ProbeResult, World};
+
+/// Time between two looks at expired work while requests wait.
+const TICK_WAITING: Duration = Duration::from_millis(5);
+/// Time between two looks at expired keys; longer, so that an idle daemon hardly wakes.
+const TICK_IDLE: Duration = Duration::from_secs(1);
+/// Slots until a configuration names the target's own.
+const INITIAL_SLOTS: u32 = 1;
+
+/// What the task needs at its start.
+#[derive(Debug)]
+pub struct GateStart<'a> {
+    /// The process's clock.
+    pub clock: Clock,
+    /// This run.
+    pub instance: InstanceId,
+    /// Messages of other tasks.
+    pub receiver: mpsc::UnboundedReceiver<GateMessage>,
+    /// The daemon's settings.
+    pub settings: &'a Settings,
+}
+
+/// The task and its state.
+#[derive(Debug)]
+pub struct Gatekeeper {
+    address: TargetAddress,
+    answers: Answers,
+    clock: Clock,
+    done: mpsc::UnboundedReceiver<Finished>,
+    drained: Vec<oneshot::Sender<()>>,
+    finished: mpsc::UnboundedSender<Finished>,
+    gate: Gate,
+    idle: Vec<mpsc::UnboundedSender<Job>>,
+    instance: InstanceId,
+    key_limits: KeyLimits,
+    ledger: Option<Ledger>,
+    name: String,
+    receiver: mpsc::UnboundedReceiver<GateMessage>,
+    service: Option<ServiceId>,
+    target: Option<TargetId>,
+    work: WorkTable,
+}
+
+impl Gatekeeper {
+    /// A gate without a configured target; it refuses everything until a configuration names one.
+    pub fn new(start: GateStart<'_>) -> Self {
+        let settings = start.settings;
+        let (finished, done) = mpsc::unbounded();
+        let limits = http::Limits {
+            body: settings.caller.body_limit,
+            head: settings.caller.head_limit,
+            idle: settings.target.silence,
+        };
+        let key_limits = KeyLimits {
+            keep: settings.keys.keep,
+            records: settings.keys.records,
+        };
+        let gate_limits = Limits {
+            queue_wait: Duration::ZERO,
+            slots: INITIAL_SLOTS,
+        };
+        Self {
+            address: TargetAddress {
+                address: settings.target.address,
+                clock: start.clock,
+                limits,
+            },
+            answers: Answers::new(settings.keys.answer_bytes),
+            clock: start.clock,
+            done,
+            drained: Vec::new(),
+            finished,
+            gate: Gate::new(start.instance, gate_limits),
+            idle: Vec::new(),
+            instance: start.instance,
+            key_limits,
+            ledger: None,
+            name: settings.name.clone(),
+            receiver: start.receiver,
+            service: None,
+            target: None,
+            work: WorkTable::default(),
+        }
+    }
+
+    /// Serves messages until all senders are gone.
+    pub async fn run(mut self) {
+        loop {
+            let pause = if self.gate.waiting() > 0 {
+                TICK_WAITING
+            } else {
+                TICK_IDLE
+            };
+            let tick = monoio::time::sleep(pause).fuse();
+            futures::pin_mut!(tick);
+            select_biased! {
+                finished = self.done.next() => {
+                    if let Some(finished) = finished {
+                        self.finish(finished);
+                    }
+                }
+                message = self.receiver.next() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = tick => self.tick(),
+            }
+        }
+    }
+
+    fn take(&mut self, message: GateMessage) {
+        match message {
+            GateMessage::Cancel(work) => {
+                if let Some(work) = self.work.leave(work) {
+                    self.apply(&Event::Cancel(work));
+                }
+            }
+            GateMessage::Drain(done) => {
+                self.drained.push(done);
+                self.apply(&Event::Drain);
+            }
+            GateMessage::Issue {
+                id,
+                reply,
+                service,
+                target,
+            } => {
+                let end = self.issue(service, target);
+                self.send_reply(reply, id, end, Duration::ZERO);
+            }
+            GateMessage::Probed(result) => self.note_probe(result),
+            GateMessage::Run {
+                id,
+                reply,
+                run,
+                work,
+            } => {
+                let arrived = self.clock.now();
+                self.admit(
+                    run,
+                    Waiter {
+                        arrived,
+                        id,
+                        reply,
+                        work,
+                    },
+                );
+            }
+            GateMessage::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            GateMessage::World(world) => self.configure(&world),
+        }
+    }
+
+    fn configure(&mut self, world: &Rc<World>) {
+        let config = &world.config;
+        let target = config
+            .target_named(&self.name)
+            .map(|id| (id, &config.targets[&id]));
+        let rules = target
+            .and_then(|(_, t)| config.services.get(&t.service))
+            .map(|s| &s.rules);
+        let (Some((id, target)), Some(rules)) = (target, rules) else {
+            self.target = None;
+            return;
+        };
+        if self.target != Some(id) {
+            // A ledger belongs to one target id; keys of an earlier one must not match.
+            self.ledger = Some(Ledger::new(self.instance, id, self.key_limits));
+        }
+        self.target = Some(id);
+        self.service = Some(target.service);
+        let limits = Limits {
+            queue_wait: rules.queue_wait,
+            slots: target.slots,
+        };
+        self.apply(&Event::Configure(limits));
+    }
+
+    fn note_probe(&mut self, result: ProbeResult) {
+        self.apply(&Event::Reachable(result.reachable));
+        if result.draining {
+            self.apply(&Event::Drain);
+        }
+    }
+
+    fn issue(&mut self, service: ServiceId, target: TargetId) -> RunEnd {
+        let refused = match self.gate.state() {
+            _ if self.target != Some(target) || self.service != Some(service) => {
+                Some(Refusal::WrongTarget)
+            }
+            TargetState::Draining => Some(Refusal::Draining),
+            TargetState::Down => Some(Refusal::Down),
+            TargetState::Serving => None,
+        };
+        let now = self.clock.now();
+        match (refused, &mut self.ledger) {
+            (None, Some(ledger)) => {
+                let issued = ledger.issue(service, rand::rng().random(), now);
+                issued.map_or_else(RunEnd::Refused, RunEnd::Issued)
+            }
+            (refused, _) => RunEnd::Refused(refused.unwrap_or(Refusal::NotReady)),
+        }
+    }
+
+    fn admit(&mut self, run: Box<Run>, waiter: Waiter) {
+        let known = self.target == Some(run.target) && self.service == Some(run.service);
+        let decision = match (&run.key, &mut self.ledger) {
+            // The ledger knows better than the configuration what has run under a key.
+            (Some(key), Some(ledger)) => {
+                let now = self.clock.now();
+                ledger.request(key, print(&run.http), now)
+            }
+            (Some(_), None) => Decision::Lost(Loss::KeyForgotten),
+            (None, _) if known => Decision::Run,
+            (None, _) => Decision::Refuse(Refusal::WrongTarget),
+        };
+        let serial = run.key.map(|key| key.serial);
+        match decision {
+            Decision::Join => self.work.join(serial.unwrap_or_default(), waiter),
+            Decision::Lost(loss) => self.reply(waiter, RunEnd::Lost(loss)),
+            Decision::Refuse(refusal) => self.reply(waiter, RunEnd::Refused(refusal)),
+            Decision::Replay => {
+                let stored = self.answers.get(serial.unwrap_or_default()).cloned();
+                let end = stored.map_or(RunEnd::Lost(Loss::KeyForgotten), RunEnd::Answered);
+                self.reply(waiter, end);
+            }
+            Decision::Run => self.enter(run, waiter, serial),
+        }
+    }
+
+    fn enter(&mut self, run: Box<Run>, waiter: Waiter, key: Option<u64>) {
+        let (work, deadline) = (waiter.work, self.clock.now() + run.left);
+        let arrival = Arrival {
+            deadline,
+            id: work,
+            patience: run.patience,
+        };
+        let held = Held {
+            cancel: None,
+            deadline,
+            key,
+            run: Some(run),
+            waiters: vec![waiter],
+        };
+        self.work.insert(work, held);
+        self.apply(&Event::Arrive(arrival));
+    }
+
+    fn tick(&mut self) {
+        self.apply(&Event::Tick);
+        let now = self.clock.now();
+        let expired = self
+            .ledger
+            .as_mut()
+            .map(|l| l.expire(now))
+            .unwrap_or_default();
+        for serial in expired {
+            self.answers.remove(serial);
+        }
+    }
+
+    fn apply(&mut self, event: &Event) {
+        let effects = self.gate.on(event, self.clock.now());
+        for effect in effects {
+            match effect {
+                Effect::Abort(work) => {
+                    if let Some(held) = self.work.get_mut(work) {
+                        held.cancel = None;
+                    }
+                }
+                Effect::Drained => {
+                    for done in self.drained.drain(..) {
+                        let _ = done.send(());
+                    }
+                }
+                Effect::Refuse(work, refusal) => {
+                    self.end_work(work, KeyEnd::NotRun, &RunEnd::Refused(refusal));
+                }
+                Effect::Start(work) => self.start(work),
+            }
+        }
+    }
+
+    fn start(&mut self, work: WorkId) {
+        let Some(held) = self.work.get_mut(work) else {
+            return;
+        };
+        let Some(run) = held.run.take() else { return };
+        let (cancel, cancelled) = oneshot::channel();
+        held.cancel = Some(cancel);
+        let Run { http, trace, .. } = *run;
+        let job = Job {
+            cancel: cancelled,
+            deadline: held.deadline,
+            request: http,
+            trace,
+            work,
+        };
+        self.dispatch(job);
+    }
+
+    /// Hands a job to an idle connection, or opens one. A connection that closed meanwhile gives the
+    /// job back unsent.
+    fn dispatch(&mut self, mut job: Job) {
+        while let Some(conn) = self.idle.pop() {
+            match conn.unbounded_send(job) {
+                Ok(()) => return,
+                Err(unsent) => job = unsent.into_inner(),
+            }
+        }
+        monoio::spawn(conn::run(self.address, job, self.finished.clone()));
+    }
+
+    fn finish(&mut self, finished: Finished) {
+        let Finished {
+            draining,
+            end,
+            idle,
+            work,
+        } = finished;
+        self.idle.extend(idle);
+        let failed = match &end {
+            JobEnd::Answered(answer) => answer.status >= 500,
+            JobEnd::Lost(Loss::Cancelled) | JobEnd::Refused(_) => false,
+            JobEnd::Lost(_) => true,
+        };
+        let unreachable = matches!(end, JobEnd::Refused(Refusal::Down));
+        let (key_end, run_end) = match end {
+            JobEnd::Answered(answer) => (KeyEnd::Answered, RunEnd::Answered(answer)),
+            JobEnd::Lost(loss) => (KeyEnd::Lost(loss), RunEnd::Lost(loss)),
+            JobEnd::Refused(refusal) => (KeyEnd::NotRun, RunEnd::Refused(refusal)),
+        };
+        let finish = Event::Finish { failed, id: work };
+        let effects_first = unreachable.then_some(Event::Reachable(false));
+        for event in effects_first.iter().chain([&finish]) {
+            self.apply(event);
+        }
+        self.end_work(work, key_end, &run_end);
+        if draining {
+            self.apply(&Event::Drain);
+        }
+    }
+
+    fn end_work(&mut self, work: WorkId, key_end: KeyEnd, end: &RunEnd) {
+        let Some(held) = self.work.remove(work) else {
+            return;
+        };
+        if let (Some(serial), Some(ledger)) = (held.key, &mut self.ledger) {
+            ledger.end(serial, key_end, self.clock.now());
+            if let RunEnd::Answered(answer) = end {
+                self.answers.store(serial, &Rc::new(answer.clone()));
+            }
+        }
+        for waiter in held.waiters {
+            self.reply(waiter, end.clone());
+        }
+    }
+
+    fn reply(&mut self, waiter: Waiter, end: RunEnd) {
+        let held = self.clock.now() - waiter.arrived;
+        self.send_reply(waiter.reply, waiter.id, end, held);
+    }
+
+    fn send_reply(
+        &mut self,
+        reply: oneshot::Sender<RunReply>,
+        id: RequestId,
+        end: RunEnd,
+        held: Duration,
+    ) {
+        let report = self.gate.report(self.clock.now());
+        let _ = reply.send(RunReply {
+            end,
+            held,
+            id,
+            report,
+        });
+    }
+
+    fn status(&mut self) -> GateStatus {
+        GateStatus {
+            keys: self.ledger.as_ref().map_or(0, Ledger::len),
+            report: self.gate.report(self.clock.now()),
+            target: self.target,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/http/convert.rs
@@ -0,0 +1,145 @@
+//! Between the library's heads, the peer protocol's messages and bytes on a connection.
+
+use hawthornwall_wire::peer::{Header, HttpAnswer, HttpRequest};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName};
+use http::request::Parts as RequestHead;
+use http::response::Parts as AnswerHead;
+use http::{Method, StatusCode};
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1) or to the framing of one message.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The request in the form that daemons pass on.
+pub fn from_request_head(head: &RequestHead, body: Vec<u8>) -> HttpRequest {
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    HttpRequest {
+        body,
+        headers: end_to_end(&head.headers),
+        method: head.method.as_str().to_owned(),
+        path: path.to_owned(),
+    }
+}
+
+/// The answer in the form that daemons pass on. The length of an answer to `HEAD` is kept, since it
+/// describes a body that is not sent.
+pub fn from_answer_head(head: &AnswerHead, body: Vec<u8>, to_head: bool) -> HttpAnswer {
+    let mut headers = end_to_end(&head.headers);
+    let length = head.headers.get(CONTENT_LENGTH).filter(|_| to_head);
+    headers.extend(length.map(|value| Header {
+        name: CONTENT_LENGTH.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    }));
+    HttpAnswer {
+        body,
+        headers,
+        status: head.status.as_u16(),
+    }
+}
+
+/// The value of a header as text, if it is there once and is text.
+pub fn header_text<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    let mut values = headers.iter().filter(|h| h.name == name);
+    let value = values.next().filter(|_| values.next().is_none())?;
+    std::str::from_utf8(&value.value).ok()
+}
+
+/// A request as bytes, with a fixed length.
+pub fn encode_request(request: &HttpRequest, host: &str, extra: &[Header]) -> Vec<u8> {
+    let mut out = format!("{} {} HTTP/1.1\r\n", request.method, request.path).into_bytes();
+    if header_text(&request.headers, "host").is_none() {
+        push_header(&mut out, "host", host.as_bytes());
+    }
+    let replaced = |h: &&Header| !extra.iter().any(|e| e.name == h.name);
+    for header in request.headers.iter().filter(replaced).chain(extra) {
+        push_header(&mut out, &header.name, &header.value);
+    }
+    let bodiless = request.body.is_empty()
+        && matches!(
+            request.method.as_str(),
+            "GET" | "HEAD" | "DELETE" | "OPTIONS" | "TRACE"
+        );
+    if !bodiless {
+        push_header(
+            &mut out,
+            "content-length",
+            request.body.len().to_string().as_bytes(),
+        );
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&request.body);
+    out
+}
+
+/// An answer as bytes, with a fixed length.
+pub fn encode_answer(
+    answer: &HttpAnswer,
+    method: &Method,
+    extra: &[Header],
+    close: bool,
+) -> Vec<u8> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    let mut out = format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).into_bytes();
+    let replaced = |h: &&Header| !extra.iter().any(|e| e.name == h.name);
+    for header in answer.headers.iter().filter(replaced).chain(extra) {
+        push_header(&mut out, &header.name, &header.value);
+    }
+    if close {
+        push_header(&mut out, "connection", b"close");
+    }
+    let bodiless = method == Method::HEAD || matches!(answer.status, 204 | 304);
+    if !bodiless {
+        push_header(
+            &mut out,
+            "content-length",
+            answer.body.len().to_string().as_bytes(),
+        );
+    }
+    out.extend_from_slice(b"\r\n");
+    if !bodiless {
+        out.extend_from_slice(&answer.body);
+    }
+    out
+}
+
+fn push_header(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
+    let named = connection_headers(headers);
+    let kept = |name: &HeaderName| {
+        !HOP_BY_HOP.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str())
+    };
+    let kept = headers.iter().filter(|(name, _)| kept(name));
+    kept.map(|(name, value)| Header {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    })
+    .collect()
+}
+
+/// The headers that `Connection` names, which are hop-by-hop too.
+fn connection_headers(headers: &HeaderMap) -> Vec<String> {
+    let values = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok());
+    values
+        .flat_map(|v| v.split(','))
+        .map(|n| n.trim().to_ascii_lowercase())
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/ingress/attempt.rs
@@ -0,0 +1,187 @@
+//! One attempt to have a call answered by one target.
+
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use hawthornwall_core::calls::AttemptId;
+use hawthornwall_core::keys::Key;
+use hawthornwall_core::prelude::*;
+use hawthornwall_wire::peer::{
+    HttpAnswer, HttpRequest, Reply, Request, RequestId, Run, RunEnd, RunReply,
+};
+
+use super::listener::Backend;
+use crate::messages::{GateMessage, OpenTicket, PeerAddress, PeerFault, PeersMessage, Seen};
+use crate::peers::run_at_gate;
+
+/// What the targets of a call are asked to do.
+#[derive(Clone, Debug)]
+pub(super) enum Task {
+    /// Issue an idempotency key.
+    Issue,
+    /// Run the caller's request.
+    Run {
+        http: HttpRequest,
+        key: Option<Key>,
+        trace: Option<String>,
+    },
+}
+
+/// One attempt. Dropping it before its end cancels the work and ends its ticket.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub request: AttemptRequest,
+    pub ticket: OpenTicket,
+}
+
+/// What is sent.
+#[derive(Debug)]
+pub(super) struct AttemptRequest {
+    pub deadline: Time,
+    pub id: AttemptId,
+    /// Whether the target is beside this daemon.
+    pub local: bool,
+    pub patience: Duration,
+    pub service: ServiceId,
+    pub target: TargetId,
+    pub task: Task,
+}
+
+/// What an attempt yields for the caller.
+#[derive(Debug)]
+pub(super) enum Yield {
+    Answer(HttpAnswer),
+    Key(Key),
+    Nothing,
+}
+
+impl Attempt {
+    /// Makes the attempt and reports its end to the router.
+    pub async fn run(self, backend: Backend) -> (AttemptId, TargetId, AttemptResult, Yield) {
+        let (id, target) = (self.request.id, self.request.target);
+        let started = backend.clock.now();
+        let Self { request, ticket } = self;
+        let reply = request.send(&backend).await;
+        let elapsed = backend.clock.now() - started;
+        let (result, report, held, yielded) = match reply {
+            Ok(reply) => {
+                let (result, yielded) = split(reply.end);
+                (result, Some(reply.report), reply.held, yielded)
+            }
+            Err(fault) => (result_of(fault), None, Duration::ZERO, Yield::Nothing),
+        };
+        ticket.close(Seen {
+            elapsed,
+            held,
+            report,
+            result,
+        });
+        (id, target, result, yielded)
+    }
+}
+
+impl AttemptRequest {
+    async fn send(self, backend: &Backend) -> Result<RunReply, PeerFault> {
+        let id = RequestId(backend.requests.get());
+        backend.requests.set(id.0.wrapping_add(1));
+        let request = self.request(id, backend);
+        let reply = if self.local {
+            send_local(backend, request).await?
+        } else {
+            send_remote(backend, self.target, request).await?
+        };
+        // A reply to another request must never reach this caller.
+        if reply.id == id {
+            Ok(reply)
+        } else {
+            Err(PeerFault::Lost(Loss::Malformed))
+        }
+    }
+
+    fn request(&self, id: RequestId, backend: &Backend) -> Request {
+        let (service, target) = (self.service, self.target);
+        match self.task.clone() {
+            Task::Issue => Request::Issue {
+                id,
+                service,
+                target,
+            },
+            Task::Run { http, key, trace } => {
+                let left = backend.clock.until(self.deadline);
+                let patience = self.patience;
+                let run = Run {
+                    http,
+                    key,
+                    left,
+                    patience,
+                    service,
+                    target,
+                    trace,
+                };
+                Request::Run(id, Box::new(run))
+            }
+        }
+    }
+}
+
+async fn send_local(backend: &Backend, request: Request) -> Result<RunReply, PeerFault> {
+    let reply = match request {
+        Request::Run(id, run) => run_at_gate(&backend.gate, id, run).await,
+        Request::Issue {
+            id,
+            service,
+            target,
+        } => {
+            let (reply, receiver) = oneshot::channel();
+            backend.gate.send(GateMessage::Issue {
+                id,
+                reply,
+                service,
+                target,
+            });
+            receiver.await.ok()
+        }
+        Request::Exchange(_) => None,
+    };
+    reply.ok_or(PeerFault::Lost(Loss::Closed))
+}
+
+async fn send_remote(
+    backend: &Backend,
+    target: TargetId,
+    request: Request,
+) -> Result<RunReply, PeerFault> {
+    let (reply, receiver) = oneshot::channel();
+    let message = PeersMessage::Send {
+        reply,
+        request,
+        to: PeerAddress::Target(target),
+    };
+    backend
+        .peers
+        .unbounded_send(message)
+        .map_err(|_| PeerFault::Unreachable)?;
+    match receiver
+        .await
+        .map_err(|_| PeerFault::Lost(Loss::Closed))??
+    {
+        Reply::Run(reply) => Ok(*reply),
+        Reply::Exchange(_) => Err(PeerFault::Lost(Loss::Malformed)),
+    }
+}
+
+fn split(end: RunEnd) -> (AttemptResult, Yield) {
+    match end {
+        RunEnd::Answered(answer) => (AttemptResult::Answered, Yield::Answer(answer)),
+        RunEnd::Issued(key) => (AttemptResult::Answered, Yield::Key(key)),
+        RunEnd::Lost(loss) => (AttemptResult::Lost(loss), Yield::Nothing),
+        RunEnd::Refused(refusal) => (AttemptResult::Refused(refusal), Yield::Nothing),
+    }
+}
+
+fn result_of(fault: PeerFault) -> AttemptResult {
+    match fault {
+        PeerFault::Lost(loss) => AttemptResult::Lost(loss),
+        PeerFault::Unreachable => AttemptResult::Refused(Refusal::Unreachable),
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/reply.rs
@@ -0,0 +1,166 @@
+//! What a caller is answered, for each outcome and each fault of its request.
+
+use hawthornwall_core::outcome::{Loss, Outcome, Refusal};
+use hawthornwall_wire::head::HeadFault;
+use hawthornwall_wire::peer::{Header, HttpAnswer};
+use http::Method;
+
+use crate::http::{ReadFault, encode_answer};
+
+/// Seconds after which a refused request may be worth repeating.
+const RETRY_AFTER_SECONDS: &str = "1";
+
+/// An answer and the headers that the daemon adds to it.
+#[derive(Debug)]
+pub(super) struct Reply {
+    answer: HttpAnswer,
+    extra: Vec<Header>,
+}
+
+impl Reply {
+    /// The target's answer.
+    pub fn answered(answer: HttpAnswer, target: &str) -> Self {
+        let extra = vec![
+            header("hawthornwall-outcome", Outcome::Answered.name()),
+            header("hawthornwall-target", target),
+        ];
+        Self { answer, extra }
+    }
+
+    /// An issued idempotency key.
+    pub fn issued(key: &str) -> Self {
+        let body = format!("{{\"key\":\"{key}\"}}\n").into_bytes();
+        let extra = vec![
+            header("hawthornwall-outcome", Outcome::Answered.name()),
+            header("cache-control", "no-store"),
+            header("content-type", "application/json"),
+        ];
+        Self {
+            answer: HttpAnswer {
+                body,
+                headers: Vec::new(),
+                status: 201,
+            },
+            extra,
+        }
+    }
+
+    /// A call that ended without an answer.
+    pub fn unanswered(outcome: Outcome) -> Self {
+        let status = status_of(outcome);
+        let reason = outcome.reason().unwrap_or_default();
+        let text = explain(outcome);
+        let mut reply = Self::error(status, outcome.name(), reason, text);
+        let repeatable = matches!(outcome, Outcome::Refused(_)) && matches!(status, 429 | 503);
+        reply
+            .extra
+            .extend(repeatable.then(|| header("retry-after", RETRY_AFTER_SECONDS)));
+        reply
+    }
+
+    fn error(status: u16, outcome: &str, reason: &str, text: &str) -> Self {
+        let body = format!("{text}\n").into_bytes();
+        let extra = vec![
+            header("hawthornwall-outcome", outcome),
+            header("hawthornwall-reason", reason),
+            header("content-type", "text/plain; charset=utf-8"),
+        ];
+        Self {
+            answer: HttpAnswer {
+                body,
+                headers: Vec::new(),
+                status,
+            },
+            extra,
+        }
+    }
+
+    /// The whole answer as bytes.
+    pub fn encode(&self, method: &Method, close: bool) -> Vec<u8> {
+        encode_answer(&self.answer, method, &self.extra, close)
+    }
+}
+
+/// The answer to a request that can't be read; `None` if the connection is of no more use.
+pub(super) fn of_read_fault(fault: &ReadFault) -> Option<Reply> {
+    let (status, reason) = match fault {
+        ReadFault::Closed | ReadFault::Cut | ReadFault::Idle | ReadFault::Io(_) => return None,
+        ReadFault::Head(HeadFault::TooLarge) => (431, "head-too-large"),
+        ReadFault::Head(
+            HeadFault::BothLengths
+            | HeadFault::Folded
+            | HeadFault::Length
+            | HeadFault::Malformed(_)
+            | HeadFault::TransferCoding,
+        )
+        | ReadFault::Malformed(_) => (400, "malformed-request"),
+        ReadFault::TooLarge => (413, "body-too-large"),
+    };
+    Some(Reply::error(
+        status,
+        "refused",
+        reason,
+        &format!("The request was not run: {fault}."),
+    ))
+}
+
+fn status_of(outcome: Outcome) -> u16 {
+    match outcome {
+        Outcome::Answered => 200,
+        Outcome::Failed(Loss::Expired)
+        | Outcome::Refused(Refusal::Expired)
+        | Outcome::Unknown(Loss::Expired) => 504,
+        Outcome::Failed(_) | Outcome::Unknown(_) => 502,
+        Outcome::Refused(Refusal::UnknownService) => 404,
+        Outcome::Refused(Refusal::KeyInvalid) => 400,
+        Outcome::Refused(Refusal::KeyMismatch) => 422,
+        Outcome::Refused(Refusal::Overload) => 429,
+        Outcome::Refused(
+            Refusal::Budget
+            | Refusal::Cancelled
+            | Refusal::Down
+            | Refusal::Draining
+            | Refusal::Full
+            | Refusal::NoTarget
+            | Refusal::NotReady
+            | Refusal::Shed
+            | Refusal::Unreachable
+            | Refusal::WrongTarget,
+        ) => 503,
+    }
+}
+
+fn explain(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "",
+        Outcome::Failed(_) => {
+            "No whole answer arrived. The request is idempotent, so repeating it is harmless."
+        }
+        Outcome::Refused(Refusal::KeyInvalid) => {
+            "The request was not run: the Idempotency-Key was not issued here. \
+             Get one with POST /.hawthornwall/keys/<service>."
+        }
+        Outcome::Refused(Refusal::KeyMismatch) => {
+            "The request was not run: the Idempotency-Key belongs to another request."
+        }
+        Outcome::Refused(Refusal::UnknownService) => {
+            "The request was not run: no service has this host name or first path segment."
+        }
+        Outcome::Refused(_) => "The request was not run.",
+        Outcome::Unknown(Loss::KeyForgotten) => {
+            "The request may have run once and will not run again: the daemon that knew its \
+             Idempotency-Key is gone. Look up its effect at the service."
+        }
+        Outcome::Unknown(_) => {
+            "The request may have run. Repeat it with the same Idempotency-Key, or look up its \
+             effect at the service."
+        }
+    }
+}
+
+fn header(name: &str, value: &str) -> Header {
+    Header {
+        name: name.to_owned(),
+        value: value.as_bytes().to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/serve.rs
@@ -0,0 +1,244 @@
+//! Carries out the effects of one call.
+
+use futures::channel::{mpsc, oneshot};
+use futures::future::LocalBoxFuture;
+use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt, pin_mut, select_biased};
+use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, PickKind, Spec, keyed_outcome};
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::routing::Choice;
+use hawthornwall_wire::peer::HttpRequest;
+
+use super::attempt::{Attempt, AttemptRequest, Task, Yield};
+use super::listener::Backend;
+use super::reply::Reply;
+use super::request::{Asked, address, asked, idempotent, time_left};
+use crate::http::header_text;
+use crate::messages::{OpenTicket, Opened, RouterMessage};
+
+/// Serves one request. Dropping the future cancels it.
+pub(super) async fn serve(backend: &Backend, request: HttpRequest) -> Reply {
+    let asked = match asked(&request) {
+        Ok(asked) => asked,
+        Err(refusal) => return Reply::unanswered(Outcome::Refused(refusal)),
+    };
+    let (host, path) = address(&request, &asked);
+    let opened = match open(backend, host, path).await {
+        Ok(opened) => opened,
+        Err(refusal) => return Reply::unanswered(refused(&asked, refusal)),
+    };
+    let _inflight = InFlight {
+        router: &backend.router,
+        service: opened.service,
+    };
+    if let Asked::Keyed(key) = asked
+        && key.service != opened.service
+    {
+        return Reply::unanswered(Outcome::Refused(Refusal::KeyMismatch));
+    }
+    let mut serving = Serving::new(backend, &opened, asked, request);
+    serving.run().await
+}
+
+fn refused(asked: &Asked, refusal: Refusal) -> Outcome {
+    match asked {
+        Asked::Keyed(_) => keyed_outcome(refusal),
+        Asked::Key | Asked::Plain => Outcome::Refused(refusal),
+    }
+}
+
+async fn open(backend: &Backend, host: &str, path: &str) -> Result<Opened, Refusal> {
+    let (reply, receiver) = oneshot::channel();
+    let (host, path) = (host.to_owned(), path.to_owned());
+    let _ = backend
+        .router
+        .unbounded_send(RouterMessage::Open { host, path, reply });
+    receiver.await.unwrap_or(Err(Refusal::NotReady))
+}
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight<'a> {
+    router: &'a mpsc::UnboundedSender<RouterMessage>,
+    service: ServiceId,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let _ = self
+            .router
+            .unbounded_send(RouterMessage::Close(self.service));
+    }
+}
+
+/// The end of something that the call waits for.
+enum Step {
+    Ended(AttemptId, TargetId, AttemptResult, Yield),
+    Picked(Result<(Choice, OpenTicket), Refusal>),
+}
+
+struct Serving<'a> {
+    backend: &'a Backend,
+    call: Call,
+    effects: Vec<Effect>,
+    local: Option<TargetId>,
+    pending: FuturesUnordered<LocalBoxFuture<'a, Step>>,
+    service: ServiceId,
+    task: Task,
+    /// The ticket of the choice that the next `Send` effect is for.
+    ticket: Option<OpenTicket>,
+    /// The answer that the last ended attempt brought.
+    yielded: Option<(TargetId, Yield)>,
+}
+
+impl<'a> Serving<'a> {
+    fn new(backend: &'a Backend, opened: &Opened, asked: Asked, request: HttpRequest) -> Self {
+        let now = backend.clock.now();
+        let rules = &opened.rules;
+        let pinned = match asked {
+            Asked::Keyed(key) => Some(key.target),
+            Asked::Key | Asked::Plain => None,
+        };
+        let spec = Spec {
+            deadline: now + time_left(&request, rules.deadline),
+            hedge: rules.hedge && asked == Asked::Plain,
+            // An unused key does no harm, so asking for one may be repeated.
+            idempotent: asked == Asked::Key || idempotent(&request.method),
+            pinned,
+        };
+        let (call, effects) = Call::start(spec, now);
+        Self {
+            backend,
+            call,
+            effects,
+            local: opened.own,
+            pending: FuturesUnordered::new(),
+            service: opened.service,
+            task: task_of(asked, request),
+            ticket: None,
+            yielded: None,
+        }
+    }
+
+    async fn run(&mut self) -> Reply {
+        loop {
+            let effects = std::mem::take(&mut self.effects);
+            for effect in effects {
+                match effect {
+                    // All attempts are dropped, and so cancelled, when the call finishes.
+                    Effect::Cancel(_) => {}
+                    Effect::Finish(outcome, _) => return self.reply(outcome),
+                    Effect::Pick(kind) => self.pick(kind),
+                    Effect::Send {
+                        attempt,
+                        patience,
+                        target,
+                    } => {
+                        self.send(attempt, patience, target).await;
+                    }
+                }
+            }
+            let event = self.next_event().await;
+            self.effects = self.call.on(&event, self.backend.clock.now());
+        }
+    }
+
+    async fn next_event(&mut self) -> Event {
+        let timer = self.backend.clock.until(self.call.next_timer());
+        let timer = monoio::time::sleep(timer).fuse();
+        pin_mut!(timer);
+        let step = select_biased! {
+            step = self.pending.select_next_some() => step,
+            () = timer => return Event::Timer,
+        };
+        match step {
+            Step::Ended(attempt, target, result, yielded) => {
+                self.yielded = Some((target, yielded));
+                Event::Ended(attempt, result)
+            }
+            Step::Picked(Ok((choice, ticket))) => {
+                self.ticket = Some(ticket);
+                Event::Picked(choice)
+            }
+            Step::Picked(Err(refusal)) => Event::NotPicked(refusal),
+        }
+    }
+
+    fn pick(&mut self, kind: PickKind) {
+        let (reply, receiver) = oneshot::channel();
+        let (service, tried) = (self.service, self.call.tried());
+        let message = RouterMessage::Pick {
+            kind,
+            reply,
+            service,
+            tried,
+        };
+        let _ = self.backend.router.unbounded_send(message);
+        let step = async { Step::Picked(receiver.await.unwrap_or(Err(Refusal::NotReady))) };
+        self.pending.push(step.boxed_local());
+    }
+
+    async fn send(&mut self, id: AttemptId, patience: std::time::Duration, target: TargetId) {
+        let picked = self.ticket.take();
+        let ticket = match picked {
+            Some(ticket) => Some(ticket),
+            None => self.pin(target).await,
+        };
+        // Without a router the daemon is stopping; the call then ends by its deadline.
+        let Some(ticket) = ticket else { return };
+        let request = AttemptRequest {
+            deadline: self.call.deadline(),
+            id,
+            local: self.local == Some(target),
+            patience,
+            service: self.service,
+            target,
+            task: self.task.clone(),
+        };
+        let run = Attempt { request, ticket }.run(self.backend.clone());
+        let step = async {
+            let (id, target, result, yielded) = run.await;
+            Step::Ended(id, target, result, yielded)
+        };
+        self.pending.push(step.boxed_local());
+    }
+
+    /// Registers an attempt at the target that the key names.
+    async fn pin(&self, target: TargetId) -> Option<OpenTicket> {
+        let (reply, receiver) = oneshot::channel();
+        let _ = self
+            .backend
+            .router
+            .unbounded_send(RouterMessage::Pin { reply, target });
+        receiver.await.ok()
+    }
+
+    fn reply(&mut self, outcome: Outcome) -> Reply {
+        let yielded = self.yielded.take();
+        match (outcome, yielded) {
+            (Outcome::Answered, Some((target, Yield::Answer(answer)))) => {
+                Reply::answered(answer, &target.to_string())
+            }
+            (Outcome::Answered, Some((_, Yield::Key(key)))) => Reply::issued(&key.to_string()),
+            (Outcome::Answered, Some((_, Yield::Nothing)) | None) => {
+                unreachable!("a call is answered only by an attempt that yielded an answer")
+            }
+            (Outcome::Failed(_) | Outcome::Refused(_) | Outcome::Unknown(_), _) => {
+                Reply::unanswered(outcome)
+            }
+        }
+    }
+}
+
+fn task_of(asked: Asked, request: HttpRequest) -> Task {
+    let key = match asked {
+        Asked::Key => return Task::Issue,
+        Asked::Keyed(key) => Some(key),
+        Asked::Plain => None,
+    };
+    let trace = header_text(&request.headers, "traceparent").map(str::to_owned);
+    Task::Run {
+        http: request,
+        key,
+        trace,
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,4 +5,10 @@
 //! only carries their effects out.
 
 pub mod clock;
+pub mod gate;
+pub mod http;
+pub mod ingress;
 pub mod messages;
+pub mod peers;
+pub mod router;
+pub mod start;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -7,10 +7,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::channel::{mpsc, oneshot};
 use hawthornwall_core::admission::WorkId;
 use hawthornwall_core::calls::PickKind;
+use hawthornwall_core::config::Rules;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routing::{Choice, Ticket};
 use hawthornwall_wire::peer::{Exchange, Reply, Request, Run, RunReply};
@@ -36,32 +38,101 @@
     pub members: BTreeMap<TargetId, Member>,
 }
 
-/// The end of an attempt, as an ingress connection saw it.
-#[derive(Clone, Debug)]
-pub struct Observed {
+/// What an attempt showed.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
     /// From sending to the reply or its loss.
-    pub elapsed: std::time::Duration,
+    pub elapsed: Duration,
     /// Time that the target's daemon held the request.
-    pub held: std::time::Duration,
+    pub held: Duration,
     /// The report on the reply.
     pub report: Option<LoadReport>,
     /// How the attempt ended.
     pub result: AttemptResult,
-    /// The attempt.
-    pub ticket: Ticket,
+}
+
+/// A ticket that ends exactly once: with what was observed, or as cancelled when it is dropped.
+///
+/// A ticket that never ended would make its target look stalled for ever.
+#[derive(Debug)]
+pub struct OpenTicket {
+    router: RouterSender,
+    ticket: Option<Ticket>,
+}
+
+impl OpenTicket {
+    /// A ticket whose end is reported to `router`.
+    pub fn new(router: RouterSender, ticket: Ticket) -> Self {
+        Self {
+            router,
+            ticket: Some(ticket),
+        }
+    }
+
+    /// Ends the ticket.
+    pub fn close(mut self, seen: Seen) {
+        self.report(seen);
+    }
+
+    fn report(&mut self, seen: Seen) {
+        if let Some(ticket) = self.ticket.take() {
+            let _ = self
+                .router
+                .unbounded_send(RouterMessage::Observe { seen, ticket });
+        }
+    }
+}
+
+impl Drop for OpenTicket {
+    fn drop(&mut self) {
+        let result = AttemptResult::Lost(Loss::Cancelled);
+        self.report(Seen {
+            elapsed: Duration::ZERO,
+            held: Duration::ZERO,
+            report: None,
+            result,
+        });
+    }
+}
+
+/// A request that the router has let in.
+#[derive(Clone, Debug)]
+pub struct Opened {
+    /// The target beside this daemon, if the configuration names it.
+    pub own: Option<TargetId>,
+    /// Sharing rules of the service.
+    pub rules: Rules,
+    /// The service that the request is for.
+    pub service: ServiceId,
 }
 
 /// To the `router` task.
 #[derive(Debug)]
 pub enum RouterMessage {
+    /// A request that was let in has ended.
+    Close(ServiceId),
     /// An attempt ended.
-    Observe(Observed),
+    Observe {
+        /// What it showed.
+        seen: Seen,
+        /// The attempt.
+        ticket: Ticket,
+    },
+    /// Find the service of a request and count the request as in flight.
+    Open {
+        /// Host name without port.
+        host: String,
+        /// Path and query.
+        path: String,
+        /// The service, or why the request is refused.
+        reply: oneshot::Sender<Result<Opened, Refusal>>,
+    },
     /// Pick a target.
     Pick {
         /// Why.
         kind: PickKind,
         /// The choice, or why none was made.
-        reply: oneshot::Sender<Result<Choice, Refusal>>,
+        reply: oneshot::Sender<Result<(Choice, OpenTicket), Refusal>>,
         /// The service.
         service: ServiceId,
         /// Targets that the call has tried.
@@ -70,7 +141,7 @@
     /// Register an attempt at a target that the call names.
     Pin {
         /// The attempt's ticket.
-        reply: oneshot::Sender<Ticket>,
+        reply: oneshot::Sender<OpenTicket>,
         /// The target.
         target: TargetId,
     },
--- /dev/null
+++ b/crates/node/src/router.rs
@@ -0,0 +1,192 @@
+//! The task that owns the balancer, the retry budgets and the counts of requests in flight.
+//!
+//! Rules kept here:
+//! - a hedge or retry is picked only if the service's retry budget pays for it;
+//! - each service has its own limit of requests in flight, so that a flood of one leaves room for
+//!   the others.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use futures::StreamExt;
+use futures::channel::mpsc;
+use hawthornwall_core::calls::{PickKind, RetryBudget};
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::routing::{
+    Balancer, Choice, MemberView, Observation, PickRequest, Policy, Ticket,
+};
+
+use crate::clock::Clock;
+use crate::messages::{OpenTicket, Opened, RouterMessage, RouterSender, Seen, World};
+
+/// What the task needs at its start.
+#[derive(Debug)]
+pub struct RouterStart<'a> {
+    /// The process's clock.
+    pub clock: Clock,
+    /// Failure domain of this instance.
+    pub domain: &'a str,
+    /// Name of the target beside this daemon.
+    pub name: &'a str,
+    /// How targets are chosen.
+    pub policy: Policy,
+    /// Messages of other tasks.
+    pub receiver: mpsc::UnboundedReceiver<RouterMessage>,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// A sender of the same channel, for the ends of tickets.
+    pub sender: RouterSender,
+    /// Requests in flight for each service.
+    pub service_limit: usize,
+}
+
+/// The task and its state.
+#[derive(Debug)]
+pub struct Router {
+    balancer: Balancer,
+    budgets: BTreeMap<ServiceId, RetryBudget>,
+    clock: Clock,
+    inflight: BTreeMap<ServiceId, usize>,
+    limit: usize,
+    name: String,
+    receiver: mpsc::UnboundedReceiver<RouterMessage>,
+    sender: RouterSender,
+    world: Rc<World>,
+}
+
+impl Router {
+    /// A router without targets.
+    pub fn new(start: RouterStart<'_>) -> Self {
+        Self {
+            balancer: Balancer::new(start.domain, start.policy, start.seed),
+            budgets: BTreeMap::new(),
+            clock: start.clock,
+            inflight: BTreeMap::new(),
+            limit: start.service_limit,
+            name: start.name.to_owned(),
+            receiver: start.receiver,
+            sender: start.sender,
+            world: Rc::default(),
+        }
+    }
+
+    /// Serves messages until all senders are gone.
+    pub async fn run(mut self) {
+        while let Some(message) = self.receiver.next().await {
+            match message {
+                RouterMessage::Close(service) => self.close(service),
+                RouterMessage::Observe { seen, ticket } => self.observe(&seen, ticket),
+                RouterMessage::Open { host, path, reply } => {
+                    let opened = self.open(&host, &path);
+                    // A requester that is gone closes nothing, so the count is taken back here.
+                    if let Err(Ok(opened)) = reply.send(opened) {
+                        self.close(opened.service);
+                    }
+                }
+                RouterMessage::Pick {
+                    kind,
+                    reply,
+                    service,
+                    tried,
+                } => {
+                    let picked = self.pick(kind, service, &tried);
+                    let _ =
+                        reply.send(picked.map(|choice| (choice, self.open_ticket(choice.ticket))));
+                }
+                RouterMessage::Pin { reply, target } => {
+                    let ticket = self.balancer.pin(target, self.clock.now());
+                    let _ = reply.send(self.open_ticket(ticket));
+                }
+                RouterMessage::World(world) => self.configure(world),
+            }
+        }
+    }
+
+    fn configure(&mut self, world: Rc<World>) {
+        self.balancer.configure(&world.config);
+        let members: Vec<_> = world
+            .members
+            .iter()
+            .map(|(target, m)| MemberView {
+                instance: m.instance,
+                leaving: m.leaving,
+                target: *target,
+            })
+            .collect();
+        self.balancer.update_members(&members, self.clock.now());
+        self.budgets
+            .retain(|id, _| world.config.services.contains_key(id));
+        for (id, service) in &world.config.services {
+            let percent = service.rules.retry_percent;
+            let budget = self
+                .budgets
+                .entry(*id)
+                .or_insert_with(|| RetryBudget::new(percent));
+            budget.set_percent(percent);
+        }
+        self.world = world;
+    }
+
+    fn open(&mut self, host: &str, path: &str) -> Result<Opened, Refusal> {
+        let config = &self.world.config;
+        if config.version == Version(0) {
+            return Err(Refusal::NotReady);
+        }
+        let service = config.route(host, path).ok_or(Refusal::UnknownService)?;
+        let inflight = self.inflight.entry(service).or_default();
+        if *inflight >= self.limit {
+            return Err(Refusal::Overload);
+        }
+        *inflight += 1;
+        let rules = config.services[&service].rules.clone();
+        Ok(Opened {
+            own: config.target_named(&self.name),
+            rules,
+            service,
+        })
+    }
+
+    fn close(&mut self, service: ServiceId) {
+        if let Some(inflight) = self.inflight.get_mut(&service) {
+            *inflight = inflight.saturating_sub(1);
+        }
+    }
+
+    fn pick(
+        &mut self,
+        kind: PickKind,
+        service: ServiceId,
+        tried: &[TargetId],
+    ) -> Result<Choice, Refusal> {
+        let budget = self
+            .budgets
+            .get_mut(&service)
+            .ok_or(Refusal::UnknownService)?;
+        match kind {
+            PickKind::First => budget.deposit(),
+            PickKind::Reroute => {}
+            PickKind::Hedge | PickKind::Retry => {
+                if !budget.withdraw() {
+                    return Err(Refusal::Budget);
+                }
+            }
+        }
+        self.balancer
+            .pick(&PickRequest { service, tried }, self.clock.now())
+    }
+
+    fn open_ticket(&self, ticket: Ticket) -> OpenTicket {
+        OpenTicket::new(self.sender.clone(), ticket)
+    }
+
+    fn observe(&mut self, seen: &Seen, ticket: Ticket) {
+        let observation = Observation {
+            elapsed: seen.elapsed,
+            held: seen.held,
+            report: seen.report.as_ref(),
+            result: seen.result,
+            ticket,
+        };
+        self.balancer.observe(&observation, self.clock.now());
+    }
+}
--- /dev/null
+++ b/crates/node/src/start.rs
@@ -0,0 +1,27 @@
+//! Why a daemon can't start.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Why a daemon can't start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StartError {
+    /// An address can't be listened on.
+    Bind(SocketAddr),
+    /// The runtime can't be made.
+    Runtime,
+    /// The fleet's secret is not 64 hexadecimal digits.
+    Secret,
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind(address) => write!(f, "can't listen on {address}"),
+            Self::Runtime => f.write_str("can't create the event loop"),
+            Self::Secret => f.write_str("peer.secret must be 64 hexadecimal digits"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
