Check settings files as a whole against one table

One table holds each setting's name, default, unit, range and description. Parsing, section defaults and the printed default file are derived from it, so the default functions of the model are gone. Every fault of a file is listed with its line and column, what was found and what is accepted.

--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::check::section_defaults;
+
 /// Everything that one daemon is told at its start.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -16,18 +18,14 @@
     /// Where callers reach the daemon, and what they may send.
     pub caller: CallerSettings,
     /// Exchange of configuration and membership with peers.
-    #[serde(default)]
     pub control: ControlSettings,
     /// Failure domain of this instance.
     pub domain: String,
     /// Idempotency keys.
-    #[serde(default)]
     pub keys: KeySettings,
     /// Logs.
-    #[serde(default)]
     pub log: LogSettings,
     /// Metrics.
-    #[serde(default)]
     pub metrics: MetricSettings,
     /// Name of the target beside this daemon, as in the configuration.
     pub name: String,
@@ -36,15 +34,12 @@
     /// The platform's services.
     pub platform: PlatformSettings,
     /// Budget for measuring the target.
-    #[serde(default)]
     pub probe: ProbeSettings,
     /// How targets are chosen.
-    #[serde(default)]
     pub routing: RoutingSettings,
     /// The target beside this daemon.
     pub target: TargetSettings,
     /// Traces.
-    #[serde(default)]
     pub trace: TraceSettings,
 }
 
@@ -62,22 +57,18 @@
 #[serde(deny_unknown_fields)]
 pub struct CallerSettings {
     /// Longest body of a request or answer, in bytes.
-    #[serde(default = "body_limit")]
     pub body_limit: usize,
     /// Open caller connections.
-    #[serde(default = "connections")]
     pub connections: usize,
     /// Longest request head, in bytes.
-    #[serde(default = "head_limit")]
     pub head_limit: usize,
     /// Longest time between two requests of a connection, or between two parts of one request.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(default = "idle", rename = "idle_ms")]
+    #[serde(rename = "idle_ms")]
     pub idle: Duration,
     /// TCP address of the callers' listener.
     pub listen: SocketAddr,
     /// Requests in flight for each service.
-    #[serde(default = "service_limit")]
     pub service_limit: usize,
 }
 
@@ -88,14 +79,13 @@
 pub struct ControlSettings {
     /// Time between two exchanges with a peer.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(default = "exchange", rename = "exchange_ms")]
+    #[serde(rename = "exchange_ms")]
     pub exchange: Duration,
     /// How long a daemon that has heard only one source waits for others before it serves.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(default = "start_wait", rename = "start_wait_ms")]
+    #[serde(rename = "start_wait_ms")]
     pub start_wait: Duration,
     /// Daemons of each failure domain that watch the platform.
-    #[serde(default = "watchers")]
     pub watchers: usize,
 }
 
@@ -105,14 +95,12 @@
 #[serde(deny_unknown_fields)]
 pub struct KeySettings {
     /// Total size of the stored answers, in bytes.
-    #[serde(default = "answer_bytes")]
     pub answer_bytes: usize,
     /// How long a key's record is kept.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(default = "keep", rename = "keep_ms")]
+    #[serde(rename = "keep_ms")]
     pub keep: Duration,
     /// Most records at once.
-    #[serde(default = "records")]
     pub records: usize,
 }
 
@@ -132,20 +120,18 @@
 }
 
 /// Logs.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct LogSettings {
     /// Lowest level that is logged.
-    #[serde(default)]
     pub level: LogLevel,
 }
 
 /// Metrics.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct MetricSettings {
     /// UDP address of a statsd server; without one, metrics only appear in the status.
-    #[serde(default)]
     pub statsd: Option<SocketAddr>,
 }
 
@@ -155,18 +141,16 @@
 #[serde(deny_unknown_fields)]
 pub struct PeerSettings {
     /// Address that peers use, if it differs from `listen`.
-    #[serde(default)]
     pub advertise: Option<SocketAddr>,
     /// UDP address of the peers' listener.
     pub listen: SocketAddr,
     /// 32 bytes in hexadecimal that all daemons of the fleet share.
     pub secret: String,
     /// Peers asked at the start.
-    #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// A connection on which nothing arrives for this long while something is expected is replaced.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(default = "silence", rename = "silence_ms")]
+    #[serde(rename = "silence_ms")]
     pub silence: Duration,
 }
 
@@ -185,19 +169,16 @@
 #[serde(deny_unknown_fields)]
 pub struct ProbeSettings {
     /// Probes in each 100 seconds.
-    #[serde(default = "probe_rate")]
     pub per_100s: u32,
     /// Share of the target's slot time that probes may take, in hundredths of a percent.
-    #[serde(default = "probe_share")]
     pub slot_share: u32,
 }
 
 /// How targets are chosen.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RoutingSettings {
     /// The policy; all but the default are baselines for experiments.
-    #[serde(default)]
     pub policy: Policy,
 }
 
@@ -210,13 +191,11 @@
     pub address: SocketAddr,
     /// Longest time without any byte from the target while a request runs.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(default = "target_silence", rename = "silence_ms")]
+    #[serde(rename = "silence_ms")]
     pub silence: Duration,
     /// Path of the target's health endpoint.
-    #[serde(default = "health_path")]
     pub health: String,
     /// Path of the target's load endpoint.
-    #[serde(default = "load_path")]
     pub load: String,
 }
 
@@ -226,91 +205,26 @@
 pub struct TraceSettings {
     /// Share of requests without a sampled `traceparent` that are traced, in hundredths of a
     /// percent.
-    #[serde(default)]
     pub share: u32,
 }
 
-fn body_limit() -> usize {
-    1 << 20
-}
-
-fn connections() -> usize {
-    1_000
-}
-
-fn head_limit() -> usize {
-    16 << 10
-}
-
-fn idle() -> Duration {
-    Duration::from_mins(1)
-}
-
-fn service_limit() -> usize {
-    500
-}
-
-fn exchange() -> Duration {
-    Duration::from_secs(2)
-}
-
-fn start_wait() -> Duration {
-    Duration::from_secs(2)
-}
-
-fn watchers() -> usize {
-    2
-}
-
-fn answer_bytes() -> usize {
-    8 << 20
-}
-
-fn keep() -> Duration {
-    Duration::from_mins(10)
-}
-
-fn records() -> usize {
-    10_000
-}
-
-fn silence() -> Duration {
-    Duration::from_secs(1)
-}
-
-fn probe_rate() -> u32 {
-    50
-}
-
-fn probe_share() -> u32 {
-    10
-}
-
-fn target_silence() -> Duration {
-    Duration::from_secs(10)
-}
-
-fn health_path() -> String {
-    "/health".to_owned()
-}
-
-fn load_path() -> String {
-    "/load".to_owned()
-}
-
-macro_rules! default_from_empty {
-    ($($name:ident { $($field:ident: $value:expr),* }),* $(,)?) => {
+/// Sections whose settings all have defaults take them from the table.
+macro_rules! defaults_from_table {
+    ($($name:ident: $section:literal),* $(,)?) => {
         $(impl Default for $name {
             fn default() -> Self {
-                Self { $($field: $value),* }
+                section_defaults($section)
             }
         })*
     };
 }
 
-default_from_empty! {
-    ControlSettings { exchange: exchange(), start_wait: start_wait(), watchers: watchers() },
-    KeySettings { answer_bytes: answer_bytes(), keep: keep(), records: records() },
-    ProbeSettings { per_100s: probe_rate(), slot_share: probe_share() },
-    TraceSettings { share: 0 },
+defaults_from_table! {
+    ControlSettings: "control",
+    KeySettings: "keys",
+    LogSettings: "log",
+    MetricSettings: "metrics",
+    ProbeSettings: "probe",
+    RoutingSettings: "routing",
+    TraceSettings: "trace",
 }
--- /dev/null
+++ b/crates/settings/tests/faults.rs
@@ -0,0 +1,136 @@
+//! Each row guards against a fault that would otherwise only show once the daemon runs.
+
+use hawthornwall_settings::{Settings, commented_defaults};
+use insta::assert_snapshot;
+use rstest::rstest;
+
+const VALID: &str = r#"{
+  // The least that a file must name.
+  name: "calendar-1", domain: "dk-1",
+  caller: { listen: "127.0.0.1:8000" },
+  target: { address: "127.0.0.1:8001" },
+  peer: { listen: "127.0.0.1:8002", secret: "SECRET" },
+  platform: { config: "127.0.0.1:8003", instances: "127.0.0.1:8004" },
+  admin: { listen: "127.0.0.1:8005" },
+}"#;
+
+fn valid() -> String {
+    VALID.replace("SECRET", &"0a".repeat(32))
+}
+
+fn faults(text: &str) -> String {
+    Settings::parse(text)
+        .expect_err("the file is faulty")
+        .to_string()
+}
+
+#[rstest]
+#[case::unknown_key("unknown_key", "caller: {", "caller: { idel_ms: 5,")]
+#[case::unknown_section("unknown_section", "admin:", "admim: {}, admin:")]
+#[case::dotted_key("dotted_key", "admin:", "\"caller.listen\": 1, admin:")]
+#[case::unit_in_key("unit_in_key", "caller: {", "caller: { idle_s: 5,")]
+#[case::key_without_unit("key_without_unit", "caller: {", "caller: { idle: 5000,")]
+#[case::unit_in_value("unit_in_value", "caller: {", "caller: { idle_ms: '60s',")]
+#[case::number_as_text("number_as_text", "caller: {", "caller: { idle_ms: '60',")]
+#[case::fraction("fraction", "caller: {", "caller: { idle_ms: 100.5,")]
+#[case::below_range("below_range", "caller: {", "caller: { idle_ms: 99,")]
+#[case::above_range("above_range", "caller: {", "caller: { idle_ms: 3600001,")]
+#[case::negative("negative", "caller: {", "caller: { idle_ms: -1,")]
+#[case::not_a_number("not_a_number", "caller: {", "caller: { idle_ms: NaN,")]
+#[case::host_name("host_name", "127.0.0.1:8000", "localhost:8000")]
+#[case::port_missing("port_missing", "127.0.0.1:8000", "127.0.0.1")]
+#[case::seed("seed", "peer: {", "peer: { seeds: ['127.0.0.1:1', 'x'],")]
+#[case::seeds_no_list("seeds_no_list", "peer: {", "peer: { seeds: '127.0.0.1:1',")]
+#[case::short_secret("short_secret", "0a0a", "0a")]
+#[case::secret_digits("secret_digits", "0a0a", "0g0a")]
+#[case::same_listen("same_listen", "127.0.0.1:8005", "127.0.0.1:8000")]
+#[case::any_listen("any_listen", "127.0.0.1:8005", "0.0.0.0:8000")]
+#[case::own_target("own_target", "127.0.0.1:8001", "127.0.0.1:8000")]
+#[case::peers_cannot_reach("peers_cannot_reach", "127.0.0.1:8002", "0.0.0.0:8002")]
+#[case::upper_case_name("upper_case_name", "calendar-1", "Calendar 1")]
+#[case::choice("choice", "admin:", "log: { level: 'verbose' }, admin:")]
+#[case::path("path", "target: {", "target: { health: 'health',")]
+#[case::section_no_object("section_no_object", "admin:", "log: 'info', admin:")]
+#[case::repeated_key("repeated_key", "domain:", "name: \"calendar-2\", domain:")]
+#[case::missing_key("missing_key", "domain: \"dk-1\",", "")]
+#[case::null_required("null_required", "\"dk-1\"", "null")]
+#[case::missing_section("missing_section", "platform:", "// platform:")]
+#[case::syntax("syntax", "domain:", "domain")]
+#[case::unicode_column("unicode_column", "name: \"calendar-1\",", "/* æøå */ name: 1,")]
+fn one_fault(#[case] name: &str, #[case] from: &str, #[case] to: &str) {
+    let text = valid().replacen(from, to, 1);
+    assert_snapshot!(name, faults(&text));
+}
+
+/// Guards against a check that stops at the first fault.
+#[test]
+fn all_faults_at_once() {
+    let text = "{\n  name: 7,\n  caller: {\n    listen: 'nowhere',\n    idle_ms: 5,\n    speed: 1\n  },\n  peer: { secret: 'short', listen: '127.0.0.1:1' }\n}";
+    assert_snapshot!(faults(text));
+}
+
+/// Guards against a fault report that prints the fleet's secret.
+#[test]
+fn secret_is_not_printed() {
+    let text = valid().replace("0a0a", "zz0a");
+    assert!(!faults(&text).contains("zz0a"));
+}
+
+/// Guards against a valid file that is refused, and against wrong defaults.
+#[test]
+fn least_file() {
+    let settings = Settings::parse(&valid()).expect("the file is valid");
+    insta::assert_json_snapshot!(settings);
+}
+
+/// Guards against settings that another program writes out and the daemon then refuses.
+#[test]
+fn written_settings_parse() {
+    let settings = Settings::parse(&valid()).expect("the file is valid");
+    let text = serde_json::to_string(&settings).expect("settings are JSON");
+    assert_eq!(Settings::parse(&text).expect("the text is valid"), settings);
+}
+
+/// Guards against a printed default file that the daemon refuses once its gaps are filled.
+#[test]
+fn printed_defaults_parse() {
+    let mut text = commented_defaults();
+    assert_snapshot!(text);
+    let secret = format!("\"{}\"", "0a".repeat(32));
+    let ports: Vec<_> = (0..6)
+        .map(|n| format!("\"127.0.0.1:{}\"", 8000 + n))
+        .collect();
+    let required = [
+        ("name", "\"calendar-1\"".to_owned()),
+        ("domain", "\"dk-1\"".to_owned()),
+        ("listen", ports[0].clone()),
+        ("address", ports[1].clone()),
+        ("listen", ports[2].clone()),
+        ("secret", secret),
+        ("config", ports[3].clone()),
+        ("instances", ports[4].clone()),
+        ("listen", ports[5].clone()),
+    ];
+    for (key, value) in required {
+        text = text.replacen(
+            &format!("\"{key}\": null"),
+            &format!("\"{key}\": {value}"),
+            1,
+        );
+    }
+    assert_eq!(Settings::parse(&text), Settings::parse(&valid()));
+}
+
+/// Guards against a table whose words differ from those of the policy type.
+#[test]
+fn every_policy_is_accepted() {
+    for policy in hawthornwall_core::routing::Policy::ALL {
+        let text = valid().replacen(
+            "admin:",
+            &format!("routing: {{ policy: '{policy}' }}, admin:"),
+            1,
+        );
+        let settings = Settings::parse(&text).expect("the policy is accepted");
+        assert_eq!(settings.routing.policy, policy);
+    }
+}
