--- /dev/null
+++ b/crates/core/tests/scenarios/admission.rs
@@ -0,0 +1,51 @@
+//! Scenarios of the gate.
+
+use std::time::Duration;
+
+use hawthornwall_core::admission::{Arrival, Event, Gate, Limits, WorkId};
+use hawthornwall_core::prelude::*;
+
+use crate::line::Line;
+
+pub struct Run {
+    pub gate: Gate,
+}
+
+impl Run {
+    pub fn new(line: &Line<'_>) -> Self {
+        Self {
+            gate: Gate::new(InstanceId(1), limits(line)),
+        }
+    }
+
+    pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
+        let id = || WorkId(line.number(0));
+        let event = match line.verb {
+            "arrive" => Event::Arrive(Arrival {
+                deadline: Time::ZERO + line.span("deadline", Duration::from_secs(100)),
+                id: id(),
+                patience: line.span("patience", Duration::MAX),
+            }),
+            "cancel" => Event::Cancel(id()),
+            "configure" => Event::Configure(limits(line)),
+            "drain" => Event::Drain,
+            "finish" => Event::Finish {
+                failed: line.flag("failed"),
+                id: id(),
+            },
+            "reachable" => Event::Reachable(line.word(0)),
+            "report" => return vec![format!("{:?}", self.gate.report(line.now))],
+            "tick" => Event::Tick,
+            other => panic!("unknown event `{other}`"),
+        };
+        let effects = self.gate.on(&event, line.now);
+        effects.iter().map(|e| format!("{e:?}")).collect()
+    }
+}
+
+fn limits(line: &Line<'_>) -> Limits {
+    Limits {
+        queue_wait: line.span("queue_wait", Duration::from_millis(100)),
+        slots: line.value("slots", 1),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/scenarios/calls.rs
@@ -0,0 +1,58 @@
+//! Scenarios of one call.
+
+use std::time::Duration;
+
+use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, Spec};
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::routing::{Choice, Estimate, Ticket};
+
+use crate::line::{Line, attempt_result, variant};
+
+pub struct Run {
+    pub call: Call,
+}
+
+impl Run {
+    pub fn new(line: &Line<'_>) -> (Self, Vec<String>) {
+        let spec = Spec {
+            deadline: Time::ZERO + line.span("deadline", Duration::from_secs(1)),
+            hedge: line.flag("hedge"),
+            idempotent: line.flag("idempotent"),
+            pinned: line.text("pinned").map(|t| t.parse().unwrap()),
+        };
+        let (call, effects) = Call::start(spec, line.now);
+        let output = describe(&call, &effects);
+        (Self { call }, output)
+    }
+
+    pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
+        let event = match line.verb {
+            "caller-gone" => Event::CallerGone,
+            "ended" => {
+                let result: String = line.word(1);
+                Event::Ended(AttemptId(line.number(0) as u8), attempt_result(&result))
+            }
+            "not-picked" => Event::NotPicked(variant(&line.word::<String>(0))),
+            "picked" => Event::Picked(Choice {
+                alternatives: line.value("alternatives", 1),
+                estimate: Estimate::default(),
+                hedge: line.span("hedge", Duration::from_millis(10)),
+                patience: line.span("patience", Duration::from_millis(1)),
+                target: line.word(0),
+                ticket: Ticket(0),
+            }),
+            "timer" => Event::Timer,
+            other => panic!("unknown event `{other}`"),
+        };
+        let effects = self.call.on(&event, line.now);
+        describe(&self.call, &effects)
+    }
+}
+
+fn describe(call: &Call, effects: &[Effect]) -> Vec<String> {
+    let mut output: Vec<_> = effects.iter().map(|e| format!("{e:?}")).collect();
+    if !call.finished() {
+        output.push(format!("next timer {}", call.next_timer()));
+    }
+    output
+}
--- /dev/null
+++ b/crates/core/tests/scenarios/main.rs
@@ -0,0 +1,104 @@
+//! File tests of the aggregates: each text file sets one up and passes it timed events; effects and
+//! the final state are compared with a snapshot. `INSTA_UPDATE=always` accepts new output.
+
+mod admission;
+mod calls;
+mod keys;
+mod line;
+mod routing;
+
+use std::path::{Path, PathBuf};
+
+use line::Line;
+use rstest::rstest;
+
+/// The aggregates that scenario files can set up, named by the first word of the first line.
+enum Subject {
+    Balancer(routing::Run),
+    Call(calls::Run),
+    Gate(admission::Run),
+    Ledger(keys::Run),
+}
+
+impl Subject {
+    fn set_up(line: &Line<'_>) -> (Self, Vec<String>) {
+        match line.verb {
+            "balancer" => (Self::Balancer(routing::Run::new(line)), Vec::new()),
+            "call" => {
+                let (run, effects) = calls::Run::new(line);
+                (Self::Call(run), effects)
+            }
+            "gate" => (Self::Gate(admission::Run::new(line)), Vec::new()),
+            "ledger" => (Self::Ledger(keys::Run::new(line)), Vec::new()),
+            other => panic!("unknown aggregate `{other}`"),
+        }
+    }
+
+    fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
+        match self {
+            Self::Balancer(run) => run.apply(line),
+            Self::Call(run) => run.apply(line),
+            Self::Gate(run) => run.apply(line),
+            Self::Ledger(run) => run.apply(line),
+        }
+    }
+
+    fn verify(&self) -> Vec<String> {
+        match self {
+            Self::Balancer(run) => run.balancer.verify(),
+            Self::Call(run) => run.call.verify(),
+            Self::Gate(run) => run.gate.verify(),
+            Self::Ledger(run) => run.ledger.verify(),
+        }
+    }
+
+    fn state(&self) -> String {
+        match self {
+            Self::Balancer(run) => run.state(),
+            Self::Call(run) => format!("{:?}", run.call),
+            Self::Gate(run) => format!("{:?}", run.gate),
+            Self::Ledger(run) => format!("{:?}", run.ledger),
+        }
+    }
+}
+
+fn play(text: &str) -> String {
+    let mut subject = None;
+    let mut output = String::new();
+    for source in text.lines() {
+        output += source;
+        output += "\n";
+        if source.is_empty() || source.starts_with('#') {
+            continue;
+        }
+        let line = Line::parse(source);
+        let effects = match &mut subject {
+            None => {
+                let (created, effects) = Subject::set_up(&line);
+                subject = Some(created);
+                effects
+            }
+            Some(subject) => subject.apply(&line),
+        };
+        for effect in effects {
+            output += &format!("    {effect}\n");
+        }
+        let faults = subject.as_ref().map(Subject::verify).unwrap_or_default();
+        assert!(faults.is_empty(), "after `{source}`: {faults:?}");
+    }
+    let state = subject.map(|s| s.state()).unwrap_or_default();
+    format!("{output}\n{state}\n")
+}
+
+/// Guards against a change of decisions that nobody reviewed; each file names its own failure.
+#[rstest]
+fn scenario(#[files("tests/scenarios/*/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).unwrap();
+    let name = path.file_stem().and_then(|s| s.to_str()).unwrap();
+    let folder = path.parent().and_then(Path::file_name).unwrap();
+    let mut settings = insta::Settings::clone_current();
+    settings.set_snapshot_path(Path::new(folder));
+    settings.set_prepend_module_to_snapshot(false);
+    settings.set_omit_expression(true);
+    settings.bind(|| insta::assert_snapshot!(name, play(&text)));
+}
