Drop expired work before an arrival is checked

Cause: the gate refused expired requests only after the event had been handled, so an arrival after a pause was checked against a queue of requests that would never start. Ruled out: the sender's patience and the queue_wait limit; the scenario sets both far above the wait. Before: with eight expired requests in the queue of one slot, a new one with 45 s left was refused as Full. After: the eight are refused as Expired and the new one waits, then starts. Conclusion: expiry comes first for every event.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -135,6 +135,7 @@
     /// Takes one event and returns what must be done, in order.
     pub fn on(&mut self, event: &Event, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.drop_expired(now, &mut effects);
         match *event {
             Event::Arrive(arrival) => effects.extend(self.admit(&arrival, now)),
             Event::Cancel(id) => self.cancel(id, &mut effects),
@@ -282,7 +283,9 @@
         }
     }
 
-    fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Comes before every event: after a pause, expired work must neither start nor take up places
+    /// that a new arrival needs.
+    fn drop_expired(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let expired = |w: &Arrival| w.deadline <= now;
         self.queue.retain(|(waiting, _)| {
             if expired(waiting) {
@@ -290,6 +293,9 @@
             }
             !expired(waiting)
         });
+    }
+
+    fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
         while self.running.len() < self.limits.slots as usize {
             let Some((waiting, _)) = self.queue.pop_front() else {
                 break;
