Shorten the gate's queue when a patch takes slots away

Cause: Event::Configure replaced the limits and left the queue as it was. Ruled out: running requests; they may exceed the new slots until they finish, as designed. Before: from two slots to one with ten waiting, verify() reported '10 requests wait, 8 may'. After: the two that came last are refused as Full, so their senders can go elsewhere. Conclusion: Configure applies the queue limit at once.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -139,7 +139,7 @@
         match *event {
             Event::Arrive(arrival) => effects.extend(self.admit(&arrival, now)),
             Event::Cancel(id) => self.cancel(id, &mut effects),
-            Event::Configure(limits) => self.limits = limits,
+            Event::Configure(limits) => self.configure(limits, &mut effects),
             Event::Drain => self.draining = true,
             Event::Finish { failed, id } => self.finish(id, failed, now),
             Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
@@ -241,6 +241,18 @@
         self.limits.slots as usize * QUEUE_PER_SLOT
     }
 
+    /// Fewer slots mean a shorter queue; the requests that came last leave it.
+    fn configure(&mut self, limits: Limits, effects: &mut Vec<Effect>) {
+        self.limits = limits;
+        let kept = self.queue.len().min(self.queue_limit());
+        let excess = self.queue.split_off(kept);
+        effects.extend(
+            excess
+                .iter()
+                .map(|(w, _)| Effect::Refuse(w.id, Refusal::Full)),
+        );
+    }
+
     fn cancel(&mut self, id: WorkId, effects: &mut Vec<Effect>) {
         if self.running.contains_key(&id) {
             effects.push(Effect::Abort(id));
