Ignore the second end of an attempt

Cause: Call overwrote the result of an attempt that had already ended and acted on it again. Ruled out: ends after the call has finished; those were ignored before. Before: a refused, rerouted, then 'lost' first attempt cancelled the open second one, and verify() reported '2 attempts of a non-idempotent call may have run'. After: the late end has no effect and the second attempt's answer reaches the caller. Conclusion: only an open attempt can end. Scenario calls/ended_twice covers it.

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -233,10 +233,11 @@
     }
 
     fn end(&mut self, id: AttemptId, result: AttemptResult, now: Time, effects: &mut Vec<Effect>) {
-        let Some(attempt) = self.attempts.get_mut(usize::from(id.0)) else {
-            return;
-        };
-        attempt.result = Some(result);
+        // A second end of the same attempt says nothing new: the first one decided what followed.
+        match self.attempts.get_mut(usize::from(id.0)) {
+            Some(attempt) if attempt.result.is_none() => attempt.result = Some(result),
+            Some(_) | None => return,
+        }
         match result {
             AttemptResult::Answered => self.finish(Outcome::Answered, Some(id), effects),
             AttemptResult::Lost(loss) if !self.spec.idempotent => {
