Reroute a refused call whose hedge is denied

Cause: the refusal of the first attempt was ignored while the hedge's pick was pending; when the budget then denied the hedge, the call ended with the budget's refusal. Ruled out: a loss instead of the refusal; its retry would need the same spent budget, so the call rightly ends (scenario calls/lost_while_hedge_is_picked). Before: 'refused: retry-budget-spent' although no retry was needed. After: the call reroutes and is answered by the second target. Conclusion: Call remembers what it picks for. Scenario calls/refused_while_hedge_is_picked covers it.

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -97,7 +97,7 @@
     attempts: Vec<Attempt>,
     finished: bool,
     hedge: Option<Time>,
-    picking: bool,
+    picking: Option<PickKind>,
     spec: Spec,
 }
 
@@ -108,7 +108,7 @@
             attempts: Vec::new(),
             finished: false,
             hedge: None,
-            picking: false,
+            picking: None,
             spec,
         };
         let mut effects = Vec::new();
@@ -131,7 +131,7 @@
         match *event {
             Event::CallerGone => self.give_up(Loss::Cancelled, Refusal::Cancelled, &mut effects),
             Event::Ended(attempt, result) => self.end(attempt, result, now, &mut effects),
-            Event::NotPicked(refusal) => self.miss(refusal, &mut effects),
+            Event::NotPicked(refusal) => self.not_picked(refusal, now, &mut effects),
             Event::Picked(choice) => self.take(&choice, now, &mut effects),
             Event::Timer => self.expire(now, &mut effects),
         }
@@ -196,7 +196,7 @@
     }
 
     fn pick(&mut self, kind: PickKind, effects: &mut Vec<Effect>) {
-        self.picking = true;
+        self.picking = Some(kind);
         effects.push(Effect::Pick(kind));
     }
 
@@ -214,7 +214,7 @@
     }
 
     fn take(&mut self, choice: &Choice, now: Time, effects: &mut Vec<Effect>) {
-        self.picking = false;
+        self.picking = None;
         let more = self.attempts.len() + 1 < MAX_ATTEMPTS && choice.alternatives > 0;
         let patience = if more { choice.patience } else { Duration::MAX };
         let first = self.attempts.is_empty();
@@ -224,8 +224,23 @@
         }
     }
 
+    /// A denied hedge must not end the call if its first attempt was refused meanwhile: a reroute
+    /// needs no budget.
+    fn not_picked(&mut self, refusal: Refusal, now: Time, effects: &mut Vec<Effect>) {
+        let denied_hedge = self.picking == Some(PickKind::Hedge) && refusal == Refusal::Budget;
+        let last = self.attempts.last().and_then(|a| a.result);
+        match last {
+            Some(AttemptResult::Refused(last)) if denied_hedge && elsewhere(last) => {
+                self.picking = None;
+                self.try_again(PickKind::Reroute, last, now, effects);
+            }
+            Some(AttemptResult::Answered | AttemptResult::Lost(_) | AttemptResult::Refused(_))
+            | None => self.miss(refusal, effects),
+        }
+    }
+
     fn miss(&mut self, refusal: Refusal, effects: &mut Vec<Effect>) {
-        self.picking = false;
+        self.picking = None;
         if self.open().next().is_none() {
             let outcome = self.outcome_without_answer(refusal);
             self.finish(outcome, None, effects);
@@ -260,7 +275,7 @@
         now: Time,
         effects: &mut Vec<Effect>,
     ) {
-        let busy = self.picking || self.open().next().is_some();
+        let busy = self.picking.is_some() || self.open().next().is_some();
         let spent = self.attempts.len() >= MAX_ATTEMPTS || now >= self.spec.deadline;
         if !busy && (spent || self.spec.pinned.is_some()) {
             let outcome = self.outcome_without_answer(refusal);
@@ -275,7 +290,10 @@
             self.give_up(Loss::Expired, Refusal::Expired, effects);
         } else if self.hedge.is_some_and(|due| due <= now) {
             self.hedge = None;
-            if !self.picking && self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline {
+            if self.picking.is_none()
+                && self.attempts.len() < MAX_ATTEMPTS
+                && now < self.spec.deadline
+            {
                 self.pick(PickKind::Hedge, effects);
             }
         }
