End only running executions in the key ledger

Cause: Ledger::end changed the state of any record, whether or not its execution was running. Ruled out: request(); it starts a key only from the state 'issued'. Before: an answered key that got a late 'not run' ran a second time, and verify() reported 'key 1 started without a request' for an end of a key never started. After: both ends have no effect; the answered key is replayed. Conclusion: an execution ends once. Scenario keys/ended_twice covers it.

--- a/crates/core/src/keys/ledger.rs
+++ b/crates/core/src/keys/ledger.rs
@@ -158,7 +158,9 @@
 
     /// Notes the end of an execution. One that was definitely not run may start again.
     pub fn end(&mut self, serial: u64, end: KeyEnd, now: Time) {
-        let Some(record) = self.records.get_mut(&serial) else {
+        // A late second end must not free a finished key for another execution.
+        let running = |r: &&mut Record| r.state == State::Running;
+        let Some(record) = self.records.get_mut(&serial).filter(running) else {
             return;
         };
         record.changed = now;
