Refuse keys whose service was altered

Cause: the ledger kept no service, so the service in a key's text was taken as given. Ruled out: serial, tag, target and instance; scenario keys/forged shows each refused or lost. Before: a key issued for service1 ran under service9. After: it is refused as KeyInvalid and the key itself still runs. Conclusion: the record keeps the service that the key was issued for.

--- a/crates/core/src/keys/ledger.rs
+++ b/crates/core/src/keys/ledger.rs
@@ -55,6 +55,7 @@
 struct Record {
     changed: Time,
     print: Option<u64>,
+    service: ServiceId,
     state: State,
     tag: u64,
 }
@@ -113,6 +114,7 @@
             Record {
                 changed: now,
                 print: None,
+                service,
                 state: State::Issued,
                 tag,
             },
@@ -137,7 +139,7 @@
         let Some(record) = self.records.get_mut(&key.serial) else {
             return Decision::Lost(Loss::KeyForgotten);
         };
-        if record.tag != key.tag {
+        if record.tag != key.tag || record.service != key.service {
             return Decision::Refuse(Refusal::KeyInvalid);
         }
         if record.print.is_some_and(|known| known != print) {
