Ignore reports and list entries of a replaced instance

Cause: any report of another instance than the known one replaced it, also a late reply of the instance that had just been replaced; a lagging member list did the same. Ruled out: the sequence check; it compares reports of one instance only. Before: after instance 2 had appeared, a late 'draining' reply of instance 1 made the only target unpickable (refused: no-target). After: both the reply and a list entry for instance 1 are ignored. Conclusion: an instance id is drawn per run and never returns, so a view remembers the id it replaced. Scenario routing/former_instance covers it.

--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -140,6 +140,9 @@
             let Some(view) = self.views.get_mut(&member.target) else {
                 continue;
             };
+            if member.instance.is_some() && member.instance == view.former {
+                continue;
+            }
             view.leaving = member.leaving;
             match member.instance {
                 Some(instance) if view.instance != Some(instance) => {
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -56,6 +56,7 @@
     pub avoid: Time,
     pub domain: String,
     pub failures: u32,
+    pub former: Option<InstanceId>,
     pub instance: Option<InstanceId>,
     pub leaving: bool,
     pub ramp: Option<Time>,
@@ -72,6 +73,7 @@
             avoid: Time::ZERO,
             domain: domain.to_owned(),
             failures: 0,
+            former: None,
             instance: None,
             leaving: false,
             ramp: None,
@@ -91,6 +93,9 @@
 
     /// Takes over a report unless a newer one of the same instance is known.
     pub fn take_report(&mut self, report: &LoadReport, now: Time) {
+        if self.former == Some(report.instance) {
+            return;
+        }
         if self.instance != Some(report.instance) {
             self.replace_instance(report.instance, now);
         } else if self
@@ -103,9 +108,14 @@
         self.slots = report.slots.max(1);
     }
 
-    /// Forgets what was known about an earlier instance and starts the ramp-up of the new one.
+    /// Forgets what was known about an earlier instance and starts the ramp-up of the new one. The
+    /// replaced instance never returns, but its last replies and a lagging list may still name it.
     pub fn replace_instance(&mut self, instance: InstanceId, now: Time) {
+        if self.former == Some(instance) {
+            return;
+        }
         if self.instance.is_some() {
+            self.former = self.instance;
             self.ramp = Some(now);
             self.report = None;
             self.failures = 0;
