Count one outage of a target as one failure

Cause: every attempt that failed doubled the pause, also those in flight when the outage began. Ruled out: the pause limit and its reset on success; neither matters while nothing is sent. Before: six attempts lost in the same millisecond paused the target beyond 180 ms (50 ms x 2^5); after: for 50 ms, and for 100 ms after the next failure past that pause. Conclusion: failures during a pause don't lengthen it. In all_paused both targets now pause for 50 ms, so the one that failed first is tried first. Scenario routing/burst_of_failures covers it.

--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -130,8 +130,13 @@
         self.rtt = Duration::from_secs_f64(new);
     }
 
-    /// Notes that the target could not be used; each failure doubles the pause.
+    /// Notes that the target could not be used; each failure doubles the pause. Failures during a
+    /// pause belong to the outage that began it: all requests in flight fail at once when a target
+    /// crashes, and doubling for each would keep it out for seconds after a short outage.
     pub fn note_failure(&mut self, now: Time) {
+        if now < self.avoid {
+            return;
+        }
         let pause = AVOID_FIRST * (1 << self.failures.min(10));
         self.avoid = now + pause.min(AVOID_LIMIT);
         self.failures += 1;
