--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -135,10 +135,11 @@
     /// Takes one event and returns what must be done, in order.
     pub fn on(&mut self, event: &Event, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.drop_expired(now, &mut effects);
         match *event {
             Event::Arrive(arrival) => effects.extend(self.admit(&arrival, now)),
             Event::Cancel(id) => self.cancel(id, &mut effects),
-            Event::Configure(limits) => self.limits = limits,
+            Event::Configure(limits) => self.configure(limits, &mut effects),
             Event::Drain => self.draining = true,
             Event::Finish { failed, id } => self.finish(id, failed, now),
             Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
@@ -245,6 +246,18 @@
         self.limits.slots as usize * QUEUE_PER_SLOT
     }
 
+    /// Fewer slots mean a shorter queue; the requests that came last leave it.
+    fn configure(&mut self, limits: Limits, effects: &mut Vec<Effect>) {
+        self.limits = limits;
+        let kept = self.queue.len().min(self.queue_limit());
+        let excess = self.queue.split_off(kept);
+        effects.extend(
+            excess
+                .iter()
+                .map(|(w, _)| Effect::Refuse(w.id, Refusal::Full)),
+        );
+    }
+
     fn cancel(&mut self, id: WorkId, effects: &mut Vec<Effect>) {
         if self.running.contains_key(&id) {
             effects.push(Effect::Abort(id));
@@ -287,7 +300,9 @@
         }
     }
 
-    fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Comes before every event: after a pause, expired work must neither start nor take up places
+    /// that a new arrival needs.
+    fn drop_expired(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let expired = |w: &Arrival| w.deadline <= now;
         self.queue.retain(|(waiting, _)| {
             if expired(waiting) {
@@ -295,6 +310,9 @@
             }
             !expired(waiting)
         });
+    }
+
+    fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
         while self.running.len() < self.limits.slots as usize {
             let Some((waiting, _)) = self.queue.pop_front() else {
                 break;
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -56,6 +56,7 @@
     pub avoid: Time,
     pub domain: String,
     pub failures: u32,
+    pub former: Option<InstanceId>,
     pub instance: Option<InstanceId>,
     pub leaving: bool,
     pub ramp: Option<Time>,
@@ -72,6 +73,7 @@
             avoid: Time::ZERO,
             domain: domain.to_owned(),
             failures: 0,
+            former: None,
             instance: None,
             leaving: false,
             ramp: None,
@@ -91,6 +93,9 @@
 
     /// Takes over a report unless a newer one of the same instance is known.
     pub fn take_report(&mut self, report: &LoadReport, now: Time) {
+        if self.former == Some(report.instance) {
+            return;
+        }
         if self.instance != Some(report.instance) {
             self.replace_instance(report.instance, now);
         } else if self
@@ -103,9 +108,14 @@
         self.slots = report.slots.max(1);
     }
 
-    /// Forgets what was known about an earlier instance and starts the ramp-up of the new one.
+    /// Forgets what was known about an earlier instance and starts the ramp-up of the new one. The
+    /// replaced instance never returns, but its last replies and a lagging list may still name it.
     pub fn replace_instance(&mut self, instance: InstanceId, now: Time) {
+        if self.former == Some(instance) {
+            return;
+        }
         if self.instance.is_some() {
+            self.former = self.instance;
             self.ramp = Some(now);
             self.report = None;
             self.failures = 0;
@@ -120,8 +130,13 @@
         self.rtt = Duration::from_secs_f64(new);
     }
 
-    /// Notes that the target could not be used; each failure doubles the pause.
+    /// Notes that the target could not be used; each failure doubles the pause. Failures during a
+    /// pause belong to the outage that began it: all requests in flight fail at once when a target
+    /// crashes, and doubling for each would keep it out for seconds after a short outage.
     pub fn note_failure(&mut self, now: Time) {
+        if now < self.avoid {
+            return;
+        }
         let pause = AVOID_FIRST * (1 << self.failures.min(10));
         self.avoid = now + pause.min(AVOID_LIMIT);
         self.failures += 1;
