--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,71 @@
 //! `hawthornwalld`, the process that runs beside each target.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+
+/// The command line is wrong.
+const EXIT_USAGE: u8 = 2;
+/// The settings can't be read or are faulty.
+const EXIT_SETTINGS: u8 = 3;
+/// A listener or the event loop failed.
+const EXIT_START: u8 = 4;
+
+const HELP: &str = "\
+hawthornwalld: the load balancer's daemon beside one target
+
+Usage: hawthornwalld --settings FILE
+
+Options:
+  --settings FILE  settings, JSON with comments (see hawthornwall check --print-defaults)
+  --help           show this text
+  --version        show the version
+
+Signals:
+  TERM, INT        finish the requests in flight, then exit; a second signal exits at once
+
+Exit codes:
+  0  stopped as told
+  2  wrong command line
+  3  settings can't be read or are faulty
+  4  a listener or the event loop can't be started
+";
+
+enum Command {
+    Help,
+    Run(PathBuf),
+    Version,
+}
+
+fn main() -> ExitCode {
+    match parse_args() {
+        Ok(Command::Help) => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Version) => {
+            println!("hawthornwalld {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Run(path)) => run(&path),
+        Err(e) => {
+            eprintln!("hawthornwalld: {e}; see --help");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn parse_args() -> Result<Command, lexopt::Error> {
+    let mut settings = None;
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("help") | Short('h') => return Ok(Command::Help),
+            Long("version") | Short('V') => return Ok(Command::Version),
+            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Long(_) | Short(_) | Value(_) => return Err(arg.unexpected()),
+        }
+    }
+    settings.map(Command::Run).ok_or_else(|| "--settings is missing".into())
+}
