--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -9,10 +9,8 @@
 use crate::model::Settings;
 use crate::place::{Place, Places, join, scan};
 use crate::table::{Kind, Preset, SECTIONS, SETTINGS, Setting, Unit};
+use crate::value::{collide, value_fault};
 
-/// Longest name, the limit of a DNS label.
-const NAME_LIMIT: usize = 63;
-const SECRET_DIGITS: usize = 64;
 /// Endings of keys that name a unit other than the accepted one.
 const OTHER_UNITS: [&str; 8] = ["s", "sec", "secs", "seconds", "us", "min", "kb", "mb"];
 
@@ -251,12 +249,6 @@
     }
 }
 
-/// Whether two listeners can't both be opened. Port 0 stands for any free port.
-fn collide(a: SocketAddr, b: SocketAddr) -> bool {
-    let any = a.ip().is_unspecified() || b.ip().is_unspecified();
-    a.port() == b.port() && a.port() != 0 && (any || a.ip() == b.ip())
-}
-
 /// The setting of which `path` is the name with another unit or without its unit.
 fn meant_unit(path: &str) -> Option<&'static Setting> {
     SETTINGS.iter().find(|setting| {
@@ -276,51 +268,3 @@
         unit && rest.is_some_and(|rest| rest.is_empty() || other(rest))
     })
 }
-
-fn value_fault(kind: Kind, value: &Value) -> Option<FaultKind> {
-    match (kind, value) {
-        (Kind::Number { min, max, .. }, Value::Number(number)) => match number.as_u64() {
-            Some(n) if (min..=max).contains(&n) => None,
-            Some(_) => Some(FaultKind::Range),
-            None if number.as_f64().is_some_and(|n| n < 0.0) => Some(FaultKind::Range),
-            None => Some(FaultKind::Type),
-        },
-        (Kind::Number { .. }, Value::String(text)) => {
-            let numeric = text.trim_start().starts_with(|c: char| c.is_ascii_digit());
-            let bare = text.trim().bytes().all(|b| b.is_ascii_digit());
-            let unit = numeric && !bare;
-            Some(if unit {
-                FaultKind::Unit
-            } else {
-                FaultKind::Type
-            })
-        }
-        (
-            Kind::Address | Kind::Choice(_) | Kind::Name | Kind::Path | Kind::Secret,
-            Value::String(text),
-        ) => text_fault(kind, text),
-        _ => Some(FaultKind::Type),
-    }
-}
-
-fn text_fault(kind: Kind, text: &str) -> Option<FaultKind> {
-    let name_byte = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
-    let (accepted, fault) = match kind {
-        Kind::Address => (text.parse::<SocketAddr>().is_ok(), FaultKind::Address),
-        Kind::Choice(words) => (words.contains(&text), FaultKind::Text),
-        Kind::Name => {
-            let length = (1..=NAME_LIMIT).contains(&text.len());
-            (length && text.bytes().all(name_byte), FaultKind::Text)
-        }
-        Kind::Path => {
-            let clean = text.bytes().all(|b| b.is_ascii_graphic());
-            (text.starts_with('/') && clean, FaultKind::Text)
-        }
-        Kind::Secret => {
-            let digits = text.bytes().all(|b| b.is_ascii_hexdigit());
-            (text.len() == SECRET_DIGITS && digits, FaultKind::Secret)
-        }
-        Kind::Addresses | Kind::Number { .. } => (false, FaultKind::Type),
-    };
-    (!accepted).then_some(fault)
-}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,6 +12,7 @@
 mod place;
 mod print;
 mod table;
+mod value;
 
 pub use fault::{Fault, FaultKind, SettingsFaults};
 pub use model::{
