Add telemetry and the operators' listener to the node

Tasks send events to the telemetry task, which owns the counters and the statsd socket; logs and spans are written as JSON lines. The operators' listener asks the other tasks by message and reports a task that doesn't reply within a second as null. ControlMessage::Config hands out the configuration in force for GET /config.

--- /dev/null
+++ b/crates/node/src/admin/http.rs
@@ -0,0 +1,198 @@
+//! One HTTP/1.1 connection of an operator.
+//!
+//! Invariant: every read and write has a timeout, and no more than one request is buffered.
+
+use std::fmt;
+use std::time::Duration;
+
+use ::http::{Method, StatusCode, Version, header};
+use bytes::BytesMut;
+use hawthornwall_wire::head::{Framing, HeadFault, HeadKind, check_head, head_length};
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::net::TcpStream;
+use monoio::time::{Instant, timeout, timeout_at};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::common::request::RequestHead;
+use monoio_http::h1::codec::decoder::RequestHeadDecoder;
+
+const HEAD_LIMIT: usize = 8 << 10;
+/// Bodies are read and ignored, so that a client that sends one still gets its response.
+const BODY_LIMIT: usize = 16 << 10;
+const CHUNK: usize = 4 << 10;
+/// Longest wait for the next request of a connection.
+const IDLE: Duration = Duration::from_secs(30);
+/// Longest time from the first byte of a request to its last.
+const REQUEST: Duration = Duration::from_secs(5);
+/// Longest time for a response to be taken.
+const RESPONSE: Duration = Duration::from_secs(5);
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub keep_alive: bool,
+    pub method: Method,
+    pub path: String,
+}
+
+/// Why a request isn't accepted.
+#[derive(Debug)]
+pub(super) enum RequestFault {
+    Body(usize),
+    Chunked,
+    Decode(String),
+    Head(HeadFault),
+    Host,
+    Slow,
+}
+
+impl RequestFault {
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Body(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Chunked => StatusCode::LENGTH_REQUIRED,
+            Self::Head(HeadFault::TooLarge) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::Decode(_) | Self::Head(_) | Self::Host => StatusCode::BAD_REQUEST,
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
+impl fmt::Display for RequestFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Body(length) => write!(f, "the body has {length} bytes, accepted: {BODY_LIMIT}"),
+            Self::Chunked => f.write_str("a chunked body is not accepted here"),
+            Self::Decode(what) => write!(f, "malformed HTTP head: {what}"),
+            Self::Head(fault) => fault.fmt(f),
+            Self::Host => f.write_str("the Host header is missing"),
+            Self::Slow => write!(f, "the request took longer than {} s", REQUEST.as_secs()),
+        }
+    }
+}
+
+/// A response with a JSON body.
+#[derive(Debug)]
+pub(super) struct Response {
+    pub allow: Option<Method>,
+    pub body: String,
+    pub status: StatusCode,
+}
+
+impl Response {
+    fn encode(&self, keep_alive: bool) -> Vec<u8> {
+        let allow = match &self.allow {
+            Some(method) => format!("Allow: {method}\r\n"),
+            None => String::new(),
+        };
+        let connection = if keep_alive { "keep-alive" } else { "close" };
+        let (status, body) = (self.status, &self.body);
+        format!(
+            "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\
+             Connection: {connection}\r\n{allow}\r\n{body}",
+            body.len()
+        )
+        .into_bytes()
+    }
+}
+
+pub(super) struct Connection {
+    buf: BytesMut,
+    stream: TcpStream,
+}
+
+impl Connection {
+    pub fn new(stream: TcpStream) -> Self {
+        let buf = BytesMut::new();
+        Self { buf, stream }
+    }
+
+    /// The next request, `None` when the client is gone or idle too long.
+    pub async fn request(&mut self) -> Result<Option<Request>, RequestFault> {
+        let read = if self.buf.is_empty() {
+            timeout(IDLE, self.read()).await
+        } else {
+            Ok(true)
+        };
+        if !read.unwrap_or(false) {
+            return Ok(None);
+        }
+        let end = Instant::now() + REQUEST;
+        timeout_at(end, self.read_request())
+            .await
+            .unwrap_or(Err(RequestFault::Slow))
+    }
+
+    async fn read_request(&mut self) -> Result<Option<Request>, RequestFault> {
+        let length = loop {
+            match head_length(&self.buf, HEAD_LIMIT).map_err(RequestFault::Head)? {
+                Some(length) => break length,
+                None if !self.read().await => return Ok(None),
+                None => {}
+            }
+        };
+        let framing = check_head(&self.buf[..length], HeadKind::Request);
+        let body = match framing.map_err(RequestFault::Head)? {
+            Framing::Chunked => return Err(RequestFault::Chunked),
+            Framing::Length(length) if length > BODY_LIMIT => {
+                return Err(RequestFault::Body(length));
+            }
+            Framing::Length(length) => length,
+            Framing::None => 0,
+        };
+        let head = decode_head(&mut self.buf)?;
+        while self.buf.len() < body {
+            if !self.read().await {
+                return Ok(None);
+            }
+        }
+        let _ = self.buf.split_to(body);
+        request_of(&head).map(Some)
+    }
+
+    /// Appends what arrives; false at the end of the stream or after a failure.
+    async fn read(&mut self) -> bool {
+        let (result, chunk) = self.stream.read(vec![0; CHUNK]).await;
+        match result {
+            Ok(length) if length > 0 => {
+                self.buf.extend_from_slice(&chunk[..length]);
+                true
+            }
+            Ok(_) | Err(_) => false,
+        }
+    }
+
+    /// Sends a response.
+    pub async fn respond(&mut self, response: Response, keep_alive: bool) -> Result<(), ()> {
+        let bytes = response.encode(keep_alive);
+        let written = timeout(RESPONSE, self.stream.write_all(bytes)).await;
+        written.map_err(drop)?.0.map(drop).map_err(drop)
+    }
+}
+
+fn decode_head(buf: &mut BytesMut) -> Result<RequestHead, RequestFault> {
+    match RequestHeadDecoder.decode(buf) {
+        Ok(Decoded::Some(head)) => Ok(head),
+        Ok(_) => Err(RequestFault::Decode("head is cut".to_owned())),
+        Err(error) => Err(RequestFault::Decode(error.to_string())),
+    }
+}
+
+fn request_of(head: &RequestHead) -> Result<Request, RequestFault> {
+    let modern = head.version == Version::HTTP_11;
+    if modern && !head.headers.contains_key(header::HOST) {
+        return Err(RequestFault::Host);
+    }
+    let close = head
+        .headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .any(|value| {
+            let value = value.as_bytes();
+            value.eq_ignore_ascii_case(b"close")
+        });
+    Ok(Request {
+        keep_alive: modern && !close,
+        method: head.method.clone(),
+        path: head.uri.path().to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/admin/pages.rs
@@ -0,0 +1,211 @@
+//! What the operators' listener answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ::http::{Method, StatusCode};
+use futures::channel::oneshot;
+use hawthornwall_core::prelude::*;
+use monoio::time::timeout;
+use serde::Serialize;
+use serde_json::json;
+
+use super::Admin;
+use super::http::{Request, RequestFault, Response};
+use crate::messages::{
+    ControlMessage, ControlStatus, GateMessage, GateStatus, PeersMessage, PeersStatus, World,
+};
+use crate::telemetry::{Counters, log};
+
+/// Longest wait for another task's reply. A task that needs longer is reported as null.
+const QUERY: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug)]
+enum Page {
+    Config,
+    Drain,
+    Status,
+}
+
+impl Page {
+    fn at(path: &str) -> Option<Self> {
+        match path {
+            "/config" => Some(Self::Config),
+            "/drain" => Some(Self::Drain),
+            "/status" => Some(Self::Status),
+            _ => None,
+        }
+    }
+
+    fn method(self) -> Method {
+        match self {
+            Self::Config | Self::Status => Method::GET,
+            Self::Drain => Method::POST,
+        }
+    }
+}
+
+/// Whether the daemon takes work, as far as operators are concerned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    /// The target can't be reached.
+    Down,
+    /// In-flight requests are finished, nothing new is taken.
+    Draining,
+    /// Requests are taken.
+    Serving,
+    /// No configuration is in force yet.
+    Starting,
+    /// The `gate` or `control` task doesn't reply.
+    Unresponsive,
+}
+
+impl State {
+    fn of(control: Option<&ControlStatus>, gate: Option<&GateStatus>) -> Self {
+        match (control, gate) {
+            (Some(control), Some(gate)) => match gate.report.state {
+                TargetState::Draining => Self::Draining,
+                TargetState::Down | TargetState::Serving if control.version == Version(0) => {
+                    Self::Starting
+                }
+                TargetState::Down => Self::Down,
+                TargetState::Serving => Self::Serving,
+            },
+            (None, _) | (_, None) => Self::Unresponsive,
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct Status<'a> {
+    control: Option<ControlStatus>,
+    counters: Option<Counters>,
+    domain: &'a str,
+    gate: Option<GateStatus>,
+    instance: String,
+    name: &'a str,
+    peers: Option<PeersStatus>,
+    program: &'static str,
+    state: State,
+    uptime_ms: u64,
+}
+
+/// The response to a request.
+pub(super) async fn respond(admin: &Admin, request: &Request) -> Response {
+    match Page::at(&request.path) {
+        None => error(
+            StatusCode::NOT_FOUND,
+            "the pages are /status, /config and /drain",
+        ),
+        Some(page) if request.method != page.method() => {
+            let method = page.method();
+            let text = format!("{} only accepts {method}", request.path);
+            Response {
+                allow: Some(method),
+                ..error(StatusCode::METHOD_NOT_ALLOWED, &text)
+            }
+        }
+        Some(Page::Config) => config(admin).await,
+        Some(Page::Drain) => drain(admin),
+        Some(Page::Status) => status(admin).await,
+    }
+}
+
+/// The response to a request that isn't accepted.
+pub(super) fn fault_page(fault: &RequestFault) -> Response {
+    error(fault.status(), &fault.to_string())
+}
+
+async fn config(admin: &Admin) -> Response {
+    let world: Option<Rc<World>> = ask(|reply| {
+        let message = ControlMessage::Config(reply);
+        let _ = admin.control.unbounded_send(message);
+    })
+    .await;
+    match world {
+        Some(world) if world.config.version > Version(0) => page(StatusCode::OK, &world.config),
+        Some(_) => error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration is in force yet",
+        ),
+        None => error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the control task doesn't reply",
+        ),
+    }
+}
+
+fn drain(admin: &Admin) -> Response {
+    log::info!("drain requested by an operator");
+    // The gate tells when nothing is left; `GET /status` shows that, so nobody waits here.
+    let (empty, _) = oneshot::channel();
+    admin.gate.send(GateMessage::Drain(empty));
+    let _ = admin.control.unbounded_send(ControlMessage::Leaving);
+    page(StatusCode::ACCEPTED, &json!({ "state": State::Draining }))
+}
+
+async fn status(admin: &Admin) -> Response {
+    let control = ask(|reply| {
+        let _ = admin.control.unbounded_send(ControlMessage::Status(reply));
+    });
+    let gate = ask(|reply| admin.gate.send(GateMessage::Status(reply)));
+    let peers = ask(|reply| {
+        let _ = admin.peers.unbounded_send(PeersMessage::Status(reply));
+    });
+    let counters = async {
+        let counters = timeout(QUERY, admin.telemetry.counters()).await;
+        counters.ok().flatten()
+    };
+    let (control, gate, peers, counters) = futures::join!(control, gate, peers, counters);
+    let ready = control.as_ref().is_some_and(|c| c.version > Version(0));
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let uptime = (admin.clock.now() - Time::ZERO).as_millis();
+    let state = State::of(control.as_ref(), gate.as_ref());
+    let body = Status {
+        control,
+        counters,
+        domain: &admin.identity.domain,
+        gate,
+        instance: admin.identity.instance.to_string(),
+        name: &admin.identity.name,
+        peers,
+        program: env!("CARGO_PKG_VERSION"),
+        state,
+        uptime_ms: u64::try_from(uptime).unwrap_or(u64::MAX),
+    };
+    page(status, &body)
+}
+
+/// Sends a query and waits a bounded time for its reply.
+async fn ask<T>(send: impl FnOnce(oneshot::Sender<T>)) -> Option<T> {
+    let (reply, receiver) = oneshot::channel();
+    send(reply);
+    timeout(QUERY, receiver).await.ok()?.ok()
+}
+
+fn page(status: StatusCode, body: &impl Serialize) -> Response {
+    match serde_json::to_string(body) {
+        Ok(mut body) => {
+            body.push('\n');
+            Response {
+                allow: None,
+                body,
+                status,
+            }
+        }
+        Err(fault) => error(StatusCode::INTERNAL_SERVER_ERROR, &fault.to_string()),
+    }
+}
+
+fn error(status: StatusCode, text: &str) -> Response {
+    Response {
+        allow: None,
+        body: format!("{}\n", json!({ "error": text })),
+        status,
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,5 +4,7 @@
 //! messages of [`messages`]. Decisions are taken by the aggregates of `hawthornwall-core`; a task
 //! only carries their effects out.
 
+pub mod admin;
 pub mod clock;
 pub mod messages;
+pub mod telemetry;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -191,6 +191,8 @@
 /// To the `control` task.
 #[derive(Debug)]
 pub enum ControlMessage {
+    /// Hand out the configuration in force.
+    Config(oneshot::Sender<Rc<World>>),
     /// A peer compares versions.
     Exchange {
         /// What the peer has.
--- /dev/null
+++ b/crates/node/src/telemetry/counters.rs
@@ -0,0 +1,138 @@
+//! Counters of this daemon since its start.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hawthornwall_core::calls::PickKind;
+use hawthornwall_core::prelude::*;
+use serde::Serialize;
+
+/// Something that is counted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// An attempt of a caller's request ended.
+    Attempt {
+        /// From sending to the end.
+        elapsed: Duration,
+        /// How it ended.
+        result: AttemptResult,
+    },
+    /// The gate refused a request, from this daemon or another.
+    GateRefused(Refusal),
+    /// A probe was due, but the measurement budget was spent.
+    ProbeSkipped,
+    /// The local target was probed.
+    ProbeSpent,
+    /// A caller's request ended.
+    Request {
+        /// From its first byte to the last byte of the response.
+        elapsed: Duration,
+        /// What the caller was told.
+        outcome: Outcome,
+    },
+    /// An attempt was sent.
+    Sent(PickKind),
+}
+
+/// Totals since the start, by name.
+///
+/// ```
+/// use std::time::Duration;
+/// use hawthornwall_core::prelude::*;
+/// use hawthornwall_node::telemetry::{Counters, Event};
+///
+/// let mut counters = Counters::default();
+/// let outcome = Outcome::Refused(Refusal::Full);
+/// counters.record(&Event::Request { elapsed: Duration::from_millis(1), outcome });
+/// assert_eq!(counters.requests["refused"], 1);
+/// assert_eq!(counters.refusals["target-full"], 1);
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Counters {
+    /// Ended attempts by result: `answered`, or the reason of a refusal or loss.
+    pub attempts: BTreeMap<&'static str, u64>,
+    /// Refusals by the local gate, by reason.
+    pub gate_refusals: BTreeMap<&'static str, u64>,
+    /// Probes that the measurement budget didn't allow.
+    pub probes_skipped: u64,
+    /// Probes of the local target.
+    pub probes_spent: u64,
+    /// Refusals told to callers, by reason.
+    pub refusals: BTreeMap<&'static str, u64>,
+    /// Callers' requests by outcome.
+    pub requests: BTreeMap<&'static str, u64>,
+    /// Attempts sent, by why: `first`, `hedge`, `reroute`, `retry`.
+    pub sent: BTreeMap<&'static str, u64>,
+}
+
+impl Counters {
+    /// Counts one event.
+    pub fn record(&mut self, event: &Event) {
+        match *event {
+            Event::Attempt { result, .. } => add(&mut self.attempts, attempt_name(result)),
+            Event::GateRefused(refusal) => add(&mut self.gate_refusals, refusal.name()),
+            Event::ProbeSkipped => self.probes_skipped += 1,
+            Event::ProbeSpent => self.probes_spent += 1,
+            Event::Request { outcome, .. } => {
+                add(&mut self.requests, outcome.name());
+                match outcome {
+                    Outcome::Refused(refusal) => add(&mut self.refusals, refusal.name()),
+                    Outcome::Answered | Outcome::Failed(_) | Outcome::Unknown(_) => {}
+                }
+            }
+            Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
+        }
+    }
+
+    /// Dotted names and increases since `earlier`, without those that didn't change.
+    pub fn since(&self, earlier: &Self) -> Vec<(String, u64)> {
+        let groups = [
+            ("attempts", &self.attempts, &earlier.attempts),
+            ("gate_refusals", &self.gate_refusals, &earlier.gate_refusals),
+            ("refusals", &self.refusals, &earlier.refusals),
+            ("requests", &self.requests, &earlier.requests),
+            ("sent", &self.sent, &earlier.sent),
+        ];
+        let named = groups.into_iter().flat_map(|(group, now, before)| {
+            now.iter().map(move |(name, count)| {
+                let before = before.get(name).copied().unwrap_or_default();
+                (format!("{group}.{name}"), count - before)
+            })
+        });
+        let probes = [
+            (
+                "probes.skipped",
+                self.probes_skipped - earlier.probes_skipped,
+            ),
+            ("probes.spent", self.probes_spent - earlier.probes_spent),
+        ];
+        let probes = probes.map(|(name, count)| (name.to_owned(), count));
+        named
+            .chain(probes)
+            .filter(|(_, count)| *count > 0)
+            .collect()
+    }
+}
+
+fn add(counts: &mut BTreeMap<&'static str, u64>, name: &'static str) {
+    *counts.entry(name).or_default() += 1;
+}
+
+/// The name of an attempt's result in counters and traces.
+pub(super) const fn attempt_name(result: AttemptResult) -> &'static str {
+    match result {
+        AttemptResult::Answered => "answered",
+        AttemptResult::Lost(loss) => loss.name(),
+        AttemptResult::Refused(refusal) => refusal.name(),
+    }
+}
+
+/// The name of a reason for a pick in counters and traces.
+pub(super) const fn pick_name(kind: PickKind) -> &'static str {
+    match kind {
+        PickKind::First => "first",
+        PickKind::Hedge => "hedge",
+        PickKind::Reroute => "reroute",
+        PickKind::Retry => "retry",
+    }
+}
--- /dev/null
+++ b/crates/node/src/telemetry/log.rs
@@ -0,0 +1,74 @@
+//! Structured logs: one JSON object a line on standard error.
+//!
+//! Every task logs through the macros of this module:
+//!
+//! ```
+//! use hawthornwall_node::telemetry::log;
+//!
+//! let (version, source) = (12, "peer");
+//! log::info!("configuration in force", kv: { version, source });
+//! ```
+
+use std::sync::Arc;
+
+use hawthornwall_settings::LogLevel;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::{Sink, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger};
+
+pub use spdlog::{debug, error, info, warn};
+
+/// A logger of this name carries finished spans.
+const TRACE_LOGGER: &str = "trace";
+
+/// Makes the macros of this module write lines of `level` and above to standard error.
+///
+/// # Errors
+///
+/// If the sink can't be built.
+pub fn init(level: LogLevel) -> Result<(), spdlog::Error> {
+    let logger = Logger::builder()
+        .level_filter(level_filter(level))
+        .sink(stderr()?)
+        .build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+/// The logger for finished spans. Spans are written whatever the level, since sampling decides.
+///
+/// # Errors
+///
+/// If the sink can't be built.
+pub fn span_logger() -> Result<Arc<Logger>, spdlog::Error> {
+    span_logger_to(stderr()?)
+}
+
+/// The logger for finished spans, with another sink than standard error.
+///
+/// # Errors
+///
+/// If the logger can't be built.
+pub fn span_logger_to(sink: Arc<dyn Sink>) -> Result<Arc<Logger>, spdlog::Error> {
+    Logger::builder()
+        .name(TRACE_LOGGER)
+        .level_filter(LevelFilter::All)
+        .sink(sink)
+        .build_arc()
+}
+
+fn stderr() -> Result<Arc<StdStreamSink>, spdlog::Error> {
+    StdStreamSink::builder()
+        .stderr()
+        .formatter(JsonFormatter::new())
+        .build_arc()
+}
+
+fn level_filter(level: LogLevel) -> LevelFilter {
+    LevelFilter::MoreSevereEqual(match level {
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Error => Level::Error,
+        LogLevel::Info => Level::Info,
+        LogLevel::Warn => Level::Warn,
+    })
+}
--- /dev/null
+++ b/crates/node/src/telemetry/task.rs
@@ -0,0 +1,100 @@
+//! The task that owns the counters and the statsd socket.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::channel::{mpsc, oneshot};
+use monoio::time::{Instant, timeout_at};
+
+use super::{Counters, Event, Statsd};
+
+/// Longest time that a metric stays in the buffer.
+const FLUSH: Duration = Duration::from_secs(1);
+
+/// To the `telemetry` task.
+#[derive(Debug)]
+pub enum TelemetryMessage {
+    /// Count an event.
+    Event(Event),
+    /// Report the counters.
+    Status(oneshot::Sender<Counters>),
+}
+
+/// Sends events to the `telemetry` task.
+#[derive(Clone, Debug)]
+pub struct Telemetry {
+    sender: mpsc::UnboundedSender<TelemetryMessage>,
+}
+
+impl Telemetry {
+    /// A handle and the receiver for [`run`].
+    pub fn channel() -> (Self, mpsc::UnboundedReceiver<TelemetryMessage>) {
+        let (sender, receiver) = mpsc::unbounded();
+        (Self { sender }, receiver)
+    }
+
+    /// Counts an event. Nothing happens if the task has ended.
+    pub fn record(&self, event: Event) {
+        let _ = self.sender.unbounded_send(TelemetryMessage::Event(event));
+    }
+
+    /// The counters, or `None` if the task has ended.
+    pub async fn counters(&self) -> Option<Counters> {
+        let (reply, receiver) = oneshot::channel();
+        let message = TelemetryMessage::Status(reply);
+        self.sender.unbounded_send(message).ok()?;
+        receiver.await.ok()
+    }
+}
+
+/// Serves until all handles are dropped. Without traffic no timer runs.
+pub async fn run(mut receiver: mpsc::UnboundedReceiver<TelemetryMessage>, statsd: Option<Statsd>) {
+    let mut totals = Counters::default();
+    let mut reported = Counters::default();
+    let mut flush_at = None;
+    loop {
+        let message = match flush_at {
+            None => receiver.next().await,
+            Some(time) => {
+                if let Ok(message) = timeout_at(time, receiver.next()).await {
+                    message
+                } else {
+                    flush(statsd.as_ref(), &totals, &mut reported);
+                    flush_at = None;
+                    continue;
+                }
+            }
+        };
+        match message {
+            None => break,
+            Some(TelemetryMessage::Event(event)) => {
+                totals.record(&event);
+                if let Some(statsd) = &statsd {
+                    record_time(statsd, &event);
+                    flush_at = flush_at.or_else(|| Some(Instant::now() + FLUSH));
+                }
+            }
+            Some(TelemetryMessage::Status(reply)) => {
+                let _ = reply.send(totals.clone());
+            }
+        }
+    }
+    flush(statsd.as_ref(), &totals, &mut reported);
+}
+
+fn record_time(statsd: &Statsd, event: &Event) {
+    match event {
+        Event::Attempt { elapsed, .. } => statsd.time("attempt", *elapsed),
+        Event::Request { elapsed, .. } => statsd.time("request", *elapsed),
+        Event::GateRefused(_) | Event::ProbeSkipped | Event::ProbeSpent | Event::Sent(_) => {}
+    }
+}
+
+fn flush(statsd: Option<&Statsd>, totals: &Counters, reported: &mut Counters) {
+    let Some(statsd) = statsd else { return };
+    for (name, count) in totals.since(reported) {
+        statsd.count(&name, count);
+    }
+    statsd.flush();
+    reported.clone_from(totals);
+}
