--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,11 +4,15 @@
 //! messages of [`messages`]. Decisions are taken by the aggregates of `hawthornwall-core`; a task
 //! only carries their effects out.
 
+pub mod admin;
 pub mod clock;
+pub mod daemon;
 pub mod gate;
 pub mod http;
 pub mod ingress;
 pub mod messages;
 pub mod peers;
 pub mod router;
+pub mod signals;
 pub mod start;
+pub mod telemetry;
