Avoid a silent target whose attempts were cancelled

Cause: a cancelled attempt counted for nothing. When hedges win, every attempt at a stalled target ends so, its outstanding count returns to zero, and its old report decays to the service mean. Ruled out: the overdue term; it works while the attempt is open (scenario routing/stalled). Before: 200 of 200 picks went to a target that had been silent for 96 ms. After: none; it is paused as after a failure. A target that replied meanwhile isn't (second half of the scenario). Conclusion: cancelled later than two service times and a round trip without any reply since the attempt was sent counts as a failure. Scenario routing/stalled_and_hedged covers it.

--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -196,7 +196,7 @@
         let Some(view) = self.views.get_mut(&target) else {
             return;
         };
-        view.sent.remove(&seen.ticket.0);
+        let sent = view.sent.remove(&seen.ticket.0).unwrap_or(now);
         if let Some(report) = seen.report {
             view.take_report(report, now);
             view.take_rtt(seen.elapsed.saturating_sub(seen.held));
@@ -207,7 +207,7 @@
                 let service = view.service;
                 self.latency.entry(service).or_default().add(seen.elapsed);
             }
-            AttemptResult::Lost(loss) => note_loss(view, loss, now),
+            AttemptResult::Lost(loss) => note_loss(view, loss, sent, now),
             AttemptResult::Refused(refusal) => note_refusal(view, refusal, now),
         }
     }
@@ -325,10 +325,11 @@
     }
 }
 
-fn note_loss(view: &mut View, loss: Loss, now: Time) {
+fn note_loss(view: &mut View, loss: Loss, sent: Time, now: Time) {
     match loss {
         Loss::Closed | Loss::Expired | Loss::Malformed => view.note_failure(now),
-        Loss::Cancelled | Loss::KeyForgotten => {}
+        Loss::Cancelled => view.note_cancelled(sent, now),
+        Loss::KeyForgotten => {}
     }
 }
 
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -142,6 +142,17 @@
         self.failures += 1;
     }
 
+    /// Notes an attempt cancelled at `now`, as the slower of two is. A target that has sent nothing
+    /// since the attempt was sent may have stalled; without this its cancelled attempts would
+    /// leave no trace and it would look idle.
+    pub fn note_cancelled(&mut self, sent: Time, now: Time) {
+        let heard = self.report.is_some_and(|(_, at)| at > sent);
+        let service = self.service_time(&Mean::default());
+        if !heard && now - sent > service * 2 + self.rtt {
+            self.note_failure(now);
+        }
+    }
+
     pub fn note_success(&mut self) {
         self.failures = 0;
         self.avoid = Time::ZERO;
