--- /dev/null
+++ b/crates/core/tests/properties/balancer.rs
@@ -0,0 +1,166 @@
+//! Random use of the balancer under every policy.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::routing::{Balancer, MemberView, Observation, PickRequest, Policy, Ticket};
+use proptest::prelude::*;
+
+const TARGETS: u32 = 5;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Configure(BTreeSet<u32>),
+    Member {
+        instance: u64,
+        leaving: bool,
+        target: u32,
+    },
+    Observe {
+        index: usize,
+        report: Option<LoadReport>,
+        result: AttemptResult,
+    },
+    Pick(Vec<u32>),
+    Pin(u32),
+}
+
+fn report() -> impl Strategy<Value = LoadReport> {
+    let state = prop::sample::select(vec![
+        TargetState::Serving,
+        TargetState::Serving,
+        TargetState::Draining,
+        TargetState::Down,
+    ]);
+    (0..=100u8, 0..3u64, 0..20u32, 0..9u64, 0..50_000u64, state).prop_map(
+        |(failing, instance, running, seq, service, state)| LoadReport {
+            failing,
+            instance: InstanceId(instance),
+            queued: running / 2,
+            running,
+            seq,
+            service: Duration::from_micros(service),
+            slots: running % 7,
+            state,
+        },
+    )
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let results = vec![
+        AttemptResult::Answered,
+        AttemptResult::Lost(Loss::Cancelled),
+        AttemptResult::Lost(Loss::Expired),
+        AttemptResult::Refused(Refusal::Full),
+        AttemptResult::Refused(Refusal::Unreachable),
+    ];
+    let observe = (
+        0..30usize,
+        prop::option::of(report()),
+        prop::sample::select(results),
+    );
+    prop_oneof![
+        1 => prop::collection::btree_set(0..TARGETS, 0..5).prop_map(Step::Configure),
+        1 => (0..3u64, any::<bool>(), 0..TARGETS)
+            .prop_map(|(instance, leaving, target)| Step::Member { instance, leaving, target }),
+        8 => observe.prop_map(|(index, report, result)| Step::Observe { index, report, result }),
+        8 => prop::collection::vec(0..TARGETS, 0..3).prop_map(Step::Pick),
+        1 => (0..TARGETS + 2).prop_map(Step::Pin),
+    ]
+}
+
+fn configuration(targets: impl IntoIterator<Item = u32>) -> Configuration {
+    let target = |id: u32| Target {
+        domain: "a".repeat(id as usize % 2 + 1),
+        name: format!("work{id}"),
+        service: ServiceId(0),
+        slots: id + 1,
+    };
+    let targets = targets
+        .into_iter()
+        .map(|id| (TargetId(id), target(id)))
+        .collect();
+    Configuration {
+        targets,
+        ..Configuration::default()
+    }
+}
+
+fn observe(balancer: &mut Balancer, ticket: Ticket, report: Option<&LoadReport>, now: Time) {
+    let seen = Observation {
+        elapsed: Duration::from_millis(3),
+        held: Duration::from_millis(4),
+        report,
+        result: AttemptResult::Answered,
+        ticket,
+    };
+    balancer.observe(&seen, now);
+}
+
+proptest! {
+    /// Guards against picks of excluded targets and against tickets that are counted for ever.
+    #[test]
+    fn every_ticket_ends(
+        policy in prop::sample::select(Policy::ALL.to_vec()),
+        seed: u64,
+        steps in prop::collection::vec((0..200_000u64, step()), 1..80),
+    ) {
+        let mut balancer = Balancer::new("a", policy, seed);
+        balancer.configure(&configuration(0..TARGETS));
+        let mut tickets = Vec::new();
+        let mut leaving = BTreeSet::new();
+        let mut present: BTreeSet<_> = (0..TARGETS).collect();
+        let mut now = Time::ZERO;
+        for (pause, step) in steps {
+            now = now + Duration::from_micros(pause);
+            match step {
+                Step::Configure(targets) => {
+                    balancer.configure(&configuration(targets.iter().copied()));
+                    leaving.retain(|t| targets.contains(t));
+                    present = targets;
+                }
+                Step::Member { instance, leaving: leaves, target } => {
+                    let instance = Some(InstanceId(10 + instance)).filter(|_| !leaves);
+                    let view = MemberView { instance, leaving: leaves, target: TargetId(target) };
+                    balancer.update_members(&[view], now);
+                    if !leaves {
+                        leaving.remove(&target);
+                    } else if present.contains(&target) {
+                        leaving.insert(target);
+                    }
+                }
+                Step::Observe { index, report, result } => {
+                    if let Some(ticket) = tickets.get(index).copied() {
+                        let seen = Observation {
+                            elapsed: Duration::from_millis(3),
+                            held: Duration::ZERO,
+                            report: report.as_ref(),
+                            result,
+                            ticket,
+                        };
+                        balancer.observe(&seen, now);
+                        tickets.remove(index);
+                    }
+                }
+                Step::Pick(tried) => {
+                    let tried: Vec<_> = tried.into_iter().map(TargetId).collect();
+                    let request = PickRequest { service: ServiceId(0), tried: &tried };
+                    if let Ok(choice) = balancer.pick(&request, now) {
+                        prop_assert!(!tried.contains(&choice.target));
+                        prop_assert!(present.contains(&choice.target.0));
+                        prop_assert!(!leaving.contains(&choice.target.0));
+                        tickets.push(choice.ticket);
+                    }
+                }
+                Step::Pin(target) => tickets.push(balancer.pin(TargetId(target), now)),
+            }
+            prop_assert_eq!(balancer.verify(), Vec::<String>::new());
+        }
+        for ticket in tickets {
+            observe(&mut balancer, ticket, None, now);
+        }
+        let outstanding: usize = (0..TARGETS).map(|t| balancer.outstanding(TargetId(t))).sum();
+        prop_assert_eq!(outstanding, 0);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/properties/gate.rs
@@ -0,0 +1,128 @@
+//! Random events at the gate.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, WorkId};
+use hawthornwall_core::prelude::*;
+use proptest::prelude::*;
+
+fn limits() -> impl Strategy<Value = Limits> {
+    (0..200u64, 1..4u32).prop_map(|(ms, slots)| Limits {
+        queue_wait: Duration::from_millis(ms),
+        slots,
+    })
+}
+
+/// Events at work ids below 60; an arrival's id is replaced by the next unused one.
+fn event() -> impl Strategy<Value = Event> {
+    let id = || (0..60u64).prop_map(WorkId);
+    let arrival = (0..300u64, 0..300u64).prop_map(|(deadline, patience)| {
+        Event::Arrive(Arrival {
+            deadline: Time::from_micros(deadline * 1000),
+            id: WorkId(0),
+            patience: Duration::from_millis(patience),
+        })
+    });
+    prop_oneof![
+        12 => arrival,
+        2 => id().prop_map(Event::Cancel),
+        1 => limits().prop_map(Event::Configure),
+        8 => (any::<bool>(), id()).prop_map(|(failed, id)| Event::Finish { failed, id }),
+        1 => any::<bool>().prop_map(Event::Reachable),
+        1 => Just(Event::Tick),
+        1 => Just(Event::Drain),
+    ]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    Waiting,
+    Running,
+    Ended,
+}
+
+/// What the owner of a gate sees of each request.
+#[derive(Default)]
+struct Owner {
+    deadlines: BTreeMap<WorkId, Time>,
+    stages: BTreeMap<WorkId, Stage>,
+}
+
+impl Owner {
+    fn prepare(&mut self, event: Event, now: Time) -> Event {
+        match event {
+            Event::Arrive(arrival) => {
+                let id = WorkId(self.stages.len() as u64);
+                let deadline = now + (arrival.deadline - Time::ZERO);
+                self.stages.insert(id, Stage::Waiting);
+                self.deadlines.insert(id, deadline);
+                Event::Arrive(Arrival {
+                    deadline,
+                    id,
+                    ..arrival
+                })
+            }
+            Event::Finish { id, .. } => {
+                if self.stages.get(&id) == Some(&Stage::Running) {
+                    self.stages.insert(id, Stage::Ended);
+                }
+                event
+            }
+            Event::Cancel(_)
+            | Event::Configure(_)
+            | Event::Drain
+            | Event::Reachable(_)
+            | Event::Tick => event,
+        }
+    }
+
+    fn take(&mut self, effects: &[Effect], now: Time) {
+        for effect in effects {
+            let (id, before, after) = match *effect {
+                Effect::Abort(id) => (id, Stage::Running, Stage::Running),
+                Effect::Drained => {
+                    assert!(
+                        self.stages.values().all(|s| *s == Stage::Ended),
+                        "drained too early"
+                    );
+                    continue;
+                }
+                Effect::Refuse(id, _) => (id, Stage::Waiting, Stage::Ended),
+                Effect::Start(id) => {
+                    assert!(now < self.deadlines[&id], "{id} started past its deadline");
+                    (id, Stage::Waiting, Stage::Running)
+                }
+            };
+            assert_eq!(self.stages.insert(id, after), Some(before), "{effect:?}");
+        }
+    }
+}
+
+proptest! {
+    /// Guards against requests that are refused after their start, end twice or never end.
+    #[test]
+    fn each_arrival_ends_once(
+        limits in limits(),
+        events in prop::collection::vec((0..20_000u64, event()), 1..100),
+    ) {
+        let mut gate = Gate::new(InstanceId(1), limits);
+        let mut owner = Owner::default();
+        let mut now = Time::ZERO;
+        for (pause, event) in events {
+            now = now + Duration::from_micros(pause);
+            let event = owner.prepare(event, now);
+            owner.take(&gate.on(&event, now), now);
+            prop_assert_eq!(gate.verify(), Vec::<String>::new());
+        }
+        owner.take(&gate.on(&Event::Drain, now), now);
+        // Ids ascend in the order of starting, so one pass also ends what starts meanwhile.
+        for id in (0..owner.stages.len() as u64).map(WorkId) {
+            let event = owner.prepare(Event::Finish { failed: false, id }, now);
+            owner.take(&gate.on(&event, now), now);
+        }
+        prop_assert!(owner.stages.values().all(|s| *s == Stage::Ended), "{:?}", owner.stages);
+        let report = gate.report(now);
+        prop_assert_eq!((report.running, report.queued), (0, 0));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/properties/main.rs
@@ -0,0 +1,7 @@
+//! Random event sequences against the aggregates. After each event `verify()` must find nothing;
+//! each test also states what must hold at the end of a sequence.
+
+mod balancer;
+mod call;
+mod gate;
+mod ledger;
