--- /dev/null
+++ b/crates/testkit/src/history/writer.rs
@@ -0,0 +1,62 @@
+//! Appending records to a file.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::Path;
+
+use super::{Event, Record};
+use crate::wall_micros;
+
+/// Appends the records of one party to its file.
+#[derive(Debug)]
+pub struct Writer {
+    file: Option<File>,
+    party: String,
+}
+
+impl Writer {
+    /// Opens the file for appending; without a path nothing is recorded.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be opened.
+    pub fn open(path: Option<&Path>, party: &str) -> io::Result<Self> {
+        let open = |path| OpenOptions::new().create(true).append(true).open(path);
+        Ok(Self {
+            file: path.map(open).transpose()?,
+            party: party.to_owned(),
+        })
+    }
+
+    /// Appends one record at the present time.
+    pub fn append(&mut self, event: Event) {
+        self.append_at(wall_micros(), event);
+    }
+
+    /// Appends one record. Each is written at once, so that a kill loses none that happened.
+    pub fn append_at(&mut self, at: u64, event: Event) {
+        let Some(file) = &mut self.file else { return };
+        let record = Record {
+            at,
+            event,
+            party: self.party.clone(),
+        };
+        let line = serde_json::to_string(&record).map(|text| text + "\n");
+        let written = line.map_err(io::Error::from);
+        if let Err(e) = written.and_then(|l| file.write_all(l.as_bytes())) {
+            eprintln!("history of {}: {e}", self.party);
+        }
+    }
+}
+
+/// All records of one file.
+///
+/// # Errors
+///
+/// The file can't be read or a line is no record.
+pub fn read_records(path: &Path) -> io::Result<Vec<Record>> {
+    let lines = BufReader::new(File::open(path)?).lines();
+    lines
+        .map(|line| serde_json::from_str(&line?).map_err(io::Error::from))
+        .collect()
+}
--- /dev/null
+++ b/crates/testkit/src/http1/blocking.rs
@@ -0,0 +1,88 @@
+//! One request on a new connection, for the launcher and tests, which have no runtime.
+
+use std::fmt;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+
+use super::codec::{Fault, encode_request, parse_answer};
+
+/// Longest wait for each part of an answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why there is no usable answer.
+#[derive(Debug)]
+pub enum BlockingError {
+    /// No whole answer arrived.
+    Fault(Fault),
+    /// The answer is no JSON.
+    Json(serde_json::Error),
+    /// The answer has another status than 200 or 201.
+    Status(u16, String),
+}
+
+impl fmt::Display for BlockingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Fault(fault) => fault.fmt(f),
+            Self::Json(e) => write!(f, "the answer is no JSON: {e}"),
+            Self::Status(status, body) => write!(f, "status {status}: {body}"),
+        }
+    }
+}
+
+impl std::error::Error for BlockingError {}
+
+/// Sends one request on a new connection and reads the answer.
+///
+/// # Errors
+///
+/// The peer doesn't accept, or the answer is cut, malformed or late.
+pub fn exchange_once(
+    address: SocketAddr,
+    request: &Request<Bytes>,
+) -> Result<Response<Bytes>, Fault> {
+    let mut stream = TcpStream::connect_timeout(&address, TIMEOUT)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    stream.write_all(&encode_request(request))?;
+    let (mut arrived, mut part) = (Vec::new(), [0; 4096]);
+    loop {
+        let n = stream.read(&mut part)?;
+        arrived.extend_from_slice(&part[..n]);
+        if let Some((answer, _)) = parse_answer(&arrived, n == 0)? {
+            return Ok(answer);
+        }
+        if n == 0 {
+            return Err(Fault::Cut);
+        }
+    }
+}
+
+/// Sends `body` as JSON by `method` and reads a JSON answer; an empty answer is `null`.
+///
+/// # Errors
+///
+/// There is no whole answer, its status isn't 200 or 201, or it is no JSON.
+pub fn json_once(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Result<serde_json::Value, BlockingError> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string())
+        .body(Bytes::copy_from_slice(body.as_bytes()))
+        .map_err(|e| BlockingError::Fault(Fault::Value(e.to_string())))?;
+    let answer = exchange_once(address, &request).map_err(BlockingError::Fault)?;
+    let text = String::from_utf8_lossy(answer.body());
+    match answer.status().as_u16() {
+        200 | 201 if text.is_empty() => Ok(serde_json::Value::Null),
+        200 | 201 => serde_json::from_str(&text).map_err(BlockingError::Json),
+        status => Err(BlockingError::Status(status, text.into_owned())),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/launcher/mod.rs
@@ -0,0 +1,13 @@
+//! Starts a deployment as child processes on free loopback ports.
+//!
+//! Invariant: every process that was started is killed when its owner is dropped.
+
+mod child;
+mod cluster;
+mod deployment;
+mod places;
+
+pub use child::{Child, LaunchError, Signal};
+pub use cluster::{Cluster, ClusterOptions, Node};
+pub use deployment::{Deployment, Plan, ServicePlan, TargetPlan};
+pub use places::{Folder, Place};
--- /dev/null
+++ b/crates/testkit/src/platform/mod.rs
@@ -0,0 +1,9 @@
+//! Fake of the platform: configuration service and instance list, with faults.
+
+mod model;
+mod publication;
+mod serve;
+
+pub use model::{Endpoint, Fault, Stats};
+pub use publication::{Publication, Value};
+pub use serve::{OPTIONS, serve};
--- /dev/null
+++ b/crates/testkit/src/relay/mod.rs
@@ -0,0 +1,1 @@
+//! UDP relay between daemons: network distance and faults.
--- /dev/null
+++ b/crates/testkit/src/target/serve.rs
@@ -0,0 +1,138 @@
+//! Start of a target: its executor, its work port and its control port.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures::channel::{mpsc, oneshot};
+use http::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+
+use super::behaviour::Behaviour;
+use super::connection::{Context, serve_work};
+use super::executor::{Executor, Message};
+use super::workplace::Workplace;
+use crate::arguments::{ArgumentError, Arguments};
+use crate::history::Writer;
+use crate::http1::{Coding, Connection, answer, listen};
+use crate::timer::Timer;
+
+/// Options of the program.
+pub const OPTIONS: [&str; 6] = ["name", "listen", "control", "history", "seed", "behaviour"];
+
+/// What a target is started with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How it behaves at first.
+    pub behaviour: Behaviour,
+    /// Address of the control port.
+    pub control: SocketAddr,
+    /// File that records are appended to.
+    pub history: Option<PathBuf>,
+    /// Address of the work port.
+    pub listen: SocketAddr,
+    /// Its name in answers and records.
+    pub name: String,
+    /// Seed of service times and stalls.
+    pub seed: u64,
+}
+
+impl Options {
+    /// Reads the command line; `--behaviour` is a JSON object of the fields that differ.
+    ///
+    /// # Errors
+    ///
+    /// A required option is absent or a value can't be read.
+    pub fn from_arguments(arguments: &Arguments) -> Result<Self, ArgumentError> {
+        let changes: Option<String> = arguments.optional("behaviour")?;
+        let changes = changes.unwrap_or_else(|| "{}".to_owned());
+        let behaviour = Behaviour::default().with(changes.as_bytes());
+        Ok(Self {
+            behaviour: behaviour.map_err(|e| ArgumentError::Syntax(format!("--behaviour: {e}")))?,
+            control: arguments.required("control")?,
+            history: arguments.optional("history")?,
+            listen: arguments.required("listen")?,
+            name: arguments.required("name")?,
+            seed: arguments.optional("seed")?.unwrap_or(1),
+        })
+    }
+}
+
+/// Starts the fake inside the runtime and returns the addresses of the work and control ports.
+///
+/// # Errors
+///
+/// An address can't be bound or the history can't be opened.
+pub fn serve(options: &Options) -> std::io::Result<(SocketAddr, SocketAddr)> {
+    let history = Writer::open(options.history.as_deref(), &options.name)?;
+    let workplace = Workplace::new(options.behaviour.clone(), options.seed, Instant::now());
+    let (executor, receiver) = mpsc::unbounded();
+    let timer = Timer::start()?;
+    monoio::spawn(Executor::new(workplace, history).run(receiver, timer.clone()));
+    let context = Context {
+        executor: executor.clone(),
+        name: options.name.clone(),
+        timer,
+    };
+    let ids = Rc::new(Cell::new(0));
+    let work = listen(options.listen, move |connection| {
+        let (context, ids) = (context.clone(), Rc::clone(&ids));
+        let next_id = move || ids.replace(ids.get() + 1);
+        async move {
+            serve_work(connection, context, next_id).await;
+        }
+    })?;
+    let control = listen(options.control, move |connection| {
+        serve_control(connection, executor.clone())
+    })?;
+    Ok((work, control))
+}
+
+async fn serve_control(mut connection: Connection, executor: mpsc::UnboundedSender<Message>) {
+    while let Ok(Some(request)) = connection.read_request().await {
+        let Some(answer) = control(&request, &executor).await else {
+            return;
+        };
+        if connection.reply(&answer, Coding::Fixed).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn control(
+    request: &Request<Bytes>,
+    executor: &mpsc::UnboundedSender<Message>,
+) -> Option<Response<Bytes>> {
+    match (request.method(), request.uri().path()) {
+        (&Method::POST, "/control") => {
+            let (reply, result) = oneshot::channel();
+            let changes = request.body().to_vec();
+            executor
+                .unbounded_send(Message::Control(changes, reply))
+                .ok()?;
+            match result.await.ok()? {
+                Ok(behaviour) => json(&behaviour),
+                Err(e) => Some(answer(StatusCode::BAD_REQUEST, e)),
+            }
+        }
+        (&Method::GET, "/control") => {
+            let (reply, behaviour) = oneshot::channel();
+            executor.unbounded_send(Message::Behaviour(reply)).ok()?;
+            json(&behaviour.await.ok()?)
+        }
+        (&Method::GET, "/stats") => {
+            let (reply, counts) = oneshot::channel();
+            executor.unbounded_send(Message::Counts(reply)).ok()?;
+            json(&counts.await.ok()?)
+        }
+        _ => Some(answer(StatusCode::NOT_FOUND, "")),
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Option<Response<Bytes>> {
+    let text = serde_json::to_vec(value).ok()?;
+    Some(answer(StatusCode::OK, text))
+}
