--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -379,7 +379,9 @@
         | Refusal::Full
         | Refusal::KeyInvalid
         | Refusal::KeyMismatch
-        | Refusal::Shed => Outcome::Refused(refusal),
+        | Refusal::Malformed
+        | Refusal::Shed
+        | Refusal::TooLarge => Outcome::Refused(refusal),
     }
 }
 
@@ -398,8 +400,10 @@
         | Refusal::Expired
         | Refusal::KeyInvalid
         | Refusal::KeyMismatch
+        | Refusal::Malformed
         | Refusal::NoTarget
         | Refusal::Overload
+        | Refusal::TooLarge
         | Refusal::UnknownService => false,
     }
 }
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -26,6 +26,8 @@
     KeyInvalid,
     /// The idempotency key belongs to another request or another service.
     KeyMismatch,
+    /// The request breaks HTTP's syntax, or its end is ambiguous.
+    Malformed,
     /// No target of the service can take the request.
     NoTarget,
     /// The daemon has no configuration yet.
@@ -34,6 +36,8 @@
     Overload,
     /// The target shed the request.
     Shed,
+    /// The request's head or body exceeds its limit.
+    TooLarge,
     /// The daemon beside the target could not be reached, so nothing was sent.
     Unreachable,
     /// No configured service matches the request.
@@ -54,10 +58,12 @@
             Self::Full => "target-full",
             Self::KeyInvalid => "key-invalid",
             Self::KeyMismatch => "key-mismatch",
+            Self::Malformed => "malformed-request",
             Self::NoTarget => "no-target",
             Self::NotReady => "not-ready",
             Self::Overload => "overload",
             Self::Shed => "target-shed",
+            Self::TooLarge => "too-large",
             Self::Unreachable => "daemon-unreachable",
             Self::UnknownService => "unknown-service",
             Self::WrongTarget => "wrong-target",
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -345,9 +345,11 @@
         | Refusal::Full
         | Refusal::KeyInvalid
         | Refusal::KeyMismatch
+        | Refusal::Malformed
         | Refusal::NoTarget
         | Refusal::Overload
         | Refusal::Shed
+        | Refusal::TooLarge
         | Refusal::UnknownService => {}
     }
 }
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Clock;
 use crate::http::{HttpStream, Limits, ReadFault, encode_request, from_answer_head};
+use crate::telemetry::trace::HopSpan;
 
 /// Longest wait for a connection to the local target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,7 +33,8 @@
     pub cancel: oneshot::Receiver<()>,
     pub deadline: Time,
     pub request: HttpRequest,
-    pub trace: Option<String>,
+    /// Ends with the job.
+    pub span: HopSpan,
     pub work: WorkId,
 }
 
@@ -141,10 +143,9 @@
 
     async fn serve(&mut self, mut job: Job) -> Served {
         let left = self.target.clock.until(job.deadline);
-        let exchange = monoio::time::timeout(
-            left,
-            self.exchange(&job.request, left, job.trace.as_deref()),
-        );
+        let trace = job.span.traceparent();
+        let exchange =
+            monoio::time::timeout(left, self.exchange(&job.request, left, trace.as_deref()));
         let exchange = exchange.fuse();
         pin_mut!(exchange);
         let mut cancel = &mut job.cancel;
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -18,6 +18,8 @@
 use crate::clock::Clock;
 use crate::http;
 use crate::messages::{GateMessage, GateStatus, ProbeResult, World};
+use crate::telemetry::trace::{Hop, HopSpan};
+use crate::telemetry::{Event as Count, Telemetry};
 
 /// Time between two looks at expired work while requests wait.
 const TICK_WAITING: Duration = Duration::from_millis(5);
@@ -37,6 +39,8 @@
     pub receiver: mpsc::UnboundedReceiver<GateMessage>,
     /// The daemon's settings.
     pub settings: &'a Settings,
+    /// Counters.
+    pub telemetry: Telemetry,
 }
 
 /// The task and its state.
@@ -57,6 +61,7 @@
     receiver: mpsc::UnboundedReceiver<GateMessage>,
     service: Option<ServiceId>,
     target: Option<TargetId>,
+    telemetry: Telemetry,
     work: WorkTable,
 }
 
@@ -98,6 +103,7 @@
             receiver: start.receiver,
             service: None,
             target: None,
+            telemetry: start.telemetry,
             work: WorkTable::default(),
         }
     }
@@ -256,11 +262,13 @@
             id: work,
             patience: run.patience,
         };
+        let span = HopSpan::remote(Hop::Gate, run.trace.as_deref());
         let held = Held {
             cancel: None,
             deadline,
             key,
             run: Some(run),
+            span,
             waiters: vec![waiter],
         };
         self.work.insert(work, held);
@@ -309,12 +317,12 @@
         let Some(run) = held.run.take() else { return };
         let (cancel, cancelled) = oneshot::channel();
         held.cancel = Some(cancel);
-        let Run { http, trace, .. } = *run;
+        let span = held.span.child(Hop::Target);
         let job = Job {
             cancel: cancelled,
             deadline: held.deadline,
-            request: http,
-            trace,
+            request: run.http,
+            span,
             work,
         };
         self.dispatch(job);
@@ -378,6 +386,9 @@
     }
 
     fn reply(&mut self, waiter: Waiter, end: RunEnd) {
+        if let RunEnd::Refused(refusal) = &end {
+            self.telemetry.record(Count::GateRefused(*refusal));
+        }
         let held = self.clock.now() - waiter.arrived;
         self.send_reply(waiter.reply, waiter.id, end, held);
     }
--- a/crates/node/src/gate/work.rs
+++ b/crates/node/src/gate/work.rs
@@ -10,6 +10,8 @@
 use hawthornwall_core::time::Time;
 use hawthornwall_wire::peer::{HttpRequest, RequestId, Run, RunReply};
 
+use crate::telemetry::trace::HopSpan;
+
 /// Somebody who waits for the end of a request.
 #[derive(Debug)]
 pub(super) struct Waiter {
@@ -29,6 +31,8 @@
     pub key: Option<u64>,
     /// Taken when the request goes to the target.
     pub run: Option<Box<Run>>,
+    /// Covers the time from the arrival to the reply.
+    pub span: HopSpan,
     pub waiters: Vec<Waiter>,
 }
 
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -13,6 +13,8 @@
 use super::listener::Backend;
 use crate::messages::{GateMessage, OpenTicket, PeerAddress, PeerFault, PeersMessage, Seen};
 use crate::peers::run_at_gate;
+use crate::telemetry::Event;
+use crate::telemetry::trace::HopSpan;
 
 /// What the targets of a call are asked to do.
 #[derive(Clone, Debug)]
@@ -20,17 +22,14 @@
     /// Issue an idempotency key.
     Issue,
     /// Run the caller's request.
-    Run {
-        http: HttpRequest,
-        key: Option<Key>,
-        trace: Option<String>,
-    },
+    Run { http: HttpRequest, key: Option<Key> },
 }
 
 /// One attempt. Dropping it before its end cancels the work and ends its ticket.
 #[derive(Debug)]
 pub(super) struct Attempt {
     pub request: AttemptRequest,
+    pub span: HopSpan,
     pub ticket: OpenTicket,
 }
 
@@ -60,8 +59,12 @@
     pub async fn run(self, backend: Backend) -> (AttemptId, TargetId, AttemptResult, Yield) {
         let (id, target) = (self.request.id, self.request.target);
         let started = backend.clock.now();
-        let Self { request, ticket } = self;
-        let reply = request.send(&backend).await;
+        let Self {
+            request,
+            span,
+            ticket,
+        } = self;
+        let reply = request.send(&backend, span.traceparent()).await;
         let elapsed = backend.clock.now() - started;
         let (result, report, held, yielded) = match reply {
             Ok(reply) => {
@@ -70,6 +73,8 @@
             }
             Err(fault) => (result_of(fault), None, Duration::ZERO, Yield::Nothing),
         };
+        span.set_result(result);
+        backend.telemetry.record(Event::Attempt { elapsed, result });
         ticket.close(Seen {
             elapsed,
             held,
@@ -81,10 +86,10 @@
 }
 
 impl AttemptRequest {
-    async fn send(self, backend: &Backend) -> Result<RunReply, PeerFault> {
+    async fn send(self, backend: &Backend, trace: Option<String>) -> Result<RunReply, PeerFault> {
         let id = RequestId(backend.requests.get());
         backend.requests.set(id.0.wrapping_add(1));
-        let request = self.request(id, backend);
+        let request = self.request(id, backend, trace);
         let reply = if self.local {
             send_local(backend, request).await?
         } else {
@@ -98,7 +103,7 @@
         }
     }
 
-    fn request(&self, id: RequestId, backend: &Backend) -> Request {
+    fn request(&self, id: RequestId, backend: &Backend, trace: Option<String>) -> Request {
         let (service, target) = (self.service, self.target);
         match self.task.clone() {
             Task::Issue => Request::Issue {
@@ -106,7 +111,7 @@
                 service,
                 target,
             },
-            Task::Run { http, key, trace } => {
+            Task::Run { http, key } => {
                 let left = backend.clock.until(self.deadline);
                 let patience = self.patience;
                 let run = Run {
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use futures::channel::mpsc;
 use futures::channel::oneshot;
 use futures::future::{FutureExt, Shared};
 use futures::{pin_mut, select_biased};
@@ -15,8 +14,10 @@
 use super::connection;
 use crate::clock::Clock;
 use crate::http::Limits;
-use crate::messages::{GateSender, PeersSender, RouterMessage};
+use crate::messages::{GateSender, PeersSender, RouterSender};
 use crate::start::StartError;
+use crate::telemetry::Telemetry;
+use crate::telemetry::trace::Tracer;
 
 /// Pause after a failed accept, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -32,7 +33,9 @@
     pub gate: GateSender,
     pub peers: PeersSender,
     pub requests: Rc<Cell<u64>>,
-    pub router: mpsc::UnboundedSender<RouterMessage>,
+    pub router: RouterSender,
+    pub telemetry: Telemetry,
+    pub tracer: Tracer,
 }
 
 /// What the task needs at its start.
@@ -45,13 +48,17 @@
     /// Other daemons.
     pub peers: PeersSender,
     /// The router.
-    pub router: mpsc::UnboundedSender<RouterMessage>,
+    pub router: RouterSender,
     /// First request id; random, so that ids of two runs differ.
     pub seed: u64,
     /// Address and limits.
     pub settings: &'a CallerSettings,
     /// Ends when no more callers are accepted.
     pub stop: oneshot::Receiver<()>,
+    /// Counters.
+    pub telemetry: Telemetry,
+    /// Decides which requests are traced.
+    pub tracer: Tracer,
 }
 
 /// The task and its state.
@@ -94,6 +101,8 @@
             peers: start.peers,
             requests: Rc::new(Cell::new(start.seed)),
             router: start.router,
+            telemetry: start.telemetry,
+            tracer: start.tracer,
         };
         let open = Rc::new(Cell::new(0));
         let stop = start.stop.shared();
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -15,6 +15,7 @@
 pub(super) struct Reply {
     answer: HttpAnswer,
     extra: Vec<Header>,
+    outcome: Outcome,
 }
 
 impl Reply {
@@ -24,7 +25,11 @@
             header("hawthornwall-outcome", Outcome::Answered.name()),
             header("hawthornwall-target", target),
         ];
-        Self { answer, extra }
+        Self {
+            answer,
+            extra,
+            outcome: Outcome::Answered,
+        }
     }
 
     /// An issued idempotency key.
@@ -42,15 +47,19 @@
                 status: 201,
             },
             extra,
+            outcome: Outcome::Answered,
         }
     }
 
+    /// What the caller is told.
+    pub fn outcome(&self) -> Outcome {
+        self.outcome
+    }
+
     /// A call that ended without an answer.
     pub fn unanswered(outcome: Outcome) -> Self {
         let status = status_of(outcome);
-        let reason = outcome.reason().unwrap_or_default();
-        let text = explain(outcome);
-        let mut reply = Self::error(status, outcome.name(), reason, text);
+        let mut reply = Self::error(status, outcome, explain(outcome));
         let repeatable = matches!(outcome, Outcome::Refused(_)) && matches!(status, 429 | 503);
         reply
             .extra
@@ -58,11 +67,11 @@
         reply
     }
 
-    fn error(status: u16, outcome: &str, reason: &str, text: &str) -> Self {
+    fn error(status: u16, outcome: Outcome, text: &str) -> Self {
         let body = format!("{text}\n").into_bytes();
         let extra = vec![
-            header("hawthornwall-outcome", outcome),
-            header("hawthornwall-reason", reason),
+            header("hawthornwall-outcome", outcome.name()),
+            header("hawthornwall-reason", outcome.reason().unwrap_or_default()),
             header("content-type", "text/plain; charset=utf-8"),
         ];
         Self {
@@ -72,6 +81,7 @@
                 status,
             },
             extra,
+            outcome,
         }
     }
 
@@ -83,9 +93,9 @@
 
 /// The answer to a request that can't be read; `None` if the connection is of no more use.
 pub(super) fn of_read_fault(fault: &ReadFault) -> Option<Reply> {
-    let (status, reason) = match fault {
+    let (status, refusal) = match fault {
         ReadFault::Closed | ReadFault::Cut | ReadFault::Idle | ReadFault::Io(_) => return None,
-        ReadFault::Head(HeadFault::TooLarge) => (431, "head-too-large"),
+        ReadFault::Head(HeadFault::TooLarge) => (431, Refusal::TooLarge),
         ReadFault::Head(
             HeadFault::BothLengths
             | HeadFault::Folded
@@ -93,15 +103,11 @@
             | HeadFault::Malformed(_)
             | HeadFault::TransferCoding,
         )
-        | ReadFault::Malformed(_) => (400, "malformed-request"),
-        ReadFault::TooLarge => (413, "body-too-large"),
+        | ReadFault::Malformed(_) => (400, Refusal::Malformed),
+        ReadFault::TooLarge => (413, Refusal::TooLarge),
     };
-    Some(Reply::error(
-        status,
-        "refused",
-        reason,
-        &format!("The request was not run: {fault}."),
-    ))
+    let text = format!("The request was not run: {fault}.");
+    Some(Reply::error(status, Outcome::Refused(refusal), &text))
 }
 
 fn status_of(outcome: Outcome) -> u16 {
@@ -112,7 +118,8 @@
         | Outcome::Unknown(Loss::Expired) => 504,
         Outcome::Failed(_) | Outcome::Unknown(_) => 502,
         Outcome::Refused(Refusal::UnknownService) => 404,
-        Outcome::Refused(Refusal::KeyInvalid) => 400,
+        Outcome::Refused(Refusal::KeyInvalid | Refusal::Malformed) => 400,
+        Outcome::Refused(Refusal::TooLarge) => 413,
         Outcome::Refused(Refusal::KeyMismatch) => 422,
         Outcome::Refused(Refusal::Overload) => 429,
         Outcome::Refused(
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -15,9 +15,26 @@
 use super::request::{Asked, address, asked, idempotent, time_left};
 use crate::http::header_text;
 use crate::messages::{OpenTicket, Opened, RouterMessage};
+use crate::telemetry::Event as Count;
+use crate::telemetry::trace::{Hop, HopSpan};
 
 /// Serves one request. Dropping the future cancels it.
 pub(super) async fn serve(backend: &Backend, request: HttpRequest) -> Reply {
+    let started = backend.clock.now();
+    let parent = header_text(&request.headers, "traceparent").and_then(|text| text.parse().ok());
+    let span = backend.tracer.ingress(parent);
+    span.set("path", || request.path.clone());
+    let reply = answer(backend, request, &span).await;
+    let outcome = reply.outcome();
+    span.set_outcome(outcome);
+    let elapsed = backend.clock.now() - started;
+    backend
+        .telemetry
+        .record(Count::Request { elapsed, outcome });
+    reply
+}
+
+async fn answer(backend: &Backend, request: HttpRequest, span: &HopSpan) -> Reply {
     let asked = match asked(&request) {
         Ok(asked) => asked,
         Err(refusal) => return Reply::unanswered(Outcome::Refused(refusal)),
@@ -36,7 +53,7 @@
     {
         return Reply::unanswered(Outcome::Refused(Refusal::KeyMismatch));
     }
-    let mut serving = Serving::new(backend, &opened, asked, request);
+    let mut serving = Serving::new(backend, &opened, asked, request, span);
     serving.run().await
 }
 
@@ -73,7 +90,7 @@
 /// The end of something that the call waits for.
 enum Step {
     Ended(AttemptId, TargetId, AttemptResult, Yield),
-    Picked(Result<(Choice, OpenTicket), Refusal>),
+    Picked(PickKind, Result<(Choice, OpenTicket), Refusal>),
 }
 
 struct Serving<'a> {
@@ -82,7 +99,10 @@
     effects: Vec<Effect>,
     local: Option<TargetId>,
     pending: FuturesUnordered<LocalBoxFuture<'a, Step>>,
+    /// The choice that the next `Send` effect is for; none for a target that a key names.
+    picked: Option<(PickKind, Choice)>,
     service: ServiceId,
+    span: &'a HopSpan,
     task: Task,
     /// The ticket of the choice that the next `Send` effect is for.
     ticket: Option<OpenTicket>,
@@ -91,7 +111,13 @@
 }
 
 impl<'a> Serving<'a> {
-    fn new(backend: &'a Backend, opened: &Opened, asked: Asked, request: HttpRequest) -> Self {
+    fn new(
+        backend: &'a Backend,
+        opened: &Opened,
+        asked: Asked,
+        request: HttpRequest,
+        span: &'a HopSpan,
+    ) -> Self {
         let now = backend.clock.now();
         let rules = &opened.rules;
         let pinned = match asked {
@@ -112,7 +138,9 @@
             effects,
             local: opened.own,
             pending: FuturesUnordered::new(),
+            picked: None,
             service: opened.service,
+            span,
             task: task_of(asked, request),
             ticket: None,
             yielded: None,
@@ -155,11 +183,12 @@
                 self.yielded = Some((target, yielded));
                 Event::Ended(attempt, result)
             }
-            Step::Picked(Ok((choice, ticket))) => {
+            Step::Picked(kind, Ok((choice, ticket))) => {
+                self.picked = Some((kind, choice));
                 self.ticket = Some(ticket);
                 Event::Picked(choice)
             }
-            Step::Picked(Err(refusal)) => Event::NotPicked(refusal),
+            Step::Picked(_, Err(refusal)) => Event::NotPicked(refusal),
         }
     }
 
@@ -173,7 +202,8 @@
             tried,
         };
         let _ = self.backend.router.unbounded_send(message);
-        let step = async { Step::Picked(receiver.await.unwrap_or(Err(Refusal::NotReady))) };
+        let step =
+            async move { Step::Picked(kind, receiver.await.unwrap_or(Err(Refusal::NotReady))) };
         self.pending.push(step.boxed_local());
     }
 
@@ -185,6 +215,13 @@
         };
         // Without a router the daemon is stopping; the call then ends by its deadline.
         let Some(ticket) = ticket else { return };
+        let span = self.span.child(Hop::Attempt);
+        let picked = self.picked.take();
+        if let Some((kind, choice)) = &picked {
+            span.set_choice(*kind, choice);
+        }
+        let kind = picked.map_or(PickKind::First, |(kind, _)| kind);
+        self.backend.telemetry.record(Count::Sent(kind));
         let request = AttemptRequest {
             deadline: self.call.deadline(),
             id,
@@ -194,7 +231,12 @@
             target,
             task: self.task.clone(),
         };
-        let run = Attempt { request, ticket }.run(self.backend.clone());
+        let run = Attempt {
+            request,
+            span,
+            ticket,
+        }
+        .run(self.backend.clone());
         let step = async {
             let (id, target, result, yielded) = run.await;
             Step::Ended(id, target, result, yielded)
@@ -230,15 +272,15 @@
 }
 
 fn task_of(asked: Asked, request: HttpRequest) -> Task {
-    let key = match asked {
-        Asked::Key => return Task::Issue,
-        Asked::Keyed(key) => Some(key),
-        Asked::Plain => None,
-    };
-    let trace = header_text(&request.headers, "traceparent").map(str::to_owned);
-    Task::Run {
-        http: request,
-        key,
-        trace,
+    match asked {
+        Asked::Key => Task::Issue,
+        Asked::Keyed(key) => Task::Run {
+            http: request,
+            key: Some(key),
+        },
+        Asked::Plain => Task::Run {
+            http: request,
+            key: None,
+        },
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod admin;
 pub mod clock;
-pub mod daemon;
 pub mod gate;
 pub mod http;
 pub mod ingress;
