--- a/crates/core/tests/properties/gate.rs
+++ b/crates/core/tests/properties/gate.rs
@@ -25,10 +25,10 @@
         })
     });
     prop_oneof![
-        12 => arrival,
+        20 => arrival,
         2 => id().prop_map(Event::Cancel),
         1 => limits().prop_map(Event::Configure),
-        8 => (any::<bool>(), id()).prop_map(|(failed, id)| Event::Finish { failed, id }),
+        4 => (any::<bool>(), id()).prop_map(|(failed, id)| Event::Finish { failed, id }),
         1 => any::<bool>().prop_map(Event::Reachable),
         1 => Just(Event::Tick),
         1 => Just(Event::Drain),
@@ -104,7 +104,7 @@
     #[test]
     fn each_arrival_ends_once(
         limits in limits(),
-        events in prop::collection::vec((0..20_000u64, event()), 1..100),
+        events in prop::collection::vec((0..3_000u64, event()), 1..100),
     ) {
         let mut gate = Gate::new(InstanceId(1), limits);
         let mut owner = Owner::default();
