--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -68,6 +68,9 @@
     },
     /// The target became reachable or unreachable.
     Reachable(bool),
+    /// The target says whether it takes new work. Unlike [`Event::Drain`] it may be taken back, since
+    /// a target's word is sometimes wrong.
+    TargetDrains(bool),
     /// Time has passed.
     Tick,
 }
@@ -114,6 +117,7 @@
     running: BTreeMap<WorkId, Time>,
     seq: u64,
     service: Duration,
+    target_drains: bool,
 }
 
 impl Gate {
@@ -129,6 +133,7 @@
             running: BTreeMap::new(),
             seq: 0,
             service: Duration::ZERO,
+            target_drains: false,
         }
     }
 
@@ -143,6 +148,7 @@
             Event::Drain => self.draining = true,
             Event::Finish { failed, id } => self.finish(id, failed, now),
             Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
+            Event::TargetDrains(drains) => self.target_drains = drains,
             Event::Tick => {}
         }
         self.start_waiting(now, &mut effects);
@@ -169,7 +175,7 @@
 
     /// Whether the target takes new work.
     pub fn state(&self) -> TargetState {
-        match (self.draining, self.reachable) {
+        match (self.draining || self.target_drains, self.reachable) {
             (true, _) => TargetState::Draining,
             (false, true) => TargetState::Serving,
             (false, false) => TargetState::Down,
@@ -208,7 +214,7 @@
     }
 
     fn check(&self, arrival: &Arrival, now: Time) -> Result<(), Refusal> {
-        if self.draining {
+        if self.draining || self.target_drains {
             return Err(Refusal::Draining);
         }
         if !self.reachable {
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -205,8 +205,8 @@
 
     fn note_probe(&mut self, result: ProbeResult) {
         self.apply(&Event::Reachable(result.reachable));
-        if result.draining {
-            self.apply(&Event::Drain);
+        if let Some(draining) = result.draining {
+            self.apply(&Event::TargetDrains(draining));
         }
     }
 
@@ -366,7 +366,7 @@
         }
         self.end_work(work, key_end, &run_end);
         if draining {
-            self.apply(&Event::Drain);
+            self.apply(&Event::TargetDrains(true));
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod ingress;
 pub mod messages;
 pub mod peers;
+pub mod platform;
+pub mod probe;
 pub mod router;
 pub mod signals;
 pub mod start;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -152,9 +152,9 @@
 /// What the probe task learned about the local target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ProbeResult {
-    /// Whether the target says that it is draining.
-    pub draining: bool,
-    /// Whether it answered at all.
+    /// Whether the target says that it is draining; `None` if it says nothing.
+    pub draining: Option<bool>,
+    /// Whether it can be reached at all.
     pub reachable: bool,
 }
 
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -190,7 +190,8 @@
     }
 
     fn parse(&self, body: &[u8]) -> Result<Published, ReadFault> {
-        let content = |e: hawthornwall_wire::document::DocumentError| ReadFault::Content(e.to_string());
+        let content =
+            |e: hawthornwall_wire::document::DocumentError| ReadFault::Content(e.to_string());
         match self.endpoint {
             Endpoint::Config => {
                 let document = parse_document(body).map_err(content)?;
--- /dev/null
+++ b/crates/node/src/probe/endpoint.rs
@@ -0,0 +1,77 @@
+//! One read of the target's load endpoint, or of its health endpoint if it has no load endpoint.
+
+use std::net::SocketAddr;
+
+use hawthornwall_wire::peer::HttpRequest;
+use http::StatusCode;
+use monoio::net::TcpStream;
+use serde::Deserialize;
+
+use crate::http::{HttpStream, Limits, encode_request};
+use crate::messages::ProbeResult;
+
+/// The part of a load endpoint's answer that is used. Occupancy is not: the gate counts it itself.
+#[derive(Debug, Deserialize)]
+struct LoadAnswer {
+    state: String,
+}
+
+/// A connection to the target's endpoints, kept open since a new one costs the target time.
+#[derive(Debug)]
+pub(super) struct Endpoint {
+    address: SocketAddr,
+    limits: Limits,
+    path: String,
+    stream: Option<HttpStream>,
+}
+
+impl Endpoint {
+    pub fn new(address: SocketAddr, path: &str, limits: Limits) -> Self {
+        Self {
+            address,
+            limits,
+            path: path.to_owned(),
+            stream: None,
+        }
+    }
+
+    /// Reads the endpoint once; `None` if its answer says nothing.
+    pub async fn read(&mut self) -> Option<ProbeResult> {
+        let mut stream = match self.stream.take() {
+            Some(open) => open,
+            None => match TcpStream::connect_addr(self.address).await {
+                Ok(tcp) => HttpStream::new(tcp, self.limits),
+                Err(_) => {
+                    return Some(ProbeResult {
+                        draining: None,
+                        reachable: false,
+                    });
+                }
+            },
+        };
+        let (status, body) = self.exchange(&mut stream).await?;
+        self.stream = Some(stream);
+        let state = serde_json::from_slice(&body)
+            .ok()
+            .filter(|_| status == StatusCode::OK);
+        let draining = state.map(|answer: LoadAnswer| answer.state == "draining");
+        Some(ProbeResult {
+            draining,
+            reachable: true,
+        })
+    }
+
+    async fn exchange(&self, stream: &mut HttpStream) -> Option<(StatusCode, Vec<u8>)> {
+        let request = HttpRequest {
+            body: Vec::new(),
+            headers: Vec::new(),
+            method: "GET".to_owned(),
+            path: self.path.clone(),
+        };
+        let bytes = encode_request(&request, &self.address.to_string(), &[]);
+        stream.write(bytes).await.ok()?;
+        let (head, framing) = stream.read_answer_head().await.ok()?;
+        let body = stream.read_body(framing).await.ok()?;
+        Some((head.status, body))
+    }
+}
--- /dev/null
+++ b/crates/node/src/probe/task.rs
@@ -0,0 +1,120 @@
+//! The task that owns the probe budget and the connection to the target's endpoints.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::mpsc;
+use futures::{FutureExt, StreamExt, pin_mut, select_biased};
+use hawthornwall_core::probing::{Permit, ProbeBudget, ProbeLimits};
+use hawthornwall_settings::Settings;
+
+use super::endpoint::Endpoint;
+use crate::clock::Clock;
+use crate::http::Limits;
+use crate::messages::{GateMessage, GateSender, World};
+use crate::telemetry::{Event, Telemetry};
+
+/// A probe is cut off after this time, so that a stalled target can't use up the budget.
+const LONGEST: Duration = Duration::from_millis(50);
+/// Largest answer of an endpoint, in bytes.
+const ANSWER_LIMIT: usize = 16 << 10;
+/// The span that the budget's count refers to.
+const SPAN: Duration = Duration::from_secs(100);
+
+/// What the task needs at its start.
+#[derive(Debug)]
+pub struct ProbeStart<'a> {
+    /// The process's clock.
+    pub clock: Clock,
+    /// The gate that the results go to.
+    pub gate: GateSender,
+    /// Changes of the configuration.
+    pub receiver: mpsc::UnboundedReceiver<Rc<World>>,
+    /// The daemon's settings.
+    pub settings: &'a Settings,
+    /// Counters.
+    pub telemetry: Telemetry,
+}
+
+/// The task and its state.
+#[derive(Debug)]
+pub struct Probe {
+    budget: ProbeBudget,
+    clock: Clock,
+    endpoint: Endpoint,
+    gate: GateSender,
+    interval: Duration,
+    name: String,
+    receiver: mpsc::UnboundedReceiver<Rc<World>>,
+    telemetry: Telemetry,
+}
+
+impl Probe {
+    /// A task that probes as often as the budget allows evenly.
+    pub fn new(start: ProbeStart<'_>) -> Self {
+        let probe = &start.settings.probe;
+        let limits = ProbeLimits {
+            per_100s: probe.per_100s,
+            slot_share: probe.slot_share,
+            slots: 1,
+        };
+        let target = &start.settings.target;
+        let read = Limits {
+            body: ANSWER_LIMIT,
+            head: ANSWER_LIMIT,
+            idle: LONGEST,
+        };
+        Self {
+            budget: ProbeBudget::new(limits, start.clock.now()),
+            clock: start.clock,
+            endpoint: Endpoint::new(target.address, &target.load, read),
+            gate: start.gate,
+            interval: SPAN / probe.per_100s.max(1),
+            name: start.settings.name.clone(),
+            receiver: start.receiver,
+            telemetry: start.telemetry,
+        }
+    }
+
+    /// Probes until the senders of configurations are gone.
+    pub async fn run(mut self) {
+        loop {
+            let timer = monoio::time::sleep(self.interval).fuse();
+            pin_mut!(timer);
+            select_biased! {
+                world = self.receiver.next() => match world {
+                    Some(world) => self.configure(&world),
+                    None => return,
+                },
+                () = timer => self.probe().await,
+            }
+        }
+    }
+
+    fn configure(&mut self, world: &World) {
+        let target = world.config.target_named(&self.name);
+        let slots = target
+            .and_then(|id| world.config.targets.get(&id))
+            .map(|t| t.slots);
+        if let Some(slots) = slots {
+            self.budget.set_slots(slots, self.clock.now());
+        }
+    }
+
+    async fn probe(&mut self) {
+        let started = self.clock.now();
+        match self.budget.ask(LONGEST, started) {
+            Permit::Granted => {}
+            Permit::SkippedCount | Permit::SkippedTime => {
+                self.telemetry.record(Event::ProbeSkipped);
+                return;
+            }
+        }
+        self.telemetry.record(Event::ProbeSpent);
+        let result = monoio::time::timeout(LONGEST, self.endpoint.read()).await;
+        self.budget.end(LONGEST, self.clock.now() - started);
+        if let Ok(Some(result)) = result {
+            self.gate.send(GateMessage::Probed(result));
+        }
+    }
+}
