Add the control and platform tasks

The control task owns the aggregates of configuration, members and spread, and hands a new world to the other tasks whenever one of them changed. Each endpoint of the platform is read by a task of its own, so that a silent connection to one does not hold up the other.

--- a/crates/core/src/config/patch.rs
+++ b/crates/core/src/config/patch.rs
@@ -28,6 +28,13 @@
     pub time: String,
 }
 
+impl Patch {
+    /// A digest that tells this patch from others, wherever it stands in a document.
+    pub fn fingerprint(&self) -> u64 {
+        super::canonical::chain_digest(0, self)
+    }
+}
+
 /// New values for some of a service's sharing rules.
 #[serde_as]
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/core/src/spread/platform.rs
+++ b/crates/core/src/spread/platform.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// How often a daemon reads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Pace {
+    /// As a safety net only.
+    Rare,
+    /// About once in this time, since it has no configuration yet.
+    Start(Duration),
+    /// Without a pause.
+    Watch,
+}
+
 /// The reads of one endpoint.
 #[derive(Clone, Debug)]
 pub(super) struct Reads {
@@ -63,30 +74,27 @@
     }
 
     /// Starts the read if it is due; returns how long the platform may hold it.
-    pub(super) fn start(&mut self, watching: bool, now: Time) -> Option<Duration> {
+    pub(super) fn start(&mut self, pace: Pace, now: Time) -> Option<Duration> {
         if self.pending || now < self.due {
             return None;
         }
         self.pending = true;
         self.started = now;
         // After a fault the state is read at once, not waited for.
-        let wait = if watching && self.faults == 0 {
-            WATCH_WAIT
-        } else {
-            Duration::ZERO
-        };
-        Some(wait)
+        let watch = pace == Pace::Watch && self.faults == 0;
+        Some(if watch { WATCH_WAIT } else { Duration::ZERO })
     }
 
     /// Plans the read after the one that ended.
-    pub(super) fn end(&mut self, ok: bool, watching: bool, now: Time, rng: &mut impl Rng) {
+    pub(super) fn end(&mut self, ok: bool, pace: Pace, now: Time, rng: &mut impl Rng) {
         self.pending = false;
         self.faults = if ok { 0 } else { self.faults.saturating_add(1) };
-        self.due = match (ok, watching) {
-            (true, true) => now.max(self.started + READ_GAP),
-            (true, false) => now + SAFETY_READ.mul_f64(rng.random_range(0.5..1.5)),
-            (false, true) => now + backoff(WATCH_BACKOFF, self.faults, rng),
-            (false, false) => now + backoff(OTHER_BACKOFF, self.faults, rng),
+        self.due = match (ok, pace) {
+            (true, Pace::Watch) => now.max(self.started + READ_GAP),
+            (true, Pace::Rare) => now + SAFETY_READ.mul_f64(rng.random_range(0.5..1.5)),
+            (true, Pace::Start(wait)) => now + wait.mul_f64(rng.random_range(0.5..1.5)),
+            (false, Pace::Watch) => now + backoff(WATCH_BACKOFF, self.faults, rng),
+            (false, Pace::Rare | Pace::Start(_)) => now + backoff(OTHER_BACKOFF, self.faults, rng),
         };
     }
 
--- a/crates/core/src/spread/schedule.rs
+++ b/crates/core/src/spread/schedule.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
-use super::platform::{Reads, backoff};
+use super::platform::{Pace, Reads, backoff};
 use super::readiness::Readiness;
 use super::{Endpoint, Ring, RingMember};
 use crate::ids::{InstanceId, Version};
@@ -215,21 +215,22 @@
         self.arrange(now);
     }
 
-    /// Notes the end of a read of the platform.
+    /// Notes that the platform gave a usable configuration.
+    pub fn platform_configured(&mut self) {
+        self.readiness.hear_platform();
+    }
+
+    /// Notes the end of a read of the platform; `ok` unless there was no proper response.
     pub fn read_ended(&mut self, endpoint: Endpoint, ok: bool, now: Time) {
+        let pace = self.pace();
         let reads = match endpoint {
-            Endpoint::Config => {
-                if ok {
-                    self.readiness.hear_platform();
-                }
-                &mut self.config
-            }
+            Endpoint::Config => &mut self.config,
             Endpoint::Instances => {
                 self.list |= ok;
                 &mut self.instances
             }
         };
-        reads.end(ok, self.watching, now, &mut self.rng);
+        reads.end(ok, pace, now, &mut self.rng);
     }
 
     /// Everything that is due.
@@ -250,12 +251,13 @@
             self.push_news(&mut effects);
         }
         self.compare(now, &mut effects);
+        let pace = self.pace();
         for endpoint in [Endpoint::Config, Endpoint::Instances] {
             let reads = match endpoint {
                 Endpoint::Config => &mut self.config,
                 Endpoint::Instances => &mut self.instances,
             };
-            let wait = reads.start(self.watching, now);
+            let wait = reads.start(pace, now);
             effects.extend(wait.map(|wait| Effect::Read(endpoint, wait)));
         }
         effects
@@ -287,6 +289,16 @@
         faults
     }
 
+    fn pace(&self) -> Pace {
+        if self.watching {
+            Pace::Watch
+        } else if self.is_ready() {
+            Pace::Rare
+        } else {
+            Pace::Start(self.start.settings.start_wait)
+        }
+    }
+
     /// After a pause, views of others are stale: compare and read at once.
     fn resume(&mut self, now: Time) {
         self.compare = now;
--- /dev/null
+++ b/crates/node/src/control/conversation.rs
@@ -0,0 +1,161 @@
+//! Exchanges with peers: what is sent, and what is taken in.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use futures::channel::oneshot;
+use hawthornwall_core::config::{Bridge, Patch};
+use hawthornwall_core::ids::{InstanceId, Version};
+use hawthornwall_core::spread::News;
+use hawthornwall_wire::peer::{Exchange, Reply, Request};
+
+use super::report;
+use super::task::Control;
+use crate::messages::{ControlMessage, PeerAddress, PeerFault, PeersMessage};
+
+/// Most requests of one conversation: digests, parts, entries, announcements, and one to spare for
+/// news that come in between.
+const ROUND_LIMIT: u32 = 5;
+/// Patches beyond which the whole configuration is sent instead, as it is then about as long.
+const PATCH_LIMIT: usize = 64;
+
+impl Control {
+    /// Starts a comparison with a peer, unless one is under way.
+    pub(super) fn compare(&mut self, peer: SocketAddr) {
+        if self.conversations.contains(&peer) {
+            return;
+        }
+        let exchange = self.own_exchange();
+        self.send(peer, exchange, 0);
+    }
+
+    /// Sends news to a peer.
+    pub(super) fn push(
+        &mut self,
+        peer: SocketAddr,
+        since: Option<Version>,
+        members: &BTreeSet<InstanceId>,
+    ) {
+        let mut exchange = self.own_exchange();
+        if let Some(since) = since {
+            exchange.patches = owned(&self.force.patches_since(since));
+        }
+        exchange.members.announcements = self.members.relay(members, self.clock.now());
+        self.send(peer, exchange, 0);
+    }
+
+    /// Takes in a peer's request and returns what the peer lacks.
+    pub(super) fn exchange(&mut self, theirs: &Exchange) -> Exchange {
+        self.take_in(theirs, theirs.from);
+        self.answer(theirs)
+    }
+
+    /// Takes in a peer's reply, and goes on if it shows a difference.
+    pub(super) fn exchanged(
+        &mut self,
+        peer: SocketAddr,
+        result: Result<Box<Exchange>, PeerFault>,
+        round: u32,
+    ) {
+        self.conversations.remove(&peer);
+        let now = self.clock.now();
+        let Ok(theirs) = result else {
+            self.spread.peer_failed(peer, now);
+            return;
+        };
+        self.take_in(&theirs, Some(peer));
+        self.spread
+            .peer_answered(peer, theirs.version > Version(0), now);
+        let next = self.answer(&theirs);
+        let open = !next.patches.is_empty() || next.checkpoint.is_some() || next.members.is_open();
+        if open && round + 1 < ROUND_LIMIT {
+            self.send(peer, next, round + 1);
+        }
+    }
+
+    fn take_in(&mut self, theirs: &Exchange, from: Option<SocketAddr>) {
+        let now = self.clock.now();
+        if let Some(checkpoint) = &theirs.checkpoint {
+            let offer = self.force.offer_configuration(checkpoint);
+            self.settle(offer, "peer", from);
+        } else if theirs.version > self.force.config().version && !theirs.patches.is_empty() {
+            let (version, digest) = (theirs.version, theirs.digest);
+            let offer = self.force.offer_patches(&theirs.patches, version, digest);
+            self.settle(offer, "peer", from);
+        }
+        let was_leaving = self.members.own().leaving;
+        for instance in self.members.hear_all(&theirs.members, now) {
+            self.changed = true;
+            self.spread.note(News::Member(instance), from, now);
+        }
+        self.notice_leaving(was_leaving);
+    }
+
+    fn answer(&mut self, theirs: &Exchange) -> Exchange {
+        let mut ours = self.own_exchange();
+        ours.members = self.members.answer(&theirs.members, self.clock.now());
+        let diverged = match self.force.bridge(theirs.version, theirs.digest) {
+            Bridge::Checkpoint(config) => {
+                ours.checkpoint = Some(config.clone());
+                None
+            }
+            Bridge::Diverged(divergence) => Some(divergence),
+            Bridge::Level => None,
+            Bridge::Patches(patches) if patches.len() > PATCH_LIMIT => {
+                ours.checkpoint = Some(self.force.config().clone());
+                None
+            }
+            Bridge::Patches(patches) => {
+                ours.patches = owned(&patches);
+                None
+            }
+        };
+        if let Some(divergence) = diverged
+            && self.force.report(divergence)
+        {
+            report::divergent(divergence, "peer");
+        }
+        ours
+    }
+
+    fn own_exchange(&self) -> Exchange {
+        let config = self.force.config();
+        Exchange {
+            checkpoint: None,
+            digest: config.digest,
+            from: Some(self.members.own().identity.peer),
+            members: self.members.open(),
+            patches: Vec::new(),
+            version: config.version,
+        }
+    }
+
+    fn send(&mut self, peer: SocketAddr, exchange: Exchange, round: u32) {
+        self.conversations.insert(peer);
+        let (reply, receiver) = oneshot::channel();
+        let message = PeersMessage::Send {
+            reply,
+            request: Request::Exchange(Box::new(exchange)),
+            to: PeerAddress::Socket(peer),
+        };
+        let _ = self.peers.unbounded_send(message);
+        let sender = self.sender.clone();
+        monoio::spawn(async move {
+            let result = match receiver.await {
+                Ok(Ok(Reply::Exchange(exchange))) => Ok(exchange),
+                Ok(Err(fault)) => Err(fault),
+                // The peers task has ended, or the peer gave another kind of reply.
+                Ok(Ok(Reply::Run(_))) | Err(_) => Err(PeerFault::Unreachable),
+            };
+            let _ = sender.unbounded_send(ControlMessage::Exchanged {
+                peer,
+                result,
+                round,
+            });
+        });
+    }
+}
+
+fn owned(patches: &[&Patch]) -> Vec<Patch> {
+    patches.iter().map(|p| (*p).clone()).collect()
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,56 @@
+//! The control task: configuration in force and members.
+//!
+//! It owns the aggregates [`InForce`], [`Members`] and [`Spread`]. Every message becomes an event of
+//! an aggregate, and the effects become messages to the peers and the platform readers. Whenever the
+//! configuration or the members changed, the other tasks get a new [`World`].
+//!
+//! Invariant: no [`World`] is sent before this daemon may serve, and versions in it only rise.
+//!
+//! [`InForce`]: hawthornwall_core::config::InForce
+//! [`Members`]: hawthornwall_core::members::Members
+//! [`Spread`]: hawthornwall_core::spread::Spread
+//! [`World`]: crate::messages::World
+
+mod conversation;
+mod report;
+mod task;
+
+use std::net::SocketAddr;
+
+use futures::channel::mpsc;
+use hawthornwall_core::members::Identity;
+use hawthornwall_settings::{ControlSettings, PlatformSettings};
+
+use crate::clock::Clock;
+use crate::messages::{ControlMessage, ControlSender, GateSender, PeersSender, RouterSender};
+
+pub use task::run;
+
+/// What the control task needs.
+#[derive(Debug)]
+pub struct ControlStart {
+    /// The process's clock.
+    pub clock: Clock,
+    /// The `gate` task.
+    pub gate: GateSender,
+    /// What this daemon says of itself.
+    pub identity: Identity,
+    /// The `peers` task.
+    pub peers: PeersSender,
+    /// Addresses of the platform.
+    pub platform: PlatformSettings,
+    /// Messages to this task.
+    pub receiver: mpsc::UnboundedReceiver<ControlMessage>,
+    /// The `router` task.
+    pub router: RouterSender,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Peers asked at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Sends to this task.
+    pub sender: ControlSender,
+    /// Settings of exchanges.
+    pub settings: ControlSettings,
+    /// The time of the start in milliseconds of Unix time; orders the instances of one target.
+    pub started: u64,
+}
--- /dev/null
+++ b/crates/node/src/control/task.rs
@@ -0,0 +1,312 @@
+//! The loop of the control task and its state.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::channel::{mpsc, oneshot};
+use hawthornwall_core::config::{Document, InForce, Offer};
+use hawthornwall_core::ids::{TargetId, Version};
+use hawthornwall_core::members::{MemberView, Members};
+use hawthornwall_core::spread::{
+    Effect, Endpoint, News, RingMember, Spread, SpreadSettings, SpreadStart,
+};
+use hawthornwall_core::time::Time;
+use hawthornwall_wire::instances::InstanceList;
+use spdlog::info;
+
+use super::ControlStart;
+use super::report::{self, Reports};
+use crate::clock::Clock;
+use crate::messages::{
+    ControlMessage, ControlSender, ControlStatus, GateMessage, GateSender, Member, PeersMessage,
+    PeersSender, RouterMessage, RouterSender, World,
+};
+use crate::platform::{self, Published, ReadEnd, ReadFault, ReadRequest, ReaderStart};
+
+/// Least time that the task sleeps, so that no error in a due time makes it spin.
+const SLEEP: Duration = Duration::from_millis(1);
+
+/// State of the task.
+pub(super) struct Control {
+    pub(super) changed: bool,
+    pub(super) clock: Clock,
+    /// Peers that a request is under way to.
+    pub(super) conversations: BTreeSet<SocketAddr>,
+    pub(super) force: InForce,
+    gate: GateSender,
+    in_force_since: Time,
+    pub(super) members: Members,
+    pub(super) peers: PeersSender,
+    reads: u64,
+    readers: BTreeMap<Endpoint, mpsc::UnboundedSender<ReadRequest>>,
+    reports: Reports,
+    router: RouterSender,
+    pub(super) sender: ControlSender,
+    skipped: Vec<String>,
+    pub(super) spread: Spread,
+    world: Rc<World>,
+}
+
+/// Runs the control task until no other task can send to it.
+pub async fn run(start: ControlStart) {
+    let (mut control, mut receiver) = Control::new(start);
+    loop {
+        control.step();
+        let wait = control.clock.until(control.spread.next()).max(SLEEP);
+        // A message may be lost to the time limit only if none was there.
+        let message = match monoio::time::timeout(wait, receiver.next()).await {
+            Ok(Some(message)) => message,
+            Ok(None) => return,
+            Err(_) => continue,
+        };
+        control.handle(message);
+        while let Ok(message) = receiver.try_recv() {
+            control.handle(message);
+        }
+    }
+}
+
+impl Control {
+    fn new(start: ControlStart) -> (Self, mpsc::UnboundedReceiver<ControlMessage>) {
+        let now = start.clock.now();
+        let readers = [
+            (Endpoint::Config, start.platform.config),
+            (Endpoint::Instances, start.platform.instances),
+        ];
+        let readers = readers.map(|(endpoint, address)| {
+            let (sender, requests) = mpsc::unbounded();
+            let control = start.sender.clone();
+            monoio::spawn(platform::run(ReaderStart {
+                address,
+                control,
+                endpoint,
+                requests,
+            }));
+            (endpoint, sender)
+        });
+        let spread = SpreadStart {
+            domain: start.identity.domain.clone(),
+            own: start.identity.peer,
+            seed: start.seed,
+            seeds: start.seeds,
+            settings: SpreadSettings {
+                exchange: start.settings.exchange,
+                start_wait: start.settings.start_wait,
+                watchers: start.settings.watchers,
+            },
+        };
+        let control = Self {
+            changed: false,
+            clock: start.clock,
+            conversations: BTreeSet::new(),
+            force: InForce::default(),
+            gate: start.gate,
+            in_force_since: now,
+            members: Members::new(start.identity, start.started, now),
+            peers: start.peers,
+            reads: 0,
+            readers: BTreeMap::from(readers),
+            reports: Reports::default(),
+            router: start.router,
+            sender: start.sender,
+            skipped: Vec::new(),
+            spread: Spread::new(spread, now),
+            world: Rc::default(),
+        };
+        (control, start.receiver)
+    }
+
+    fn handle(&mut self, message: ControlMessage) {
+        match message {
+            ControlMessage::Config(reply) => {
+                let _ = reply.send(Rc::clone(&self.world));
+            }
+            ControlMessage::Exchange { exchange, reply } => {
+                let _ = reply.send(self.exchange(&exchange));
+            }
+            ControlMessage::Exchanged {
+                peer,
+                result,
+                round,
+            } => self.exchanged(peer, result, round),
+            ControlMessage::Leaving => self.leave(),
+            ControlMessage::Platform(end) => self.read_ended(end),
+            ControlMessage::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+        }
+        self.refresh();
+    }
+
+    /// Carries out everything that is due.
+    fn step(&mut self) {
+        let now = self.clock.now();
+        if self.members.fade(now) {
+            self.changed = true;
+        }
+        for effect in self.spread.tick(now) {
+            match effect {
+                Effect::Announce => {
+                    self.members.announce(now);
+                    let own = self.members.own().identity.instance;
+                    self.spread.note(News::Member(own), None, now);
+                    self.changed = true;
+                }
+                Effect::Compare(peer) => self.compare(peer),
+                Effect::Push { members, since, to } => self.push(to, since, &members),
+                Effect::Read(endpoint, wait) => self.read(endpoint, wait),
+                Effect::Serve => {
+                    info!("ready to serve", kv: { version: = self.force.config().version });
+                    self.changed = true;
+                }
+            }
+        }
+        self.refresh();
+    }
+
+    fn read(&mut self, endpoint: Endpoint, wait: Duration) {
+        self.reads += 1;
+        if let Some(reader) = self.readers.get(&endpoint) {
+            let _ = reader.unbounded_send(ReadRequest { wait });
+        }
+    }
+
+    fn read_ended(&mut self, end: ReadEnd) {
+        let ReadEnd { endpoint, result } = end;
+        // Malformed content is a proper response: the next read waits for something newer.
+        let responded = matches!(result, Ok(_) | Err(ReadFault::Content(_)));
+        match result {
+            Ok(published) => {
+                self.reports.read_passed(endpoint);
+                match published {
+                    Published::Config(document) => self.read_document(&document),
+                    Published::Instances(list) => self.read_list(list),
+                    Published::Unchanged => {}
+                }
+            }
+            Err(fault) => self.reports.read_failed(endpoint, &fault),
+        }
+        self.spread
+            .read_ended(endpoint, responded, self.clock.now());
+    }
+
+    fn read_document(&mut self, document: &Document) {
+        let (offer, skipped) = self.force.offer_document(document);
+        self.skipped = self.reports.skipped(document, &skipped);
+        let usable = !matches!(offer, Offer::Broken(_) | Offer::Divergent { .. });
+        if usable {
+            self.spread.platform_configured();
+        }
+        self.settle(offer, "platform", None);
+    }
+
+    fn read_list(&mut self, list: InstanceList) {
+        let now = self.clock.now();
+        let was_leaving = self.members.own().leaving;
+        for instance in self.members.read_list(list.into_listed(), now) {
+            self.spread.note(News::Member(instance), None, now);
+        }
+        self.changed = true;
+        self.notice_leaving(was_leaving);
+    }
+
+    /// Acts on what became of an offered configuration.
+    pub(super) fn settle(&mut self, offer: Offer, source: &'static str, from: Option<SocketAddr>) {
+        match offer {
+            Offer::Adopted { from: before } => {
+                let now = self.clock.now();
+                self.reports.adopted(before, self.force.config(), source);
+                self.in_force_since = now;
+                self.changed = true;
+                self.spread.note(News::Version(before), from, now);
+            }
+            Offer::Broken(faults) => self.reports.broken(faults, source),
+            Offer::Divergent { divergence, first } => {
+                if first {
+                    report::divergent(divergence, source);
+                }
+            }
+            Offer::Older | Offer::Same | Offer::Unconnected => {}
+        }
+    }
+
+    fn leave(&mut self) {
+        let now = self.clock.now();
+        if self.members.leave(now) {
+            let own = self.members.own().identity.instance;
+            self.spread.note(News::Member(own), None, now);
+            self.changed = true;
+        }
+    }
+
+    /// Drains the gate if the list or a peer has just said that this daemon is leaving.
+    pub(super) fn notice_leaving(&mut self, before: bool) {
+        if self.members.own().leaving && !before {
+            info!("the platform says that this instance is leaving");
+            let (drained, _) = oneshot::channel();
+            self.gate.send(GateMessage::Drain(drained));
+        }
+    }
+
+    /// Hands changes to the other tasks.
+    fn refresh(&mut self) {
+        if !std::mem::take(&mut self.changed) {
+            return;
+        }
+        let now = self.clock.now();
+        let current = self.members.current().filter(|(_, m)| !m.leaving);
+        let ring = current.map(|(_, m)| RingMember {
+            domain: m.domain,
+            peer: m.peer,
+        });
+        self.spread.set_members(ring, now);
+        if !self.spread.is_ready() {
+            return;
+        }
+        let (config, members) = (self.force.config(), self.targets());
+        // Announcements that repeat known facts change nothing for the other tasks.
+        let (version, shown) = (config.version, self.world.config.version);
+        if version == shown && version > Version(0) && members == self.world.members {
+            return;
+        }
+        let config = config.clone();
+        self.world = Rc::new(World { config, members });
+        let world = || Rc::clone(&self.world);
+        let _ = self.router.unbounded_send(RouterMessage::World(world()));
+        self.gate.send(GateMessage::World(world()));
+        let _ = self.peers.unbounded_send(PeersMessage::World(world()));
+    }
+
+    fn targets(&self) -> BTreeMap<TargetId, Member> {
+        let targets = self.force.config().targets.iter();
+        let found = targets.filter_map(|(id, t)| Some((*id, self.members.member(&t.name)?)));
+        found.map(|(id, view)| (id, member(view))).collect()
+    }
+
+    fn status(&self) -> ControlStatus {
+        let config = self.force.config();
+        let members = self.members.current();
+        ControlStatus {
+            digest: config.digest,
+            in_force_ms: (self.clock.now() - self.in_force_since).as_millis() as u64,
+            members: members.map(|(n, v)| (n.to_owned(), member(v))).collect(),
+            neighbours: self.spread.neighbours().len(),
+            platform_reads: self.reads,
+            ready: self.spread.is_ready(),
+            skipped: self.skipped.clone(),
+            version: config.version,
+            watching: self.spread.is_watching(),
+        }
+    }
+}
+
+fn member(view: MemberView<'_>) -> Member {
+    Member {
+        instance: view.instance,
+        leaving: view.leaving,
+        peer: view.peer,
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,12 +6,14 @@
 
 pub mod admin;
 pub mod clock;
+pub mod control;
 pub mod daemon;
 pub mod gate;
 pub mod http;
 pub mod ingress;
 pub mod messages;
 pub mod peers;
+pub mod platform;
 pub mod router;
 pub mod signals;
 pub mod start;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -18,6 +18,8 @@
 use hawthornwall_wire::peer::{Exchange, Reply, Request, Run, RunReply};
 use serde::Serialize;
 
+use crate::platform::ReadEnd;
+
 /// What is known of the instance beside a target.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -271,8 +273,19 @@
         /// What it lacks.
         reply: oneshot::Sender<Exchange>,
     },
+    /// A request of `control` to a peer ended.
+    Exchanged {
+        /// The peer.
+        peer: SocketAddr,
+        /// The reply, or why there is none.
+        result: Result<Box<Exchange>, PeerFault>,
+        /// Position of the request in its conversation, from 0.
+        round: u32,
+    },
     /// This daemon takes no new work from now on.
     Leaving,
+    /// A read of the platform ended.
+    Platform(ReadEnd),
     /// Report configuration and members.
     Status(oneshot::Sender<ControlStatus>),
 }
@@ -286,10 +299,18 @@
     pub in_force_ms: u64,
     /// Members by target name.
     pub members: BTreeMap<String, Member>,
+    /// Peers that hear of news at once.
+    pub neighbours: usize,
     /// Reads of the platform since the start.
     pub platform_reads: u64,
+    /// Whether this daemon has what it needs to take caller work.
+    pub ready: bool,
+    /// Patches of the last document read that no daemon accepts, with the reasons.
+    pub skipped: Vec<String>,
     /// Version in force.
     pub version: Version,
+    /// Whether this daemon watches the platform for its failure domain.
+    pub watching: bool,
 }
 
 /// A sender to the `router` task.
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -14,7 +14,8 @@
 use futures::StreamExt;
 use futures::channel::mpsc;
 use hawthornwall_core::config::Document;
-use hawthornwall_wire::document::parse_document;
+use hawthornwall_core::spread::Endpoint;
+use hawthornwall_wire::document::{DocumentError, parse_document};
 use hawthornwall_wire::instances::{InstanceList, parse_instances};
 
 use self::connection::{Connection, Response};
@@ -27,30 +28,6 @@
 /// The platform responds within milliseconds; the rest allows for a value of 1 MB.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// What is read.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Endpoint {
-    /// The configuration document.
-    Config,
-    /// The list of instances.
-    Instances,
-}
-
-impl Endpoint {
-    fn path(self) -> &'static str {
-        match self {
-            Self::Config => "/config",
-            Self::Instances => "/instances",
-        }
-    }
-}
-
-impl fmt::Display for Endpoint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.path())
-    }
-}
-
 /// What a read found.
 #[derive(Clone, Debug)]
 pub enum Published {
@@ -156,7 +133,8 @@
             None => self.connect().await?,
         };
         let wait_ms = wait.as_millis();
-        let path = format!("{}?since={}&wait={wait_ms}", self.endpoint, self.since);
+        let (endpoint, since) = (self.endpoint, self.since);
+        let path = format!("/{endpoint}?since={since}&wait={wait_ms}");
         let exchanged = connection.get(&path, self.address);
         let response = monoio::time::timeout(wait + RESPONSE_MARGIN, exchanged).await;
         let response = response.map_err(|_| ReadFault::Silent)??;
@@ -174,9 +152,9 @@
     fn accept(&mut self, response: &Response) -> Result<Published, ReadFault> {
         match response.status {
             200 => {
-                let published = self.parse(&response.body)?;
+                // Malformed content isn't read again before the platform publishes something newer.
                 self.since = response.revision.unwrap_or(0);
-                Ok(published)
+                self.parse(&response.body)
             }
             304 => {
                 // A lower revision means that the platform's counter was reset; read all again.
@@ -190,7 +168,7 @@
     }
 
     fn parse(&self, body: &[u8]) -> Result<Published, ReadFault> {
-        let content = |e: hawthornwall_wire::document::DocumentError| ReadFault::Content(e.to_string());
+        let content = |e: DocumentError| ReadFault::Content(e.to_string());
         match self.endpoint {
             Endpoint::Config => {
                 let document = parse_document(body).map_err(content)?;
