--- a/crates/core/tests/properties/gate.rs
+++ b/crates/core/tests/properties/gate.rs
@@ -30,6 +30,7 @@
         1 => limits().prop_map(Event::Configure),
         4 => (any::<bool>(), id()).prop_map(|(failed, id)| Event::Finish { failed, id }),
         1 => any::<bool>().prop_map(Event::Reachable),
+        1 => any::<bool>().prop_map(Event::TargetDrains),
         1 => Just(Event::Tick),
         1 => Just(Event::Drain),
     ]
@@ -73,6 +74,7 @@
             | Event::Configure(_)
             | Event::Drain
             | Event::Reachable(_)
+            | Event::TargetDrains(_)
             | Event::Tick => event,
         }
     }
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -35,6 +35,8 @@
     pub clock: Clock,
     /// This run.
     pub instance: InstanceId,
+    /// The task that measures the target, which needs to know its slots.
+    pub probe: mpsc::UnboundedSender<Rc<World>>,
     /// Messages of other tasks.
     pub receiver: mpsc::UnboundedReceiver<GateMessage>,
     /// The daemon's settings.
@@ -58,6 +60,7 @@
     key_limits: KeyLimits,
     ledger: Option<Ledger>,
     name: String,
+    probe: mpsc::UnboundedSender<Rc<World>>,
     receiver: mpsc::UnboundedReceiver<GateMessage>,
     service: Option<ServiceId>,
     target: Option<TargetId>,
@@ -100,6 +103,7 @@
             key_limits,
             ledger: None,
             name: settings.name.clone(),
+            probe: start.probe,
             receiver: start.receiver,
             service: None,
             target: None,
@@ -179,6 +183,7 @@
     }
 
     fn configure(&mut self, world: &Rc<World>) {
+        let _ = self.probe.unbounded_send(Rc::clone(world));
         let config = &world.config;
         let target = config
             .target_named(&self.name)
