Add a load generator, and contract tests of the fakes

Callers check each answer byte by byte: an answer's body is a pure function of its request, so any cut, mixed or foreign answer differs. Latency counts from the planned arrival, so stalls aren't hidden. The platform fake advances its values without watches too; before, its store spun after a publication that nobody watched.

--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -5,9 +5,6 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use hawthornwall_settings::{
-    AdminSettings, CallerSettings, PeerSettings, PlatformSettings, Settings, TargetSettings,
-};
 use hawthornwall_wire::instances::{Instance, InstanceList, InstanceState};
 use serde_json::{Value, json};
 
@@ -34,6 +31,8 @@
     pub relay: bool,
     /// Seed of the targets.
     pub seed: u64,
+    /// Changes of the daemons' settings: an object of sections, each an object of fields.
+    pub settings: Value,
 }
 
 impl Default for ClusterOptions {
@@ -45,6 +44,7 @@
             keep: false,
             relay: true,
             seed: 1,
+            settings: json!({}),
         }
     }
 }
@@ -69,11 +69,13 @@
 pub struct Cluster {
     /// All instances.
     pub nodes: Vec<Node>,
-    options: ClusterOptions,
+    pub(super) options: ClusterOptions,
     plan: Plan,
-    platform: Child,
+    /// The platform fake.
+    pub platform: Child,
     platform_address: SocketAddr,
-    relay: Option<Child>,
+    /// The relay, if it runs.
+    pub relay: Option<Child>,
     relay_control: SocketAddr,
     folder: Folder,
 }
@@ -131,12 +133,12 @@
     }
 
     /// Address of the platform fake.
-    pub fn platform(&self) -> SocketAddr {
+    pub fn platform_address(&self) -> SocketAddr {
         self.platform_address
     }
 
     /// Address of the relay's control port.
-    pub fn relay(&self) -> SocketAddr {
+    pub fn relay_control(&self) -> SocketAddr {
         self.relay_control
     }
 
@@ -194,48 +196,6 @@
         Ok(())
     }
 
-    /// Sends a JSON request to the control port of one target.
-    ///
-    /// # Errors
-    ///
-    /// The target doesn't accept it.
-    pub fn control_target(&self, index: usize, changes: &Value) -> Result<Value, LaunchError> {
-        let control = self.nodes[index].place.control;
-        request(control, "POST", "/control", &changes.to_string())
-    }
-
-    /// Sends a JSON request to the platform fake.
-    ///
-    /// # Errors
-    ///
-    /// The fake doesn't accept it.
-    pub fn control_platform(
-        &self,
-        method: &str,
-        path: &str,
-        body: &str,
-    ) -> Result<Value, LaunchError> {
-        request(self.platform_address, method, path, body)
-    }
-
-    /// Sends a JSON command to the relay.
-    ///
-    /// # Errors
-    ///
-    /// The relay doesn't accept it.
-    pub fn control_relay(&self, command: &Value) -> Result<Value, LaunchError> {
-        request(self.relay_control, "POST", "/control", &command.to_string())
-    }
-
-    /// The status of one daemon.
-    ///
-    /// # Errors
-    ///
-    /// It doesn't answer with status 200.
-    pub fn status(&self, index: usize) -> Result<Value, LaunchError> {
-        request(self.nodes[index].place.admin, "GET", "/status", "")
-    }
-
     /// The list with all instances live.
     pub fn instances(&self) -> InstanceList {
         let instance = |node: &Node| Instance {
@@ -250,7 +210,7 @@
         }
     }
 
-    fn peer_address(&self, node: &Node) -> SocketAddr {
+    pub(super) fn peer_address(&self, node: &Node) -> SocketAddr {
         if self.options.relay {
             node.place.public
         } else {
@@ -291,8 +251,7 @@
 
     fn spawn_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
         let name = self.nodes[index].plan.name.clone();
-        let settings = serde_json::to_string_pretty(&self.settings(index));
-        let settings = settings.map_err(|e| LaunchError::Refused(e.to_string()))?;
+        let settings = self.daemon_settings(index)?;
         let path = self.write(&format!("{name}.json"), &settings)?;
         let log = self.folder.file(&format!("{name}.daemon.log"));
         let arguments = flatten(&[("--settings", path)]);
@@ -310,46 +269,6 @@
         }
     }
 
-    fn settings(&self, index: usize) -> Settings {
-        let node = &self.nodes[index];
-        let place = node.place;
-        // Two seeds, so that the loss of one doesn't isolate a daemon that starts.
-        let count = self.nodes.len();
-        let seeds = [1, count / 2].map(|step| &self.nodes[(index + step) % count]);
-        Settings {
-            admin: AdminSettings {
-                listen: place.admin,
-            },
-            caller: caller_settings(place.caller),
-            control: Default::default(),
-            domain: node.plan.domain.clone(),
-            keys: Default::default(),
-            log: Default::default(),
-            metrics: Default::default(),
-            name: node.plan.name.clone(),
-            peer: PeerSettings {
-                advertise: Some(self.peer_address(node)),
-                listen: place.peer,
-                secret: "5a".repeat(32),
-                seeds: seeds.map(|n| self.peer_address(n)).to_vec(),
-                silence: Duration::from_secs(1),
-            },
-            platform: PlatformSettings {
-                config: self.platform_address,
-                instances: self.platform_address,
-            },
-            probe: Default::default(),
-            routing: Default::default(),
-            target: TargetSettings {
-                address: place.target,
-                health: "/health".to_owned(),
-                load: "/load".to_owned(),
-                silence: Duration::from_secs(10),
-            },
-            trace: Default::default(),
-        }
-    }
-
     fn write(&self, name: &str, text: &str) -> Result<String, LaunchError> {
         let path = self.folder.file(name);
         std::fs::write(&path, text).map_err(LaunchError::io(name))?;
@@ -383,27 +302,6 @@
     Ok(child)
 }
 
-fn caller_settings(listen: SocketAddr) -> CallerSettings {
-    CallerSettings {
-        body_limit: 1 << 20,
-        connections: 1_000,
-        head_limit: 16 << 10,
-        idle: Duration::from_mins(1),
-        listen,
-        service_limit: 500,
-    }
-}
-
-fn request(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    body: &str,
-) -> Result<Value, LaunchError> {
-    let refused = |e| LaunchError::Refused(format!("{method} {path}: {e}"));
-    json_once(address, method, path, body).map_err(refused)
-}
-
 fn flatten(arguments: &[(&str, String)]) -> Vec<String> {
     let pair = |(name, value): &(&str, String)| [(*name).to_owned(), value.clone()];
     arguments.iter().flat_map(pair).collect()
--- a/crates/testkit/src/launcher/mod.rs
+++ b/crates/testkit/src/launcher/mod.rs
@@ -4,8 +4,10 @@
 
 mod child;
 mod cluster;
+mod control;
 mod deployment;
 mod places;
+mod settings;
 
 pub use child::{Child, LaunchError, Signal};
 pub use cluster::{Cluster, ClusterOptions, Node};
--- /dev/null
+++ b/crates/testkit/src/launcher/settings.rs
@@ -0,0 +1,80 @@
+//! Settings files of the daemons.
+
+use std::time::Duration;
+
+use hawthornwall_settings::{
+    AdminSettings, CallerSettings, ControlSettings, KeySettings, LogSettings, MetricSettings,
+    PeerSettings, PlatformSettings, ProbeSettings, RoutingSettings, Settings, TargetSettings,
+    TraceSettings,
+};
+use serde_json::Value;
+
+use super::child::LaunchError;
+use super::cluster::Cluster;
+
+impl Cluster {
+    /// Text of one daemon's settings file: the defaults, the addresses and the changes asked for.
+    pub(super) fn daemon_settings(&self, index: usize) -> Result<String, LaunchError> {
+        let refused = |e: serde_json::Error| LaunchError::Refused(e.to_string());
+        let mut all = serde_json::to_value(self.settings(index)).map_err(refused)?;
+        for (section, fields) in self.options.settings.as_object().into_iter().flatten() {
+            match (&mut all[section], fields) {
+                (Value::Object(known), Value::Object(new)) => known.extend(new.clone()),
+                (known, new) => *known = new.clone(),
+            }
+        }
+        serde_json::to_string_pretty(&all).map_err(refused)
+    }
+
+    fn settings(&self, index: usize) -> Settings {
+        let node = &self.nodes[index];
+        let place = node.place;
+        Settings {
+            admin: AdminSettings {
+                listen: place.admin,
+            },
+            caller: CallerSettings {
+                body_limit: 1 << 20,
+                connections: 1_000,
+                head_limit: 16 << 10,
+                idle: Duration::from_mins(1),
+                listen: place.caller,
+                service_limit: 500,
+            },
+            control: ControlSettings::default(),
+            domain: node.plan.domain.clone(),
+            keys: KeySettings::default(),
+            log: LogSettings::default(),
+            metrics: MetricSettings::default(),
+            name: node.plan.name.clone(),
+            peer: self.peer_settings(index),
+            platform: PlatformSettings {
+                config: self.platform_address(),
+                instances: self.platform_address(),
+            },
+            probe: ProbeSettings::default(),
+            routing: RoutingSettings::default(),
+            target: TargetSettings {
+                address: place.target,
+                health: "/health".to_owned(),
+                load: "/load".to_owned(),
+                silence: Duration::from_secs(10),
+            },
+            trace: TraceSettings::default(),
+        }
+    }
+
+    fn peer_settings(&self, index: usize) -> PeerSettings {
+        let node = &self.nodes[index];
+        // Two seeds, so that the loss of one doesn't isolate a daemon that starts.
+        let count = self.nodes.len();
+        let seeds = [1, count / 2].map(|step| &self.nodes[(index + step) % count]);
+        PeerSettings {
+            advertise: Some(self.peer_address(node)),
+            listen: node.place.peer,
+            secret: "5a".repeat(32),
+            seeds: seeds.map(|n| self.peer_address(n)).to_vec(),
+            silence: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/load/driver.rs
@@ -0,0 +1,133 @@
+//! The task that owns idle connections and starts a task for each call at its planned time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures::{FutureExt, StreamExt, select_biased};
+
+use super::arrivals::{Call, Route, plan_calls};
+use super::exchange::{Job, Message, is_usable, perform};
+use super::options::LoadOptions;
+use super::result::CallResult;
+use crate::history::{Event, Writer};
+use crate::http1::Connection;
+use crate::timer::Timer;
+
+#[derive(Debug)]
+struct Driver<'a> {
+    idle: BTreeMap<SocketAddr, Vec<Connection>>,
+    options: &'a LoadOptions,
+    records: Writer,
+    results: Vec<CallResult>,
+    sender: UnboundedSender<Message>,
+}
+
+/// Generates the load inside the runtime and returns when every call has ended.
+///
+/// # Errors
+///
+/// The history or the timer can't be opened.
+pub async fn run_load(options: &LoadOptions) -> std::io::Result<Vec<CallResult>> {
+    let (sender, mut receiver) = unbounded();
+    let mut driver = Driver {
+        idle: BTreeMap::new(),
+        options,
+        records: Writer::open(options.history.as_deref(), "caller")?,
+        results: Vec::new(),
+        sender,
+    };
+    let timer = Timer::start()?;
+    driver.warm_up().await;
+    let start = Instant::now();
+    for call in plan_calls(options) {
+        let planned = start + call.at;
+        driver.serve_until(&mut receiver, &timer, planned).await;
+        driver.start_call(call, planned);
+    }
+    while (driver.results.len() as u64) < options.requests {
+        if let Some(message) = receiver.next().await {
+            driver.take(message);
+        }
+    }
+    Ok(driver.results)
+}
+
+impl Driver<'_> {
+    async fn warm_up(&mut self) {
+        let targets = self.options.services.iter().flat_map(|s| &s.targets);
+        let direct = targets.filter(|_| self.options.direct_percent > 0);
+        for endpoint in self.options.daemons.iter().chain(direct) {
+            for _ in 0..self.options.warm {
+                if let Ok(connection) = Connection::open(endpoint.address).await {
+                    let idle = self.idle.entry(endpoint.address).or_default();
+                    idle.push(connection);
+                }
+            }
+        }
+    }
+
+    async fn serve_until(
+        &mut self,
+        receiver: &mut UnboundedReceiver<Message>,
+        timer: &Timer,
+        time: Instant,
+    ) {
+        let arrival = timer.sleep_until(time).fuse();
+        futures::pin_mut!(arrival);
+        loop {
+            select_biased! {
+                () = arrival => return,
+                message = receiver.next() => if let Some(message) = message {
+                    self.take(message);
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Done(result, connection) => {
+                if let Some(connection) = connection {
+                    let (address, _) = self.address(&result.call);
+                    self.idle.entry(address).or_default().push(connection);
+                }
+                self.results.push(*result);
+            }
+            Message::Record(at, event) => self.record(at, event),
+        }
+    }
+
+    fn record(&mut self, at: u64, event: Event) {
+        self.records.append_at(at, event);
+    }
+
+    fn start_call(&mut self, call: Call, planned: Instant) {
+        let (address, direct) = self.address(&call);
+        let idle = self.idle.entry(address).or_default();
+        let mut connection = idle.pop();
+        while connection.as_mut().is_some_and(|c| !is_usable(c)) {
+            connection = idle.pop();
+        }
+        let job = Job {
+            address,
+            call,
+            direct,
+            driver: self.sender.clone(),
+            planned,
+            service: self.options.services[call.service].name.clone(),
+        };
+        monoio::spawn(perform(job, connection));
+    }
+
+    fn address(&self, call: &Call) -> (SocketAddr, bool) {
+        match call.route {
+            Route::Daemon(index) => (self.options.daemons[index].address, false),
+            Route::Direct(index) => {
+                let targets = &self.options.services[call.service].targets;
+                (targets[index].address, true)
+            }
+        }
+    }
+}
--- a/crates/testkit/src/platform/publication.rs
+++ b/crates/testkit/src/platform/publication.rs
@@ -57,7 +57,8 @@
         first.map(|(visible, _)| *visible)
     }
 
-    fn advance(&mut self, now: Instant) {
+    /// Shows the values that have become visible by now.
+    pub fn advance(&mut self, now: Instant) {
         if self.stale {
             return;
         }
--- a/crates/testkit/src/platform/serve.rs
+++ b/crates/testkit/src/platform/serve.rs
@@ -170,6 +170,9 @@
     }
 
     fn answer_watches(&mut self, now: Instant) {
+        // Also without a watch: `next_event` would else stay in the past and the loop would spin.
+        self.config.advance(now);
+        self.instances.advance(now);
         for watch in std::mem::take(&mut self.watches) {
             let publication = match watch.endpoint {
                 Endpoint::Config => &mut self.config,
--- a/crates/testkit/src/target/executor.rs
+++ b/crates/testkit/src/target/executor.rs
@@ -13,7 +13,7 @@
 use crate::timer::Timer;
 
 /// How long past loads are kept for reports that lag.
-const LOAD_HISTORY: Duration = Duration::from_secs(60);
+const LOAD_HISTORY: Duration = Duration::from_mins(1);
 
 /// How a job ended, for the connection task that answers it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- /dev/null
+++ b/crates/testkit/tests/common/mod.rs
@@ -0,0 +1,59 @@
+//! Fakes on threads of the test process, and a client that shows answers as text.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+use std::thread;
+
+use bytes::Bytes;
+use hawthornwall_testkit::http1::exchange_once;
+use hawthornwall_testkit::run;
+use http::Request;
+
+/// Any free loopback port.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Runs `serve` on a thread with a runtime of its own for the rest of the test process.
+pub fn on_thread<T: Send + 'static>(
+    serve: impl FnOnce() -> std::io::Result<T> + Send + 'static,
+) -> T {
+    let (sender, receiver) = channel();
+    thread::spawn(move || {
+        run(async {
+            let started = serve().expect("the fake starts");
+            sender.send(started).expect("the test waits");
+            std::future::pending::<()>().await;
+        })
+    });
+    receiver.recv().expect("the fake starts")
+}
+
+/// Sends one request, written as `METHOD PATH [header=value]... [| body]`, on a new connection and
+/// returns status, headers that aren't about framing, and body.
+pub fn ask(address: SocketAddr, request: &str) -> String {
+    let (head, body) = request.split_once(" | ").unwrap_or((request, ""));
+    let mut words = head.split_whitespace();
+    let (method, path) = (words.next().expect("method"), words.next().expect("path"));
+    let mut builder = Request::builder().method(method).uri(path);
+    for (name, value) in words.filter_map(|w| w.split_once('=')) {
+        builder = builder.header(name, value);
+    }
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    let request = builder.body(body).expect("the request is valid");
+    match exchange_once(address, &request) {
+        Err(fault) => format!("no answer: {fault}"),
+        Ok(answer) => {
+            let mut text = answer.status().as_u16().to_string();
+            let framing = ["content-length", "transfer-encoding"];
+            for (name, value) in answer.headers() {
+                if !framing.contains(&name.as_str()) {
+                    let _ = write!(text, " {name}={}", value.to_str().expect("text"));
+                }
+            }
+            let _ = write!(text, " {}", String::from_utf8_lossy(answer.body()));
+            text.trim_end().to_owned()
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/load.rs
@@ -0,0 +1,60 @@
+//! Load generator and launcher, on targets without daemons.
+
+use hawthornwall_testkit::history::read_records;
+use hawthornwall_testkit::launcher::{Cluster, ClusterOptions, Deployment};
+use hawthornwall_testkit::load::{LoadOptions, check, count_outcomes, plan_calls, run_load};
+use hawthornwall_testkit::run;
+use insta::{assert_debug_snapshot, assert_json_snapshot};
+use serde_json::json;
+
+// Guards against a launcher that leaves a process out and a generator that loses or misjudges calls.
+#[test]
+fn direct_load_on_all_targets_has_no_mismatch() {
+    let options = ClusterOptions {
+        behaviour: json!({"mean_us": 2_000}),
+        daemons: false,
+        ..ClusterOptions::default()
+    };
+    let cluster = Cluster::start(Deployment::Ogun, options).expect("the targets start");
+    let load = LoadOptions {
+        direct_percent: 100,
+        rate: 1_000.0,
+        requests: 500,
+        ..LoadOptions::for_cluster(&cluster)
+    };
+    let results = run(run_load(&load)).expect("runtime").expect("load");
+    let histories = cluster.target_histories();
+    let records: Vec<_> = histories
+        .iter()
+        .map(|h| read_records(h).expect("records"))
+        .collect();
+    let found = check(&results, &records.concat());
+    assert_json_snapshot!(count_outcomes(&results));
+    assert_debug_snapshot!(found);
+}
+
+// Guards against plans that differ between runs with one seed.
+#[test]
+fn plan_depends_on_the_seed_alone() {
+    let load = LoadOptions {
+        daemons: Vec::new(),
+        direct_percent: 0,
+        history: None,
+        post_percent: 30,
+        rate: 100.0,
+        requests: 1_000,
+        seed: 7,
+        services: vec![hawthornwall_testkit::load::ServiceLoad {
+            name: "order".to_owned(),
+            targets: vec![hawthornwall_testkit::load::Endpoint {
+                address: ([127, 0, 0, 1], 1).into(),
+                domain: "ng-1".to_owned(),
+                name: "order-1".to_owned(),
+            }],
+        }],
+        warm: 0,
+    };
+    let calls = plan_calls(&load);
+    assert_eq!(calls, plan_calls(&load));
+    assert_debug_snapshot!((calls[0], calls[999].at));
+}
