Saturate durations in peer messages

Cause: the last attempt of a call has unlimited patience, which overflows 64 bits of microseconds; the encoder failed and the daemon stopped. Ruled out: postcard itself, which encodes any u64. Before: a daemon stopped on its first request without alternatives; after: the value saturates.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod routing;
 pub mod spread;
 pub mod time;
+pub mod units;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMicroSeconds, serde_as};
+use serde_with::serde_as;
 
 use crate::ids::InstanceId;
+use crate::units::Micros;
 
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -36,7 +37,7 @@
     /// Position in the sequence of this instance's reports.
     pub seq: u64,
     /// Time that a request holds a slot, averaged over recent requests.
-    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    #[serde_as(as = "Micros")]
     pub service: Duration,
     /// Requests that the target may run at once.
     pub slots: u32,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -4,6 +4,7 @@
 //! - every listener is bound before the first task runs, so that a daemon starts whole or not at all;
 //! - a planned stop refuses new work first, finishes what is in flight, and exits last.
 
+use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
@@ -23,6 +24,7 @@
 use crate::ingress::{Ingress, IngressStart};
 use crate::messages::{
     ControlMessage, ControlSender, GateMessage, GateSender, PeersMessage, PeersSender,
+    RouterMessage, RouterSender, World,
 };
 use crate::peers::{Peers, PeersStart};
 use crate::probe::{Probe, ProbeStart};
@@ -30,7 +32,7 @@
 use crate::signals::StopSignals;
 use crate::start::StartError;
 use crate::telemetry::trace::Tracer;
-use crate::telemetry::{self, Statsd, Telemetry, log};
+use crate::telemetry::{self, Statsd, Telemetry, TelemetryMessage, log};
 
 /// Events that one turn of the loop takes from the operating system.
 const EVENTS: u32 = 1024;
@@ -58,13 +60,169 @@
     runtime.block_on(async { Daemon::start(settings)?.run().await })
 }
 
-/// The tasks' senders and what the stop needs.
+/// Senders to all tasks.
 #[derive(Debug)]
-struct Daemon {
+struct Senders {
     control: ControlSender,
     gate: GateSender,
-    ingress: Ingress,
     peers: PeersSender,
+    probe: mpsc::UnboundedSender<Rc<World>>,
+    router: RouterSender,
+    telemetry: Telemetry,
+}
+
+/// Receivers of all tasks.
+#[derive(Debug)]
+struct Receivers {
+    control: mpsc::UnboundedReceiver<ControlMessage>,
+    gate: mpsc::UnboundedReceiver<GateMessage>,
+    peers: mpsc::UnboundedReceiver<PeersMessage>,
+    probe: mpsc::UnboundedReceiver<Rc<World>>,
+    router: mpsc::UnboundedReceiver<RouterMessage>,
+    telemetry: mpsc::UnboundedReceiver<TelemetryMessage>,
+}
+
+fn channels() -> (Senders, Receivers) {
+    let (control, control_receiver) = mpsc::unbounded();
+    let (gate, gate_receiver) = mpsc::unbounded();
+    let (peers, peers_receiver) = mpsc::unbounded();
+    let (probe, probe_receiver) = mpsc::unbounded();
+    let (router, router_receiver) = mpsc::unbounded();
+    let (telemetry, telemetry_receiver) = Telemetry::channel();
+    let senders = Senders {
+        control,
+        gate: GateSender::new(gate),
+        peers,
+        probe,
+        router,
+        telemetry,
+    };
+    let receivers = Receivers {
+        control: control_receiver,
+        gate: gate_receiver,
+        peers: peers_receiver,
+        probe: probe_receiver,
+        router: router_receiver,
+        telemetry: telemetry_receiver,
+    };
+    (senders, receivers)
+}
+
+/// What the tasks are made from.
+struct Parts<'a> {
+    clock: Clock,
+    instance: InstanceId,
+    senders: Senders,
+    settings: &'a Settings,
+}
+
+impl Parts<'_> {
+    fn peers(
+        &self,
+        receiver: mpsc::UnboundedReceiver<PeersMessage>,
+    ) -> Result<Peers, Report<StartError>> {
+        let caller = &self.settings.caller;
+        Peers::start(PeersStart {
+            control: self.senders.control.clone(),
+            gate: self.senders.gate.clone(),
+            limit: caller.body_limit + caller.head_limit + MESSAGE_OVERHEAD,
+            receiver,
+            settings: &self.settings.peer,
+        })
+    }
+
+    fn ingress(&self, stop: oneshot::Receiver<()>) -> Result<Ingress, Report<StartError>> {
+        Ingress::start(IngressStart {
+            clock: self.clock,
+            gate: self.senders.gate.clone(),
+            peers: self.senders.peers.clone(),
+            router: self.senders.router.clone(),
+            seed: rand::rng().random(),
+            settings: &self.settings.caller,
+            stop,
+            telemetry: self.senders.telemetry.clone(),
+            tracer: Tracer::new(self.settings.trace.share),
+        })
+    }
+
+    fn router(&self, receiver: mpsc::UnboundedReceiver<RouterMessage>) -> Router {
+        Router::new(RouterStart {
+            clock: self.clock,
+            domain: &self.settings.domain,
+            name: &self.settings.name,
+            policy: self.settings.routing.policy,
+            receiver,
+            seed: rand::rng().random(),
+            sender: self.senders.router.clone(),
+            service_limit: self.settings.caller.service_limit,
+        })
+    }
+
+    fn gate(&self, receiver: mpsc::UnboundedReceiver<GateMessage>) -> Gatekeeper {
+        Gatekeeper::new(GateStart {
+            clock: self.clock,
+            instance: self.instance,
+            probe: self.senders.probe.clone(),
+            receiver,
+            settings: self.settings,
+            telemetry: self.senders.telemetry.clone(),
+        })
+    }
+
+    fn probe(&self, receiver: mpsc::UnboundedReceiver<Rc<World>>) -> Probe {
+        Probe::new(ProbeStart {
+            clock: self.clock,
+            gate: self.senders.gate.clone(),
+            receiver,
+            settings: self.settings,
+            telemetry: self.senders.telemetry.clone(),
+        })
+    }
+
+    fn control(&self, receiver: mpsc::UnboundedReceiver<ControlMessage>) -> ControlStart {
+        let peer = &self.settings.peer;
+        ControlStart {
+            clock: self.clock,
+            gate: self.senders.gate.clone(),
+            identity: Identity {
+                domain: self.settings.domain.clone(),
+                instance: self.instance,
+                peer: peer.advertise.unwrap_or(peer.listen),
+                target: self.settings.name.clone(),
+            },
+            peers: self.senders.peers.clone(),
+            platform: self.settings.platform.clone(),
+            receiver,
+            router: self.senders.router.clone(),
+            seed: rand::rng().random(),
+            seeds: peer.seeds.clone(),
+            sender: self.senders.control.clone(),
+            settings: self.settings.control.clone(),
+            started: unix_millis(),
+        }
+    }
+
+    fn admin(&self) -> Admin {
+        Admin {
+            clock: self.clock,
+            control: self.senders.control.clone(),
+            gate: self.senders.gate.clone(),
+            identity: admin::Identity {
+                domain: self.settings.domain.clone(),
+                instance: self.instance,
+                name: self.settings.name.clone(),
+            },
+            peers: self.senders.peers.clone(),
+            telemetry: self.senders.telemetry.clone(),
+        }
+    }
+}
+
+/// A started daemon.
+#[derive(Debug)]
+struct Daemon {
+    ingress: Ingress,
+    senders: Senders,
     signals: StopSignals,
     stop: oneshot::Sender<()>,
 }
@@ -72,108 +230,32 @@
 impl Daemon {
     /// Binds every socket, then starts the tasks.
     fn start(settings: &Settings) -> Result<Self, Report<StartError>> {
-        let clock = Clock::start();
+        let (senders, receivers) = channels();
         let instance = InstanceId(rand::rng().random());
-        let signals = StopSignals::register().change_context(StartError::Runtime)?;
-        let admin_listener = bind_admin(settings)?;
-        let (telemetry, events) = Telemetry::channel();
-        let (control, control_receiver) = mpsc::unbounded();
-        let (gate, gate_receiver) = mpsc::unbounded();
-        let gate = GateSender::new(gate);
-        let (router, router_receiver) = mpsc::unbounded();
-        let (peers, peers_receiver) = mpsc::unbounded();
-        let (probe, probe_receiver) = mpsc::unbounded();
-        let (stop, stopped) = oneshot::channel();
-
-        let peers_task = Peers::start(PeersStart {
-            control: control.clone(),
-            gate: gate.clone(),
-            limit: settings.caller.body_limit + settings.caller.head_limit + MESSAGE_OVERHEAD,
-            receiver: peers_receiver,
-            settings: &settings.peer,
-        })?;
-        let ingress = Ingress::start(IngressStart {
-            clock,
-            gate: gate.clone(),
-            peers: peers.clone(),
-            router: router.clone(),
-            seed: rand::rng().random(),
-            settings: &settings.caller,
-            stop: stopped,
-            telemetry: telemetry.clone(),
-            tracer: Tracer::new(settings.trace.share),
-        })?;
-        let router_task = Router::new(RouterStart {
-            clock,
-            domain: &settings.domain,
-            name: &settings.name,
-            policy: settings.routing.policy,
-            receiver: router_receiver,
-            seed: rand::rng().random(),
-            sender: router.clone(),
-            service_limit: settings.caller.service_limit,
-        });
-        let gate_task = Gatekeeper::new(GateStart {
-            clock,
+        let parts = Parts {
+            clock: Clock::start(),
             instance,
-            probe,
-            receiver: gate_receiver,
+            senders,
             settings,
-            telemetry: telemetry.clone(),
-        });
-        let probe_task = Probe::new(ProbeStart {
-            clock,
-            gate: gate.clone(),
-            receiver: probe_receiver,
-            settings,
-            telemetry: telemetry.clone(),
-        });
-        let identity = Identity {
-            domain: settings.domain.clone(),
-            instance,
-            peer: settings.peer.advertise.unwrap_or(settings.peer.listen),
-            target: settings.name.clone(),
         };
-        let control_start = ControlStart {
-            clock,
-            gate: gate.clone(),
-            identity,
-            peers: peers.clone(),
-            platform: settings.platform.clone(),
-            receiver: control_receiver,
-            router,
-            seed: rand::rng().random(),
-            seeds: settings.peer.seeds.clone(),
-            sender: control.clone(),
-            settings: settings.control.clone(),
-            started: unix_millis(),
-        };
-        let admin = Admin {
-            clock,
-            control: control.clone(),
-            gate: gate.clone(),
-            identity: admin::Identity {
-                domain: settings.domain.clone(),
-                instance,
-                name: settings.name.clone(),
-            },
-            peers: peers.clone(),
-            telemetry,
-        };
-        monoio::spawn(telemetry::run(events, open_statsd(settings)));
-        monoio::spawn(peers_task.run());
-        monoio::spawn(router_task.run());
-        monoio::spawn(gate_task.run());
-        monoio::spawn(probe_task.run());
-        monoio::spawn(control::run(control_start));
-        monoio::spawn(admin::run(admin_listener, admin));
+        let (stop, stopped) = oneshot::channel();
+        let signals = StopSignals::register().change_context(StartError::Runtime)?;
+        let listener = bind_admin(settings)?;
+        let peers = parts.peers(receivers.peers)?;
+        let ingress = parts.ingress(stopped)?;
+
+        monoio::spawn(telemetry::run(receivers.telemetry, open_statsd(settings)));
+        monoio::spawn(peers.run());
+        monoio::spawn(parts.router(receivers.router).run());
+        monoio::spawn(parts.gate(receivers.gate).run());
+        monoio::spawn(parts.probe(receivers.probe).run());
+        monoio::spawn(control::run(parts.control(receivers.control)));
+        monoio::spawn(admin::run(listener, parts.admin()));
         let name = settings.name.as_str();
         log::info!("daemon started", kv: { name, instance: });
         Ok(Self {
-            control,
-            gate,
             ingress,
-            peers,
+            senders: parts.senders,
             signals,
             stop,
         })
@@ -192,8 +274,8 @@
             }
         }
         let (drained, done) = oneshot::channel();
-        let _ = self.control.unbounded_send(ControlMessage::Leaving);
-        self.gate.send(GateMessage::Drain(drained));
+        let _ = self.senders.control.unbounded_send(ControlMessage::Leaving);
+        self.senders.gate.send(GateMessage::Drain(drained));
         let stopping = async {
             monoio::time::sleep(ANNOUNCE).await;
             let _ = self.stop.send(());
@@ -210,7 +292,10 @@
             () = second => {}
         }
         let (closed, done) = oneshot::channel();
-        let _ = self.peers.unbounded_send(PeersMessage::Close(closed));
+        let _ = self
+            .senders
+            .peers
+            .unbounded_send(PeersMessage::Close(closed));
         let _ = done.await;
         Ok(())
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -12,8 +12,9 @@
 use hawthornwall_core::load::LoadReport;
 use hawthornwall_core::members::Comparison;
 use hawthornwall_core::outcome::{Loss, Refusal};
+use hawthornwall_core::units::Micros;
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMicroSeconds, serde_as};
+use serde_with::serde_as;
 
 /// Identifies a request on a connection between two daemons.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -67,10 +68,10 @@
     /// Idempotency key.
     pub key: Option<Key>,
     /// Time left until the deadline.
-    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    #[serde_as(as = "Micros")]
     pub left: Duration,
     /// Longest wait for a slot that the sender prefers to another target.
-    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    #[serde_as(as = "Micros")]
     pub patience: Duration,
     /// The service.
     pub service: ServiceId,
@@ -157,7 +158,7 @@
     /// The end.
     pub end: RunEnd,
     /// How long the daemon held the request.
-    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    #[serde_as(as = "Micros")]
     pub held: Duration,
     /// The id of the request.
     pub id: RequestId,
--- /dev/null
+++ b/crates/wire/tests/peer_units.rs
@@ -0,0 +1,34 @@
+//! Units in peer messages.
+
+use std::time::Duration;
+
+use hawthornwall_core::ids::{ServiceId, TargetId};
+use hawthornwall_wire::peer::{
+    HttpRequest, Request, RequestId, Run, decode_request, encode_request,
+};
+
+/// Guards against a daemon that stops because a message holds an unlimited wait: the last attempt
+/// of a call has no limit on its patience.
+#[test]
+fn unlimited_patience_is_encoded() {
+    let http = HttpRequest {
+        body: Vec::new(),
+        headers: Vec::new(),
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+    };
+    let run = Run {
+        http,
+        key: None,
+        left: Duration::from_millis(1),
+        patience: Duration::MAX,
+        service: ServiceId(1),
+        target: TargetId(2),
+        trace: None,
+    };
+    let bytes = encode_request(&Request::Run(RequestId(3), Box::new(run)));
+    let Ok(Request::Run(_, run)) = decode_request(&bytes) else {
+        panic!("the message decodes to a request to run")
+    };
+    assert_eq!(run.patience, Duration::from_micros(u64::MAX));
+}
