--- /dev/null
+++ b/crates/testkit/src/bin/demo.rs
@@ -0,0 +1,27 @@
+//! `demo [--deployment faellesvaerftet|ogun] [--requests N] [--rate PER_SECOND]
+//! [--direct-percent N] [--mean-us N] [--idle-s N] [--seed N] [--keep true]`
+//!
+//! Ends with status 1 if a caller's view contradicts the targets' records.
+
+use std::error::Error;
+use std::process::ExitCode;
+
+use hawthornwall_testkit::arguments::Arguments;
+use hawthornwall_testkit::demo::{DemoOptions, OPTIONS, render, run_demo};
+
+fn main() -> Result<ExitCode, Box<dyn Error>> {
+    let arguments = Arguments::from_env(&OPTIONS)?;
+    let options = DemoOptions::from_arguments(&arguments)?;
+    println!(
+        "Starting {}: seed {}, {} calls a second",
+        options.deployment, options.seed, options.rate
+    );
+    let figures = run_demo(&options)?;
+    println!("{}", render(&figures));
+    let agreed = figures.mismatches.total() == 0;
+    Ok(if agreed {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/demo/measure.rs
@@ -0,0 +1,137 @@
+//! Computing the figures from results, records and samples of the daemons.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use super::figures::{DaemonFigures, LatencyFigures, ProbeFigures};
+use crate::history::{Event, Record};
+use crate::launcher::Cluster;
+use crate::load::{CallResult, LoadOptions, Quantiles, Route};
+use crate::procfs::Usage;
+
+/// State of all daemons at one time.
+#[derive(Debug)]
+pub(super) struct Sample {
+    daemons: Vec<(Usage, Value)>,
+    time: Instant,
+}
+
+impl Sample {
+    /// Reads all daemons; one that doesn't answer leaves its figures absent.
+    pub fn take(cluster: &Cluster) -> Self {
+        let usage = |node: &crate::launcher::Node| {
+            let pid = node.daemon.as_ref().map(crate::launcher::Child::pid);
+            pid.and_then(|pid| Usage::of(pid).ok()).unwrap_or_default()
+        };
+        let sample = |(index, node)| {
+            let status = cluster.status(index).unwrap_or(Value::Null);
+            (usage(node), status)
+        };
+        Self {
+            daemons: cluster.nodes.iter().enumerate().map(sample).collect(),
+            time: Instant::now(),
+        }
+    }
+}
+
+/// Figures of each daemon from samples before the idle phase, before the load and after it.
+pub(super) fn daemon_figures(cluster: &Cluster, samples: &[Sample; 3]) -> Vec<DaemonFigures> {
+    let [start, idle, end] = samples;
+    let names = cluster.nodes.iter().map(|n| n.plan.name.clone());
+    let figures = |(index, name): (usize, String)| {
+        let (usage, status) = &end.daemons[index];
+        let rate = |from: &Sample, to: &Sample, field: &str| {
+            let value = |s: &Sample| number(&s.daemons[index].1, field);
+            Some((value(to)? - value(from)?) / (to.time - from.time).as_secs_f64())
+        };
+        let sent = rate(idle, end, "/peers/sent");
+        let received = rate(idle, end, "/peers/received");
+        DaemonFigures {
+            cpu_idle: cpu_percent(start, idle, index),
+            cpu_loaded: cpu_percent(idle, end, index),
+            control_received: rate(start, idle, "/peers/control_received"),
+            control_sent: rate(start, idle, "/peers/control_sent"),
+            io_urings: usage.io_urings,
+            memory_mib: usage.memory_kib as f64 / 1024.0,
+            name,
+            peer_bytes: sent.zip(received).map(|(s, r)| s + r),
+            platform_reads: number(status, "/control/platform_reads"),
+            report: status
+                .pointer("/gate/report")
+                .map_or_else(String::new, Value::to_string),
+            threads: usage.threads,
+        }
+    };
+    names.enumerate().map(figures).collect()
+}
+
+fn number(status: &Value, field: &str) -> Option<f64> {
+    status.pointer(field).and_then(Value::as_f64)
+}
+
+fn cpu_percent(from: &Sample, to: &Sample, index: usize) -> f64 {
+    let used = to.daemons[index]
+        .0
+        .cpu
+        .saturating_sub(from.daemons[index].0.cpu);
+    100.0 * used.as_secs_f64() / (to.time - from.time).as_secs_f64()
+}
+
+/// Latencies of the answered calls among `results`.
+pub(super) fn latency_figures<'a>(
+    results: impl Iterator<Item = &'a CallResult> + Clone,
+    times: &HashMap<(u64, &str), u64>,
+    load: &LoadOptions,
+    delay: Duration,
+) -> LatencyFigures {
+    let answered = results.filter(|r| r.is_answered());
+    let outside = |r: &CallResult| {
+        let key = (r.call.number, r.verdict.target.as_str());
+        let ran = Duration::from_micros(*times.get(&key)?);
+        let network = network_distance(r, load, delay);
+        Some(r.latency.saturating_sub(ran + network))
+    };
+    LatencyFigures {
+        whole: Quantiles::of(answered.clone().map(|r| r.latency)),
+        outside: Quantiles::of(answered.filter_map(outside)),
+    }
+}
+
+/// Emulated time on the network of one round trip between the daemons that handled a call.
+fn network_distance(result: &CallResult, load: &LoadOptions, delay: Duration) -> Duration {
+    let service = &load.services[result.call.service];
+    let target = service
+        .targets
+        .iter()
+        .find(|t| t.name == result.verdict.target);
+    match (result.call.route, target) {
+        (Route::Daemon(index), Some(t)) if load.daemons[index].domain != t.domain => 2 * delay,
+        (Route::Daemon(_) | Route::Direct(_), _) => Duration::ZERO,
+    }
+}
+
+/// Probes and runs in the targets' records.
+pub(super) fn probe_figures(records: &[Record], times: &HashMap<(u64, &str), u64>) -> ProbeFigures {
+    let mut figures = ProbeFigures {
+        run_time: Duration::from_micros(times.values().sum()),
+        ..ProbeFigures::default()
+    };
+    for record in records {
+        match record.event {
+            Event::Probed { cost } => {
+                figures.probes += 1;
+                figures.probe_time += Duration::from_micros(cost);
+            }
+            Event::RunStarted { .. } => figures.runs += 1,
+            Event::InForce { .. }
+            | Event::Leaving
+            | Event::Published { .. }
+            | Event::Received { .. }
+            | Event::RunEnded { .. }
+            | Event::Sent { .. } => {}
+        }
+    }
+    figures
+}
--- /dev/null
+++ b/crates/testkit/src/demo/run.rs
@@ -0,0 +1,181 @@
+//! The run: start, idle phase, load, evaluation, end.
+
+use std::fmt;
+use std::io;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::figures::Figures;
+use super::measure::{Sample, daemon_figures, latency_figures, probe_figures};
+use crate::arguments::{ArgumentError, Arguments};
+use crate::history::{Record, read_records};
+use crate::launcher::{Cluster, ClusterOptions, Deployment, LaunchError};
+use crate::load::{CallResult, LoadOptions, check, count_outcomes, run_load, run_times};
+use crate::run;
+
+/// Options of the program.
+pub const OPTIONS: [&str; 8] = [
+    "deployment",
+    "requests",
+    "rate",
+    "direct-percent",
+    "mean-us",
+    "idle-s",
+    "seed",
+    "keep",
+];
+
+/// Longest wait for the graceful shutdown of all daemons.
+const STOP: Duration = Duration::from_secs(5);
+
+/// What is demonstrated.
+#[derive(Clone, Copy, Debug)]
+pub struct DemoOptions {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Share of calls that go straight to the targets, in percent.
+    pub direct_percent: u32,
+    /// Length of the phase without load.
+    pub idle: Duration,
+    /// Whether settings, histories and logs are kept.
+    pub keep: bool,
+    /// Mean service time of the targets, in microseconds.
+    pub mean_us: u64,
+    /// Calls a second, direct ones included.
+    pub rate: f64,
+    /// Least number of calls through daemons.
+    pub requests: u64,
+    /// Seed of the load and the targets.
+    pub seed: u64,
+}
+
+impl DemoOptions {
+    /// Reads the command line.
+    ///
+    /// # Errors
+    ///
+    /// A value can't be read.
+    pub fn from_arguments(arguments: &Arguments) -> Result<Self, ArgumentError> {
+        let deployment: Option<Deployment> = arguments.optional("deployment")?;
+        let idle: Option<u64> = arguments.optional("idle-s")?;
+        let keep: Option<bool> = arguments.optional("keep")?;
+        Ok(Self {
+            deployment: deployment.unwrap_or(Deployment::Faellesvaerftet),
+            direct_percent: arguments.optional("direct-percent")?.unwrap_or(20),
+            idle: Duration::from_secs(idle.unwrap_or(5)),
+            keep: keep.unwrap_or(false),
+            mean_us: arguments.optional("mean-us")?.unwrap_or(20_000),
+            rate: arguments.optional("rate")?.unwrap_or(800.0),
+            requests: arguments.optional("requests")?.unwrap_or(10_000),
+            seed: arguments.optional("seed")?.unwrap_or(1),
+        })
+    }
+}
+
+/// Why the demonstration can't be carried out.
+#[derive(Debug)]
+pub enum DemoError {
+    /// A file or socket operation failed.
+    Io(io::Error),
+    /// The deployment can't be started.
+    Launch(LaunchError),
+}
+
+impl fmt::Display for DemoError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(e) => e.fmt(f),
+            Self::Launch(e) => e.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for DemoError {}
+
+impl From<io::Error> for DemoError {
+    fn from(e: io::Error) -> Self {
+        Self::Io(e)
+    }
+}
+
+impl From<LaunchError> for DemoError {
+    fn from(e: LaunchError) -> Self {
+        Self::Launch(e)
+    }
+}
+
+/// Brings a deployment up, loads it, and computes the figures. All processes end with this function.
+///
+/// # Errors
+///
+/// The deployment can't be started or its records can't be read.
+pub fn run_demo(options: &DemoOptions) -> Result<Figures, DemoError> {
+    let mut cluster = Cluster::start(
+        options.deployment,
+        ClusterOptions {
+            behaviour: json!({ "mean_us": options.mean_us }),
+            keep: options.keep,
+            seed: options.seed,
+            ..ClusterOptions::default()
+        },
+    )?;
+    if options.keep {
+        println!(
+            "Settings, histories and logs are in {}",
+            cluster.folder().display()
+        );
+    }
+    let load = load_options(options, &cluster);
+    let start = Sample::take(&cluster);
+    std::thread::sleep(options.idle);
+    let idle = Sample::take(&cluster);
+    let begun = Instant::now();
+    let results = run(run_load(&load))??;
+    let duration = begun.elapsed();
+    let samples = [start, idle, Sample::take(&cluster)];
+    let daemons = daemon_figures(&cluster, &samples);
+    let killed = cluster.stop_daemons(STOP)?;
+    let histories = cluster.target_histories();
+    let records: io::Result<Vec<_>> = histories.iter().map(|path| read_records(path)).collect();
+    let figures = Figures {
+        daemons,
+        duration,
+        killed,
+        ..evaluate(&cluster, &load, &results, &records?.concat())
+    };
+    Ok(figures)
+}
+
+fn load_options(options: &DemoOptions, cluster: &Cluster) -> LoadOptions {
+    // A twentieth more than expected, so that the random share of direct calls leaves enough.
+    let through = u64::from(100 - options.direct_percent.min(90));
+    LoadOptions {
+        direct_percent: options.direct_percent.min(90),
+        rate: options.rate,
+        requests: options.requests * 105 / through,
+        seed: options.seed,
+        ..LoadOptions::for_cluster(cluster)
+    }
+}
+
+fn evaluate(
+    cluster: &Cluster,
+    load: &LoadOptions,
+    results: &[CallResult],
+    records: &[Record],
+) -> Figures {
+    let times = run_times(records);
+    let delay = Duration::from_micros(cluster.plan().delay_us);
+    let direct = results.iter().filter(|r| r.is_direct());
+    let through = results.iter().filter(|r| !r.is_direct());
+    Figures {
+        direct: latency_figures(direct.clone(), &times, load, delay),
+        direct_outcomes: count_outcomes(direct),
+        mismatches: check(results, records),
+        probes: probe_figures(records, &times),
+        through: latency_figures(through.clone(), &times, load, delay),
+        through_outcomes: count_outcomes(through),
+        ..Figures::default()
+    }
+}
--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -3,18 +3,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hawthornwall_wire::instances::{Instance, InstanceList, InstanceState};
 use serde_json::{Value, json};
 
-use super::child::{Child, LaunchError};
+use super::child::{Child, LaunchError, Signal};
 use super::deployment::{Deployment, Plan, TargetPlan};
 use super::places::{Folder, Place, shared_address};
+use super::shared::start_platform;
 use crate::http1::json_once;
 
 /// Longest wait for a child to become ready.
-const READY: Duration = Duration::from_secs(15);
+pub(super) const READY: Duration = Duration::from_secs(15);
 
 /// What is started, and how.
 #[derive(Clone, Debug)]
@@ -70,14 +71,14 @@
     /// All instances.
     pub nodes: Vec<Node>,
     pub(super) options: ClusterOptions,
-    plan: Plan,
+    pub(super) plan: Plan,
     /// The platform fake.
     pub platform: Child,
     platform_address: SocketAddr,
     /// The relay, if it runs.
     pub relay: Option<Child>,
     relay_control: SocketAddr,
-    folder: Folder,
+    pub(super) folder: Folder,
 }
 
 impl Cluster {
@@ -153,6 +154,32 @@
         self.nodes[index].daemon.as_mut()
     }
 
+    /// Asks all daemons for a graceful shutdown and returns the names of those that haven't ended
+    /// within `limit`; these are killed.
+    ///
+    /// # Errors
+    ///
+    /// A daemon can't be signalled or waited for.
+    pub fn stop_daemons(&mut self, limit: Duration) -> Result<Vec<String>, LaunchError> {
+        for node in &self.nodes {
+            if let Some(daemon) = &node.daemon {
+                daemon.signal(Signal::Terminate)?;
+            }
+        }
+        let end = Instant::now() + limit;
+        let mut killed = Vec::new();
+        for node in &mut self.nodes {
+            let Some(mut daemon) = node.daemon.take() else {
+                continue;
+            };
+            let left = end.saturating_duration_since(Instant::now());
+            if daemon.wait(left)?.is_none() {
+                killed.push(node.plan.name.clone());
+            }
+        }
+        Ok(killed)
+    }
+
     /// Starts the daemon of one instance, killing one that runs, and waits until it is ready.
     ///
     /// # Errors
@@ -218,37 +245,6 @@
         }
     }
 
-    fn publish_start(&self) -> Result<(), LaunchError> {
-        let json = |e: serde_json::Error| LaunchError::Refused(e.to_string());
-        let document = serde_json::to_string(&self.plan.document()).map_err(json)?;
-        self.control_platform("PUT", "/config", &document)?;
-        let list = serde_json::to_string(&self.instances()).map_err(json)?;
-        self.control_platform("PUT", "/instances", &list)?;
-        Ok(())
-    }
-
-    fn start_relay(&mut self) -> Result<(), LaunchError> {
-        let daemon = |node: &Node| {
-            json!({
-                "name": node.plan.name, "domain": node.plan.domain,
-                "public": node.place.public, "real": node.place.peer,
-            })
-        };
-        let settings = json!({
-            "control": self.relay_control,
-            "daemons": self.nodes.iter().map(daemon).collect::<Vec<_>>(),
-            "delay_us": self.options.delay_us.unwrap_or(self.plan.delay_us),
-        });
-        let path = self.write("relay.json", &settings.to_string())?;
-        let arguments = flatten(&[("--settings", path)]);
-        let log = self.folder.file("relay.log");
-        let mut child = Child::start("relay", "relay", &arguments, &log)?;
-        let control = self.relay_control;
-        child.wait_ready(READY, || json_once(control, "GET", "/stats", "").is_ok())?;
-        self.relay = Some(child);
-        Ok(())
-    }
-
     fn spawn_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
         let name = self.nodes[index].plan.name.clone();
         let settings = self.daemon_settings(index)?;
@@ -269,7 +265,7 @@
         }
     }
 
-    fn write(&self, name: &str, text: &str) -> Result<String, LaunchError> {
+    pub(super) fn write(&self, name: &str, text: &str) -> Result<String, LaunchError> {
         let path = self.folder.file(name);
         std::fs::write(&path, text).map_err(LaunchError::io(name))?;
         Ok(path.display().to_string())
@@ -293,16 +289,7 @@
     (0u8..).zip(targets).map(node).collect()
 }
 
-fn start_platform(folder: &Folder, address: SocketAddr) -> Result<Child, LaunchError> {
-    let history = folder.file("platform.history").display().to_string();
-    let arguments = flatten(&[("--listen", address.to_string()), ("--history", history)]);
-    let log = folder.file("platform.log");
-    let mut child = Child::start("platform", "platform-fake", &arguments, &log)?;
-    child.wait_ready(READY, || json_once(address, "GET", "/stats", "").is_ok())?;
-    Ok(child)
-}
-
-fn flatten(arguments: &[(&str, String)]) -> Vec<String> {
+pub(super) fn flatten(arguments: &[(&str, String)]) -> Vec<String> {
     let pair = |(name, value): &(&str, String)| [(*name).to_owned(), value.clone()];
     arguments.iter().flat_map(pair).collect()
 }
--- a/crates/testkit/src/launcher/mod.rs
+++ b/crates/testkit/src/launcher/mod.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod places;
 mod settings;
+mod shared;
 
 pub use child::{Child, LaunchError, Signal};
 pub use cluster::{Cluster, ClusterOptions, Node};
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,12 +5,14 @@
 //! their sockets and state.
 
 pub mod arguments;
+pub mod demo;
 pub mod history;
 pub mod http1;
 pub mod launcher;
 pub mod load;
 pub mod payload;
 pub mod platform;
+pub mod procfs;
 pub mod random;
 pub mod relay;
 pub mod target;
--- a/crates/testkit/src/load/exchange.rs
+++ b/crates/testkit/src/load/exchange.rs
@@ -189,7 +189,8 @@
         result.reason = header(answer, "hawthornwall-reason");
         if job.direct {
             let shed = answer.headers().contains_key("hawthornwall-not-run");
-            result.outcome = if shed { "refused" } else { "answered" }.to_owned();
+            let outcome = if shed { "refused" } else { "answered" };
+            outcome.clone_into(&mut result.outcome);
         }
         result.verdict = verify(answer.body(), number, &job.call.body(), size);
     }
--- a/crates/testkit/src/platform/serve.rs
+++ b/crates/testkit/src/platform/serve.rs
@@ -95,7 +95,7 @@
         };
         let message = select_biased! {
             message = receiver.next() => message,
-            () = wake.fuse() => { store.answer_watches(Instant::now()); continue },
+            () = wake.fuse() => { store.answer_watches(Timer::due()); continue },
         };
         let Some(message) = message else { return };
         store.take(message, Instant::now());
--- a/crates/testkit/src/relay/serve.rs
+++ b/crates/testkit/src/relay/serve.rs
@@ -93,7 +93,7 @@
         };
         let message = select_biased! {
             // First, because a busy stream of packets would else hold back those that are due.
-            () = wake.fuse() => { switch.deliver_due(Instant::now()); continue },
+            () = wake.fuse() => { switch.deliver_due(Timer::due()); continue },
             message = receiver.next() => message,
         };
         match message {
@@ -133,9 +133,9 @@
         }
     }
 
-    fn deliver_due(&mut self, now: Instant) {
+    fn deliver_due(&mut self, due: Instant) {
         while let Some(entry) = self.delayed.first_entry() {
-            if entry.key().0 > now {
+            if entry.key().0 > due {
                 return;
             }
             let (face, delivery) = entry.remove();
--- a/crates/testkit/src/target/executor.rs
+++ b/crates/testkit/src/target/executor.rs
@@ -116,7 +116,7 @@
                 Some(Some(message)) => self.take(message, Instant::now()),
                 None => {}
             }
-            self.advance(Instant::now());
+            self.advance(Timer::due());
         }
     }
 
--- a/crates/testkit/src/timer.rs
+++ b/crates/testkit/src/timer.rs
@@ -11,12 +11,19 @@
 use std::rc::Rc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
 
+/// How much earlier the helper thread rings: from its wake-up to that of the runtime's task it took
+/// 0.16 ms on an idle machine, most of it the kernel's timer slack and two thread switches.
+const LEAD: Duration = Duration::from_micros(100);
+
+/// Sleeps may end this much early, so that a fast wake-up isn't followed by a second, shorter wait.
+const TOLERANCE: Duration = Duration::from_micros(50);
+
 /// Handle of the timer of one runtime.
 #[derive(Clone, Debug)]
 pub struct Timer {
@@ -53,9 +60,14 @@
         Ok(Self { inner })
     }
 
-    /// Completes at `time`, or at once if it has passed.
+    /// The latest time that counts as reached now; use it to tell what is due after a sleep.
+    pub fn due() -> Instant {
+        Instant::now() + TOLERANCE
+    }
+
+    /// Completes when `time` is due, or at once if it has passed.
     pub async fn sleep_until(&self, time: Instant) {
-        if time <= Instant::now() {
+        if time <= Self::due() {
             return;
         }
         let (wake, woken) = oneshot::channel();
@@ -78,14 +90,17 @@
         };
         if self.armed.is_none_or(|armed| *first < armed) {
             self.armed = Some(*first);
-            let _ = self.alarm.send(*first);
+            // A short sleep is waited for in full; an early ring would be followed by many more.
+            let early = first.checked_sub(LEAD);
+            let ring = early.filter(|early| *early > Instant::now() + LEAD);
+            let _ = self.alarm.send(ring.unwrap_or(*first));
         }
     }
 
-    fn wake_due(&mut self, now: Instant) {
+    fn wake_due(&mut self, due: Instant) {
         self.armed = None;
         while let Some(entry) = self.waiting.first_entry() {
-            if entry.key().0 > now {
+            if entry.key().0 > due {
                 break;
             }
             let _ = entry.remove().send(());
@@ -100,7 +115,7 @@
         let (result, back) = bell.read(buf).await;
         buf = back;
         match result {
-            Ok(n) if n > 0 => inner.borrow_mut().wake_due(Instant::now()),
+            Ok(n) if n > 0 => inner.borrow_mut().wake_due(Timer::due()),
             _ => return,
         }
     }
--- /dev/null
+++ b/crates/testkit/tests/check.rs
@@ -0,0 +1,155 @@
+//! The comparison of callers' views with targets' records, and the report.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hawthornwall_testkit::demo::{DaemonFigures, Figures, LatencyFigures, ProbeFigures, render};
+use hawthornwall_testkit::history::{Event, Record};
+use hawthornwall_testkit::load::{
+    Call, CallKind, CallResult, Mismatches, Quantiles, Route, check, run_times,
+};
+use hawthornwall_testkit::payload::{Verdict, encode, verify};
+use insta::{assert_debug_snapshot, assert_snapshot};
+use rstest::rstest;
+
+fn result(kind: CallKind, outcome: &str, whole: bool) -> CallResult {
+    CallResult {
+        call: Call {
+            at: Duration::ZERO,
+            chunked: false,
+            kind,
+            number: 7,
+            route: Route::Daemon(0),
+            sent: 0,
+            service: 0,
+            size: 0,
+        },
+        key: None,
+        latency: Duration::from_millis(5),
+        outcome: outcome.to_owned(),
+        reason: String::new(),
+        status: 200,
+        verdict: Verdict {
+            request: Some(7),
+            target: "order-1".to_owned(),
+            whole,
+        },
+    }
+}
+
+/// Records of runs written as `target start`, `target done` or `target cut`.
+fn records(lines: &[&str]) -> Vec<Record> {
+    let record = |(at, line): (u64, &&str)| {
+        let (party, what) = line.split_once(' ').expect("target and event");
+        let event = match what {
+            "start" => Event::RunStarted { request: 7 },
+            done => Event::RunEnded {
+                answered: done == "done",
+                request: 7,
+            },
+        };
+        Record {
+            at: at * 100,
+            event,
+            party: party.to_owned(),
+        }
+    };
+    (0..).zip(lines).map(record).collect()
+}
+
+const RUN: [&str; 2] = ["order-1 start", "order-1 done"];
+const OTHER: [&str; 2] = ["order-2 start", "order-2 done"];
+const CUT: [&str; 2] = ["order-1 start", "order-1 cut"];
+
+// Guards against a check that passes everything: each row holds one contradiction, or none.
+#[rstest]
+#[case::right(CallKind::Post, "answered", true, &[RUN].concat(), [0, 0, 0, 0])]
+#[case::altered(CallKind::Read, "answered", false, &[RUN].concat(), [1, 0, 0, 0])]
+#[case::never_ran(CallKind::Read, "answered", true, &[], [0, 0, 0, 1])]
+#[case::ran_elsewhere(CallKind::Read, "answered", true, &[OTHER].concat(), [0, 0, 0, 1])]
+#[case::run_was_cut(CallKind::Read, "answered", true, &[CUT].concat(), [0, 0, 0, 1])]
+#[case::refused_but_ran(CallKind::Read, "refused", true, &[CUT].concat(), [0, 0, 1, 0])]
+#[case::refused(CallKind::Post, "refused", true, &[], [0, 0, 0, 0])]
+#[case::ran_twice(CallKind::Post, "answered", true, &[RUN, OTHER].concat(), [0, 1, 0, 0])]
+#[case::keyed_ran_twice(CallKind::KeyedPost, "unknown", true, &[CUT, RUN].concat(), [0, 1, 0, 0])]
+#[case::hedged(CallKind::Read, "answered", true, &[RUN, OTHER].concat(), [0, 0, 0, 0])]
+fn contradictions(
+    #[case] kind: CallKind,
+    #[case] outcome: &str,
+    #[case] whole: bool,
+    #[case] lines: &[&str],
+    #[case] expected: [usize; 4],
+) {
+    let Mismatches {
+        altered,
+        repeated,
+        refused_but_ran,
+        without_run,
+    } = check(&[result(kind, outcome, whole)], &records(lines));
+    let found = [altered, repeated, refused_but_ran, without_run].map(|list| list.len());
+    assert_eq!(found, expected);
+}
+
+// Guards against added latency computed from the wrong run.
+#[test]
+fn run_times_count_complete_runs_only() {
+    let lines = [CUT, OTHER].concat();
+    assert_debug_snapshot!(run_times(&records(&lines)));
+}
+
+// Guards against callers that take a cut, mixed or foreign answer for their own.
+#[rstest]
+#[case::own(7, "a body", 300, true)]
+#[case::other_request(8, "a body", 300, false)]
+#[case::other_body(7, "another body", 300, false)]
+#[case::other_size(7, "a body", 301, false)]
+fn answers(#[case] request: u64, #[case] sent: &str, #[case] size: usize, #[case] whole: bool) {
+    let body = encode(7, "order-1", b"a body", 300);
+    let verdict = verify(&body, request, sent.as_bytes(), size);
+    assert_eq!(verdict.whole, whole);
+    assert_eq!(verdict.request, Some(7));
+}
+
+// Guards against a report that drops or mislabels a figure.
+#[test]
+fn report() {
+    let quantiles = |p50| Quantiles {
+        count: 1_000,
+        p50,
+        p99: 10 * p50,
+        p999: 20 * p50,
+    };
+    let latency = |whole, outside| LatencyFigures {
+        whole: quantiles(whole),
+        outside: quantiles(outside),
+    };
+    let daemon = DaemonFigures {
+        control_sent: Some(812.4),
+        cpu_idle: 0.25,
+        cpu_loaded: 12.0,
+        memory_mib: 11.5,
+        name: "order-1".to_owned(),
+        threads: 1,
+        ..DaemonFigures::default()
+    };
+    let figures = Figures {
+        daemons: vec![daemon],
+        direct: latency(5_000, 100),
+        direct_outcomes: BTreeMap::from([("answered 200".to_owned(), 1_000)]),
+        duration: Duration::from_millis(2_345),
+        mismatches: Mismatches {
+            altered: vec![3, 9],
+            ..Mismatches::default()
+        },
+        probes: ProbeFigures {
+            probes: 10,
+            probe_time: Duration::from_millis(2),
+            runs: 2_000,
+            run_time: Duration::from_secs(10),
+        },
+        through: latency(5_400, 350),
+        through_outcomes: BTreeMap::from([("refused target-full".to_owned(), 2)]),
+        ..Figures::default()
+    };
+    assert_snapshot!(render(&figures));
+}
--- a/crates/testkit/tests/platform.rs
+++ b/crates/testkit/tests/platform.rs
@@ -31,7 +31,7 @@
 #[case::invalid("invalid", &[r#"PUT /config | {"patch":[]}"#, "PUT /instances | []",
     "PUT /config?unchecked=1 | not json", "GET /config", "GET /other"])]
 #[case::down("down", &[FIRST, r#"POST /fault | {"down":true}"#, "GET /config", "GET /instances",
-    r#"POST /fault | {}"#, "GET /config", "GET /stats"])]
+    "POST /fault | {}", "GET /config", "GET /stats"])]
 #[case::stale("stale", &[FIRST, r#"POST /fault | {"stale":true}"#, FIRST, "GET /config",
     "POST /fault | {}", "GET /config"])]
 #[case::lag("lag", &[LIST, r#"POST /fault | {"lag_ms":60000}"#, LIST, "GET /instances", FIRST,
