--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -68,6 +68,9 @@
     },
     /// The target became reachable or unreachable.
     Reachable(bool),
+    /// The target says whether it takes new work. Unlike [`Event::Drain`] it may be taken back, since
+    /// a target's word is sometimes wrong.
+    TargetDrains(bool),
     /// Time has passed.
     Tick,
 }
@@ -114,6 +117,7 @@
     running: BTreeMap<WorkId, Time>,
     seq: u64,
     service: Duration,
+    target_drains: bool,
 }
 
 impl Gate {
@@ -129,19 +133,22 @@
             running: BTreeMap::new(),
             seq: 0,
             service: Duration::ZERO,
+            target_drains: false,
         }
     }
 
     /// Takes one event and returns what must be done, in order.
     pub fn on(&mut self, event: &Event, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.drop_expired(now, &mut effects);
         match *event {
             Event::Arrive(arrival) => effects.extend(self.admit(&arrival, now)),
             Event::Cancel(id) => self.cancel(id, &mut effects),
-            Event::Configure(limits) => self.limits = limits,
+            Event::Configure(limits) => self.configure(limits, &mut effects),
             Event::Drain => self.draining = true,
             Event::Finish { failed, id } => self.finish(id, failed, now),
             Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
+            Event::TargetDrains(drains) => self.target_drains = drains,
             Event::Tick => {}
         }
         self.start_waiting(now, &mut effects);
@@ -168,13 +175,18 @@
 
     /// Whether the target takes new work.
     pub fn state(&self) -> TargetState {
-        match (self.draining, self.reachable) {
+        match (self.draining || self.target_drains, self.reachable) {
             (true, _) => TargetState::Draining,
             (false, true) => TargetState::Serving,
             (false, false) => TargetState::Down,
         }
     }
 
+    /// Requests that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Broken invariants.
     pub fn verify(&self) -> Vec<String> {
         let mut faults = Vec::new();
@@ -202,7 +214,7 @@
     }
 
     fn check(&self, arrival: &Arrival, now: Time) -> Result<(), Refusal> {
-        if self.draining {
+        if self.draining || self.target_drains {
             return Err(Refusal::Draining);
         }
         if !self.reachable {
@@ -240,6 +252,18 @@
         self.limits.slots as usize * QUEUE_PER_SLOT
     }
 
+    /// Fewer slots mean a shorter queue; the requests that came last leave it.
+    fn configure(&mut self, limits: Limits, effects: &mut Vec<Effect>) {
+        self.limits = limits;
+        let kept = self.queue.len().min(self.queue_limit());
+        let excess = self.queue.split_off(kept);
+        effects.extend(
+            excess
+                .iter()
+                .map(|(w, _)| Effect::Refuse(w.id, Refusal::Full)),
+        );
+    }
+
     fn cancel(&mut self, id: WorkId, effects: &mut Vec<Effect>) {
         if self.running.contains_key(&id) {
             effects.push(Effect::Abort(id));
@@ -282,7 +306,9 @@
         }
     }
 
-    fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Comes before every event: after a pause, expired work must neither start nor take up places
+    /// that a new arrival needs.
+    fn drop_expired(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let expired = |w: &Arrival| w.deadline <= now;
         self.queue.retain(|(waiting, _)| {
             if expired(waiting) {
@@ -290,6 +316,9 @@
             }
             !expired(waiting)
         });
+    }
+
+    fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
         while self.running.len() < self.limits.slots as usize {
             let Some((waiting, _)) = self.queue.pop_front() else {
                 break;
--- a/crates/core/src/config/patch.rs
+++ b/crates/core/src/config/patch.rs
@@ -28,6 +28,13 @@
     pub time: String,
 }
 
+impl Patch {
+    /// A digest that tells this patch from others, wherever it stands in a document.
+    pub fn fingerprint(&self) -> u64 {
+        super::canonical::chain_digest(0, self)
+    }
+}
+
 /// New values for some of a service's sharing rules.
 #[serde_as]
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -152,6 +159,15 @@
         /// The name.
         name: String,
     },
+    /// A text or list is too long.
+    Size {
+        /// What is too long.
+        field: String,
+        /// Its length, in bytes or elements.
+        found: usize,
+        /// The longest that is accepted.
+        limit: usize,
+    },
     /// A value is out of its range.
     Value {
         /// Position of the change in the patch, from 0.
@@ -187,6 +203,11 @@
                 )
             }
             Self::Missing { change, name } => write!(f, "change {change}: {name} doesn't exist"),
+            Self::Size {
+                field,
+                found,
+                limit,
+            } => write!(f, "{field} has length {found}, the limit is {limit}"),
             Self::Value {
                 change,
                 field,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,5 +4,18 @@
 //! messages of [`messages`]. Decisions are taken by the aggregates of `hawthornwall-core`; a task
 //! only carries their effects out.
 
+pub mod admin;
 pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod gate;
+pub mod http;
+pub mod ingress;
 pub mod messages;
+pub mod peers;
+pub mod platform;
+pub mod probe;
+pub mod router;
+pub mod signals;
+pub mod start;
+pub mod telemetry;
