--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -33,7 +33,8 @@
     pub hedge: bool,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
-    /// The only target that may run it, named by its idempotency key.
+    /// The only target that may run it, named by its idempotency key. Its ledger runs the request at
+    /// most once, so the request may be sent to it again.
     pub pinned: Option<TargetId>,
 }
 
@@ -97,7 +98,7 @@
     attempts: Vec<Attempt>,
     finished: bool,
     hedge: Option<Time>,
-    picking: bool,
+    picking: Option<PickKind>,
     spec: Spec,
 }
 
@@ -108,12 +109,12 @@
             attempts: Vec::new(),
             finished: false,
             hedge: None,
-            picking: false,
+            picking: None,
             spec,
         };
         let mut effects = Vec::new();
         if spec.deadline <= now {
-            call.finish(Outcome::Refused(Refusal::Expired), None, &mut effects);
+            call.give_up(Loss::Expired, Refusal::Expired, &mut effects);
         } else if let Some(target) = spec.pinned {
             call.send(target, Duration::MAX, &mut effects);
         } else {
@@ -131,7 +132,7 @@
         match *event {
             Event::CallerGone => self.give_up(Loss::Cancelled, Refusal::Cancelled, &mut effects),
             Event::Ended(attempt, result) => self.end(attempt, result, now, &mut effects),
-            Event::NotPicked(refusal) => self.miss(refusal, &mut effects),
+            Event::NotPicked(refusal) => self.not_picked(refusal, now, &mut effects),
             Event::Picked(choice) => self.take(&choice, now, &mut effects),
             Event::Timer => self.expire(now, &mut effects),
         }
@@ -196,7 +197,7 @@
     }
 
     fn pick(&mut self, kind: PickKind, effects: &mut Vec<Effect>) {
-        self.picking = true;
+        self.picking = Some(kind);
         effects.push(Effect::Pick(kind));
     }
 
@@ -214,7 +215,7 @@
     }
 
     fn take(&mut self, choice: &Choice, now: Time, effects: &mut Vec<Effect>) {
-        self.picking = false;
+        self.picking = None;
         let more = self.attempts.len() + 1 < MAX_ATTEMPTS && choice.alternatives > 0;
         let patience = if more { choice.patience } else { Duration::MAX };
         let first = self.attempts.is_empty();
@@ -224,8 +225,23 @@
         }
     }
 
+    /// A denied hedge must not end the call if its first attempt was refused meanwhile: a reroute
+    /// needs no budget.
+    fn not_picked(&mut self, refusal: Refusal, now: Time, effects: &mut Vec<Effect>) {
+        let denied_hedge = self.picking == Some(PickKind::Hedge) && refusal == Refusal::Budget;
+        let last = self.attempts.last().and_then(|a| a.result);
+        match last {
+            Some(AttemptResult::Refused(last)) if denied_hedge && elsewhere(last) => {
+                self.picking = None;
+                self.try_again(PickKind::Reroute, last, now, effects);
+            }
+            Some(AttemptResult::Answered | AttemptResult::Lost(_) | AttemptResult::Refused(_))
+            | None => self.miss(refusal, effects),
+        }
+    }
+
     fn miss(&mut self, refusal: Refusal, effects: &mut Vec<Effect>) {
-        self.picking = false;
+        self.picking = None;
         if self.open().next().is_none() {
             let outcome = self.outcome_without_answer(refusal);
             self.finish(outcome, None, effects);
@@ -233,12 +249,19 @@
     }
 
     fn end(&mut self, id: AttemptId, result: AttemptResult, now: Time, effects: &mut Vec<Effect>) {
-        let Some(attempt) = self.attempts.get_mut(usize::from(id.0)) else {
-            return;
-        };
-        attempt.result = Some(result);
+        // A second end of the same attempt says nothing new: the first one decided what followed.
+        match self.attempts.get_mut(usize::from(id.0)) {
+            Some(attempt) if attempt.result.is_none() => attempt.result = Some(result),
+            Some(_) | None => return,
+        }
         match result {
             AttemptResult::Answered => self.finish(Outcome::Answered, Some(id), effects),
+            AttemptResult::Lost(loss) if self.spec.pinned.is_some() => {
+                self.repeat(loss, now, effects);
+            }
+            AttemptResult::Refused(Refusal::Unreachable) if self.spec.pinned.is_some() => {
+                self.repeat(Loss::KeyUnreachable, now, effects);
+            }
             AttemptResult::Lost(loss) if !self.spec.idempotent => {
                 self.finish(Outcome::Unknown(loss), None, effects);
             }
@@ -252,6 +275,21 @@
         }
     }
 
+    /// Sends a keyed request again to the target that its key names, since the ledger there can tell
+    /// what became of the earlier attempt.
+    fn repeat(&mut self, loss: Loss, now: Time, effects: &mut Vec<Effect>) {
+        let target = self.spec.pinned.filter(|_| match loss {
+            Loss::Closed | Loss::KeyUnreachable => true,
+            Loss::Cancelled | Loss::Expired | Loss::KeyForgotten | Loss::Malformed => false,
+        });
+        match target {
+            Some(target) if self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline => {
+                self.send(target, Duration::MAX, effects);
+            }
+            Some(_) | None => self.finish(Outcome::Unknown(loss), None, effects),
+        }
+    }
+
     fn try_again(
         &mut self,
         kind: PickKind,
@@ -259,7 +297,7 @@
         now: Time,
         effects: &mut Vec<Effect>,
     ) {
-        let busy = self.picking || self.open().next().is_some();
+        let busy = self.picking.is_some() || self.open().next().is_some();
         let spent = self.attempts.len() >= MAX_ATTEMPTS || now >= self.spec.deadline;
         if !busy && (spent || self.spec.pinned.is_some()) {
             let outcome = self.outcome_without_answer(refusal);
@@ -274,7 +312,10 @@
             self.give_up(Loss::Expired, Refusal::Expired, effects);
         } else if self.hedge.is_some_and(|due| due <= now) {
             self.hedge = None;
-            if !self.picking && self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline {
+            if self.picking.is_none()
+                && self.attempts.len() < MAX_ATTEMPTS
+                && now < self.spec.deadline
+            {
                 self.pick(PickKind::Hedge, effects);
             }
         }
@@ -285,6 +326,7 @@
         let outcome = match (self.open().next().is_some(), self.spec.idempotent) {
             (true, true) => Outcome::Failed(loss),
             (true, false) => Outcome::Unknown(loss),
+            (false, _) if self.spec.pinned.is_some() => Outcome::Unknown(Loss::KeyUnreachable),
             (false, _) => self.outcome_without_answer(refusal),
         };
         self.finish(outcome, None, effects);
@@ -305,12 +347,42 @@
     }
 
     fn finish(&mut self, outcome: Outcome, answer: Option<AttemptId>, effects: &mut Vec<Effect>) {
+        let outcome = match outcome {
+            Outcome::Refused(refusal) if self.spec.pinned.is_some() => keyed_outcome(refusal),
+            Outcome::Answered | Outcome::Failed(_) | Outcome::Refused(_) | Outcome::Unknown(_) => {
+                outcome
+            }
+        };
         self.finished = true;
         effects.extend(self.open().map(Effect::Cancel));
         effects.push(Effect::Finish(outcome, answer));
     }
 }
 
+/// What a caller is told of a refused request under a key.
+///
+/// An earlier request may have run under the same key, so only the ledger that knows the key may say
+/// "not run". Refusals by this daemon alone leave the outcome unknown.
+pub fn keyed_outcome(refusal: Refusal) -> Outcome {
+    match refusal {
+        Refusal::Budget
+        | Refusal::NoTarget
+        | Refusal::NotReady
+        | Refusal::Overload
+        | Refusal::Unreachable
+        | Refusal::UnknownService
+        | Refusal::WrongTarget => Outcome::Unknown(Loss::KeyUnreachable),
+        Refusal::Cancelled
+        | Refusal::Down
+        | Refusal::Draining
+        | Refusal::Expired
+        | Refusal::Full
+        | Refusal::KeyInvalid
+        | Refusal::KeyMismatch
+        | Refusal::Shed => Outcome::Refused(refusal),
+    }
+}
+
 /// Whether another target may accept what this one refused.
 fn elsewhere(refusal: Refusal) -> bool {
     match refusal {
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -140,6 +140,9 @@
             let Some(view) = self.views.get_mut(&member.target) else {
                 continue;
             };
+            if member.instance.is_some() && member.instance == view.former {
+                continue;
+            }
             view.leaving = member.leaving;
             match member.instance {
                 Some(instance) if view.instance != Some(instance) => {
@@ -325,7 +328,7 @@
 fn note_loss(view: &mut View, loss: Loss, now: Time) {
     match loss {
         Loss::Closed | Loss::Expired | Loss::Malformed => view.note_failure(now),
-        Loss::Cancelled | Loss::KeyForgotten => {}
+        Loss::Cancelled | Loss::KeyForgotten | Loss::KeyUnreachable => {}
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,5 +6,11 @@
 
 pub mod admin;
 pub mod clock;
+pub mod gate;
+pub mod http;
+pub mod ingress;
 pub mod messages;
+pub mod peers;
+pub mod router;
+pub mod start;
 pub mod telemetry;
