Add differences, warnings, history and undo of configurations

Differences and warnings are worded for operators who don't read the source. Undo restores exactly what a version changed and names every part that a later version has changed since.

--- /dev/null
+++ b/crates/core/src/config/diff.rs
@@ -0,0 +1,334 @@
+//! Differences between two configurations, in the words of operators.
+//!
+//! Services and targets are matched by name, so that documents with different histories can be
+//! compared. A name that was removed and created again has a new id and counts as replaced.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Serialize;
+
+use super::{Configuration, Rules, Service, Target};
+
+/// A value before and after.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Values {
+    /// The value before.
+    pub from: String,
+    /// The value after.
+    pub to: String,
+}
+
+/// The part of a service or target that differs.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Field {
+    /// Time limit of requests that name no deadline.
+    Deadline,
+    /// Failure domain of a target.
+    Domain,
+    /// Whether second attempts are sent while the first is late.
+    Hedge,
+    /// Host names of a service.
+    Hosts,
+    /// Longest wait for a slot.
+    QueueWait,
+    /// Retries and hedged requests for each 100 requests.
+    RetryPercent,
+    /// The service that a target belongs to.
+    Service,
+    /// Requests that a target runs at once.
+    Slots,
+}
+
+impl fmt::Display for Field {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Deadline => "the time limit of requests without a deadline of their own",
+            Self::Domain => "the failure domain",
+            Self::Hedge => "hedged requests (a second target while the first is late)",
+            Self::Hosts => "the host names",
+            Self::QueueWait => "the longest wait for a slot",
+            Self::RetryPercent => "the retries and hedged requests for each 100 requests",
+            Self::Service => "the service",
+            Self::Slots => "the slots (requests run at once)",
+        })
+    }
+}
+
+/// One difference.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "difference")]
+pub enum Difference {
+    /// A service is new.
+    ServiceAdded {
+        /// Its name.
+        name: String,
+        /// Host names beside its own name.
+        hosts: BTreeSet<String>,
+        /// Its sharing rules.
+        rules: Rules,
+    },
+    /// A service differs in one part.
+    ServiceChanged {
+        /// Its name.
+        name: String,
+        /// The part.
+        field: Field,
+        /// Its values.
+        values: Values,
+    },
+    /// A service is gone.
+    ServiceRemoved {
+        /// Its name.
+        name: String,
+    },
+    /// A target is new.
+    TargetAdded {
+        /// Its name.
+        name: String,
+        /// Its service's name.
+        service: String,
+        /// Its failure domain.
+        domain: String,
+        /// Requests that it runs at once.
+        slots: u32,
+    },
+    /// A target differs in one part.
+    TargetChanged {
+        /// Its name.
+        name: String,
+        /// The part.
+        field: Field,
+        /// Its values.
+        values: Values,
+    },
+    /// A target is gone.
+    TargetRemoved {
+        /// Its name.
+        name: String,
+        /// Its service's name.
+        service: String,
+    },
+    /// A target was removed and created again under the same name.
+    TargetReplaced {
+        /// Its name.
+        name: String,
+    },
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ServiceAdded { name, hosts, .. } => {
+                write!(f, "service {name} is created; requests for the host {name}")?;
+                hosts.iter().try_for_each(|host| write!(f, ", {host}"))?;
+                write!(f, " or the path /{name} go to its targets")
+            }
+            Self::ServiceChanged {
+                name,
+                field,
+                values,
+            } => write!(
+                f,
+                "service {name}: {field}: {} becomes {}",
+                values.from, values.to
+            ),
+            Self::ServiceRemoved { name } => write!(
+                f,
+                "service {name} is removed; requests for it are refused as unknown-service"
+            ),
+            Self::TargetAdded {
+                name,
+                service,
+                domain,
+                slots,
+            } => write!(
+                f,
+                "target {name} joins service {service} in failure domain {domain} and runs up to \
+                 {slots} requests at once"
+            ),
+            Self::TargetChanged {
+                name,
+                field,
+                values,
+            } => write!(
+                f,
+                "target {name}: {field}: {} becomes {}",
+                values.from, values.to
+            ),
+            Self::TargetRemoved { name, service } => write!(
+                f,
+                "target {name} leaves service {service}; it finishes its requests and gets no new ones"
+            ),
+            Self::TargetReplaced { name } => write!(
+                f,
+                "target {name} is removed and created again; keys issued by the old one don't count"
+            ),
+        }
+    }
+}
+
+impl Configuration {
+    /// What differs in `next`, services first, each in the order of names.
+    ///
+    /// ```
+    /// use hawthornwall_core::config::{Change, Configuration, Patch};
+    ///
+    /// let change = Change::CreateService {
+    ///     name: "calendar".to_owned(),
+    ///     hosts: Default::default(),
+    ///     rules: Default::default(),
+    /// };
+    /// let patch = Patch {
+    ///     author: "trainee".to_owned(),
+    ///     base: Default::default(),
+    ///     changes: vec![change],
+    ///     note: String::new(),
+    ///     time: String::new(),
+    /// };
+    /// let before = Configuration::default();
+    /// let after = before.fold(&patch).expect("the patch is valid");
+    /// let words: Vec<_> = before.differences(&after).iter().map(ToString::to_string).collect();
+    /// assert_eq!(words, ["service calendar is created; requests for the host calendar or the path \
+    ///     /calendar go to its targets"]);
+    /// ```
+    pub fn differences(&self, next: &Self) -> Vec<Difference> {
+        let mut found = Vec::new();
+        for name in names(self.services.values().chain(next.services.values()), |s| {
+            &s.name
+        }) {
+            service_differences(
+                name,
+                (self.service_by(name), next.service_by(name)),
+                &mut found,
+            );
+        }
+        for name in names(self.targets.values().chain(next.targets.values()), |t| {
+            &t.name
+        }) {
+            self.target_differences(name, next, &mut found);
+        }
+        found
+    }
+
+    /// The service with this name, as data.
+    pub fn service_by(&self, name: &str) -> Option<&Service> {
+        self.services.values().find(|s| s.name == name)
+    }
+
+    /// The target with this name, as data.
+    pub fn target_by(&self, name: &str) -> Option<&Target> {
+        self.targets.values().find(|t| t.name == name)
+    }
+
+    /// The name of the service that a target belongs to.
+    pub fn service_name(&self, target: &Target) -> &str {
+        let service = self.services.get(&target.service);
+        service.map_or("", |service| &service.name)
+    }
+
+    fn target_differences(&self, name: &str, next: &Self, found: &mut Vec<Difference>) {
+        match (self.target_by(name), next.target_by(name)) {
+            (Some(old), Some(new)) => {
+                if self.target_named(name) != next.target_named(name) {
+                    let name = name.to_owned();
+                    found.push(Difference::TargetReplaced { name });
+                }
+                let services = (self.service_name(old), next.service_name(new));
+                let fields = target_fields(old, services.0).into_iter();
+                for ((field, from), (_, to)) in fields.zip(target_fields(new, services.1)) {
+                    if from != to {
+                        found.push(Difference::TargetChanged {
+                            name: name.to_owned(),
+                            field,
+                            values: Values { from, to },
+                        });
+                    }
+                }
+            }
+            (Some(old), None) => found.push(Difference::TargetRemoved {
+                name: name.to_owned(),
+                service: self.service_name(old).to_owned(),
+            }),
+            (None, Some(new)) => found.push(Difference::TargetAdded {
+                name: name.to_owned(),
+                service: next.service_name(new).to_owned(),
+                domain: new.domain.clone(),
+                slots: new.slots,
+            }),
+            (None, None) => {}
+        }
+    }
+}
+
+fn names<'a, T: 'a>(
+    all: impl Iterator<Item = &'a T>,
+    name: impl Fn(&'a T) -> &'a String,
+) -> BTreeSet<&'a str> {
+    all.map(|item| name(item).as_str()).collect()
+}
+
+fn service_differences(
+    name: &str,
+    pair: (Option<&Service>, Option<&Service>),
+    found: &mut Vec<Difference>,
+) {
+    let name = name.to_owned();
+    match pair {
+        (Some(old), Some(new)) => {
+            let pairs = service_fields(old).into_iter().zip(service_fields(new));
+            let changed = pairs.filter(|((_, from), (_, to))| from != to);
+            found.extend(
+                changed.map(|((field, from), (_, to))| Difference::ServiceChanged {
+                    name: name.clone(),
+                    field,
+                    values: Values { from, to },
+                }),
+            );
+        }
+        (Some(_), None) => found.push(Difference::ServiceRemoved { name }),
+        (None, Some(new)) => found.push(Difference::ServiceAdded {
+            name,
+            hosts: new.hosts.clone(),
+            rules: new.rules.clone(),
+        }),
+        (None, None) => {}
+    }
+}
+
+/// The comparable parts of a service as text.
+pub(super) fn service_fields(service: &Service) -> [(Field, String); 5] {
+    let rules = &service.rules;
+    let hosts: Vec<_> = service.hosts.iter().map(String::as_str).collect();
+    let hosts = if hosts.is_empty() {
+        "none".to_owned()
+    } else {
+        hosts.join(", ")
+    };
+    [
+        (Field::Hosts, hosts),
+        (
+            Field::Deadline,
+            format!("{} ms", rules.deadline.as_millis()),
+        ),
+        (
+            Field::Hedge,
+            if rules.hedge { "on" } else { "off" }.to_owned(),
+        ),
+        (
+            Field::QueueWait,
+            format!("{} ms", rules.queue_wait.as_millis()),
+        ),
+        (Field::RetryPercent, rules.retry_percent.to_string()),
+    ]
+}
+
+/// The comparable parts of a target as text.
+pub(super) fn target_fields(target: &Target, service: &str) -> [(Field, String); 3] {
+    [
+        (Field::Service, service.to_owned()),
+        (Field::Domain, target.domain.clone()),
+        (Field::Slots, target.slots.to_string()),
+    ]
+}
--- /dev/null
+++ b/crates/core/src/config/history.rs
@@ -0,0 +1,83 @@
+//! The versions that a document leads through.
+
+use super::{Configuration, Document, Patch, PatchFault};
+use crate::ids::Version;
+
+/// A patch of a document and what became of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry<'a> {
+    /// Position in the document, from 0.
+    pub index: usize,
+    /// The patch.
+    pub patch: &'a Patch,
+    /// The version that it created, or why it was skipped.
+    pub result: Result<Version, Vec<PatchFault>>,
+}
+
+impl Document {
+    /// Every patch with its version or its faults, in the order of publication.
+    pub fn history(&self) -> Vec<Entry<'_>> {
+        let mut reached = self.checkpoint.clone();
+        let entries = self.patches.iter().enumerate();
+        entries
+            .map(|(index, patch)| {
+                let result = reached.fold(patch).map(|next| {
+                    reached = next;
+                    reached.version
+                });
+                Entry {
+                    index,
+                    patch,
+                    result,
+                }
+            })
+            .collect()
+    }
+
+    /// The configuration at `version`, `None` if the document doesn't lead through it.
+    pub fn at(&self, version: Version) -> Option<Configuration> {
+        let mut reached = self.checkpoint.clone();
+        let mut patches = self.patches.iter();
+        while reached.version != version {
+            if let Ok(next) = reached.fold(patches.next()?) {
+                reached = next;
+            }
+        }
+        Some(reached)
+    }
+
+    /// The accepted patches that created the versions after `version`.
+    pub fn accepted_since(&self, version: Version) -> Vec<Entry<'_>> {
+        let after = |entry: &Entry| {
+            entry
+                .result
+                .as_ref()
+                .is_ok_and(|created| *created > version)
+        };
+        self.history().into_iter().filter(after).collect()
+    }
+
+    /// The document with `patch` as the last.
+    #[must_use]
+    pub fn with_patch(&self, patch: Patch) -> Self {
+        let mut next = self.clone();
+        next.patches.push(patch);
+        next
+    }
+
+    /// The document that leads to the same configuration without patches.
+    ///
+    /// ```
+    /// use hawthornwall_core::config::Document;
+    ///
+    /// let document = Document::default();
+    /// assert_eq!(document.compacted().fold().configuration, document.fold().configuration);
+    /// ```
+    #[must_use]
+    pub fn compacted(&self) -> Self {
+        Self {
+            checkpoint: self.fold().configuration,
+            patches: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/undo.rs
@@ -0,0 +1,295 @@
+//! Taking back one version.
+//!
+//! Invariant: the changes restore exactly what the version changed. Where a later version has changed
+//! the same part, nothing is taken back and the part is named.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Serialize;
+
+use super::diff::{service_fields, target_fields};
+use super::{Change, Configuration, Document, Field, RulesChange, Service, Target};
+use crate::ids::Version;
+
+/// Why a version can't be taken back.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "fault")]
+pub enum UndoFault {
+    /// A later version changed the same part.
+    Changed {
+        /// The service or target.
+        name: String,
+        /// The part, or `None` if the whole was removed or created again.
+        field: Option<Field>,
+    },
+    /// Targets that later versions created belong to the service that would have to be removed.
+    InUse {
+        /// The service.
+        name: String,
+    },
+    /// Everything that the version changed is already as before.
+    Nothing,
+    /// The document doesn't lead through the version and the one before it.
+    Unknown {
+        /// The version.
+        version: Version,
+    },
+}
+
+impl fmt::Display for UndoFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Changed {
+                name,
+                field: Some(field),
+            } => write!(f, "{name}: a later version has changed {field}"),
+            Self::Changed { name, field: None } => {
+                write!(
+                    f,
+                    "{name}: a later version has removed it or created it again"
+                )
+            }
+            Self::InUse { name } => {
+                write!(f, "service {name}: later versions have added targets to it")
+            }
+            Self::Nothing => f.write_str("everything that the version changed is as before"),
+            Self::Unknown { version } => {
+                write!(f, "the document's patches don't lead to {version}")
+            }
+        }
+    }
+}
+
+impl Document {
+    /// The changes that take back `version`, for a patch on the version that the document reaches.
+    ///
+    /// # Errors
+    ///
+    /// Everything that stands against it.
+    pub fn undo(&self, version: Version) -> Result<Vec<Change>, Vec<UndoFault>> {
+        let unknown = || vec![UndoFault::Unknown { version }];
+        let before = Version(version.0.checked_sub(1).ok_or_else(unknown)?);
+        let before = self.at(before).ok_or_else(unknown)?;
+        let after = self.at(version).ok_or_else(unknown)?;
+        let now = self.fold().configuration;
+        let mut undo = Undo {
+            after: &after,
+            before: &before,
+            changes: Changes::default(),
+            faults: Vec::new(),
+            now: &now,
+        };
+        undo.targets();
+        undo.services();
+        let changes = undo.changes.ordered();
+        if changes.is_empty() && undo.faults.is_empty() {
+            undo.faults.push(UndoFault::Nothing);
+        }
+        if undo.faults.is_empty() {
+            Ok(changes)
+        } else {
+            Err(undo.faults)
+        }
+    }
+}
+
+/// Changes by kind, since removals must precede creations and services their targets.
+#[derive(Default)]
+struct Changes {
+    create_services: Vec<Change>,
+    create_targets: Vec<Change>,
+    remove_services: Vec<Change>,
+    remove_targets: Vec<Change>,
+    updates: Vec<Change>,
+}
+
+impl Changes {
+    fn ordered(&mut self) -> Vec<Change> {
+        let mut all = std::mem::take(&mut self.remove_targets);
+        all.append(&mut self.remove_services);
+        all.append(&mut self.create_services);
+        all.append(&mut self.create_targets);
+        all.append(&mut self.updates);
+        all
+    }
+}
+
+struct Undo<'a> {
+    after: &'a Configuration,
+    before: &'a Configuration,
+    changes: Changes,
+    faults: Vec<UndoFault>,
+    now: &'a Configuration,
+}
+
+impl Undo<'_> {
+    fn targets(&mut self) {
+        let all = self
+            .before
+            .targets
+            .values()
+            .chain(self.after.targets.values());
+        let names: BTreeSet<_> = all.map(|t| t.name.as_str()).collect();
+        for name in names {
+            let (old, new) = (
+                self.before.target_named(name),
+                self.after.target_named(name),
+            );
+            if old != new {
+                self.identity(name, (old, new, self.now.target_named(name)), |undo| {
+                    undo.swap_target(name);
+                });
+            } else if let (Some(old), Some(new)) =
+                (self.before.target_by(name), self.after.target_by(name))
+            {
+                self.update_target(old, new);
+            }
+        }
+    }
+
+    fn services(&mut self) {
+        let all = self
+            .before
+            .services
+            .values()
+            .chain(self.after.services.values());
+        let names: BTreeSet<_> = all.map(|s| s.name.as_str()).collect();
+        for name in names {
+            let (old, new) = (
+                self.before.service_named(name),
+                self.after.service_named(name),
+            );
+            if old != new {
+                self.identity(name, (old, new, self.now.service_named(name)), |undo| {
+                    undo.swap_service(name);
+                });
+            } else if let (Some(old), Some(new)) =
+                (self.before.service_by(name), self.after.service_by(name))
+            {
+                self.update_service(old, new);
+            }
+        }
+    }
+
+    /// Runs `swap` if the name still stands for what the version made of it.
+    fn identity<I: Copy + PartialEq>(
+        &mut self,
+        name: &str,
+        (old, new, now): (Option<I>, Option<I>, Option<I>),
+        swap: impl FnOnce(&mut Self),
+    ) {
+        if now == new {
+            swap(self);
+        } else if now.is_some() || old.is_some() {
+            self.changed(name, None);
+        }
+    }
+
+    fn swap_target(&mut self, name: &str) {
+        if self.after.target_by(name).is_some() {
+            let name = name.to_owned();
+            self.changes
+                .remove_targets
+                .push(Change::RemoveTarget { name });
+        }
+        if let Some(old) = self.before.target_by(name) {
+            self.changes.create_targets.push(Change::CreateTarget {
+                name: name.to_owned(),
+                service: self.before.service_name(old).to_owned(),
+                domain: old.domain.clone(),
+                slots: old.slots,
+            });
+        }
+    }
+
+    fn swap_service(&mut self, name: &str) {
+        if let Some(id) = self.now.service_named(name) {
+            let kept = |t: &Target| self.after.target_by(&t.name).is_none();
+            if self.now.targets_of(id).any(|(_, target)| kept(target)) {
+                let name = name.to_owned();
+                self.faults.push(UndoFault::InUse { name });
+            }
+            let name = name.to_owned();
+            self.changes
+                .remove_services
+                .push(Change::RemoveService { name });
+        }
+        if let Some(old) = self.before.service_by(name) {
+            self.changes.create_services.push(Change::CreateService {
+                name: name.to_owned(),
+                hosts: old.hosts.clone(),
+                rules: old.rules.clone(),
+            });
+        }
+    }
+
+    fn update_target(&mut self, old: &Target, new: &Target) {
+        let service = self.after.service_name(new);
+        let (from, to) = (target_fields(old, service), target_fields(new, service));
+        let now = self.now.target_by(&old.name);
+        let now = now.map(|now| target_fields(now, self.now.service_name(now)));
+        let fields = self.restorable(&old.name, &from, &to, now.as_ref());
+        if fields.is_empty() {
+            return;
+        }
+        let has = |field| fields.contains(&field);
+        self.changes.updates.push(Change::UpdateTarget {
+            name: old.name.clone(),
+            domain: has(Field::Domain).then(|| old.domain.clone()),
+            slots: has(Field::Slots).then_some(old.slots),
+        });
+    }
+
+    fn update_service(&mut self, old: &Service, new: &Service) {
+        let (from, to) = (service_fields(old), service_fields(new));
+        let now = self.now.service_by(&old.name).map(service_fields);
+        let fields = self.restorable(&old.name, &from, &to, now.as_ref());
+        if fields.is_empty() {
+            return;
+        }
+        let has = |field| fields.contains(&field);
+        let rules = &old.rules;
+        self.changes.updates.push(Change::UpdateService {
+            name: old.name.clone(),
+            hosts: has(Field::Hosts).then(|| old.hosts.clone()),
+            rules: RulesChange {
+                deadline: has(Field::Deadline).then_some(rules.deadline),
+                hedge: has(Field::Hedge).then_some(rules.hedge),
+                queue_wait: has(Field::QueueWait).then_some(rules.queue_wait),
+                retry_percent: has(Field::RetryPercent).then_some(rules.retry_percent),
+            },
+        });
+    }
+
+    /// The fields that the version changed and that still hold its values.
+    fn restorable<const N: usize>(
+        &mut self,
+        name: &str,
+        from: &[(Field, String); N],
+        to: &[(Field, String); N],
+        now: Option<&[(Field, String); N]>,
+    ) -> Vec<Field> {
+        let changed = (0..N).filter(|at| from[*at] != to[*at]);
+        let Some(now) = now else {
+            if changed.count() > 0 {
+                self.changed(name, None);
+            }
+            return Vec::new();
+        };
+        let mut fields = Vec::new();
+        for at in changed {
+            if now[at] == to[at] {
+                fields.push(from[at].0);
+            } else if now[at] != from[at] {
+                self.changed(name, Some(from[at].0));
+            }
+        }
+        fields
+    }
+
+    fn changed(&mut self, name: &str, field: Option<Field>) {
+        let name = name.to_owned();
+        self.faults.push(UndoFault::Changed { name, field });
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/warning.rs
@@ -0,0 +1,164 @@
+//! Warnings about a change that is valid but may not be meant.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Serialize;
+
+use super::{Configuration, Service};
+use crate::ids::ServiceId;
+
+/// Something that a change causes and that an operator should know before publishing it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "warning")]
+pub enum Warning {
+    /// A service loses more than half of its slots.
+    Capacity {
+        /// The service's name.
+        service: String,
+        /// Slots before.
+        from: u64,
+        /// Slots after.
+        to: u64,
+    },
+    /// A service's last target is removed.
+    LastTarget {
+        /// The service's name.
+        service: String,
+    },
+    /// A new service has no target.
+    NoTarget {
+        /// The service's name.
+        service: String,
+    },
+    /// All targets of a service now share a failure domain.
+    OneDomain {
+        /// The service's name.
+        service: String,
+        /// The failure domain.
+        domain: String,
+    },
+    /// A service is left with one target.
+    OneTarget {
+        /// The service's name.
+        service: String,
+    },
+    /// Requests may wait for a slot longer than they have.
+    QueueWait {
+        /// The service's name.
+        service: String,
+    },
+}
+
+impl fmt::Display for Warning {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Capacity { service, from, to } => write!(
+                f,
+                "this takes more than half of the slots of service {service}: {from} become {to}"
+            ),
+            Self::LastTarget { service } => write!(
+                f,
+                "this removes the last target of service {service}; all its requests are refused"
+            ),
+            Self::NoTarget { service } => write!(
+                f,
+                "service {service} has no targets yet; its requests are refused until one is added"
+            ),
+            Self::OneDomain { service, domain } => write!(
+                f,
+                "this leaves all targets of service {service} in failure domain {domain}; it stops \
+                 when that domain fails"
+            ),
+            Self::OneTarget { service } => write!(
+                f,
+                "this leaves service {service} with one target; it stops when that target fails"
+            ),
+            Self::QueueWait { service } => write!(
+                f,
+                "requests of service {service} may wait for a slot as long as their whole time limit"
+            ),
+        }
+    }
+}
+
+/// The targets of a service in figures.
+struct Shape {
+    domains: BTreeSet<String>,
+    slots: u64,
+    targets: usize,
+}
+
+impl Configuration {
+    /// What the change from `self` to `next` causes that may not be meant. What was so before is not
+    /// repeated.
+    pub fn warnings(&self, next: &Self) -> Vec<Warning> {
+        let mut found = Vec::new();
+        for (id, service) in &next.services {
+            let before = self.service_named(&service.name);
+            self.warn_targets((before, *id), &service.name, next, &mut found);
+            let old = before.and_then(|id| self.services.get(&id));
+            if waits_too_long(service) && !old.is_some_and(waits_too_long) {
+                let service = service.name.clone();
+                found.push(Warning::QueueWait { service });
+            }
+        }
+        found
+    }
+
+    fn warn_targets(
+        &self,
+        (before, after): (Option<ServiceId>, ServiceId),
+        name: &str,
+        next: &Self,
+        found: &mut Vec<Warning>,
+    ) {
+        let service = name.to_owned();
+        let new = next.shape(after);
+        let Some(old) = before.map(|id| self.shape(id)) else {
+            match new.targets {
+                0 => found.push(Warning::NoTarget { service }),
+                1 => found.push(Warning::OneTarget { service }),
+                _ => found.extend(one_domain(&new, service)),
+            }
+            return;
+        };
+        if old.targets > 0 && new.targets == 0 {
+            return found.push(Warning::LastTarget { service });
+        }
+        if new.slots * 2 < old.slots {
+            let (from, to, service) = (old.slots, new.slots, service.clone());
+            found.push(Warning::Capacity { service, from, to });
+        }
+        if old.targets != 1 && new.targets == 1 {
+            found.push(Warning::OneTarget { service });
+        } else if old.domains.len() > 1 {
+            found.extend(one_domain(&new, service));
+        }
+    }
+
+    fn shape(&self, service: ServiceId) -> Shape {
+        let targets = self.targets_of(service);
+        let mut shape = Shape {
+            domains: BTreeSet::new(),
+            slots: 0,
+            targets: 0,
+        };
+        for (_, target) in targets {
+            shape.domains.insert(target.domain.clone());
+            shape.slots += u64::from(target.slots);
+            shape.targets += 1;
+        }
+        shape
+    }
+}
+
+fn one_domain(shape: &Shape, service: String) -> Option<Warning> {
+    let several = shape.targets > 1 && shape.domains.len() == 1;
+    let domain = shape.domains.first().filter(|_| several)?.clone();
+    Some(Warning::OneDomain { service, domain })
+}
+
+fn waits_too_long(service: &Service) -> bool {
+    service.rules.queue_wait >= service.rules.deadline
+}
