--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod admin;
 pub mod clock;
+pub mod daemon;
 pub mod gate;
 pub mod http;
 pub mod ingress;
 pub mod messages;
 pub mod peers;
 pub mod router;
+pub mod signals;
 pub mod start;
 pub mod telemetry;
