Add the operators' tool

Parsing, carrying out and wording are separate modules around a closed set of commands. Exit codes tell the kind of failure. The tool reads files and daemons and writes to its own output only.

--- /dev/null
+++ b/crates/cli/src/help.rs
@@ -0,0 +1,95 @@
+//! Help texts.
+
+/// What a help text is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Topic {
+    /// `check`.
+    Check,
+    /// `compact`.
+    Compact,
+    /// `diff`.
+    Diff,
+    /// `log`.
+    Log,
+    /// `patch` as a whole.
+    Patch,
+    /// `patch add`.
+    PatchAdd,
+    /// `patch check`.
+    PatchCheck,
+    /// `patch diff`.
+    PatchDiff,
+    /// `patch new`.
+    PatchNew,
+    /// `show`.
+    Show,
+    /// `status`.
+    Status,
+    /// The tool as a whole.
+    Tool,
+    /// `undo`.
+    Undo,
+}
+
+impl Topic {
+    /// Every topic, the tool first.
+    pub const ALL: [Self; 13] = [
+        Self::Tool,
+        Self::Check,
+        Self::Compact,
+        Self::Diff,
+        Self::Log,
+        Self::Patch,
+        Self::PatchAdd,
+        Self::PatchCheck,
+        Self::PatchDiff,
+        Self::PatchNew,
+        Self::Show,
+        Self::Status,
+        Self::Undo,
+    ];
+
+    /// The words that lead to the topic, after the program's name.
+    pub const fn words(self) -> &'static str {
+        match self {
+            Self::Check => "check",
+            Self::Compact => "compact",
+            Self::Diff => "diff",
+            Self::Log => "log",
+            Self::Patch => "patch",
+            Self::PatchAdd => "patch add",
+            Self::PatchCheck => "patch check",
+            Self::PatchDiff => "patch diff",
+            Self::PatchNew => "patch new",
+            Self::Show => "show",
+            Self::Status => "status",
+            Self::Tool => "",
+            Self::Undo => "undo",
+        }
+    }
+
+    /// The help text.
+    ///
+    /// ```
+    /// use hawthornwall_cli::help::Topic;
+    ///
+    /// assert!(Topic::Tool.text().contains("Exit codes"));
+    /// ```
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::Check => include_str!("help/check.txt"),
+            Self::Compact => include_str!("help/compact.txt"),
+            Self::Diff => include_str!("help/diff.txt"),
+            Self::Log => include_str!("help/log.txt"),
+            Self::Patch => include_str!("help/patch.txt"),
+            Self::PatchAdd => include_str!("help/patch-add.txt"),
+            Self::PatchCheck => include_str!("help/patch-check.txt"),
+            Self::PatchDiff => include_str!("help/patch-diff.txt"),
+            Self::PatchNew => include_str!("help/patch-new.txt"),
+            Self::Show => include_str!("help/show.txt"),
+            Self::Status => include_str!("help/status.txt"),
+            Self::Tool => include_str!("help/tool.txt"),
+            Self::Undo => include_str!("help/undo.txt"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/print/table.rs
@@ -0,0 +1,25 @@
+//! Lines and tables.
+
+/// Lines with a line end each.
+pub(super) fn lines(lines: impl IntoIterator<Item = String>) -> String {
+    lines
+        .into_iter()
+        .flat_map(|line| [line, "\n".to_owned()])
+        .collect()
+}
+
+/// Rows with aligned columns, two blanks apart.
+pub(super) fn table<const N: usize>(rows: &[[String; N]]) -> String {
+    let width = |column: usize| {
+        let lengths = rows.iter().map(|row| row[column].chars().count());
+        lengths.max().unwrap_or(0)
+    };
+    let widths: [usize; N] = std::array::from_fn(width);
+    lines(rows.iter().map(|row| {
+        let cells = row.iter().zip(widths);
+        let cells: Vec<_> = cells
+            .map(|(cell, width)| format!("{cell:width$}"))
+            .collect();
+        cells.join("  ").trim_end().to_owned()
+    }))
+}
--- a/crates/core/src/config/warning.rs
+++ b/crates/core/src/config/warning.rs
@@ -5,8 +5,8 @@
 
 use serde::Serialize;
 
-use super::{Configuration, Service};
-use crate::ids::ServiceId;
+use super::{Configuration, Document, Service};
+use crate::ids::{ServiceId, Version};
 
 /// Something that a change causes and that an operator should know before publishing it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
@@ -43,6 +43,18 @@
         /// The service's name.
         service: String,
     },
+    /// The versions of two documents that share a number differ.
+    OtherHistory {
+        /// The version reached by the first document.
+        version: Version,
+    },
+    /// The second document leads to an older version than the first.
+    Older {
+        /// The version reached by the first document.
+        from: Version,
+        /// The version reached by the second document.
+        to: Version,
+    },
     /// Requests may wait for a slot longer than they have.
     QueueWait {
         /// The service's name.
@@ -74,6 +86,15 @@
                 f,
                 "this leaves service {service} with one target; it stops when that target fails"
             ),
+            Self::OtherHistory { version } => write!(
+                f,
+                "{version} is not the same in both documents; daemons that have {version} of the \
+                 first in force don't adopt the second"
+            ),
+            Self::Older { from, to } => write!(
+                f,
+                "the second document is older, {to} after {from}; daemons never go back"
+            ),
             Self::QueueWait { service } => write!(
                 f,
                 "requests of service {service} may wait for a slot as long as their whole time limit"
@@ -89,6 +110,22 @@
     targets: usize,
 }
 
+impl Document {
+    /// Why daemons that have the configuration of this document in force wouldn't adopt `next`.
+    ///
+    /// A checkpoint above that version can't be compared and yields no warning.
+    pub fn history_warning(&self, next: &Self) -> Option<Warning> {
+        let (from, to) = (self.fold().configuration, next.fold().configuration);
+        if to.version < from.version {
+            let (from, to) = (from.version, to.version);
+            return Some(Warning::Older { from, to });
+        }
+        let version = from.version;
+        let same = next.at(version).is_none_or(|at| at.digest == from.digest);
+        (!same).then_some(Warning::OtherHistory { version })
+    }
+}
+
 impl Configuration {
     /// What the change from `self` to `next` causes that may not be meant. What was so before is not
     /// repeated.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -67,5 +67,7 @@
             Long(_) | Short(_) | Value(_) => return Err(arg.unexpected()),
         }
     }
-    settings.map(Command::Run).ok_or_else(|| "--settings is missing".into())
+    settings
+        .map(Command::Run)
+        .ok_or_else(|| "--settings is missing".into())
 }
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -25,7 +25,9 @@
         pipe::register(SIGTERM, write.try_clone()?)?;
         pipe::register(SIGINT, write)?;
         read.set_nonblocking(true)?;
-        Ok(Self { stream: UnixStream::from_std(read)? })
+        Ok(Self {
+            stream: UnixStream::from_std(read)?,
+        })
     }
 
     /// Ends when the next signal arrives.
