Tell why a daemon's response isn't understood, and keep faults out of new files

A refused patch or document is reported on standard error, since standard output is redirected to the new file. Removing a service together with its targets warns.

--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -12,7 +12,7 @@
     Faults,
     /// The arguments aren't understood.
     Usage,
-    /// A file can't be read or a daemon can't be reached.
+    /// A file can't be read, or a daemon can't be reached or has nothing to show yet.
     Unreachable,
     /// The content of a file or a daemon's response isn't understood.
     Content,
@@ -48,6 +48,15 @@
     File(String),
     /// A daemon's response isn't understood.
     Response(String),
+    /// A daemon responds, but not with what was asked for.
+    Status {
+        /// Its address.
+        address: String,
+        /// The response's status code.
+        code: u16,
+        /// What the daemon says.
+        text: String,
+    },
 }
 
 impl Failure {
@@ -55,7 +64,7 @@
     pub const fn exit(&self) -> Exit {
         match self {
             Self::Content(_) | Self::Response(_) => Exit::Content,
-            Self::Daemon(_) | Self::File(_) => Exit::Unreachable,
+            Self::Daemon(_) | Self::File(_) | Self::Status { .. } => Exit::Unreachable,
         }
     }
 }
@@ -66,6 +75,11 @@
             Self::Content(name) => write!(f, "the content of {name} isn't understood"),
             Self::Daemon(address) => write!(f, "no response from the daemon at {address}"),
             Self::File(name) => write!(f, "can't read {name}"),
+            Self::Status {
+                address,
+                code,
+                text,
+            } => write!(f, "the daemon at {address} responds with {code}: {text}"),
             Self::Response(address) => {
                 write!(
                     f,
--- a/crates/cli/src/print/mod.rs
+++ b/crates/cli/src/print/mod.rs
@@ -48,7 +48,7 @@
     if verdict.faults.is_empty() {
         match product {
             Product::Document(document) => value["document"] = json!(document),
-            Product::Nothing | Product::Words => {}
+            Product::NoPatch | Product::Nothing | Product::Words => {}
             Product::Patch(patch) => value["patch"] = json!(patch),
         }
     }
@@ -56,20 +56,23 @@
 }
 
 fn patch(verdict: &Verdict, product: &Product) -> (String, String) {
-    if !verdict.faults.is_empty() {
-        return (verdict::refused(verdict), String::new());
-    }
+    let refused = !verdict.faults.is_empty();
     match product {
+        // Standard output is redirected to the new file, so that faults don't belong there.
+        Product::Document(_) | Product::NoPatch | Product::Patch(_) if refused => {
+            (String::new(), verdict::refused(verdict))
+        }
+        Product::Nothing | Product::Words if refused => (verdict::refused(verdict), String::new()),
         Product::Document(document) => (print_document(document), verdict::words(verdict)),
-        Product::Nothing => (
+        Product::NoPatch | Product::Nothing => (
             format!("no faults on {}\n", verdict.version),
             verdict::warnings(verdict),
         ),
         Product::Patch(patch) => (print_patch(patch), verdict::words(verdict)),
-        Product::Words => (
-            verdict::versions(verdict) + &verdict::words(verdict),
-            String::new(),
-        ),
+        Product::Words => {
+            let text = verdict::versions(verdict) + &verdict::words(verdict);
+            (text, String::new())
+        }
     }
 }
 
@@ -90,11 +93,13 @@
         let line = move |fault| format!("{file}: patch {index} by {author} is skipped: {fault}");
         entry.faults.iter().map(line)
     });
-    let services = count(check.services, "service");
-    let targets = count(check.targets, "target");
     let good = if check.is_good() { "no faults; " } else { "" };
-    let reached = format!("{file}: {good}{}, {services}, {targets}", check.version);
-    lines(faults.chain(skipped).chain([reached]))
+    let reached = check.reached.iter().map(|reached| {
+        let services = count(reached.services, "service");
+        let targets = count(reached.targets, "target");
+        format!("{file}: {good}{}, {services}, {targets}", reached.version)
+    });
+    lines(faults.chain(skipped).chain(reached))
 }
 
 fn log(entries: &[Entry]) -> String {
--- a/crates/cli/src/run/check.rs
+++ b/crates/cli/src/run/check.rs
@@ -20,21 +20,28 @@
     pub file: String,
 }
 
+/// What a document leads to.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Reached {
+    /// Number of services.
+    pub services: usize,
+    /// Number of targets.
+    pub targets: usize,
+    /// The version.
+    pub version: Version,
+}
+
 /// A checked document.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 pub struct ConfigCheck {
     /// Faults of the document as a whole.
     pub faults: Vec<String>,
     /// Its name.
     pub file: String,
-    /// Number of services reached.
-    pub services: usize,
+    /// What it leads to, absent if it can't be parsed.
+    pub reached: Option<Reached>,
     /// Patches that no daemon accepts.
     pub skipped: Vec<Entry>,
-    /// Number of targets reached.
-    pub targets: usize,
-    /// The version reached.
-    pub version: Version,
 }
 
 impl ConfigCheck {
@@ -65,7 +72,8 @@
             return Ok(ConfigCheck {
                 faults,
                 file,
-                ..ConfigCheck::default()
+                reached: None,
+                skipped: Vec::new(),
             });
         }
     };
@@ -76,9 +84,11 @@
     Ok(ConfigCheck {
         faults: broken.map(|fault| format!("checkpoint: {fault}")).collect(),
         file,
-        services: reached.services.len(),
+        reached: Some(Reached {
+            services: reached.services.len(),
+            targets: reached.targets.len(),
+            version: reached.version,
+        }),
         skipped: skipped.map(Entry::from).collect(),
-        targets: reached.targets.len(),
-        version: reached.version,
     })
 }
--- a/crates/cli/src/run/daemon.rs
+++ b/crates/cli/src/run/daemon.rs
@@ -1,11 +1,14 @@
 //! Questions to the operators' listener of a daemon.
 
+use std::fmt;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use hawthornwall_wire::head::{Framing, HeadKind, check_head, head_length};
+use hawthornwall_wire::head::{
+    Framing, HEADER_LIMIT, HeadFault, HeadKind, check_head, head_length,
+};
 use serde_json::Value;
 
 use crate::exit::Failure;
@@ -48,33 +51,63 @@
 pub(super) fn config(address: SocketAddr) -> Result<String, Report<Failure>> {
     match get(address, "/config")? {
         (OK, body) => Ok(body),
-        (status, body) => {
-            let failure = Failure::Response(address.to_string());
-            Err(Report::new(failure).attach(format!("status {status}: {}", body.trim())))
+        (code, body) => {
+            let page: Option<Value> = serde_json::from_str(&body).ok();
+            let text = page.as_ref().and_then(|page| page["error"].as_str());
+            Err(Report::new(Failure::Status {
+                address: address.to_string(),
+                code,
+                text: text.unwrap_or("no reason given").to_owned(),
+            }))
         }
     }
 }
 
+/// Why bytes aren't a whole response.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum ResponseFault {
+    Cut,
+    Head(HeadFault),
+    Length,
+    Text,
+}
+
+impl fmt::Display for ResponseFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Cut => f.write_str("the response ends early"),
+            Self::Head(fault) => fault.fmt(f),
+            Self::Length => f.write_str("the response has no Content-Length"),
+            Self::Text => f.write_str("the response isn't UTF-8"),
+        }
+    }
+}
+
+impl std::error::Error for ResponseFault {}
+
 /// Status code and body of a page.
 fn get(address: SocketAddr, path: &str) -> Result<(u16, String), Report<Failure>> {
-    let silent = || Failure::Daemon(address.to_string());
-    let bytes = fetch(address, path).change_context_lazy(silent)?;
-    let unclear = || Report::new(Failure::Response(address.to_string()));
-    let head = head_length(&bytes, HEAD_LIMIT);
-    let (head, body) = match head {
-        Ok(Some(length)) => bytes.split_at(length),
-        Ok(None) | Err(_) => return Err(unclear()),
-    };
-    // A response that was cut must not be taken for a shorter one.
-    match check_head(head, HeadKind::Answer) {
-        Ok(Framing::Length(length)) if length == body.len() => {}
-        Ok(_) | Err(_) => return Err(unclear()),
+    let bytes = fetch(address, path);
+    let bytes = bytes.change_context_lazy(|| Failure::Daemon(address.to_string()))?;
+    decode(&bytes).change_context_lazy(|| Failure::Response(address.to_string()))
+}
+
+/// Decodes a whole response. One that was cut must not be taken for a shorter one.
+fn decode(bytes: &[u8]) -> Result<(u16, String), ResponseFault> {
+    let length = head_length(bytes, HEAD_LIMIT).map_err(ResponseFault::Head)?;
+    let (head, body) = bytes.split_at(length.ok_or(ResponseFault::Cut)?);
+    match check_head(head, HeadKind::Answer).map_err(ResponseFault::Head)? {
+        Framing::Chunked | Framing::None => return Err(ResponseFault::Length),
+        Framing::Length(length) if length != body.len() => return Err(ResponseFault::Cut),
+        Framing::Length(_) => {}
     }
-    let mut headers = [httparse::EMPTY_HEADER; hawthornwall_wire::head::HEADER_LIMIT];
+    let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
     let mut response = httparse::Response::new(&mut headers);
-    response.parse(head).map_err(|_| unclear())?;
-    let text = String::from_utf8(body.to_vec()).map_err(|_| unclear())?;
-    Ok((response.code.ok_or_else(unclear)?, text))
+    let malformed = |e: httparse::Error| ResponseFault::Head(HeadFault::Malformed(e.to_string()));
+    response.parse(head).map_err(malformed)?;
+    let code = response.code.ok_or(ResponseFault::Cut)?;
+    let text = std::str::from_utf8(body).map_err(|_| ResponseFault::Text)?;
+    Ok((code, text.to_owned()))
 }
 
 fn fetch(address: SocketAddr, path: &str) -> std::io::Result<Vec<u8>> {
--- a/crates/cli/src/run/mod.rs
+++ b/crates/cli/src/run/mod.rs
@@ -10,7 +10,7 @@
 use error_stack::Report;
 use hawthornwall_core::config::Configuration;
 
-pub use check::{ConfigCheck, SettingsCheck};
+pub use check::{ConfigCheck, Reached, SettingsCheck};
 pub use daemon::DaemonLine;
 pub use patch::{Entry, Product, Verdict, Worded};
 
--- a/crates/cli/src/run/patch.rs
+++ b/crates/cli/src/run/patch.rs
@@ -72,6 +72,8 @@
 pub enum Product {
     /// A document.
     Document(Document),
+    /// No patch, since none could be made.
+    NoPatch,
     /// Nothing but whether there are faults.
     Nothing,
     /// A patch.
@@ -114,21 +116,18 @@
     /// What `patch` does to the configuration that `document` leads to.
     fn of(document: &Document, patch: &Patch) -> Self {
         let now = document.fold().configuration;
-        let faults = match now.fold(patch) {
-            Ok(next) => {
-                return Self {
-                    version: now.version,
-                    ..Self::between(&now, &next)
-                };
-            }
-            Err(faults) => faults,
-        };
-        let mut verdict = Self {
-            base: patch.base,
-            faults: texts(&faults),
-            version: now.version,
-            ..Self::default()
+        let broken = document.checkpoint.verify().into_iter();
+        let broken = broken.map(|fault| format!("checkpoint: {fault}"));
+        let mut verdict = match now.fold(patch) {
+            Ok(next) => Self::between(&now, &next),
+            Err(faults) => Self {
+                faults: texts(&faults),
+                ..Self::default()
+            },
         };
+        verdict.faults = broken.chain(verdict.faults).collect();
+        verdict.base = patch.base;
+        verdict.version = now.version;
         if patch.base != now.version {
             verdict.explain_base(document, &now, patch);
         }
@@ -215,7 +214,7 @@
                 version: reached,
                 ..Verdict::default()
             };
-            Outcome::Patch(Box::new(verdict), Product::Nothing)
+            Outcome::Patch(Box::new(verdict), Product::NoPatch)
         }
     }
 }
--- a/crates/core/src/config/warning.rs
+++ b/crates/core/src/config/warning.rs
@@ -60,6 +60,13 @@
         /// The service's name.
         service: String,
     },
+    /// A service is removed together with its targets.
+    ServiceInUse {
+        /// The service's name.
+        service: String,
+        /// How many targets it had.
+        targets: usize,
+    },
 }
 
 impl fmt::Display for Warning {
@@ -95,6 +102,10 @@
                 f,
                 "the second document is older, {to} after {from}; daemons never go back"
             ),
+            Self::ServiceInUse { service, targets } => write!(
+                f,
+                "this removes service {service} and all its targets ({targets})"
+            ),
             Self::QueueWait { service } => write!(
                 f,
                 "requests of service {service} may wait for a slot as long as their whole time limit"
@@ -131,6 +142,12 @@
     /// repeated.
     pub fn warnings(&self, next: &Self) -> Vec<Warning> {
         let mut found = Vec::new();
+        for (id, service) in &self.services {
+            let (service, targets) = (service.name.clone(), self.targets_of(*id).count());
+            if targets > 0 && next.service_named(&service).is_none() {
+                found.push(Warning::ServiceInUse { service, targets });
+            }
+        }
         for (id, service) in &next.services {
             let before = self.service_named(&service.name);
             self.warn_targets((before, *id), &service.name, next, &mut found);
