--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,8 +1,12 @@
 //! `hawthornwalld`, the process that runs beside each target.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use hawthornwall_node::daemon;
+use hawthornwall_node::telemetry::log;
+use hawthornwall_node::telemetry::trace::{self, SpanReporter};
+use hawthornwall_settings::Settings;
 use lexopt::prelude::*;
 
 /// The command line is wrong.
@@ -71,3 +75,38 @@
         .map(Command::Run)
         .ok_or_else(|| "--settings is missing".into())
 }
+
+fn run(path: &Path) -> ExitCode {
+    let settings = match load(path) {
+        Ok(settings) => settings,
+        Err(text) => {
+            eprintln!("hawthornwalld: {text}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if let Err(e) = start_telemetry(&settings) {
+        eprintln!("hawthornwalld: logging can't be started: {e}");
+        return ExitCode::from(EXIT_START);
+    }
+    match daemon::run(&settings) {
+        Ok(()) => {
+            trace::flush();
+            ExitCode::SUCCESS
+        }
+        Err(report) => {
+            eprintln!("hawthornwalld: {report:?}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn load(path: &Path) -> Result<Settings, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Settings::parse(&text).map_err(|faults| format!("{}:\n{faults}", path.display()))
+}
+
+fn start_telemetry(settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
+    log::init(settings.log.level)?;
+    trace::init(SpanReporter::new(log::span_logger()?));
+    Ok(())
+}
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -18,6 +18,8 @@
 use crate::clock::Clock;
 use crate::http;
 use crate::messages::{GateMessage, GateStatus, ProbeResult, World};
+use crate::telemetry::trace::{Hop, HopSpan};
+use crate::telemetry::{Event as Count, Telemetry};
 
 /// Time between two looks at expired work while requests wait.
 const TICK_WAITING: Duration = Duration::from_millis(5);
@@ -33,10 +35,14 @@
     pub clock: Clock,
     /// This run.
     pub instance: InstanceId,
+    /// The task that measures the target, which needs to know its slots.
+    pub probe: mpsc::UnboundedSender<Rc<World>>,
     /// Messages of other tasks.
     pub receiver: mpsc::UnboundedReceiver<GateMessage>,
     /// The daemon's settings.
     pub settings: &'a Settings,
+    /// Counters.
+    pub telemetry: Telemetry,
 }
 
 /// The task and its state.
@@ -54,9 +60,11 @@
     key_limits: KeyLimits,
     ledger: Option<Ledger>,
     name: String,
+    probe: mpsc::UnboundedSender<Rc<World>>,
     receiver: mpsc::UnboundedReceiver<GateMessage>,
     service: Option<ServiceId>,
     target: Option<TargetId>,
+    telemetry: Telemetry,
     work: WorkTable,
 }
 
@@ -95,9 +103,11 @@
             key_limits,
             ledger: None,
             name: settings.name.clone(),
+            probe: start.probe,
             receiver: start.receiver,
             service: None,
             target: None,
+            telemetry: start.telemetry,
             work: WorkTable::default(),
         }
     }
@@ -173,6 +183,7 @@
     }
 
     fn configure(&mut self, world: &Rc<World>) {
+        let _ = self.probe.unbounded_send(Rc::clone(world));
         let config = &world.config;
         let target = config
             .target_named(&self.name)
@@ -199,8 +210,8 @@
 
     fn note_probe(&mut self, result: ProbeResult) {
         self.apply(&Event::Reachable(result.reachable));
-        if result.draining {
-            self.apply(&Event::Drain);
+        if let Some(draining) = result.draining {
+            self.apply(&Event::TargetDrains(draining));
         }
     }
 
@@ -256,11 +267,13 @@
             id: work,
             patience: run.patience,
         };
+        let span = HopSpan::remote(Hop::Gate, run.trace.as_deref());
         let held = Held {
             cancel: None,
             deadline,
             key,
             run: Some(run),
+            span,
             waiters: vec![waiter],
         };
         self.work.insert(work, held);
@@ -309,12 +322,12 @@
         let Some(run) = held.run.take() else { return };
         let (cancel, cancelled) = oneshot::channel();
         held.cancel = Some(cancel);
-        let Run { http, trace, .. } = *run;
+        let span = held.span.child(Hop::Target);
         let job = Job {
             cancel: cancelled,
             deadline: held.deadline,
-            request: http,
-            trace,
+            request: run.http,
+            span,
             work,
         };
         self.dispatch(job);
@@ -358,7 +371,7 @@
         }
         self.end_work(work, key_end, &run_end);
         if draining {
-            self.apply(&Event::Drain);
+            self.apply(&Event::TargetDrains(true));
         }
     }
 
@@ -378,6 +391,9 @@
     }
 
     fn reply(&mut self, waiter: Waiter, end: RunEnd) {
+        if let RunEnd::Refused(refusal) = &end {
+            self.telemetry.record(Count::GateRefused(*refusal));
+        }
         let held = self.clock.now() - waiter.arrived;
         self.send_reply(waiter.reply, waiter.id, end, held);
     }
