--- a/crates/node/src/admin/pages.rs
+++ b/crates/node/src/admin/pages.rs
@@ -55,7 +55,7 @@
     Draining,
     /// Requests are taken.
     Serving,
-    /// No configuration is in force yet.
+    /// No configuration is in force yet, or other sources are still awaited.
     Starting,
     /// The `gate` or `control` task doesn't reply.
     Unresponsive,
@@ -66,9 +66,7 @@
         match (control, gate) {
             (Some(control), Some(gate)) => match gate.report.state {
                 TargetState::Draining => Self::Draining,
-                TargetState::Down | TargetState::Serving if control.version == Version(0) => {
-                    Self::Starting
-                }
+                TargetState::Down | TargetState::Serving if !is_ready(control) => Self::Starting,
                 TargetState::Down => Self::Down,
                 TargetState::Serving => Self::Serving,
             },
@@ -77,6 +75,11 @@
     }
 }
 
+/// Whether a configuration is in force and the daemon has heard enough sources to trust it.
+fn is_ready(control: &ControlStatus) -> bool {
+    control.ready && control.version > Version(0)
+}
+
 #[derive(Debug, Serialize)]
 struct Status<'a> {
     control: Option<ControlStatus>,
@@ -158,8 +161,7 @@
         counters.ok().flatten()
     };
     let (control, gate, peers, counters) = futures::join!(control, gate, peers, counters);
-    let ready = control.as_ref().is_some_and(|c| c.version > Version(0));
-    let status = if ready {
+    let status = if control.as_ref().is_some_and(is_ready) {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -27,12 +27,14 @@
 struct Setup {
     gate: TargetState,
     gate_replies: bool,
+    ready: bool,
     version: u64,
 }
 
 const SERVING: Setup = Setup {
     gate: TargetState::Serving,
     gate_replies: true,
+    ready: true,
     version: 1,
 };
 
@@ -83,11 +85,15 @@
                     in_force_ms: 1_500,
                     members: [("calendar-1".to_owned(), member)].into(),
                     platform_reads: 3,
+                    ready: setup.ready,
                     version: Version(setup.version),
+                    ..ControlStatus::default()
                 };
                 let _ = reply.send(status);
             }
-            other @ ControlMessage::Exchange { .. } => {
+            other @ (ControlMessage::Exchange { .. }
+            | ControlMessage::Exchanged { .. }
+            | ControlMessage::Platform(_)) => {
                 panic!("the admin task doesn't send {other:?}")
             }
         }
@@ -210,6 +216,7 @@
 #[rstest]
 #[case::serving("serving", SERVING)]
 #[case::no_configuration("starting", Setup { version: 0, ..SERVING })]
+#[case::other_sources_awaited("awaiting", Setup { ready: false, ..SERVING })]
 #[case::draining("draining", Setup { gate: TargetState::Draining, ..SERVING })]
 #[case::target_down("down", Setup { gate: TargetState::Down, ..SERVING })]
 #[case::silent_gate("unresponsive", Setup { gate_replies: false, ..SERVING })]
