--- a/crates/node/src/platform/connection.rs
+++ b/crates/node/src/platform/connection.rs
@@ -154,6 +154,6 @@
     Ok((response, framing))
 }
 
-fn broken(what: impl ToString) -> ReadFault {
-    ReadFault::Broken(what.to_string())
+fn broken(what: impl std::fmt::Display) -> ReadFault {
+    ReadFault::Broken(format!("{what}"))
 }
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -82,12 +82,18 @@
                     digest: 7,
                     in_force_ms: 1_500,
                     members: [("calendar-1".to_owned(), member)].into(),
+                    neighbours: 4,
                     platform_reads: 3,
+                    ready: setup.version > 0,
+                    skipped: vec!["patch 1 by trainee: the patch holds no change".to_owned()],
                     version: Version(setup.version),
+                    watching: true,
                 };
                 let _ = reply.send(status);
             }
-            other @ ControlMessage::Exchange { .. } => {
+            other @ (ControlMessage::Exchange { .. }
+            | ControlMessage::Exchanged { .. }
+            | ControlMessage::Platform(_)) => {
                 panic!("the admin task doesn't send {other:?}")
             }
         }
