--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -130,7 +130,11 @@
         // The connection is put back only after a complete response.
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
-            None => self.connect().await?,
+            None => {
+                // Another server may have taken over, and its counter may have started anew.
+                self.since = 0;
+                self.connect().await?
+            }
         };
         let wait_ms = wait.as_millis();
         let (endpoint, since) = (self.endpoint, self.since);
@@ -156,13 +160,7 @@
                 self.since = response.revision.unwrap_or(0);
                 self.parse(&response.body)
             }
-            304 => {
-                // A lower revision means that the platform's counter was reset; read all again.
-                if response.revision.is_some_and(|r| r < self.since) {
-                    self.since = 0;
-                }
-                Ok(Published::Unchanged)
-            }
+            304 => Ok(Published::Unchanged),
             status => Err(ReadFault::Status(status)),
         }
     }
