--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -127,13 +127,26 @@
 
 impl Reader {
     async fn read(&mut self, wait: Duration) -> Result<Published, ReadFault> {
-        // The connection is put back only after a complete response.
-        let mut connection = match self.connection.take() {
-            Some(connection) => connection,
-            None => self.connect().await?,
-        };
-        let wait_ms = wait.as_millis();
-        let (endpoint, since) = (self.endpoint, self.since);
+        if let Some(connection) = self.connection.take() {
+            match self.read_on(connection, wait).await {
+                // The platform may have closed the connection while it was idle.
+                Err(ReadFault::Broken(_)) => {}
+                result => return result,
+            }
+        }
+        // Another server may have taken over, and its counter may have started anew.
+        self.since = 0;
+        let connection = self.connect().await?;
+        self.read_on(connection, wait).await
+    }
+
+    /// Reads once; the connection is kept only after a complete response.
+    async fn read_on(
+        &mut self,
+        mut connection: Connection,
+        wait: Duration,
+    ) -> Result<Published, ReadFault> {
+        let (endpoint, since, wait_ms) = (self.endpoint, self.since, wait.as_millis());
         let path = format!("/{endpoint}?since={since}&wait={wait_ms}");
         let exchanged = connection.get(&path, self.address);
         let response = monoio::time::timeout(wait + RESPONSE_MARGIN, exchanged).await;
@@ -156,13 +169,7 @@
                 self.since = response.revision.unwrap_or(0);
                 self.parse(&response.body)
             }
-            304 => {
-                // A lower revision means that the platform's counter was reset; read all again.
-                if response.revision.is_some_and(|r| r < self.since) {
-                    self.since = 0;
-                }
-                Ok(Published::Unchanged)
-            }
+            304 => Ok(Published::Unchanged),
             status => Err(ReadFault::Status(status)),
         }
     }
