--- /dev/null
+++ b/crates/wire/tests/peer.rs
@@ -0,0 +1,168 @@
+//! Messages between daemons.
+
+use std::time::Duration;
+
+use hawthornwall_core::keys::Key;
+use hawthornwall_core::prelude::*;
+use hawthornwall_wire::peer::{
+    Announcement, Exchange, Header, HttpAnswer, HttpRequest, Reply, Request, RequestId, Run,
+    RunEnd, RunReply, decode_reply, decode_request, encode_reply, encode_request,
+};
+use proptest::prelude::*;
+
+fn bytes() -> impl Strategy<Value = Vec<u8>> {
+    prop::collection::vec(any::<u8>(), 0..300)
+}
+
+fn headers() -> impl Strategy<Value = Vec<Header>> {
+    let header = ("[a-z-]{1,20}", bytes()).prop_map(|(name, value)| Header { name, value });
+    prop::collection::vec(header, 0..4)
+}
+
+fn key() -> impl Strategy<Value = Key> {
+    any::<(u64, u64, u16, u64, u32)>().prop_map(|(instance, serial, service, tag, target)| Key {
+        instance: InstanceId(instance),
+        serial,
+        service: ServiceId(service),
+        tag,
+        target: TargetId(target),
+    })
+}
+
+fn run() -> impl Strategy<Value = Run> {
+    let http =
+        (bytes(), headers(), ".{0,9}", ".{0,40}").prop_map(|(body, headers, method, path)| {
+            HttpRequest {
+                body,
+                headers,
+                method,
+                path,
+            }
+        });
+    (
+        http,
+        prop::option::of(key()),
+        any::<(u32, u32, u16, u32)>(),
+        prop::option::of(".{0,60}"),
+    )
+        .prop_map(
+            |(http, key, (left, patience, service, target), trace)| Run {
+                http,
+                key,
+                left: Duration::from_micros(left.into()),
+                patience: Duration::from_micros(patience.into()),
+                service: ServiceId(service),
+                target: TargetId(target),
+                trace,
+            },
+        )
+}
+
+fn exchange() -> impl Strategy<Value = Exchange> {
+    let announcement = (".{0,9}", any::<(u64, bool, [u8; 4], u16, u64)>(), ".{0,9}").prop_map(
+        |(domain, (instance, leaving, ip, port, seq), target)| Announcement {
+            domain,
+            instance: InstanceId(instance),
+            leaving,
+            peer: (ip, port).into(),
+            seq,
+            target,
+        },
+    );
+    (
+        prop::collection::vec(announcement, 0..4),
+        any::<(u64, u64, u64)>(),
+    )
+        .prop_map(|(announcements, (digest, members, version))| Exchange {
+            announcements,
+            checkpoint: None,
+            digest,
+            members,
+            patches: Vec::new(),
+            version: Version(version),
+        })
+}
+
+fn request() -> impl Strategy<Value = Request> {
+    prop_oneof![
+        exchange().prop_map(|e| Request::Exchange(Box::new(e))),
+        any::<(u64, u16, u32)>().prop_map(|(id, service, target)| Request::Issue {
+            id: RequestId(id),
+            service: ServiceId(service),
+            target: TargetId(target),
+        }),
+        (any::<u64>(), run()).prop_map(|(id, run)| Request::Run(RequestId(id), Box::new(run))),
+    ]
+}
+
+fn reply() -> impl Strategy<Value = Reply> {
+    let end = prop_oneof![
+        (bytes(), headers(), any::<u16>()).prop_map(|(body, headers, status)| {
+            RunEnd::Answered(HttpAnswer {
+                body,
+                headers,
+                status,
+            })
+        }),
+        key().prop_map(RunEnd::Issued),
+        Just(RunEnd::Lost(Loss::Closed)),
+        Just(RunEnd::Refused(Refusal::Full)),
+    ];
+    let run = (end, any::<(u64, u32, u64, u32)>()).prop_map(|(end, (id, held, seq, running))| {
+        let report = LoadReport {
+            running,
+            seq,
+            ..LoadReport::default()
+        };
+        let held = Duration::from_micros(held.into());
+        Reply::Run(Box::new(RunReply {
+            end,
+            held,
+            id: RequestId(id),
+            report,
+        }))
+    });
+    prop_oneof![exchange().prop_map(|e| Reply::Exchange(Box::new(e))), run]
+}
+
+proptest! {
+    /// Guards against a message that changes on its way, and against truncated or extended ones.
+    #[test]
+    fn requests_round_trip(request in request(), cut in any::<prop::sample::Index>()) {
+        let mut encoded = encode_request(&request);
+        prop_assert!(decode_request(&encoded[..cut.index(encoded.len())]).is_err());
+        prop_assert_eq!(decode_request(&encoded), Ok(request));
+        encoded.push(0);
+        prop_assert!(decode_request(&encoded).is_err());
+    }
+
+    /// Guards against the same in replies.
+    #[test]
+    fn replies_round_trip(reply in reply(), cut in any::<prop::sample::Index>()) {
+        let mut encoded = encode_reply(&reply);
+        prop_assert!(decode_reply(&encoded[..cut.index(encoded.len())]).is_err());
+        prop_assert_eq!(decode_reply(&encoded), Ok(reply));
+        encoded.push(0);
+        prop_assert!(decode_reply(&encoded).is_err());
+    }
+
+    /// Guards against a panic or a huge allocation on any bytes.
+    #[test]
+    fn no_bytes_panic(bytes in bytes()) {
+        let _ = decode_request(&bytes);
+        let _ = decode_reply(&bytes);
+    }
+
+    /// Guards against the same on bytes close to a real message.
+    #[test]
+    fn no_changed_byte_panics(
+        request in request(),
+        at in any::<prop::sample::Index>(),
+        byte: u8,
+    ) {
+        let mut encoded = encode_request(&request);
+        let at = at.index(encoded.len());
+        encoded[at] = byte;
+        let _ = decode_request(&encoded);
+    }
+}
