Refuse line feeds without a carriage return in heads

Cause: httparse ends a line, and a head, at a line feed alone, while head_length looks for CR LF CR LF only. check_head ignored how many bytes httparse had consumed. Ruled out: a bare CR, space before the colon, NUL, missing colon and empty name; httparse refuses them all (rows of broken_syntax_is_refused). Before: 'POST / HTTP/1.1\nContent-Length: 3\n\n\r\n\r\n' was accepted with length 3 although the two ends differ; so was a bare LF between two headers. After: both are malformed. Conclusion: a bare line feed is refused, and the decoder must consume exactly the head. An empty line before the request line stays allowed (RFC 9112, section 2.2).

--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -99,6 +99,13 @@
     if folded {
         return Err(HeadFault::Folded);
     }
+    // The decoder also ends lines, and heads, at a line feed alone; other parties may not.
+    let bare = |w: &[u8]| w[1] == b'\n' && w[0] != b'\r';
+    if head.first() == Some(&b'\n') || head.windows(2).any(bare) {
+        return Err(HeadFault::Malformed(
+            "line feed without carriage return".to_owned(),
+        ));
+    }
     let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
     let parsed = parse(head, kind, &mut headers)?;
     framing(parsed)
@@ -120,10 +127,11 @@
             (request.parse(head).map_err(malformed)?, request.headers)
         }
     };
-    if status.is_complete() {
-        Ok(headers)
-    } else {
-        Err(HeadFault::Malformed("head is cut".to_owned()))
+    match status {
+        httparse::Status::Complete(length) if length == head.len() => Ok(headers),
+        httparse::Status::Complete(_) | httparse::Status::Partial => {
+            Err(HeadFault::Malformed("head and its end differ".to_owned()))
+        }
     }
 }
 
