Refuse chunked coding in HTTP/1.0 messages

Cause: check_head didn't look at the version; RFC 9112, section 6.1, demands that such a message be treated as faulty, since an HTTP/1.0 recipient would ignore the header. Ruled out: HTTP/2.0 in the request line; httparse refuses it. Before: 'POST / HTTP/1.0' with 'Transfer-Encoding: chunked' was accepted as chunked. After: it is a TransferCoding fault, in requests and answers. Conclusion: chunked framing needs version 1.1. Test chunked_needs_version_1_1 covers it.

--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -107,28 +107,41 @@
         ));
     }
     let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
-    let parsed = parse(head, kind, &mut headers)?;
-    framing(parsed)
+    let (version, parsed) = parse(head, kind, &mut headers)?;
+    let framing = framing(parsed)?;
+    // HTTP/1.0 has no transfer codings, so its recipients would ignore the header (RFC 9112, 6.1).
+    if framing == Framing::Chunked && version != Some(1) {
+        return Err(HeadFault::TransferCoding);
+    }
+    Ok(framing)
 }
 
 fn parse<'h, 'b>(
     head: &'b [u8],
     kind: HeadKind,
     headers: &'h mut [httparse::Header<'b>],
-) -> Result<&'h [httparse::Header<'b>], HeadFault> {
+) -> Result<(Option<u8>, &'h [httparse::Header<'b>]), HeadFault> {
     let malformed = |e: httparse::Error| HeadFault::Malformed(e.to_string());
-    let (status, headers) = match kind {
+    let (status, version, headers) = match kind {
         HeadKind::Answer => {
             let mut answer = httparse::Response::new(headers);
-            (answer.parse(head).map_err(malformed)?, answer.headers)
+            (
+                answer.parse(head).map_err(malformed)?,
+                answer.version,
+                answer.headers,
+            )
         }
         HeadKind::Request => {
             let mut request = httparse::Request::new(headers);
-            (request.parse(head).map_err(malformed)?, request.headers)
+            (
+                request.parse(head).map_err(malformed)?,
+                request.version,
+                request.headers,
+            )
         }
     };
     match status {
-        httparse::Status::Complete(length) if length == head.len() => Ok(headers),
+        httparse::Status::Complete(length) if length == head.len() => Ok((version, headers)),
         httparse::Status::Complete(_) | httparse::Status::Partial => {
             Err(HeadFault::Malformed("head and its end differ".to_owned()))
         }
--- a/crates/wire/tests/head.rs
+++ b/crates/wire/tests/head.rs
@@ -67,6 +67,20 @@
     assert!(refused, "{found:?}");
 }
 
+/// Guards against chunked coding in a version that doesn't know it (RFC 9112, section 6.1).
+#[rstest]
+#[case(
+    b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+    HeadKind::Request
+)]
+#[case(
+    b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    HeadKind::Answer
+)]
+fn chunked_needs_version_1_1(#[case] head: &[u8], #[case] kind: HeadKind) {
+    assert_eq!(check_head(head, kind), Err(HeadFault::TransferCoding));
+}
+
 /// Guards against heads that grow without bound, ended or not, and against too many headers.
 #[rstest]
 #[case::ended(format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(LIMIT)))]
