Refuse signs and capitals in traceparent

Cause: the fields were parsed by from_str_radix, which accepts a leading '+' and capitals. Ruled out: lengths, version, zero ids and extra parts; they were refused before. Before: four rows of malformed_headers_are_refused parsed (a '+' in each field, capitals) and would have been passed on in another spelling. After: all are refused. Conclusion: only digits, a to f and dashes are allowed, as in W3C Trace Context.

--- a/crates/wire/src/trace.rs
+++ b/crates/wire/src/trace.rs
@@ -51,6 +51,11 @@
     type Err = ParseTraceError;
 
     fn from_str(text: &str) -> Result<Self, ParseTraceError> {
+        // `from_str_radix` accepts a sign and capitals, which the header doesn't allow.
+        let allowed = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b) || b == b'-';
+        if !text.bytes().all(allowed) {
+            return Err(ParseTraceError);
+        }
         let parts: Vec<_> = text.split('-').collect();
         let [version, trace, span, flags] = parts[..] else {
             return Err(ParseTraceError);
