--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -329,7 +329,7 @@
     match loss {
         Loss::Closed | Loss::Expired | Loss::Malformed => view.note_failure(now),
         Loss::Cancelled => view.note_cancelled(sent, now),
-        Loss::KeyForgotten => {}
+        Loss::KeyForgotten | Loss::KeyUnreachable => {}
     }
 }
 
@@ -345,9 +345,11 @@
         | Refusal::Full
         | Refusal::KeyInvalid
         | Refusal::KeyMismatch
+        | Refusal::Malformed
         | Refusal::NoTarget
         | Refusal::Overload
         | Refusal::Shed
+        | Refusal::TooLarge
         | Refusal::UnknownService => {}
     }
 }
