--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod admin;
 pub mod clock;
+pub mod control;
+pub mod daemon;
 pub mod gate;
 pub mod http;
 pub mod ingress;
