Let verify() of a call know keyed requests that are sent again

Cause: the call sends a keyed request again to the target that its key names; verify() still counted such attempts as possible double runs. Ruled out: calls without a key; the rule and its property stay as strict for them. Before: the property a_call_finishes_once failed with '2 attempts of a non-idempotent call may have run' for a pinned call. After: verify() and the property demand instead that every attempt of a pinned call goes to the key's target, whose ledger runs it once.

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -171,11 +171,17 @@
         }
         let refused = |a: &&Attempt| matches!(a.result, Some(AttemptResult::Refused(_)));
         let perhaps_run = self.attempts.len() - self.attempts.iter().filter(refused).count();
-        if !self.spec.idempotent && perhaps_run > 1 {
+        // Under a key the ledger of the one target that it names keeps the request from running twice.
+        let repeatable = self.spec.idempotent || self.spec.pinned.is_some();
+        if !repeatable && perhaps_run > 1 {
             faults.push(format!(
                 "{perhaps_run} attempts of a non-idempotent call may have run"
             ));
         }
+        if let Some(pinned) = self.spec.pinned {
+            let elsewhere = self.attempts.iter().filter(|a| a.target != pinned);
+            faults.extend(elsewhere.map(|a| format!("{} isn't the key's {pinned}", a.target)));
+        }
         faults
     }
 
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -29,6 +29,7 @@
             "cancel" => Event::Cancel(id()),
             "configure" => Event::Configure(limits(line)),
             "drain" => Event::Drain,
+            "target-drains" => Event::TargetDrains(line.word(0)),
             "finish" => Event::Finish {
                 failed: line.flag("failed"),
                 id: id(),
