--- a/crates/testkit/src/history/record.rs
+++ b/crates/testkit/src/history/record.rs
@@ -28,6 +28,14 @@
     },
     /// A target began to leave.
     Leaving,
+    /// A party's presence changed; recorded by whoever caused it, in the party's name.
+    Presence {
+        /// For a daemon, the target beside it.
+        #[serde(default)]
+        beside: Option<String>,
+        /// What changed.
+        change: Change,
+    },
     /// A target answered a measurement.
     Probed {
         /// Slot time that it took, in microseconds.
@@ -53,6 +61,13 @@
         /// Whether head and body were complete and the body's checksum right.
         whole: bool,
     },
+    /// A caller chose the daemon to which it sends a request; optional.
+    Routed {
+        /// The daemon's party.
+        daemon: String,
+        /// The caller's number of the request.
+        request: u64,
+    },
     /// A target ended a request.
     RunEnded {
         /// Whether it sent a whole answer.
@@ -79,3 +94,42 @@
         service: String,
     },
 }
+
+impl Event {
+    /// The change of presence, if it is one.
+    pub const fn change(&self) -> Option<Change> {
+        if let Self::Presence { change, .. } = self {
+            Some(*change)
+        } else {
+            None
+        }
+    }
+}
+
+/// How a party's presence changed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// It was paused or cut off from others.
+    CutOff,
+    /// It was killed or crashed.
+    Killed,
+    /// It runs on or is connected again.
+    Restored,
+    /// It was started.
+    Started,
+    /// It ended after a planned stop.
+    Stopped,
+    /// It was told to stop gracefully.
+    Stopping,
+}
+
+impl Change {
+    /// Whether the party is absent from then on: no new version reaches it.
+    pub const fn begins_absence(self) -> bool {
+        match self {
+            Self::CutOff | Self::Killed | Self::Stopped | Self::Stopping => true,
+            Self::Restored | Self::Started => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/history/main.rs
@@ -0,0 +1,49 @@
+//! The history checker against histories whose verdict is known.
+
+mod generate;
+mod plant;
+
+use std::path::Path;
+use std::process::Command;
+
+use hawthornwall_testkit::history::{Limits, check, read_records};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const LIMITS: Limits = Limits {
+    per_100s: 5,
+    slot_share: 1,
+    ..Limits::DEFAULT
+};
+const VALID: &str = "tests/history/valid.jsonl";
+
+/// Guards against violations reported where there are none: the file holds a repeat under a key, a
+/// hedge, a refusal that is sent again, a kill, a restart, a platform outage and a graceful stop.
+#[rstest]
+fn a_valid_history_passes() {
+    let report = check(&read_records(Path::new(VALID)).unwrap(), &LIMITS);
+    insta::assert_snapshot!(report, @"records 71, requests 12, faults 0, violations 0");
+}
+
+proptest! {
+    /// Guards against violations reported in valid histories that nobody wrote by hand.
+    #[test]
+    fn random_valid_histories_pass(plan in generate::plan()) {
+        let report = check(&generate::history(&plan), &LIMITS);
+        prop_assert!(report.is_clean(), "{}", report);
+    }
+}
+
+/// Guards against exit codes that scripts would take for a pass.
+#[rstest]
+#[case::valid(&[VALID], 0)]
+#[case::violated(&["--per-100s", "2", VALID], 1)]
+#[case::unfit(&["tests/history/unfit.jsonl"], 2)]
+#[case::no_file(&[], 2)]
+#[case::missing_file(&["tests/history/missing.jsonl"], 2)]
+#[case::unknown_option(&["--unknown", VALID], 2)]
+fn exit_codes(#[case] arguments: &[&str], #[case] code: i32) {
+    let program = env!("CARGO_BIN_EXE_check-history");
+    let output = Command::new(program).args(arguments).output().unwrap();
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+}
