--- /dev/null
+++ b/crates/cli/src/run/daemon.rs
@@ -0,0 +1,122 @@
+//! Questions to the operators' listener of a daemon.
+
+use std::fmt;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use hawthornwall_wire::head::{
+    Framing, HEADER_LIMIT, HeadFault, HeadKind, check_head, head_length,
+};
+use serde_json::Value;
+
+use crate::exit::Failure;
+
+/// Longest wait for a connection, and for each part of a response.
+const PATIENCE: Duration = Duration::from_secs(2);
+const HEAD_LIMIT: usize = 16 << 10;
+/// Longest response; a configuration has at most 1 MB.
+const RESPONSE_LIMIT: u64 = 4 << 20;
+const OK: u16 = 200;
+
+/// What a daemon says of itself, or why it says nothing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DaemonLine {
+    /// Address of the operators' listener.
+    pub address: SocketAddr,
+    /// The status page.
+    pub status: Result<Value, String>,
+}
+
+impl DaemonLine {
+    /// Whether the daemon gave no status.
+    pub fn is_unreachable(&self) -> bool {
+        self.status.is_err()
+    }
+}
+
+/// The status of a daemon.
+pub(super) fn status(address: SocketAddr) -> DaemonLine {
+    let status = get(address, "/status").and_then(|(_, body)| {
+        let value = serde_json::from_str::<Value>(&body);
+        let value = value.ok().filter(|value| value.get("state").is_some());
+        value.ok_or_else(|| Report::new(Failure::Response(address.to_string())))
+    });
+    let status = status.map_err(|report| format!("{report:#}"));
+    DaemonLine { address, status }
+}
+
+/// The JSON of the configuration in force at a daemon.
+pub(super) fn config(address: SocketAddr) -> Result<String, Report<Failure>> {
+    match get(address, "/config")? {
+        (OK, body) => Ok(body),
+        (code, body) => {
+            let page: Option<Value> = serde_json::from_str(&body).ok();
+            let text = page.as_ref().and_then(|page| page["error"].as_str());
+            Err(Report::new(Failure::Status {
+                address: address.to_string(),
+                code,
+                text: text.unwrap_or("no reason given").to_owned(),
+            }))
+        }
+    }
+}
+
+/// Why bytes aren't a whole response.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum ResponseFault {
+    Cut,
+    Head(HeadFault),
+    Length,
+    Text,
+}
+
+impl fmt::Display for ResponseFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Cut => f.write_str("the response ends early"),
+            Self::Head(fault) => fault.fmt(f),
+            Self::Length => f.write_str("the response has no Content-Length"),
+            Self::Text => f.write_str("the response isn't UTF-8"),
+        }
+    }
+}
+
+impl std::error::Error for ResponseFault {}
+
+/// Status code and body of a page.
+fn get(address: SocketAddr, path: &str) -> Result<(u16, String), Report<Failure>> {
+    let bytes = fetch(address, path);
+    let bytes = bytes.change_context_lazy(|| Failure::Daemon(address.to_string()))?;
+    decode(&bytes).change_context_lazy(|| Failure::Response(address.to_string()))
+}
+
+/// Decodes a whole response. One that was cut must not be taken for a shorter one.
+fn decode(bytes: &[u8]) -> Result<(u16, String), ResponseFault> {
+    let length = head_length(bytes, HEAD_LIMIT).map_err(ResponseFault::Head)?;
+    let (head, body) = bytes.split_at(length.ok_or(ResponseFault::Cut)?);
+    match check_head(head, HeadKind::Answer).map_err(ResponseFault::Head)? {
+        Framing::Chunked | Framing::None => return Err(ResponseFault::Length),
+        Framing::Length(length) if length != body.len() => return Err(ResponseFault::Cut),
+        Framing::Length(_) => {}
+    }
+    let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+    let mut response = httparse::Response::new(&mut headers);
+    let malformed = |e: httparse::Error| ResponseFault::Head(HeadFault::Malformed(e.to_string()));
+    response.parse(head).map_err(malformed)?;
+    let code = response.code.ok_or(ResponseFault::Cut)?;
+    let text = std::str::from_utf8(body).map_err(|_| ResponseFault::Text)?;
+    Ok((code, text.to_owned()))
+}
+
+fn fetch(address: SocketAddr, path: &str) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect_timeout(&address, PATIENCE)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes())?;
+    let mut bytes = Vec::new();
+    stream.take(RESPONSE_LIMIT).read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -3,21 +3,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use hawthornwall_settings::{
-    AdminSettings, CallerSettings, PeerSettings, PlatformSettings, Settings, TargetSettings,
-};
 use hawthornwall_wire::instances::{Instance, InstanceList, InstanceState};
 use serde_json::{Value, json};
 
-use super::child::{Child, LaunchError};
+use super::child::{Child, LaunchError, Signal};
 use super::deployment::{Deployment, Plan, TargetPlan};
 use super::places::{Folder, Place, shared_address};
+use super::shared::start_platform;
 use crate::http1::json_once;
 
 /// Longest wait for a child to become ready.
-const READY: Duration = Duration::from_secs(15);
+pub(super) const READY: Duration = Duration::from_secs(15);
 
 /// What is started, and how.
 #[derive(Clone, Debug)]
@@ -34,6 +32,8 @@
     pub relay: bool,
     /// Seed of the targets.
     pub seed: u64,
+    /// Changes of the daemons' settings: an object of sections, each an object of fields.
+    pub settings: Value,
 }
 
 impl Default for ClusterOptions {
@@ -45,6 +45,7 @@
             keep: false,
             relay: true,
             seed: 1,
+            settings: json!({}),
         }
     }
 }
@@ -69,13 +70,15 @@
 pub struct Cluster {
     /// All instances.
     pub nodes: Vec<Node>,
-    options: ClusterOptions,
-    plan: Plan,
-    platform: Child,
+    pub(super) options: ClusterOptions,
+    pub(super) plan: Plan,
+    /// The platform fake.
+    pub platform: Child,
     platform_address: SocketAddr,
-    relay: Option<Child>,
+    /// The relay, if it runs.
+    pub relay: Option<Child>,
     relay_control: SocketAddr,
-    folder: Folder,
+    pub(super) folder: Folder,
 }
 
 impl Cluster {
@@ -131,12 +134,12 @@
     }
 
     /// Address of the platform fake.
-    pub fn platform(&self) -> SocketAddr {
+    pub fn platform_address(&self) -> SocketAddr {
         self.platform_address
     }
 
     /// Address of the relay's control port.
-    pub fn relay(&self) -> SocketAddr {
+    pub fn relay_control(&self) -> SocketAddr {
         self.relay_control
     }
 
@@ -151,6 +154,32 @@
         self.nodes[index].daemon.as_mut()
     }
 
+    /// Asks all daemons for a graceful shutdown and returns the names of those that haven't ended
+    /// within `limit`; these are killed.
+    ///
+    /// # Errors
+    ///
+    /// A daemon can't be signalled or waited for.
+    pub fn stop_daemons(&mut self, limit: Duration) -> Result<Vec<String>, LaunchError> {
+        for node in &self.nodes {
+            if let Some(daemon) = &node.daemon {
+                daemon.signal(Signal::Terminate)?;
+            }
+        }
+        let end = Instant::now() + limit;
+        let mut killed = Vec::new();
+        for node in &mut self.nodes {
+            let Some(mut daemon) = node.daemon.take() else {
+                continue;
+            };
+            let left = end.saturating_duration_since(Instant::now());
+            if daemon.wait(left)?.is_none() {
+                killed.push(node.plan.name.clone());
+            }
+        }
+        Ok(killed)
+    }
+
     /// Starts the daemon of one instance, killing one that runs, and waits until it is ready.
     ///
     /// # Errors
@@ -194,48 +223,6 @@
         Ok(())
     }
 
-    /// Sends a JSON request to the control port of one target.
-    ///
-    /// # Errors
-    ///
-    /// The target doesn't accept it.
-    pub fn control_target(&self, index: usize, changes: &Value) -> Result<Value, LaunchError> {
-        let control = self.nodes[index].place.control;
-        request(control, "POST", "/control", &changes.to_string())
-    }
-
-    /// Sends a JSON request to the platform fake.
-    ///
-    /// # Errors
-    ///
-    /// The fake doesn't accept it.
-    pub fn control_platform(
-        &self,
-        method: &str,
-        path: &str,
-        body: &str,
-    ) -> Result<Value, LaunchError> {
-        request(self.platform_address, method, path, body)
-    }
-
-    /// Sends a JSON command to the relay.
-    ///
-    /// # Errors
-    ///
-    /// The relay doesn't accept it.
-    pub fn control_relay(&self, command: &Value) -> Result<Value, LaunchError> {
-        request(self.relay_control, "POST", "/control", &command.to_string())
-    }
-
-    /// The status of one daemon.
-    ///
-    /// # Errors
-    ///
-    /// It doesn't answer with status 200.
-    pub fn status(&self, index: usize) -> Result<Value, LaunchError> {
-        request(self.nodes[index].place.admin, "GET", "/status", "")
-    }
-
     /// The list with all instances live.
     pub fn instances(&self) -> InstanceList {
         let instance = |node: &Node| Instance {
@@ -250,7 +237,7 @@
         }
     }
 
-    fn peer_address(&self, node: &Node) -> SocketAddr {
+    pub(super) fn peer_address(&self, node: &Node) -> SocketAddr {
         if self.options.relay {
             node.place.public
         } else {
@@ -258,41 +245,9 @@
         }
     }
 
-    fn publish_start(&self) -> Result<(), LaunchError> {
-        let json = |e: serde_json::Error| LaunchError::Refused(e.to_string());
-        let document = serde_json::to_string(&self.plan.document()).map_err(json)?;
-        self.control_platform("PUT", "/config", &document)?;
-        let list = serde_json::to_string(&self.instances()).map_err(json)?;
-        self.control_platform("PUT", "/instances", &list)?;
-        Ok(())
-    }
-
-    fn start_relay(&mut self) -> Result<(), LaunchError> {
-        let daemon = |node: &Node| {
-            json!({
-                "name": node.plan.name, "domain": node.plan.domain,
-                "public": node.place.public, "real": node.place.peer,
-            })
-        };
-        let settings = json!({
-            "control": self.relay_control,
-            "daemons": self.nodes.iter().map(daemon).collect::<Vec<_>>(),
-            "delay_us": self.options.delay_us.unwrap_or(self.plan.delay_us),
-        });
-        let path = self.write("relay.json", &settings.to_string())?;
-        let arguments = flatten(&[("--settings", path)]);
-        let log = self.folder.file("relay.log");
-        let mut child = Child::start("relay", "relay", &arguments, &log)?;
-        let control = self.relay_control;
-        child.wait_ready(READY, || json_once(control, "GET", "/stats", "").is_ok())?;
-        self.relay = Some(child);
-        Ok(())
-    }
-
     fn spawn_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
         let name = self.nodes[index].plan.name.clone();
-        let settings = serde_json::to_string_pretty(&self.settings(index));
-        let settings = settings.map_err(|e| LaunchError::Refused(e.to_string()))?;
+        let settings = self.daemon_settings(index)?;
         let path = self.write(&format!("{name}.json"), &settings)?;
         let log = self.folder.file(&format!("{name}.daemon.log"));
         let arguments = flatten(&[("--settings", path)]);
@@ -310,47 +265,7 @@
         }
     }
 
-    fn settings(&self, index: usize) -> Settings {
-        let node = &self.nodes[index];
-        let place = node.place;
-        // Two seeds, so that the loss of one doesn't isolate a daemon that starts.
-        let count = self.nodes.len();
-        let seeds = [1, count / 2].map(|step| &self.nodes[(index + step) % count]);
-        Settings {
-            admin: AdminSettings {
-                listen: place.admin,
-            },
-            caller: caller_settings(place.caller),
-            control: Default::default(),
-            domain: node.plan.domain.clone(),
-            keys: Default::default(),
-            log: Default::default(),
-            metrics: Default::default(),
-            name: node.plan.name.clone(),
-            peer: PeerSettings {
-                advertise: Some(self.peer_address(node)),
-                listen: place.peer,
-                secret: "5a".repeat(32),
-                seeds: seeds.map(|n| self.peer_address(n)).to_vec(),
-                silence: Duration::from_secs(1),
-            },
-            platform: PlatformSettings {
-                config: self.platform_address,
-                instances: self.platform_address,
-            },
-            probe: Default::default(),
-            routing: Default::default(),
-            target: TargetSettings {
-                address: place.target,
-                health: "/health".to_owned(),
-                load: "/load".to_owned(),
-                silence: Duration::from_secs(10),
-            },
-            trace: Default::default(),
-        }
-    }
-
-    fn write(&self, name: &str, text: &str) -> Result<String, LaunchError> {
+    pub(super) fn write(&self, name: &str, text: &str) -> Result<String, LaunchError> {
         let path = self.folder.file(name);
         std::fs::write(&path, text).map_err(LaunchError::io(name))?;
         Ok(path.display().to_string())
@@ -374,37 +289,7 @@
     (0u8..).zip(targets).map(node).collect()
 }
 
-fn start_platform(folder: &Folder, address: SocketAddr) -> Result<Child, LaunchError> {
-    let history = folder.file("platform.history").display().to_string();
-    let arguments = flatten(&[("--listen", address.to_string()), ("--history", history)]);
-    let log = folder.file("platform.log");
-    let mut child = Child::start("platform", "platform-fake", &arguments, &log)?;
-    child.wait_ready(READY, || json_once(address, "GET", "/stats", "").is_ok())?;
-    Ok(child)
-}
-
-fn caller_settings(listen: SocketAddr) -> CallerSettings {
-    CallerSettings {
-        body_limit: 1 << 20,
-        connections: 1_000,
-        head_limit: 16 << 10,
-        idle: Duration::from_mins(1),
-        listen,
-        service_limit: 500,
-    }
-}
-
-fn request(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    body: &str,
-) -> Result<Value, LaunchError> {
-    let refused = |e| LaunchError::Refused(format!("{method} {path}: {e}"));
-    json_once(address, method, path, body).map_err(refused)
-}
-
-fn flatten(arguments: &[(&str, String)]) -> Vec<String> {
+pub(super) fn flatten(arguments: &[(&str, String)]) -> Vec<String> {
     let pair = |(name, value): &(&str, String)| [(*name).to_owned(), value.clone()];
     arguments.iter().flat_map(pair).collect()
 }
--- a/crates/testkit/src/launcher/mod.rs
+++ b/crates/testkit/src/launcher/mod.rs
@@ -4,8 +4,11 @@
 
 mod child;
 mod cluster;
+mod control;
 mod deployment;
 mod places;
+mod settings;
+mod shared;
 
 pub use child::{Child, LaunchError, Signal};
 pub use cluster::{Cluster, ClusterOptions, Node};
--- a/crates/testkit/src/platform/serve.rs
+++ b/crates/testkit/src/platform/serve.rs
@@ -95,7 +95,7 @@
         };
         let message = select_biased! {
             message = receiver.next() => message,
-            () = wake.fuse() => { store.answer_watches(Instant::now()); continue },
+            () = wake.fuse() => { store.answer_watches(Timer::due()); continue },
         };
         let Some(message) = message else { return };
         store.take(message, Instant::now());
@@ -170,6 +170,9 @@
     }
 
     fn answer_watches(&mut self, now: Instant) {
+        // Also without a watch: `next_event` would else stay in the past and the loop would spin.
+        self.config.advance(now);
+        self.instances.advance(now);
         for watch in std::mem::take(&mut self.watches) {
             let publication = match watch.endpoint {
                 Endpoint::Config => &mut self.config,
