--- a/crates/testkit/src/demo/measure.rs
+++ b/crates/testkit/src/demo/measure.rs
@@ -130,6 +130,8 @@
             | Event::Published { .. }
             | Event::Received { .. }
             | Event::RunEnded { .. }
+            | Event::Presence { .. }
+            | Event::Routed { .. }
             | Event::Sent { .. } => {}
         }
     }
