--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod check;
 mod diff;
 mod document;
+mod fields;
 mod fold;
 mod force;
 mod history;
@@ -20,8 +21,9 @@
 mod verify;
 mod warning;
 
-pub use diff::{Difference, Field, Values};
+pub use diff::{Difference, Values};
 pub use document::{Document, Folded, Skipped};
+pub use fields::Field;
 pub use force::InForce;
 pub use history::Entry;
 pub use model::{Configuration, Rules, Service, Target};
--- a/crates/core/src/config/undo.rs
+++ b/crates/core/src/config/undo.rs
@@ -8,7 +8,7 @@
 
 use serde::Serialize;
 
-use super::diff::{service_fields, target_fields};
+use super::fields::{service_fields, target_fields};
 use super::{Change, Configuration, Document, Field, RulesChange, Service, Target};
 use crate::ids::Version;
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -7,10 +7,13 @@
 
 use crate::fault::{Fault, FaultKind, SettingsFaults};
 use crate::model::Settings;
-use crate::place::{Place, Places, join, scan};
+use crate::place::{Place, Places, join, scan, too_deep};
 use crate::table::{Kind, Preset, SECTIONS, SETTINGS, Setting, Unit};
 use crate::value::{collide, value_fault};
 
+/// Deepest nesting of a file; settings have a depth of 3. The parser recurses without a limit, so that
+/// a deeper file could overflow the stack.
+const DEPTH_LIMIT: usize = 16;
 /// Endings of keys that name a unit other than the accepted one.
 const OTHER_UNITS: [&str; 8] = ["s", "sec", "secs", "seconds", "us", "min", "kb", "mb"];
 
@@ -32,7 +35,19 @@
     ///
     /// If the table describes a value that the typed settings don't accept.
     pub fn parse(text: &str) -> Result<Self, SettingsFaults> {
-        let root: Value = json5::from_str(text).map_err(|e| syntax_fault(text, &e))?;
+        if let Some(place) = too_deep(text, DEPTH_LIMIT) {
+            let found = format!("more than {DEPTH_LIMIT} nested braces and brackets");
+            return Err(syntax_fault(place, found));
+        }
+        let root: Value = json5::from_str(text).map_err(|e| {
+            // The library counts lines and columns from 0.
+            let place = e.position().map_or(Place::of(text, 0), |p| Place {
+                line: p.line + 1,
+                column: p.column + 1,
+            });
+            let found = e.code().map_or_else(|| e.to_string(), |c| c.to_string());
+            syntax_fault(place, found)
+        })?;
         let mut check = Check {
             faults: Vec::new(),
             places: scan(text),
@@ -73,18 +88,10 @@
     serde_json::from_value(root.into())
 }
 
-fn syntax_fault(text: &str, error: &json5::Error) -> SettingsFaults {
-    // The library counts lines and columns from 0.
-    let place = error.position().map_or(Place::of(text, 0), |p| Place {
-        line: p.line + 1,
-        column: p.column + 1,
-    });
-    let what = error
-        .code()
-        .map_or_else(|| error.to_string(), |c| c.to_string());
+fn syntax_fault(place: Place, found: String) -> SettingsFaults {
     SettingsFaults(vec![Fault {
         accepted: "JSON with comments".to_owned(),
-        found: what,
+        found,
         key: String::new(),
         kind: FaultKind::Syntax,
         place,
--- a/crates/settings/src/place.rs
+++ b/crates/settings/src/place.rs
@@ -62,13 +62,33 @@
     }
 }
 
+/// The place where braces and brackets nest deeper than `limit`.
+///
+/// The text need not be valid: this runs before the parser, which recurses without a limit.
+pub(crate) fn too_deep(text: &str, limit: usize) -> Option<Place> {
+    let mut scanner = Scanner::new(text);
+    let mut depth = 0_usize;
+    loop {
+        scanner.skip_blank();
+        match scanner.peek()? {
+            '{' | '[' => depth += 1,
+            '}' | ']' => depth = depth.saturating_sub(1),
+            '"' | '\'' => {
+                scanner.string();
+                continue;
+            }
+            _ => {}
+        }
+        if depth > limit {
+            return Some(Place::of(text, scanner.at));
+        }
+        scanner.skip_char();
+    }
+}
+
 /// Finds all keys of a text that the JSON5 library has accepted.
 pub(crate) fn scan(text: &str) -> Places {
-    let mut scanner = Scanner {
-        at: 0,
-        places: Places::default(),
-        text,
-    };
+    let mut scanner = Scanner::new(text);
     scanner.skip_blank();
     let start = Place::of(text, scanner.at);
     let entry = Entry {
@@ -86,7 +106,15 @@
     text: &'a str,
 }
 
-impl Scanner<'_> {
+impl<'a> Scanner<'a> {
+    fn new(text: &'a str) -> Self {
+        Self {
+            at: 0,
+            places: Places::default(),
+            text,
+        }
+    }
+
     fn rest(&self) -> &str {
         &self.text[self.at..]
     }
@@ -99,6 +127,10 @@
         self.at = (self.at + count).min(self.text.len());
     }
 
+    fn skip_char(&mut self) {
+        self.skip(self.peek().map_or(0, char::len_utf8));
+    }
+
     fn skip_blank(&mut self) {
         loop {
             let rest = self.rest();
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -69,6 +69,24 @@
     assert_snapshot!(faults(text));
 }
 
+/// Guards against a stack overflow of the parser, and brackets that are counted in texts.
+#[rstest]
+#[case::open("deep_open", "[".repeat(100_000))]
+#[case::in_file("deep_in_file", format!("{{\n  name: '}}]\\'[', // [\n  æ: {}0{} }}", "[".repeat(16), "]".repeat(16)))]
+#[case::in_text("deep_in_text", format!("{{ name: '{}' }}", "[".repeat(17)))]
+fn deep_nesting(#[case] name: &str, #[case] text: String) {
+    let faults = Settings::parse(&text).expect_err("the file is faulty").0;
+    let first = faults
+        .iter()
+        .find(|f| f.kind != hawthornwall_settings::FaultKind::Missing);
+    assert_snapshot!(
+        name,
+        first
+            .expect("there is a fault beside missing keys")
+            .to_string()
+    );
+}
+
 /// Guards against a fault report that prints the fleet's secret.
 #[test]
 fn secret_is_not_printed() {
