--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -84,10 +84,12 @@
                     digest: 7,
                     in_force_ms: 1_500,
                     members: [("calendar-1".to_owned(), member)].into(),
+                    neighbours: 4,
                     platform_reads: 3,
                     ready: setup.ready,
+                    skipped: vec!["patch 1 by trainee: the patch holds no change".to_owned()],
                     version: Version(setup.version),
-                    ..ControlStatus::default()
+                    watching: true,
                 };
                 let _ = reply.send(status);
             }
