Test configuration in force, members, spread and probe budget

Random comparisons showed that a later announcement and the word that its instance is leaving, each known to another side, took an extra round; both are now sent in one. The figures of a fleet that starts at once showed 1,107 platform reads in its second second while the platform is down, so first retries come later.

--- a/crates/core/src/members/compare.rs
+++ b/crates/core/src/members/compare.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::table::Entry;
 use super::{Heard, Members, Relayed};
 use crate::digest::Digest;
 use crate::ids::InstanceId;
@@ -30,6 +31,12 @@
     pub seq: u64,
 }
 
+impl Known {
+    fn lacks(&self, seq: u64, leaving: bool) -> bool {
+        self.seq < seq || (leaving && !self.leaving)
+    }
+}
+
 /// One side's part of a comparison.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Comparison {
@@ -75,7 +82,7 @@
     /// Announcements to pass on unasked.
     pub fn relay(&self, instances: &BTreeSet<InstanceId>, now: Time) -> Vec<Relayed> {
         let entries = self.entries.values();
-        let chosen = entries.filter(|e| instances.contains(&e.announcement.identity.instance));
+        let chosen = entries.filter(|e| instances.contains(&e.instance()));
         chosen
             .map(|e| Relayed {
                 age: e.age(now),
@@ -134,47 +141,33 @@
             ours.listed |= 1 << part;
         }
         let listed = self.listed(ours.listed);
-        ours.known = listed
-            .map(|e| Known {
-                instance: e.announcement.identity.instance,
-                leaving: e.announcement.leaving,
-                seq: e.announcement.seq,
-            })
-            .collect();
+        ours.known = listed.map(Entry::known).collect();
     }
 
     /// Sends what the other side's list lacks, and asks for what this side lacks.
+    ///
+    /// Of one instance each side may lack something: a later announcement, or the word that it is
+    /// leaving.
     fn answer_known(&self, theirs: &Comparison, ours: &mut Comparison, now: Time) {
         let known: BTreeMap<_, _> = theirs.known.iter().map(|k| (k.instance, k)).collect();
-        let mut own = BTreeMap::new();
-        let mut lacking = BTreeSet::new();
-        for entry in self.listed(theirs.listed) {
-            let announcement = &entry.announcement;
-            let instance = announcement.identity.instance;
-            let state = (announcement.seq, announcement.leaving);
-            own.insert(instance, state);
-            if known
-                .get(&instance)
-                .is_none_or(|k| (k.seq, k.leaving) < state)
-            {
-                lacking.insert(instance);
-            }
-        }
-        ours.announcements.extend(self.relay(&lacking, now));
-        let newer = |k: &&Known| {
-            let state = (k.seq, k.leaving);
-            own.get(&k.instance).is_none_or(|own| *own < state)
-                && !self.has_faded(k.instance, k.seq)
-        };
-        ours.wanted = theirs
-            .known
-            .iter()
-            .filter(newer)
-            .map(|k| k.instance)
+        let own: BTreeMap<_, _> = self
+            .listed(theirs.listed)
+            .map(|e| (e.instance(), e))
             .collect();
+        let lacking = own.values().filter(|e| {
+            let known = known.get(&e.instance());
+            known.is_none_or(|k| k.lacks(e.announcement.seq, e.announcement.leaving))
+        });
+        let lacking: BTreeSet<_> = lacking.map(|e| e.instance()).collect();
+        ours.announcements.extend(self.relay(&lacking, now));
+        let wanted = theirs.known.iter().filter(|k| match own.get(&k.instance) {
+            Some(entry) => entry.known().lacks(k.seq, k.leaving),
+            None => !self.has_faded(k.instance, k.seq),
+        });
+        ours.wanted = wanted.map(|k| k.instance).collect();
     }
 
-    fn listed(&self, parts: u32) -> impl Iterator<Item = &super::table::Entry> {
+    fn listed(&self, parts: u32) -> impl Iterator<Item = &Entry> {
         let entries = self.entries.iter();
         let chosen = entries.filter(move |(target, _)| parts & (1 << bucket(target)) != 0);
         chosen.map(|(_, entry)| entry)
--- a/crates/core/src/members/table.rs
+++ b/crates/core/src/members/table.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::list::List;
-use super::{Announcement, Identity, Listed, Relayed};
+use super::{Announcement, Identity, Known, Listed, Relayed};
 use crate::ids::InstanceId;
 use crate::time::Time;
 
@@ -63,6 +63,18 @@
 }
 
 impl Entry {
+    pub(super) fn instance(&self) -> InstanceId {
+        self.announcement.identity.instance
+    }
+
+    pub(super) fn known(&self) -> Known {
+        Known {
+            instance: self.instance(),
+            leaving: self.announcement.leaving,
+            seq: self.announcement.seq,
+        }
+    }
+
     pub(super) fn age(&self, now: Time) -> Duration {
         self.age + (now - self.received)
     }
--- a/crates/core/src/spread/platform.rs
+++ b/crates/core/src/spread/platform.rs
@@ -22,7 +22,9 @@
 /// Time over which daemons that become watchers together spread their first read.
 const TAKEOVER: Duration = Duration::from_millis(200);
 const WATCH_BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
-const OTHER_BACKOFF: (Duration, Duration) = (Duration::from_secs(1), Duration::from_mins(1));
+/// Starts at 2 s: when a fleet of 540 starts while the platform is down, first retries after 1 s led
+/// to 1,107 reads in the second second.
+const OTHER_BACKOFF: (Duration, Duration) = (Duration::from_secs(2), Duration::from_mins(1));
 
 /// What the platform publishes.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
--- a/crates/core/src/spread/readiness.rs
+++ b/crates/core/src/spread/readiness.rs
@@ -58,6 +58,11 @@
         self.phase == Phase::Serving
     }
 
+    /// Whether the platform gave a configuration.
+    pub(super) fn has_platform(&self) -> bool {
+        self.platform
+    }
+
     /// When the state changes by time alone.
     pub(super) fn due(&self) -> Option<Time> {
         (!self.is_ready() && self.is_configured()).then_some(self.suffices)
--- a/crates/core/src/spread/schedule.rs
+++ b/crates/core/src/spread/schedule.rs
@@ -147,7 +147,7 @@
 
     /// Notes the end of a read of the platform; `ok` unless there was no proper response.
     pub fn read_ended(&mut self, endpoint: Endpoint, ok: bool, now: Time) {
-        let pace = self.pace();
+        let pace = self.pace(endpoint);
         let reads = match endpoint {
             Endpoint::Config => &mut self.config,
             Endpoint::Instances => {
@@ -176,8 +176,8 @@
             self.push_news(&mut effects);
         }
         self.compare(now, &mut effects);
-        let pace = self.pace();
         for endpoint in [Endpoint::Config, Endpoint::Instances] {
+            let pace = self.pace(endpoint);
             let reads = match endpoint {
                 Endpoint::Config => &mut self.config,
                 Endpoint::Instances => &mut self.instances,
@@ -214,13 +214,12 @@
         faults
     }
 
-    fn pace(&self) -> Pace {
-        if self.watching {
-            Pace::Watch
-        } else if self.is_ready() {
-            Pace::Rare
-        } else {
-            Pace::Start(self.start.settings.start_wait)
+    fn pace(&self, endpoint: Endpoint) -> Pace {
+        let published = self.is_ready() || self.readiness.has_platform();
+        match endpoint {
+            Endpoint::Config | Endpoint::Instances if self.watching => Pace::Watch,
+            Endpoint::Config if !published => Pace::Start(self.start.settings.start_wait),
+            Endpoint::Config | Endpoint::Instances => Pace::Rare,
         }
     }
 
@@ -289,7 +288,9 @@
         let interval = self.start.settings.exchange;
         self.compare = now + interval.mul_f64(self.rng.random_range(0.8..1.2));
         self.arrange(now);
-        self.cursor = (self.cursor + 1) % (self.neighbours.len() + 1);
+        let seeds = usize::from(!self.start.seeds.is_empty());
+        let choices = (self.neighbours.len() + seeds).max(1);
+        self.cursor = (self.cursor + 1) % choices;
         let peer = self.neighbours.get(self.cursor).copied();
         effects.extend(peer.or_else(|| self.any_seed()).map(Effect::Compare));
     }
--- /dev/null
+++ b/crates/core/tests/properties/force.rs
@@ -0,0 +1,161 @@
+//! Random patches offered in random orders to several daemons.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hawthornwall_core::config::{
+    Bridge, Change, Document, InForce, Offer, Patch, Rules, RulesChange,
+};
+use hawthornwall_core::prelude::*;
+use proptest::prelude::*;
+
+const DAEMONS: usize = 4;
+
+fn change() -> impl Strategy<Value = Change> {
+    let name = || prop::sample::select(vec!["a", "b", "c", "Bad"]).prop_map(str::to_owned);
+    let hosts = || prop::collection::btree_set(name(), 0..2);
+    prop_oneof![
+        (name(), hosts()).prop_map(|(name, hosts)| Change::CreateService {
+            name,
+            hosts,
+            rules: Rules::default()
+        }),
+        (name(), name(), 0..3u32).prop_map(|(name, service, slots)| Change::CreateTarget {
+            name,
+            service,
+            domain: "dk-1".to_owned(),
+            slots
+        }),
+        name().prop_map(|name| Change::RemoveService { name }),
+        name().prop_map(|name| Change::RemoveTarget { name }),
+        (name(), prop::option::of(hosts()), 0..700_000u64).prop_map(|(name, hosts, ms)| {
+            let deadline = Some(Duration::from_millis(ms));
+            let rules = RulesChange {
+                deadline,
+                ..RulesChange::default()
+            };
+            Change::UpdateService { name, hosts, rules }
+        }),
+        (name(), prop::option::of(0..3u32)).prop_map(|(name, slots)| Change::UpdateTarget {
+            name,
+            domain: None,
+            slots
+        }),
+    ]
+}
+
+/// Patches whose base is the version that the patches before them reach, or one beside it.
+fn document() -> impl Strategy<Value = Document> {
+    let changes = prop::collection::vec(change(), 0..4);
+    prop::collection::vec((changes, 0..8u64), 1..30).prop_map(|patches| {
+        let mut document = Document::default();
+        for (changes, offset) in patches {
+            let reached = document.fold().configuration.version.0;
+            document.patches.push(Patch {
+                author: "trainee".to_owned(),
+                base: Version(if offset == 0 { reached + 1 } else { reached }),
+                changes,
+                note: String::new(),
+                time: String::new(),
+            });
+        }
+        document
+    })
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Offered {
+    /// The document's first patches, from a checkpoint after some of them.
+    Document { upto: usize, from: usize },
+    /// What one daemon sends to another that it compares with.
+    Peer(usize),
+}
+
+fn offered() -> impl Strategy<Value = (usize, Offered)> {
+    let document =
+        (0..=30usize, 0..=30usize).prop_map(|(upto, from)| Offered::Document { upto, from });
+    (
+        0..DAEMONS,
+        prop_oneof![document, (0..DAEMONS).prop_map(Offered::Peer)],
+    )
+}
+
+fn prefix(document: &Document, upto: usize, from: usize) -> Document {
+    let upto = upto.min(document.patches.len());
+    let from = from.min(upto);
+    let checkpoint = Document {
+        patches: document.patches[..from].to_vec(),
+        ..Document::default()
+    };
+    Document {
+        checkpoint: checkpoint.fold().configuration,
+        patches: document.patches[from..upto].to_vec(),
+    }
+}
+
+fn from_peer(daemons: &mut [InForce], to: usize, from: usize) -> Offer {
+    let sender = daemons[from].clone();
+    let receiver = &mut daemons[to];
+    let (version, digest) = (receiver.config().version, receiver.config().digest);
+    match sender.bridge(version, digest) {
+        Bridge::Checkpoint(config) => receiver.offer_configuration(config),
+        Bridge::Diverged(divergence) => panic!("one history diverged: {divergence:?}"),
+        Bridge::Level => Offer::Same,
+        Bridge::Patches(patches) => {
+            let patches: Vec<_> = patches.into_iter().cloned().collect();
+            let reached = sender.config();
+            receiver.offer_patches(&patches, reached.version, reached.digest)
+        }
+    }
+}
+
+proptest! {
+    /// Guards against daemons that reach different configurations, or go back, depending on the order
+    /// in which documents, checkpoints and patches arrive.
+    #[test]
+    fn one_history_is_folded_alike(
+        document in document(),
+        offers in prop::collection::vec(offered(), 1..60),
+    ) {
+        let mut daemons = vec![InForce::default(); DAEMONS];
+        for (to, offered) in offers {
+            let before = daemons[to].config().clone();
+            let offer = match offered {
+                Offered::Document { upto, from } => {
+                    daemons[to].offer_document(&prefix(&document, upto, from)).0
+                }
+                Offered::Peer(from) => from_peer(&mut daemons, to, from),
+            };
+            let after = daemons[to].config();
+            prop_assert_eq!(daemons[to].verify(), Vec::<String>::new());
+            prop_assert_eq!(after.verify(), Vec::<String>::new());
+            let adopted = matches!(offer, Offer::Adopted { .. });
+            prop_assert_eq!(adopted, after.version > before.version, "{:?}", offer);
+            prop_assert!(adopted || *after == before, "{:?}", offer);
+            prop_assert!(!matches!(offer, Offer::Broken(_) | Offer::Divergent { .. }), "{:?}", offer);
+        }
+        let last = document.fold().configuration;
+        for daemon in &mut daemons {
+            let _ = daemon.offer_document(&document);
+            prop_assert_eq!(daemon.config(), &last);
+        }
+    }
+
+    /// Guards against a daemon that leaves its history for another one of the same version.
+    #[test]
+    fn another_history_is_not_adopted(document in document(), at in 0..30usize) {
+        let mut other = document.clone();
+        let at = at.min(other.patches.len() - 1);
+        other.patches[at].note = "another history".to_owned();
+        let mut daemon = InForce::default();
+        let _ = daemon.offer_document(&document);
+        let before = daemon.config().clone();
+        let accepted = !document.fold().skipped.iter().any(|s| s.index == at);
+        let (offer, _) = daemon.offer_document(&other);
+        let reported = matches!(offer, Offer::Divergent { first: true, .. });
+        prop_assert_eq!(reported, accepted, "{:?}", offer);
+        prop_assert_eq!(daemon.config(), &before);
+        let services: BTreeSet<_> = before.services.values().map(|s| &s.name).collect();
+        prop_assert_eq!(services.len(), before.services.len());
+    }
+}
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -3,5 +3,8 @@
 
 mod balancer;
 mod call;
+mod force;
 mod gate;
 mod ledger;
+mod members;
+mod probing;
--- /dev/null
+++ b/crates/core/tests/scenarios/force.rs
@@ -0,0 +1,102 @@
+//! Scenarios of the configuration in force.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hawthornwall_core::config::{Bridge, Change, Document, InForce, Patch, Rules, Skipped};
+use hawthornwall_core::prelude::*;
+
+use crate::line::Line;
+
+#[derive(Default)]
+pub struct Run {
+    configs: BTreeMap<String, Configuration>,
+    pub force: InForce,
+    patches: BTreeMap<String, Patch>,
+}
+
+impl Run {
+    pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
+        match line.verb {
+            "bridge" => vec![self.bridge(&line.word::<String>(0))],
+            "config" => {
+                let document = self.document(line);
+                let config = document.fold().configuration;
+                self.configs.insert(line.word(0), config);
+                Vec::new()
+            }
+            "document" => {
+                let document = self.document(line);
+                let (offer, skipped) = self.force.offer_document(&document);
+                let skipped = skipped.iter().map(|Skipped { faults, index }| {
+                    let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+                    format!("skipped {index}: {}", faults.join("; "))
+                });
+                skipped.chain([format!("{offer:?}")]).collect()
+            }
+            "offer" => {
+                let config = &self.configs[&line.word::<String>(0)];
+                vec![format!("{:?}", self.force.offer_configuration(config))]
+            }
+            "patch" => {
+                let patch = patch(line);
+                self.patches.insert(line.word(0), patch);
+                Vec::new()
+            }
+            "patches" => {
+                let reached = &self.configs[&line.word::<String>(0)];
+                let patches = self.document(line).patches;
+                let offer = self
+                    .force
+                    .offer_patches(&patches, reached.version, reached.digest);
+                vec![format!("{offer:?}")]
+            }
+            other => panic!("unknown event `{other}`"),
+        }
+    }
+
+    pub fn state(&self) -> String {
+        let config = self.force.config();
+        let services: Vec<_> = config.services.values().map(|s| s.name.as_str()).collect();
+        format!("{} {:016x} {services:?}", config.version, config.digest)
+    }
+
+    /// The document `of=a,b from=checkpoint`.
+    fn document(&self, line: &Line<'_>) -> Document {
+        let checkpoint = line.text("from").map(|name| self.configs[name].clone());
+        let patches = line.text("of").into_iter().flat_map(|of| of.split(','));
+        Document {
+            checkpoint: checkpoint.unwrap_or_default(),
+            patches: patches.map(|name| self.patches[name].clone()).collect(),
+        }
+    }
+
+    fn bridge(&self, config: &str) -> String {
+        let peer = &self.configs[config];
+        match self.force.bridge(peer.version, peer.digest) {
+            Bridge::Checkpoint(config) => format!("checkpoint {}", config.version),
+            Bridge::Diverged(divergence) => format!("{divergence:?}"),
+            Bridge::Level => "level".to_owned(),
+            Bridge::Patches(patches) => {
+                let bases: Vec<_> = patches.iter().map(|p| p.base.to_string()).collect();
+                format!("patches on {}", bases.join(", "))
+            }
+        }
+    }
+}
+
+/// A patch that creates the service with its own name.
+fn patch(line: &Line<'_>) -> Patch {
+    let name: String = line.word(0);
+    let create = Change::CreateService {
+        name: line.value("service", name),
+        hosts: BTreeSet::new(),
+        rules: Rules::default(),
+    };
+    Patch {
+        author: "trainee".to_owned(),
+        base: Version(line.value("base", 0)),
+        changes: vec![create],
+        note: line.value("note", String::new()),
+        time: String::new(),
+    }
+}
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -5,9 +5,12 @@
 
 mod admission;
 mod calls;
+mod force;
 mod keys;
 mod line;
+mod members;
 mod routing;
+mod spread;
 
 use std::path::{Path, PathBuf};
 
@@ -18,8 +21,11 @@
 enum Subject {
     Balancer(routing::Run),
     Call(calls::Run),
+    Force(force::Run),
     Gate(admission::Run),
     Ledger(keys::Run),
+    Members(members::Run),
+    Spread(spread::Run),
 }
 
 impl Subject {
@@ -30,8 +36,11 @@
                 let (run, effects) = calls::Run::new(line);
                 (Self::Call(run), effects)
             }
+            "force" => (Self::Force(force::Run::default()), Vec::new()),
             "gate" => (Self::Gate(admission::Run::new(line)), Vec::new()),
             "ledger" => (Self::Ledger(keys::Run::new(line)), Vec::new()),
+            "members" => (Self::Members(members::Run::new(line)), Vec::new()),
+            "spread" => (Self::Spread(spread::Run::new(line)), Vec::new()),
             other => panic!("unknown aggregate `{other}`"),
         }
     }
@@ -41,7 +50,10 @@
             Self::Balancer(run) => run.apply(line),
             Self::Call(run) => run.apply(line),
             Self::Gate(run) => run.apply(line),
+            Self::Force(run) => run.apply(line),
             Self::Ledger(run) => run.apply(line),
+            Self::Members(run) => run.apply(line),
+            Self::Spread(run) => run.apply(line),
         }
     }
 
@@ -50,7 +62,10 @@
             Self::Balancer(run) => run.balancer.verify(),
             Self::Call(run) => run.call.verify(),
             Self::Gate(run) => run.gate.verify(),
+            Self::Force(run) => run.force.verify(),
             Self::Ledger(run) => run.ledger.verify(),
+            Self::Members(run) => run.members.verify(),
+            Self::Spread(run) => run.spread.verify(),
         }
     }
 
@@ -59,7 +74,10 @@
             Self::Balancer(run) => run.state(),
             Self::Call(run) => format!("{:?}", run.call),
             Self::Gate(run) => format!("{:?}", run.gate),
+            Self::Force(run) => run.state(),
             Self::Ledger(run) => format!("{:?}", run.ledger),
+            Self::Members(run) => run.state(),
+            Self::Spread(run) => run.state(),
         }
     }
 }
--- /dev/null
+++ b/crates/core/tests/scenarios/spread.rs
@@ -0,0 +1,103 @@
+//! Scenarios of the spread of versions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::spread::{
+    Effect, Endpoint, News, RingMember, Spread, SpreadSettings, SpreadStart,
+};
+
+use crate::line::Line;
+
+pub struct Run {
+    pub spread: Spread,
+}
+
+impl Run {
+    pub fn new(line: &Line<'_>) -> Self {
+        let start = SpreadStart {
+            domain: "dk-1".to_owned(),
+            own: peer(1),
+            seed: line.value("seed", 1),
+            seeds: (0..line.value("seeds", 0)).map(|n| peer(n + 2)).collect(),
+            settings: SpreadSettings {
+                watchers: line.value("watchers", 2),
+                ..SpreadSettings::default()
+            },
+        };
+        Self {
+            spread: Spread::new(start, line.now),
+        }
+    }
+
+    pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
+        let (spread, now) = (&mut self.spread, line.now);
+        match line.verb {
+            "failed" => spread.peer_failed(peer(line.word(0)), now),
+            "members" => {
+                let members = (1..=line.word(0)).map(|n| RingMember {
+                    domain: if n % 2 == 1 { "dk-1" } else { "dk-2" },
+                    peer: peer(n),
+                });
+                spread.set_members(members, now);
+            }
+            "news" => {
+                let from = line.text("from").map(|n| peer(n.parse().unwrap()));
+                let news = match line.text("version") {
+                    Some(version) => News::Version(version.parse().unwrap()),
+                    None => News::Member(InstanceId(line.value("instance", 1))),
+                };
+                spread.note(news, from, now);
+            }
+            "platform" => spread.platform_configured(),
+            "read" => spread.read_ended(endpoint(line), line.flag("ok"), now),
+            "replied" => spread.peer_answered(peer(line.word(0)), line.flag("configured"), now),
+            "tick" => {
+                let effects = spread.tick(now).into_iter().map(|e| show(&e));
+                return effects.chain([format!("next {}", spread.next())]).collect();
+            }
+            other => panic!("unknown event `{other}`"),
+        }
+        Vec::new()
+    }
+
+    pub fn state(&self) -> String {
+        let neighbours: Vec<_> = self.spread.neighbours().iter().map(number).collect();
+        let (ready, watching) = (self.spread.is_ready(), self.spread.is_watching());
+        format!("ready={ready} watching={watching} neighbours={neighbours:?}")
+    }
+}
+
+fn endpoint(line: &Line<'_>) -> Endpoint {
+    match line.word::<String>(0).as_str() {
+        "config" => Endpoint::Config,
+        "instances" => Endpoint::Instances,
+        other => panic!("unknown endpoint `{other}`"),
+    }
+}
+
+fn show(effect: &Effect) -> String {
+    match effect {
+        Effect::Announce => "announce".to_owned(),
+        Effect::Compare(to) => format!("compare with {}", number(to)),
+        Effect::Push { members, since, to } => {
+            let since = since.map_or_else(String::new, |v| format!(" versions after {v}"));
+            format!("push to {}{since} members {}", number(to), members.len())
+        }
+        Effect::Read(endpoint, wait) if *wait == Duration::ZERO => format!("read {endpoint}"),
+        Effect::Read(endpoint, wait) => format!("watch {endpoint} for {wait:?}"),
+        Effect::Serve => "serve".to_owned(),
+    }
+}
+
+fn peer(n: u8) -> SocketAddr {
+    ([10, 0, 0, n], 7000).into()
+}
+
+fn number(peer: &SocketAddr) -> u8 {
+    match peer {
+        SocketAddr::V4(peer) => peer.ip().octets()[3],
+        SocketAddr::V6(_) => panic!("no peer of these scenarios has an IPv6 address"),
+    }
+}
