--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -8,16 +8,24 @@
 
 mod canonical;
 mod check;
+mod diff;
 mod document;
 mod fold;
 mod force;
+mod history;
 mod model;
 mod offer;
 mod patch;
+mod undo;
 mod verify;
+mod warning;
 
+pub use diff::{Difference, Field, Values};
 pub use document::{Document, Folded, Skipped};
 pub use force::InForce;
+pub use history::Entry;
 pub use model::{Configuration, Rules, Service, Target};
 pub use offer::{Bridge, Divergence, Offer};
 pub use patch::{Change, Patch, PatchFault, RulesChange};
+pub use undo::UndoFault;
+pub use warning::Warning;
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -27,12 +27,14 @@
 struct Setup {
     gate: TargetState,
     gate_replies: bool,
+    ready: bool,
     version: u64,
 }
 
 const SERVING: Setup = Setup {
     gate: TargetState::Serving,
     gate_replies: true,
+    ready: true,
     version: 1,
 };
 
@@ -84,7 +86,7 @@
                     members: [("calendar-1".to_owned(), member)].into(),
                     neighbours: 4,
                     platform_reads: 3,
-                    ready: setup.version > 0,
+                    ready: setup.ready,
                     skipped: vec!["patch 1 by trainee: the patch holds no change".to_owned()],
                     version: Version(setup.version),
                     watching: true,
@@ -216,6 +218,7 @@
 #[rstest]
 #[case::serving("serving", SERVING)]
 #[case::no_configuration("starting", Setup { version: 0, ..SERVING })]
+#[case::other_sources_awaited("awaiting", Setup { ready: false, ..SERVING })]
 #[case::draining("draining", Setup { gate: TargetState::Draining, ..SERVING })]
 #[case::target_down("down", Setup { gate: TargetState::Down, ..SERVING })]
 #[case::silent_gate("unresponsive", Setup { gate_replies: false, ..SERVING })]
