--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -106,7 +106,10 @@
     }
 
     pub(super) fn hosts(&mut self, hosts: &BTreeSet<String>) {
-        check_size("hosts", hosts.len(), HOSTS_LIMIT, self.faults);
+        if hosts.len() > HOSTS_LIMIT {
+            let found = format!("{} names", hosts.len());
+            self.fault("hosts", &found, format!("at most {HOSTS_LIMIT}"));
+        }
         for host in hosts.iter().take(HOSTS_LIMIT) {
             if !is_host(host) {
                 let accepted = format!("1 to {HOST_LIMIT} of a-z, 0-9, - and .");
@@ -145,6 +148,7 @@
 
     /// A found text is quoted only up to the length of a host name, so that faults stay small.
     fn fault(&mut self, field: &str, found: &str, accepted: String) {
+        let found = if found.is_empty() { "empty" } else { found };
         self.faults.push(PatchFault::Value {
             change: self.index,
             field: field.to_owned(),
--- /dev/null
+++ b/crates/wire/tests/exchange.rs
@@ -0,0 +1,155 @@
+//! Sizes of exchanges at 540 daemons, where control may take 7 KB/s of each.
+
+use std::time::Duration;
+
+use hawthornwall_core::config::{Change, Configuration, InForce, Patch, Rules};
+use hawthornwall_core::ids::{InstanceId, Version};
+use hawthornwall_core::members::{Announcement, BEAT, Identity, Members, Relayed};
+use hawthornwall_core::time::Time;
+use hawthornwall_wire::peer::{
+    Exchange, Reply, Request, decode_reply, decode_request, encode_reply, encode_request,
+};
+use insta::assert_snapshot;
+
+const DAEMONS: u16 = 540;
+/// Neighbours of each daemon.
+const NEIGHBOURS: f64 = 10.0;
+/// Control traffic allowed to one daemon, in bytes a second.
+const ALLOWED: f64 = 7_000.0;
+
+fn relayed(n: u16, seq: u64) -> Relayed {
+    let [high, low] = n.to_be_bytes();
+    Relayed {
+        age: Duration::from_secs(300),
+        announcement: Announcement {
+            identity: Identity {
+                domain: "eu-north-1".to_owned(),
+                instance: InstanceId(0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(u64::from(n) + 1)),
+                peer: ([10, 0, high, low], 7000).into(),
+                target: format!("certificate-{n}"),
+            },
+            leaving: false,
+            seq,
+            started: 1_796_380_086_118,
+        },
+    }
+}
+
+fn fleet() -> Members {
+    let identity = relayed(0, 1).announcement.identity;
+    let mut members = Members::new(identity, 1_796_380_086_118, Time::ZERO);
+    members.announce(Time::ZERO);
+    for n in 1..DAEMONS {
+        members.hear(&relayed(n, 40), Time::ZERO);
+    }
+    members
+}
+
+fn patch() -> Patch {
+    Patch {
+        author: "trainee@sailing-schools.example".to_owned(),
+        base: Version(2_700),
+        changes: vec![Change::UpdateTarget {
+            name: "certificate-17".to_owned(),
+            domain: None,
+            slots: Some(12),
+        }],
+        note: "more slots for the booking season".to_owned(),
+        time: "2026-01-05T08:00:00Z".to_owned(),
+    }
+}
+
+fn exchange(members: hawthornwall_core::members::Comparison) -> Exchange {
+    Exchange {
+        digest: u64::MAX / 3,
+        from: Some(([10, 0, 0, 1], 7000).into()),
+        members,
+        version: Version(2_701),
+        ..Exchange::default()
+    }
+}
+
+fn size(exchange: &Exchange) -> usize {
+    let request = Request::Exchange(Box::new(exchange.clone()));
+    let bytes = encode_request(&request);
+    assert_eq!(decode_request(&bytes), Ok(request));
+    bytes.len()
+}
+
+/// Guards against control traffic above what an instance can spare.
+#[test]
+fn sizes_at_full_size() {
+    let members = fleet();
+    let steady = size(&exchange(members.open()));
+    let mut push = exchange(members.open());
+    push.patches = vec![patch()];
+    let push = size(&push);
+    let mut beat = exchange(members.open());
+    beat.members.announcements = vec![relayed(7, 41)];
+    let beat = size(&beat);
+
+    // One difference in 540 entries, from the first digests to the missing announcement.
+    let mut other = fleet();
+    other.hear(&relayed(7, 41), Time::ZERO);
+    let mut message = members.open();
+    let (mut sides, mut turns) = ([other, members], Vec::new());
+    loop {
+        turns.push(size(&exchange(message.clone())));
+        let side = &mut sides[(turns.len() - 1) % 2];
+        side.hear_all(&message, Time::ZERO);
+        message = side.answer(&message, Time::ZERO);
+        if !message.is_open() {
+            break;
+        }
+    }
+    assert_eq!(sides[0].digest(), sides[1].digest());
+
+    // A comparison each 2 s in each direction with request and reply; each daemon's announcement once
+    // in ten minutes and each of 2,700 patches a day, to and from all neighbours, with replies.
+    let comparisons = 2.0 * 2.0 * steady as f64 / 2.0;
+    let beats = f64::from(DAEMONS) / BEAT.as_secs_f64();
+    let beats = beats * NEIGHBOURS * 2.0 * (beat + steady) as f64;
+    let patches = 2_700.0 / 86_400.0 * NEIGHBOURS * 2.0 * (push + steady) as f64;
+    let total = comparisons + beats + patches;
+    assert_snapshot!(
+        "sizes",
+        format!(
+            "steady {steady}\npatch {push}\nannouncement {beat}\none difference {turns:?}\n\
+             bytes a second: comparisons {comparisons:.0}, announcements {beats:.0}, \
+             patches {patches:.0}, sum {total:.0}"
+        )
+    );
+    assert!(total < ALLOWED / 2.0);
+}
+
+/// Guards against checkpoints that can't be decoded, or that exceed what a peer message may take.
+#[test]
+fn checkpoint_at_full_size() {
+    let service = Change::CreateService {
+        name: "certificate".to_owned(),
+        hosts: std::collections::BTreeSet::new(),
+        rules: Rules::default(),
+    };
+    let targets = (0..DAEMONS).map(|n| Change::CreateTarget {
+        name: format!("certificate-{n}"),
+        service: "certificate".to_owned(),
+        domain: "eu-north-1".to_owned(),
+        slots: 10,
+    });
+    let patch = Patch {
+        base: Version(0),
+        changes: [service].into_iter().chain(targets).collect(),
+        ..patch()
+    };
+    let config = Configuration::default().fold(&patch).unwrap();
+    let reply = Reply::Exchange(Box::new(Exchange {
+        checkpoint: Some(config.clone()),
+        ..Exchange::default()
+    }));
+    let bytes = encode_reply(&reply);
+    assert_snapshot!("checkpoint", format!("{} bytes", bytes.len()));
+    assert_eq!(decode_reply(&bytes), Ok(reply));
+    let mut force = InForce::default();
+    let _ = force.offer_configuration(&config);
+    assert_eq!(force.config(), &config);
+}
