--- a/crates/testkit/src/demo/measure.rs
+++ b/crates/testkit/src/demo/measure.rs
@@ -127,8 +127,10 @@
             Event::RunStarted { .. } => figures.runs += 1,
             Event::InForce { .. }
             | Event::Leaving
+            | Event::Presence { .. }
             | Event::Published { .. }
             | Event::Received { .. }
+            | Event::Routed { .. }
             | Event::RunEnded { .. }
             | Event::Sent { .. } => {}
         }
--- a/crates/testkit/src/load/check.rs
+++ b/crates/testkit/src/load/check.rs
@@ -53,8 +53,10 @@
             Event::InForce { .. }
             | Event::Leaving
             | Event::Probed { .. }
+            | Event::Presence { .. }
             | Event::Published { .. }
             | Event::Received { .. }
+            | Event::Routed { .. }
             | Event::RunEnded {
                 answered: false, ..
             }
