--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -10,6 +10,8 @@
 
 mod budget;
 mod call;
+mod event;
 
 pub use budget::RetryBudget;
-pub use call::{AttemptId, Call, Effect, Event, MAX_ATTEMPTS, PickKind, Spec, keyed_outcome};
+pub use call::{Call, MAX_ATTEMPTS, keyed_outcome};
+pub use event::{AttemptId, Effect, Event, PickKind, Spec};
