--- a/crates/testkit/src/demo/measure.rs
+++ b/crates/testkit/src/demo/measure.rs
@@ -132,8 +132,6 @@
             | Event::Received { .. }
             | Event::Routed { .. }
             | Event::RunEnded { .. }
-            | Event::Presence { .. }
-            | Event::Routed { .. }
             | Event::Sent { .. } => {}
         }
     }
--- a/crates/testkit/src/load/check.rs
+++ b/crates/testkit/src/load/check.rs
@@ -60,8 +60,6 @@
             | Event::RunEnded {
                 answered: false, ..
             }
-            | Event::Presence { .. }
-            | Event::Routed { .. }
             | Event::Sent { .. } => {}
         }
     }
