--- a/crates/testkit/src/bin/demo.rs
+++ b/crates/testkit/src/bin/demo.rs
@@ -1,7 +1,7 @@
 //! `demo [--deployment faellesvaerftet|ogun] [--requests N] [--rate PER_SECOND]
 //! [--direct-percent N] [--mean-us N] [--idle-s N] [--seed N] [--keep true]`
 //!
-//! Ends with status 1 if a caller's view contradicts the targets' records.
+//! Ends with status 1 if a caller's view contradicts the targets' records or an invariant is violated.
 
 use std::error::Error;
 use std::process::ExitCode;
@@ -18,8 +18,7 @@
     );
     let figures = run_demo(&options)?;
     println!("{}", render(&figures));
-    let agreed = figures.mismatches.total() == 0;
-    Ok(if agreed {
+    Ok(if figures.is_clean() {
         ExitCode::SUCCESS
     } else {
         ExitCode::FAILURE
--- a/crates/testkit/src/demo/figures.rs
+++ b/crates/testkit/src/demo/figures.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::history::Report;
 use crate::load::{Mismatches, Quantiles};
 
 /// Latencies of calls through daemons or of direct calls.
@@ -65,6 +66,8 @@
     pub direct_outcomes: BTreeMap<String, u64>,
     /// Length of the load.
     pub duration: Duration,
+    /// What the history checker found in the records of callers, targets and platform.
+    pub history: Report,
     /// Daemons that didn't end after a request for a graceful shutdown.
     pub killed: Vec<String>,
     /// Load average of the machine before and after the load.
@@ -78,3 +81,10 @@
     /// Outcomes of calls through daemons.
     pub through_outcomes: BTreeMap<String, u64>,
 }
+
+impl Figures {
+    /// Whether no caller's view contradicts a record and no invariant is violated.
+    pub fn is_clean(&self) -> bool {
+        self.mismatches.total() == 0 && self.history.is_clean()
+    }
+}
--- a/crates/testkit/src/demo/report.rs
+++ b/crates/testkit/src/demo/report.rs
@@ -6,6 +6,9 @@
 use super::figures::{DaemonFigures, Figures, ProbeFigures};
 use crate::load::Quantiles;
 
+/// Longest part of the history checker's report that is shown; the rest repeats the same faults.
+const HISTORY_LINES: usize = 20;
+
 const NOTES: &str = "\
 Latency counts from the planned arrival; of a POST with a key, from its own sending.
 Outside targets = latency - time in which at least one target ran the call, by their records
@@ -27,6 +30,7 @@
     outcomes(&mut out, "through daemons", &figures.through_outcomes);
     outcomes(&mut out, "direct", &figures.direct_outcomes);
     mismatches(&mut out, figures);
+    history(&mut out, figures);
     latencies(&mut out, figures);
     probes(&mut out, &figures.probes);
     daemons(&mut out, &figures.daemons);
@@ -74,6 +78,13 @@
     }
 }
 
+fn history(out: &mut String, figures: &Figures) {
+    out.push_str("\nHistory checker, on the records of callers, targets and platform\n");
+    for line in figures.history.to_string().lines().take(HISTORY_LINES) {
+        let _ = writeln!(out, "    {line}");
+    }
+}
+
 fn latencies(out: &mut String, figures: &Figures) {
     let (direct, through) = (&figures.direct, &figures.through);
     let _ = writeln!(
--- a/crates/testkit/src/demo/run.rs
+++ b/crates/testkit/src/demo/run.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -9,7 +10,7 @@
 use super::figures::Figures;
 use super::measure::{Sample, daemon_figures, latency_figures, probe_figures};
 use crate::arguments::{ArgumentError, Arguments};
-use crate::history::{Record, read_records};
+use crate::history::{self, Limits, Record, read_records};
 use crate::launcher::{Cluster, ClusterOptions, Deployment, LaunchError};
 use crate::load::{CallResult, LoadOptions, Runs, check, count_outcomes, run_load};
 use crate::run;
@@ -138,18 +139,32 @@
     let busy_end = machine_load();
     let daemons = daemon_figures(&cluster, &samples);
     let killed = cluster.stop_daemons(STOP)?;
-    let histories = cluster.target_histories();
-    let records: io::Result<Vec<_>> = histories.iter().map(|path| read_records(path)).collect();
+    let records = read_all(cluster.target_histories())?;
+    let others = ["callers", "platform"].map(|n| cluster.folder().join(format!("{n}.history")));
+    let all = [records.clone(), read_all(others)?].concat();
     let figures = Figures {
         daemons,
         duration,
+        history: history::check(&all, &limits(&cluster)),
         killed,
         machine_load: [busy_start, busy_end],
-        ..evaluate(&cluster, &load, &results, &records?.concat())
+        ..evaluate(&cluster, &load, &results, &records)
     };
     Ok(figures)
 }
 
+fn read_all(paths: impl IntoIterator<Item = PathBuf>) -> io::Result<Vec<Record>> {
+    let files: io::Result<Vec<_>> = paths.into_iter().map(|p| read_records(&p)).collect();
+    Ok(files?.concat())
+}
+
+fn limits(cluster: &Cluster) -> Limits {
+    Limits {
+        slots: cluster.plan().slots,
+        ..Limits::DEFAULT
+    }
+}
+
 /// Runnable processes of the whole machine, averaged over the last minute.
 fn machine_load() -> String {
     let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
