Test the control task and the reads of the platform

Three control tasks in one runtime share one stand-in for the platform that only the first can reach; a partition, a stale document and leaving members are played through.

--- a/crates/node/src/control/task.rs
+++ b/crates/node/src/control/task.rs
@@ -135,6 +135,14 @@
             }
         }
         self.refresh();
+        debug_assert_eq!(self.verify(), Vec::<String>::new());
+    }
+
+    /// Broken invariants of the aggregates.
+    fn verify(&self) -> Vec<String> {
+        let (force, members) = (self.force.verify(), self.members.verify());
+        let all = [force, members, self.spread.verify()];
+        all.concat()
     }
 
     /// Carries out everything that is due.
--- /dev/null
+++ b/crates/node/tests/control.rs
@@ -0,0 +1,333 @@
+//! Several control tasks in one runtime. A stand-in for the `peers` task carries their exchanges; a
+//! stand-in for the platform serves only some of them.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::{mpsc, oneshot};
+use futures::{FutureExt, StreamExt, select_biased};
+use hawthornwall_core::config::{Change, Document, Patch, Rules};
+use hawthornwall_core::members::Identity;
+use hawthornwall_core::prelude::*;
+use hawthornwall_node::clock::Clock;
+use hawthornwall_node::control::{ControlStart, run};
+use hawthornwall_node::messages::{
+    ControlMessage, ControlSender, ControlStatus, GateMessage, GateSender, PeerAddress, PeerFault,
+    PeersMessage, RouterMessage,
+};
+use hawthornwall_settings::{ControlSettings, PlatformSettings};
+use hawthornwall_wire::peer::{Reply, Request};
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::net::{TcpListener, TcpStream};
+
+/// What the platform shows; shared with the connections that serve it.
+type Shown = Rc<RefCell<BTreeMap<&'static str, (u64, String)>>>;
+/// Daemons by address, and pairs that can't reach each other.
+type Network = Rc<RefCell<(BTreeMap<SocketAddr, ControlSender>, BTreeSet<SocketAddr>)>>;
+
+struct Daemon {
+    control: ControlSender,
+    gate: mpsc::UnboundedReceiver<GateMessage>,
+    router: mpsc::UnboundedReceiver<RouterMessage>,
+}
+
+impl Daemon {
+    fn start(n: u8, platform: SocketAddr, network: &Network) -> Self {
+        let (control, receiver) = mpsc::unbounded();
+        let (gate, gate_receiver) = mpsc::unbounded();
+        let (router, router_receiver) = mpsc::unbounded();
+        let (peers, peers_receiver) = mpsc::unbounded();
+        network.borrow_mut().0.insert(peer(n), control.clone());
+        monoio::spawn(carry(peer(n), peers_receiver, Rc::clone(network)));
+        monoio::spawn(run(ControlStart {
+            clock: Clock::start(),
+            gate: GateSender::new(gate),
+            identity: Identity {
+                domain: format!("dk-{n}"),
+                instance: InstanceId(u64::from(n)),
+                peer: peer(n),
+                target: format!("t{n}"),
+            },
+            peers,
+            platform: PlatformSettings {
+                config: platform,
+                instances: platform,
+            },
+            receiver,
+            router,
+            seed: u64::from(n),
+            seeds: [1, 2].into_iter().filter(|s| *s != n).map(peer).collect(),
+            sender: control.clone(),
+            settings: ControlSettings {
+                exchange: Duration::from_millis(100),
+                start_wait: Duration::from_millis(100),
+                watchers: 1,
+            },
+            started: 1,
+        }));
+        Self {
+            control,
+            gate: gate_receiver,
+            router: router_receiver,
+        }
+    }
+
+    async fn status(&self) -> ControlStatus {
+        let (reply, status) = oneshot::channel();
+        let _ = self.control.unbounded_send(ControlMessage::Status(reply));
+        status.await.expect("the control task runs")
+    }
+
+    /// Waits until the status fulfils a condition.
+    async fn until(&self, what: &str, reached: impl Fn(&ControlStatus) -> bool) {
+        for _ in 0..500 {
+            if reached(&self.status().await) {
+                return;
+            }
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("{what} not reached: {:?}", self.status().await);
+    }
+}
+
+fn peer(n: u8) -> SocketAddr {
+    ([10, 0, 0, n], 7000).into()
+}
+
+/// Delivers exchanges between daemons that are not cut off.
+async fn carry(
+    own: SocketAddr,
+    mut messages: mpsc::UnboundedReceiver<PeersMessage>,
+    network: Network,
+) {
+    while let Some(message) = messages.next().await {
+        let PeersMessage::Send { reply, request, to } = message else {
+            continue;
+        };
+        let (Request::Exchange(exchange), PeerAddress::Socket(to)) = (request, to) else {
+            panic!("control sends only exchanges to addresses");
+        };
+        let target = {
+            let (daemons, cut) = &*network.borrow();
+            daemons
+                .get(&to)
+                .filter(|_| cut.contains(&to) == cut.contains(&own))
+                .cloned()
+        };
+        let Some(target) = target else {
+            let _ = reply.send(Err(PeerFault::Unreachable));
+            continue;
+        };
+        monoio::spawn(async move {
+            let (sender, receiver) = oneshot::channel();
+            let _ = target.unbounded_send(ControlMessage::Exchange {
+                exchange,
+                reply: sender,
+            });
+            if let Ok(exchange) = receiver.await {
+                let _ = reply.send(Ok(Reply::Exchange(Box::new(exchange))));
+            }
+        });
+    }
+}
+
+fn serve(shown: &Shown) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let shown = Rc::clone(shown);
+    monoio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            monoio::spawn(serve_connection(stream, Rc::clone(&shown)));
+        }
+    });
+    address
+}
+
+async fn serve_connection(mut stream: TcpStream, shown: Shown) {
+    loop {
+        let (read, buffer) = stream.read(Vec::with_capacity(4096)).await;
+        if read.unwrap_or(0) == 0 {
+            return;
+        }
+        let text = String::from_utf8_lossy(&buffer).into_owned();
+        let number = |name| {
+            let (_, rest) = text.split_once(name).expect("the reader names it");
+            let end = rest
+                .find(|c: char| !c.is_ascii_digit())
+                .unwrap_or(rest.len());
+            rest[..end].parse::<u64>().expect("it is a number")
+        };
+        let path = if text.starts_with("GET /config?") {
+            "/config"
+        } else {
+            "/instances"
+        };
+        let mut reply = "HTTP/1.1 304 Not Modified\r\n\r\n".to_owned();
+        for _ in 0..=number("wait=") / 10 {
+            if let Some((revision, body)) = shown.borrow().get(path)
+                && *revision > number("since=")
+            {
+                let length = body.len();
+                reply = format!(
+                    "HTTP/1.1 200 OK\r\nRevision: {revision}\r\nContent-Length: {length}\r\n\r\n{body}"
+                );
+                break;
+            }
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let _ = stream.write_all(reply.into_bytes()).await;
+    }
+}
+
+/// A document with `count` patches, each creating a service and its target.
+fn document(count: u8) -> String {
+    let patch = |n: u8| Patch {
+        author: "trainee".to_owned(),
+        base: Version(u64::from(n) - 1),
+        changes: vec![
+            Change::CreateService {
+                name: format!("s{n}"),
+                hosts: BTreeSet::new(),
+                rules: Rules::default(),
+            },
+            Change::CreateTarget {
+                name: format!("t{n}"),
+                service: format!("s{n}"),
+                domain: format!("dk-{n}"),
+                slots: 1,
+            },
+        ],
+        note: String::new(),
+        time: String::new(),
+    };
+    let patches = (1..=count).map(patch).collect();
+    let document = Document {
+        patches,
+        ..Document::default()
+    };
+    serde_json::to_string(&document).expect("a document is JSON")
+}
+
+fn in_runtime(future: impl Future<Output = ()>) {
+    let runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build();
+    runtime.expect("the runtime starts").block_on(future);
+}
+
+/// Three daemons, of which only the first can reach the platform, with four versions in force.
+async fn start(shown: &Shown, network: &Network) -> Vec<Daemon> {
+    shown.borrow_mut().insert("/config", (1, document(4)));
+    shown.borrow_mut().insert(
+        "/instances",
+        (1, r#"{"revision": 1, "instances": []}"#.to_owned()),
+    );
+    let platform = serve(shown);
+    // Nothing listens there any more.
+    let closed = TcpListener::bind("127.0.0.1:0").map(|l| l.local_addr());
+    let closed = closed.and_then(|a| a).expect("a port was free");
+    let address = |n| if n == 1 { platform } else { closed };
+    let daemons: Vec<_> = (1..=3)
+        .map(|n| Daemon::start(n, address(n), network))
+        .collect();
+    for daemon in &daemons {
+        daemon
+            .until("v4", |s| s.version == Version(4) && s.ready)
+            .await;
+        let known = |s: &ControlStatus| s.members.values().filter(|m| m.instance.is_some()).count();
+        daemon.until("members", |s| known(s) == 3).await;
+    }
+    daemons
+}
+
+/// Guards against daemons that learn of versions only from the platform, and against versions that go
+/// back or are handed out twice.
+#[test]
+fn versions_reach_daemons_without_platform() {
+    in_runtime(async {
+        let (shown, network) = (Shown::default(), Network::default());
+        let mut daemons = start(&shown, &network).await;
+        for count in 5..8 {
+            shown
+                .borrow_mut()
+                .insert("/config", (u64::from(count), document(count)));
+            for daemon in &daemons {
+                daemon
+                    .until("newer version", |s| s.version == Version(u64::from(count)))
+                    .await;
+            }
+        }
+        shown.borrow_mut().insert("/config", (9, document(2)));
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        for daemon in &mut daemons {
+            assert_eq!(daemon.status().await.version, Version(7));
+            let mut versions = Vec::new();
+            while let Ok(RouterMessage::World(world)) = daemon.router.try_recv() {
+                assert!(world.config.verify().is_empty());
+                versions.push(world.config.version.0);
+            }
+            assert!(versions.is_sorted() && versions[0] == 4, "{versions:?}");
+            versions.dedup();
+            assert_eq!(versions, [4, 5, 6, 7]);
+        }
+    });
+}
+
+/// Guards against a daemon that was cut off and never catches up, with patches or without.
+#[test]
+fn partition_heals() {
+    in_runtime(async {
+        let (shown, network) = (Shown::default(), Network::default());
+        let daemons = start(&shown, &network).await;
+        network.borrow_mut().1.insert(peer(3));
+        shown.borrow_mut().insert("/config", (2, document(100)));
+        daemons[1]
+            .until("v100", |s| s.version == Version(100))
+            .await;
+        assert_eq!(daemons[2].status().await.version, Version(4));
+        network.borrow_mut().1.clear();
+        daemons[2]
+            .until("v100", |s| s.version == Version(100))
+            .await;
+    });
+}
+
+/// Guards against a leaving member that others don't hear of, and against a daemon that is leaving by
+/// the platform's word and goes on taking work.
+#[test]
+fn leaving_is_known_everywhere() {
+    in_runtime(async {
+        let (shown, network) = (Shown::default(), Network::default());
+        let mut daemons = start(&shown, &network).await;
+        let _ = daemons[2].control.unbounded_send(ControlMessage::Leaving);
+        let list = r#"{"revision": 2, "instances": [
+            {"domain": "dk-2", "peer": "10.0.0.2:7000", "state": "leaving", "target": "t2"}]}"#;
+        shown
+            .borrow_mut()
+            .insert("/instances", (2, list.to_owned()));
+        for daemon in &daemons {
+            let leaving = |s: &ControlStatus| {
+                let leaving = s.members.iter().filter(|(_, m)| m.leaving);
+                leaving
+                    .map(|(target, _)| target.clone())
+                    .collect::<Vec<_>>()
+                    == ["t2", "t3"]
+            };
+            daemon.until("leaving", leaving).await;
+        }
+        let drained = async {
+            while let Some(message) = daemons[1].gate.next().await {
+                if matches!(message, GateMessage::Drain(_)) {
+                    return;
+                }
+            }
+        };
+        select_biased! {
+            () = Box::pin(drained.fuse()) => {},
+            () = Box::pin(monoio::time::sleep(Duration::from_secs(2)).fuse()) => panic!("no drain"),
+        }
+    });
+}
