Don't send a request whose deadline passed while its target was picked

Cause: Call sent to the picked target without looking at the time; after a pause the pick is handled before the timer that would end the call. Ruled out: retries, reroutes and repeats under a key; they compare the time with the deadline. Before: a pick at 500 ms for a deadline of 100 ms was sent, and the caller of a non-idempotent request was told 'unknown' 1 ms later. After: nothing is sent, the caller is told 'refused', and a late hedge is left out while the first attempt is open.

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -150,6 +150,10 @@
 
     fn take(&mut self, choice: &Choice, now: Time, effects: &mut Vec<Effect>) {
         self.picking = None;
+        // After a pause the pick may be handled before the timer that ends the call.
+        if now >= self.spec.deadline {
+            return self.miss(Refusal::Expired, effects);
+        }
         let more = self.attempts.len() + 1 < MAX_ATTEMPTS && choice.alternatives > 0;
         let patience = if more { choice.patience } else { Duration::MAX };
         let first = self.attempts.is_empty();
--- a/crates/core/tests/properties/call.rs
+++ b/crates/core/tests/properties/call.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    fn take(&mut self, effects: &[Effect], pinned: Option<TargetId>) {
+    fn take(&mut self, effects: &[Effect], spec: Spec, now: Time) {
         for effect in effects {
             assert!(self.finishes.is_empty(), "{effect:?} after the finish");
             match effect {
@@ -87,10 +87,9 @@
                 Effect::Finish(outcome, _) => self.finishes.push(*outcome),
                 Effect::Pick(_) => self.picks += 1,
                 Effect::Send { target, .. } => {
-                    assert!(
-                        pinned.is_none_or(|p| p == *target),
-                        "{target} for another's key"
-                    );
+                    let allowed = spec.pinned.is_none_or(|p| p == *target);
+                    assert!(allowed, "{target} for another's key");
+                    assert!(now < spec.deadline, "sent past the deadline");
                     self.attempts.push(None);
                 }
             }
@@ -114,12 +113,12 @@
         let mut now = Time::ZERO;
         let (mut call, effects) = Call::start(spec, now);
         let mut owner = Owner::default();
-        owner.take(&effects, spec.pinned);
+        owner.take(&effects, spec, now);
         for (pause, event) in events {
             now = now + Duration::from_micros(pause);
             let open = owner.finishes.is_empty();
             if owner.expects(&event) {
-                owner.take(&call.on(&event, now), spec.pinned);
+                owner.take(&call.on(&event, now), spec, now);
             }
             prop_assert_eq!(call.verify(), Vec::<String>::new());
             let perhaps_run = owner.attempts.len() - owner.refused();
@@ -131,7 +130,7 @@
         }
         if !call.finished() {
             now = call.next_timer().max(spec.deadline + Duration::from_secs(1));
-            owner.take(&call.on(&Event::Timer, now), spec.pinned);
+            owner.take(&call.on(&Event::Timer, now), spec, now);
         }
         prop_assert_eq!(owner.finishes.len(), 1);
         prop_assert!(owner.attempts.len() <= MAX_ATTEMPTS);
