Repeat a lost non-idempotent request at the run that may have it

Cause: a peer connection that went silent left every non-idempotent request on it with an unknown outcome, although the daemon at its end was alive and knew. Ruled out: sending it to another target, which could run it twice; keys, which callers need not use. A run now remembers request ids until past their deadlines, and a repeat under the same id joins, replays, or runs what never arrived; any other run refuses to guess. A paused process takes the pause off the time left of what waited in its buffers. Conclusion: the outcome stays unknown only if that run is gone.

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{AttemptId, Effect, Event, PickKind, Spec};
-use crate::ids::TargetId;
+use crate::ids::{InstanceId, TargetId};
 use crate::outcome::{AttemptResult, Loss, Outcome, Refusal};
 use crate::routing::Choice;
 use crate::time::Time;
@@ -16,6 +16,10 @@
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Attempt {
+    /// The run that it was sent to, as far as it is known.
+    instance: Option<InstanceId>,
+    /// The attempt that it repeats under the same request id.
+    repeats: Option<AttemptId>,
     result: Option<AttemptResult>,
     target: TargetId,
 }
@@ -44,7 +48,7 @@
         if spec.deadline <= now {
             call.give_up(Loss::Expired, Refusal::Expired, &mut effects);
         } else if let Some(target) = spec.pinned {
-            call.send(target, Duration::MAX, &mut effects);
+            call.send(target, None, Duration::MAX, &mut effects);
         } else {
             call.pick(PickKind::First, &mut effects);
         }
@@ -97,8 +101,10 @@
                 self.attempts.len()
             ));
         }
-        let refused = |a: &&Attempt| matches!(a.result, Some(AttemptResult::Refused(_)));
-        let perhaps_run = self.attempts.len() - self.attempts.iter().filter(refused).count();
+        let refused = |a: &Attempt| matches!(a.result, Some(AttemptResult::Refused(_)));
+        // A repeat under the same request id runs only if the first sending has not.
+        let perhaps = |a: &&Attempt| !refused(a) && a.repeats.is_none();
+        let perhaps_run = self.attempts.iter().filter(perhaps).count();
         // Under a key the ledger of the one target that it names keeps the request from running twice.
         let repeatable = self.spec.idempotent || self.spec.pinned.is_some();
         if !repeatable && perhaps_run > 1 {
@@ -135,9 +141,17 @@
         effects.push(Effect::Pick(kind));
     }
 
-    fn send(&mut self, target: TargetId, patience: Duration, effects: &mut Vec<Effect>) {
+    fn send(
+        &mut self,
+        target: TargetId,
+        instance: Option<InstanceId>,
+        patience: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
         let attempt = AttemptId(self.attempts.len() as u8);
         self.attempts.push(Attempt {
+            instance,
+            repeats: None,
             result: None,
             target,
         });
@@ -157,7 +171,7 @@
         let more = self.attempts.len() + 1 < MAX_ATTEMPTS && choice.alternatives > 0;
         let patience = if more { choice.patience } else { Duration::MAX };
         let first = self.attempts.is_empty();
-        self.send(choice.target, patience, effects);
+        self.send(choice.target, choice.instance, patience, effects);
         if first && self.spec.hedge && self.spec.idempotent && choice.alternatives > 0 {
             self.hedge = Some(now + choice.hedge);
         }
@@ -188,9 +202,15 @@
 
     fn end(&mut self, id: AttemptId, result: AttemptResult, now: Time, effects: &mut Vec<Effect>) {
         // A second end of the same attempt says nothing new: the first one decided what followed.
-        match self.attempts.get_mut(usize::from(id.0)) {
-            Some(attempt) if attempt.result.is_none() => attempt.result = Some(result),
+        let repeats = match self.attempts.get_mut(usize::from(id.0)) {
+            Some(attempt) if attempt.result.is_none() => {
+                attempt.result = Some(result);
+                attempt.repeats
+            }
             Some(_) | None => return,
+        };
+        if let Some(first) = repeats {
+            self.settle(first, result);
         }
         match result {
             AttemptResult::Answered => self.finish(Outcome::Answered, Some(id), effects),
@@ -201,7 +221,10 @@
                 self.repeat(Loss::KeyUnreachable, now, effects);
             }
             AttemptResult::Lost(loss) if !self.spec.idempotent => {
-                self.finish(Outcome::Unknown(loss), None, effects);
+                self.ask_again(id, loss, now, effects);
+            }
+            AttemptResult::Refused(Refusal::Unreachable) if repeats.is_some() => {
+                self.ask_again(id, Loss::Closed, now, effects);
             }
             AttemptResult::Lost(_) => {
                 self.try_again(PickKind::Retry, Refusal::Budget, now, effects);
@@ -222,12 +245,58 @@
         });
         match target {
             Some(target) if self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline => {
-                self.send(target, Duration::MAX, effects);
+                self.send(target, None, Duration::MAX, effects);
             }
             Some(_) | None => self.finish(Outcome::Unknown(loss), None, effects),
         }
     }
 
+    /// Repeats a non-idempotent request whose connection was lost, under its request id, at the run
+    /// that may have received it. That run remembers the id and runs it only if it never saw it.
+    fn ask_again(&mut self, id: AttemptId, loss: Loss, now: Time, effects: &mut Vec<Effect>) {
+        let Attempt {
+            instance,
+            repeats,
+            target,
+            ..
+        } = self.attempts[usize::from(id.0)];
+        let more = self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline;
+        let (Some(instance), Loss::Closed, true) = (instance, loss, more) else {
+            return self.finish(Outcome::Unknown(loss), None, effects);
+        };
+        let attempt = AttemptId(self.attempts.len() as u8);
+        let of = repeats.unwrap_or(id);
+        let (instance_known, repeats) = (Some(instance), Some(of));
+        self.attempts.push(Attempt {
+            instance: instance_known,
+            repeats,
+            result: None,
+            target,
+        });
+        effects.push(Effect::Repeat {
+            attempt,
+            instance,
+            of,
+            target,
+        });
+    }
+
+    /// A refusal of a repeat by the run that knows the request id holds for every sending of it.
+    fn settle(&mut self, first: AttemptId, result: AttemptResult) {
+        let definite = match result {
+            AttemptResult::Refused(refusal) => refusal != Refusal::Unreachable,
+            AttemptResult::Answered | AttemptResult::Lost(_) => false,
+        };
+        if definite {
+            self.attempts[usize::from(first.0)].result = Some(result);
+            let repeats = self
+                .attempts
+                .iter_mut()
+                .filter(|a| a.repeats == Some(first));
+            repeats.for_each(|a| a.result = Some(result));
+        }
+    }
+
     fn try_again(
         &mut self,
         kind: PickKind,
@@ -326,7 +395,9 @@
 /// Whether another target may accept what this one refused.
 fn elsewhere(refusal: Refusal) -> bool {
     match refusal {
-        Refusal::Down
+        // The run cancels a waiting request when its connection is lost; a repeat learns of it.
+        Refusal::Cancelled
+        | Refusal::Down
         | Refusal::Draining
         | Refusal::Full
         | Refusal::NotReady
@@ -334,7 +405,6 @@
         | Refusal::Unreachable
         | Refusal::WrongTarget => true,
         Refusal::Budget
-        | Refusal::Cancelled
         | Refusal::Expired
         | Refusal::KeyInvalid
         | Refusal::KeyMismatch
--- a/crates/core/src/calls/event.rs
+++ b/crates/core/src/calls/event.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use crate::ids::TargetId;
+use crate::ids::{InstanceId, TargetId};
 use crate::outcome::{AttemptResult, Outcome, Refusal};
 use crate::routing::Choice;
 use crate::time::Time;
@@ -69,6 +69,17 @@
     Finish(Outcome, Option<AttemptId>),
     /// Ask the router for a target.
     Pick(PickKind),
+    /// Send the request again to the run that may have received it, under the same request id.
+    Repeat {
+        /// The new attempt's number.
+        attempt: AttemptId,
+        /// The only run that can tell whether the request has run.
+        instance: InstanceId,
+        /// The attempt whose request id is used again.
+        of: AttemptId,
+        /// The target.
+        target: TargetId,
+    },
     /// Send the request to a target.
     Send {
         /// The attempt's number.
--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -1,8 +1,8 @@
 //! The call aggregate: one caller's request from its arrival to its outcome.
 //!
 //! Rules kept here:
-//! - a non-idempotent request is sent again only after a definite refusal, so at most one attempt
-//!   of it can have run;
+//! - a non-idempotent request is sent again only after a definite refusal, or under the same request
+//!   id to the same run, which runs it at most once; so at most one attempt of it can have run;
 //! - a call finishes exactly once, and every attempt still open is cancelled then;
 //! - a call never makes more than [`MAX_ATTEMPTS`] attempts;
 //! - "refused" is reported only if every attempt was refused or none was made, and for a keyed
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -83,6 +83,21 @@
     }
 }
 
+/// A request between two daemons. Repeats of one request share it.
+///
+/// The first one of a daemon's run is drawn at random, so that ids of different daemons differ.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct RequestId(pub u64);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "request{:016x}", self.0)
+    }
+}
+
 /// One run of a daemon process, drawn at random at its start.
 ///
 /// A restart yields another id, which is how peers and idempotency keys tell that memory was lost.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod load;
 pub mod members;
 pub mod outcome;
+pub mod pause;
 pub mod prelude;
 pub mod probing;
 pub mod routing;
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -55,6 +55,8 @@
     pub estimate: Estimate,
     /// When a hedge is due if no answer has arrived.
     pub hedge: Duration,
+    /// The run of the target's daemon, as far as it is known.
+    pub instance: Option<InstanceId>,
     /// Longest wait for a slot that is cheaper than asking another target.
     pub patience: Duration,
     /// The target.
@@ -177,6 +179,7 @@
             alternatives,
             estimate,
             hedge,
+            instance: self.views[&target].instance,
             patience,
             target,
             ticket,
@@ -327,8 +330,9 @@
 
 fn note_loss(view: &mut View, loss: Loss, sent: Time, now: Time) {
     match loss {
-        Loss::Closed | Loss::Expired | Loss::Malformed => view.note_failure(now),
-        Loss::Cancelled => view.note_cancelled(sent, now),
+        Loss::Closed | Loss::Malformed => view.note_failure(now),
+        // A short deadline alone says nothing about the target.
+        Loss::Cancelled | Loss::Expired => view.note_cancelled(sent, now),
         Loss::KeyForgotten | Loss::KeyUnreachable => {}
     }
 }
--- a/crates/core/tests/properties/call.rs
+++ b/crates/core/tests/properties/call.rs
@@ -23,16 +23,19 @@
 }
 
 fn event() -> impl Strategy<Value = Event> {
-    let picked = (0..6u32, 0..3usize, 1..30u64).prop_map(|(target, alternatives, hedge)| {
-        Event::Picked(Choice {
-            alternatives,
-            estimate: Estimate::default(),
-            hedge: Duration::from_millis(hedge),
-            patience: Duration::ZERO,
-            target: TargetId(target),
-            ticket: Ticket(0),
-        })
-    });
+    let run = prop::option::of((1..3u64).prop_map(InstanceId));
+    let picked =
+        (0..6u32, 0..3usize, 1..30u64, run).prop_map(|(target, alternatives, hedge, instance)| {
+            Event::Picked(Choice {
+                alternatives,
+                estimate: Estimate::default(),
+                hedge: Duration::from_millis(hedge),
+                instance,
+                patience: Duration::ZERO,
+                target: TargetId(target),
+                ticket: Ticket(0),
+            })
+        });
     prop_oneof![
         1 => Just(Event::CallerGone),
         10 => (0..MAX_ATTEMPTS as u8, result()).prop_map(|(a, r)| Event::Ended(AttemptId(a), r)),
@@ -57,6 +60,8 @@
 #[derive(Default)]
 struct Owner {
     attempts: Vec<Option<AttemptResult>>,
+    /// For each attempt, the first attempt with the same request id, and the target.
+    requests: Vec<(AttemptId, TargetId)>,
     cancelled: Vec<AttemptId>,
     finishes: Vec<Outcome>,
     picks: usize,
@@ -90,6 +95,18 @@
                     let allowed = spec.pinned.is_none_or(|p| p == *target);
                     assert!(allowed, "{target} for another's key");
                     assert!(now < spec.deadline, "sent past the deadline");
+                    let id = AttemptId(self.attempts.len() as u8);
+                    self.requests.push((id, *target));
+                    self.attempts.push(None);
+                }
+                Effect::Repeat { of, target, .. } => {
+                    assert!(
+                        !spec.idempotent && spec.pinned.is_none(),
+                        "a needless repeat"
+                    );
+                    assert!(now < spec.deadline, "repeated past the deadline");
+                    assert_eq!(self.requests[usize::from(of.0)], (*of, *target));
+                    self.requests.push((*of, *target));
                     self.attempts.push(None);
                 }
             }
@@ -97,9 +114,22 @@
         assert!(self.picks <= 1, "two picks are pending");
     }
 
-    fn refused(&self) -> usize {
-        let refused = |a: &&Option<AttemptResult>| matches!(a, Some(AttemptResult::Refused(_)));
-        self.attempts.iter().filter(refused).count()
+    /// Requests, each sent once or more, that may have run.
+    fn perhaps_run(&self) -> usize {
+        let first = |index: &usize| usize::from(self.requests[*index].0.0) == *index;
+        let requests = (0..self.attempts.len()).filter(first);
+        requests.filter(|index| !self.refused(*index)).count()
+    }
+
+    /// Whether a request was refused: at its first sending, or at a repeat that reached the run.
+    fn refused(&self, first: usize) -> bool {
+        let sendings = self.requests.iter().zip(&self.attempts).enumerate();
+        let mut of_request = sendings.filter(|(_, ((id, _), _))| usize::from(id.0) == first);
+        of_request.any(|(index, (_, result))| match result {
+            Some(AttemptResult::Refused(Refusal::Unreachable)) => index == first,
+            Some(AttemptResult::Refused(_)) => true,
+            Some(AttemptResult::Answered | AttemptResult::Lost(_)) | None => false,
+        })
     }
 }
 
@@ -121,7 +151,7 @@
                 owner.take(&call.on(&event, now), spec, now);
             }
             prop_assert_eq!(call.verify(), Vec::<String>::new());
-            let perhaps_run = owner.attempts.len() - owner.refused();
+            let perhaps_run = owner.perhaps_run();
             let repeatable = spec.idempotent || spec.pinned.is_some();
             prop_assert!(repeatable || !open || perhaps_run <= 1);
             if open && !owner.finishes.is_empty() {
@@ -142,9 +172,9 @@
     match outcome {
         Outcome::Answered => assert!(owner.attempts.contains(&Some(AttemptResult::Answered))),
         Outcome::Failed(_) => assert!(spec.idempotent),
-        Outcome::Refused(_) => assert_eq!(owner.refused(), owner.attempts.len()),
+        Outcome::Refused(_) => assert_eq!(owner.perhaps_run(), 0),
         Outcome::Unknown(_) if spec.pinned.is_some() => {}
-        Outcome::Unknown(_) => assert!(!spec.idempotent && owner.refused() < owner.attempts.len()),
+        Outcome::Unknown(_) => assert!(!spec.idempotent && owner.perhaps_run() > 0),
     }
     let open = owner.attempts.iter().filter(|a| a.is_none()).count();
     assert_eq!(
--- a/crates/core/tests/scenarios/calls.rs
+++ b/crates/core/tests/scenarios/calls.rs
@@ -37,6 +37,7 @@
                 alternatives: line.value("alternatives", 1),
                 estimate: Estimate::default(),
                 hedge: line.span("hedge", Duration::from_millis(10)),
+                instance: Some(InstanceId(line.value("instance", 0))).filter(|i| i.0 > 0),
                 patience: line.span("patience", Duration::from_millis(1)),
                 target: line.word(0),
                 ticket: Ticket(0),
--- a/crates/node/src/gate/answers.rs
+++ b/crates/node/src/gate/answers.rs
@@ -1,17 +1,16 @@
-//! Stored answers of executions under idempotency keys, bounded in size.
+//! Stored answers of requests that must not run twice, bounded in size.
 //!
 //! Invariant: the total size of the stored answers never exceeds the limit. An answer that doesn't
-//! fit is not stored; its key still never runs again.
+//! fit is not stored; its request still never runs again.
 
 use std::collections::BTreeMap;
-use std::rc::Rc;
 
 use hawthornwall_wire::peer::HttpAnswer;
 
-/// Answers by the serial of their key.
+/// Answers by the number of their request or key.
 #[derive(Debug)]
 pub(super) struct Answers {
-    by_serial: BTreeMap<u64, Rc<HttpAnswer>>,
+    by_number: BTreeMap<u64, HttpAnswer>,
     limit: usize,
     size: usize,
 }
@@ -19,29 +18,27 @@
 impl Answers {
     pub fn new(limit: usize) -> Self {
         Self {
-            by_serial: BTreeMap::new(),
+            by_number: BTreeMap::new(),
             limit,
             size: 0,
         }
     }
 
-    /// Stores an answer; `false` if there is no room.
-    pub fn store(&mut self, serial: u64, answer: &Rc<HttpAnswer>) -> bool {
+    /// Stores an answer if there is room.
+    pub fn store(&mut self, number: u64, answer: &HttpAnswer) {
         let size = self.size + weight(answer);
-        if size > self.limit {
-            return false;
+        if size <= self.limit {
+            self.size = size;
+            self.by_number.insert(number, answer.clone());
         }
-        self.size = size;
-        self.by_serial.insert(serial, Rc::clone(answer));
-        true
     }
 
-    pub fn get(&self, serial: u64) -> Option<&HttpAnswer> {
-        self.by_serial.get(&serial).map(Rc::as_ref)
+    pub fn get(&self, number: u64) -> Option<&HttpAnswer> {
+        self.by_number.get(&number)
     }
 
-    pub fn remove(&mut self, serial: u64) {
-        if let Some(answer) = self.by_serial.remove(&serial) {
+    pub fn remove(&mut self, number: u64) {
+        if let Some(answer) = self.by_number.remove(&number) {
             self.size -= weight(&answer);
         }
     }
--- /dev/null
+++ b/crates/node/src/gate/memory.rs
@@ -0,0 +1,162 @@
+//! What this run remembers of requests that must not run twice, and of their answers.
+//!
+//! Invariant: an answer is stored only for a request that the ledger or the recent ids know, and is
+//! dropped with that record.
+
+use std::time::Duration;
+
+use hawthornwall_core::keys::{Decision, KeyEnd, KeyLimits, Ledger, RecentEnd, RecentRuns};
+use hawthornwall_core::prelude::*;
+use hawthornwall_settings::KeySettings;
+use hawthornwall_wire::peer::{Run, RunEnd};
+use rand::Rng;
+
+use super::answers::Answers;
+use super::work::print;
+
+/// Bytes of answers kept for repeats after a lost connection.
+const RECENT_ANSWERS: usize = 4 << 20;
+
+/// Under what a request is remembered.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Memo {
+    /// The serial of its idempotency key.
+    Key(u64),
+    /// Its request id.
+    Once(RequestId),
+}
+
+/// The memory of one run.
+#[derive(Debug)]
+pub(super) struct Memory {
+    instance: InstanceId,
+    key_answers: Answers,
+    ledger: Option<Ledger>,
+    limits: KeyLimits,
+    recent: RecentRuns,
+    recent_answers: Answers,
+}
+
+impl Memory {
+    pub fn new(instance: InstanceId, settings: &KeySettings) -> Self {
+        Self {
+            instance,
+            key_answers: Answers::new(settings.answer_bytes),
+            ledger: None,
+            limits: KeyLimits {
+                keep: settings.keep,
+                records: settings.records,
+            },
+            recent: RecentRuns::new(instance),
+            recent_answers: Answers::new(RECENT_ANSWERS),
+        }
+    }
+
+    /// Starts a new ledger. It belongs to one target id; keys of an earlier one must not match.
+    pub fn serve_target(&mut self, target: TargetId) {
+        self.ledger = Some(Ledger::new(self.instance, target, self.limits));
+    }
+
+    /// Issues a key.
+    pub fn issue(&mut self, service: ServiceId, now: Time) -> RunEnd {
+        let Some(ledger) = &mut self.ledger else {
+            return RunEnd::Refused(Refusal::NotReady);
+        };
+        let issued = ledger.issue(service, rand::rng().random(), now);
+        issued.map_or_else(RunEnd::Refused, RunEnd::Issued)
+    }
+
+    /// Decides about a request and says under what it is remembered.
+    pub fn decide(&mut self, id: RequestId, run: &Run, now: Time) -> (Decision, Option<Memo>) {
+        match (&run.key, &mut self.ledger) {
+            (Some(key), Some(ledger)) => {
+                let decision = ledger.request(key, print(&run.http), now);
+                (decision, Some(Memo::Key(key.serial)))
+            }
+            (Some(_), None) => (Decision::Lost(Loss::KeyForgotten), None),
+            (None, _) if run.once => {
+                let deadline = now + run.left;
+                let decision = self
+                    .recent
+                    .request(id, print(&run.http), run.repeat, deadline);
+                (decision, Some(Memo::Once(id)))
+            }
+            (None, _) => (Decision::Run, None),
+        }
+    }
+
+    /// The stored answer; a request that ran, but whose answer found no room, is lost.
+    pub fn replay(&self, memo: Memo) -> RunEnd {
+        let answer = match memo {
+            Memo::Key(serial) => self.key_answers.get(serial),
+            Memo::Once(id) => self.recent_answers.get(id.0),
+        };
+        answer.map_or(RunEnd::Lost(Loss::KeyForgotten), |a| {
+            RunEnd::Answered(a.clone())
+        })
+    }
+
+    /// Notes how a remembered request ended.
+    pub fn end(&mut self, memo: Memo, end: &RunEnd, now: Time) {
+        match memo {
+            Memo::Key(serial) => {
+                if let Some(ledger) = &mut self.ledger {
+                    ledger.end(serial, key_end(end), now);
+                }
+                self.key_answers.store_end(serial, end);
+            }
+            Memo::Once(id) => {
+                self.recent.end(id, recent_end(end));
+                self.recent_answers.store_end(id.0, end);
+            }
+        }
+    }
+
+    /// Drops what has been kept long enough.
+    pub fn expire(&mut self, now: Time) {
+        let serials = self
+            .ledger
+            .as_mut()
+            .map(|l| l.expire(now))
+            .unwrap_or_default();
+        for serial in serials {
+            self.key_answers.remove(serial);
+        }
+        for id in self.recent.expire(now) {
+            self.recent_answers.remove(id.0);
+        }
+    }
+
+    /// Records of keys held.
+    pub fn keys(&self) -> usize {
+        self.ledger.as_ref().map_or(0, Ledger::len)
+    }
+}
+
+fn key_end(end: &RunEnd) -> KeyEnd {
+    match end {
+        RunEnd::Answered(_) | RunEnd::Issued(_) => KeyEnd::Answered,
+        RunEnd::Lost(loss) => KeyEnd::Lost(*loss),
+        RunEnd::Refused(_) => KeyEnd::NotRun,
+    }
+}
+
+fn recent_end(end: &RunEnd) -> RecentEnd {
+    match end {
+        RunEnd::Answered(_) | RunEnd::Issued(_) => RecentEnd::Answered,
+        RunEnd::Lost(loss) => RecentEnd::Lost(*loss),
+        RunEnd::Refused(refusal) => RecentEnd::Refused(*refusal),
+    }
+}
+
+impl Answers {
+    fn store_end(&mut self, id: u64, end: &RunEnd) {
+        match end {
+            RunEnd::Answered(answer) => self.store(id, answer),
+            RunEnd::Issued(_) | RunEnd::Lost(_) | RunEnd::Refused(_) => {}
+        }
+    }
+}
+
+/// Time between two looks at what has been kept long enough.
+pub(super) const EXPIRE_PERIOD: Duration = Duration::from_secs(1);
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -4,10 +4,11 @@
 //! - every request gets exactly one reply, unless its sender has cancelled;
 //! - "refused" is sent only for a request of which no byte went to the target, or which the target
 //!   itself declared not run;
-//! - an execution under a key goes on when its caller leaves, so that a repeat can join it.
+//! - an execution that is remembered goes on when its caller leaves, so that a repeat can join it.
 
 mod answers;
 mod conn;
+mod memory;
 mod task;
 mod work;
 
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -6,25 +6,25 @@
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, select_biased};
 use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, WorkId};
-use hawthornwall_core::keys::{Decision, KeyEnd, KeyLimits, Ledger};
+use hawthornwall_core::keys::Decision;
+use hawthornwall_core::pause::PauseDetector;
 use hawthornwall_core::prelude::*;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{RequestId, Run, RunEnd, RunReply};
-use rand::Rng;
 
-use super::answers::Answers;
 use super::conn::{self, Finished, Job, JobEnd, TargetAddress};
-use super::work::{Held, Waiter, WorkTable, print};
+use super::memory::{EXPIRE_PERIOD, Memo, Memory};
+use super::work::{Held, Waiter, WorkTable};
 use crate::clock::Clock;
 use crate::http;
 use crate::messages::{GateMessage, GateStatus, ProbeResult, World};
 use crate::telemetry::trace::{Hop, HopSpan};
-use crate::telemetry::{Event as Count, Telemetry};
+use crate::telemetry::{Event as Count, Telemetry, log};
 
 /// Time between two looks at expired work while requests wait.
 const TICK_WAITING: Duration = Duration::from_millis(5);
-/// Time between two looks at expired keys; longer, so that an idle daemon hardly wakes.
-const TICK_IDLE: Duration = Duration::from_secs(1);
+/// Time between two turns while nothing happens; a longer gap shows that the process was paused.
+const TICK_IDLE: Duration = Duration::from_millis(200);
 /// Slots until a configuration names the target's own.
 const INITIAL_SLOTS: u32 = 1;
 
@@ -45,21 +45,27 @@
     pub telemetry: Telemetry,
 }
 
+/// What ends the task's wait.
+enum Input {
+    Finished(Option<Finished>),
+    Message(Option<GateMessage>),
+    Tick,
+}
+
 /// The task and its state.
 #[derive(Debug)]
 pub struct Gatekeeper {
     address: TargetAddress,
-    answers: Answers,
     clock: Clock,
     done: mpsc::UnboundedReceiver<Finished>,
     drained: Vec<oneshot::Sender<()>>,
+    expired: Time,
     finished: mpsc::UnboundedSender<Finished>,
     gate: Gate,
     idle: Vec<mpsc::UnboundedSender<Job>>,
-    instance: InstanceId,
-    key_limits: KeyLimits,
-    ledger: Option<Ledger>,
+    memory: Memory,
     name: String,
+    pauses: PauseDetector,
     probe: mpsc::UnboundedSender<Rc<World>>,
     receiver: mpsc::UnboundedReceiver<GateMessage>,
     service: Option<ServiceId>,
@@ -78,10 +84,6 @@
             head: settings.caller.head_limit,
             idle: settings.target.silence,
         };
-        let key_limits = KeyLimits {
-            keep: settings.keys.keep,
-            records: settings.keys.records,
-        };
         let gate_limits = Limits {
             queue_wait: Duration::ZERO,
             slots: INITIAL_SLOTS,
@@ -92,17 +94,16 @@
                 clock: start.clock,
                 limits,
             },
-            answers: Answers::new(settings.keys.answer_bytes),
             clock: start.clock,
             done,
             drained: Vec::new(),
+            expired: Time::ZERO,
             finished,
             gate: Gate::new(start.instance, gate_limits),
             idle: Vec::new(),
-            instance: start.instance,
-            key_limits,
-            ledger: None,
+            memory: Memory::new(start.instance, &settings.keys),
             name: settings.name.clone(),
+            pauses: PauseDetector::new(TICK_IDLE, start.clock.now()),
             probe: start.probe,
             receiver: start.receiver,
             service: None,
@@ -122,17 +123,20 @@
             };
             let tick = monoio::time::sleep(pause).fuse();
             futures::pin_mut!(tick);
-            select_biased! {
-                finished = self.done.next() => {
-                    if let Some(finished) = finished {
-                        self.finish(finished);
-                    }
-                }
-                message = self.receiver.next() => match message {
-                    Some(message) => self.take(message),
-                    None => return,
-                },
-                () = tick => self.tick(),
+            let input = select_biased! {
+                finished = self.done.next() => Input::Finished(finished),
+                message = self.receiver.next() => Input::Message(message),
+                () = tick => Input::Tick,
+            };
+            if let Some(length) = self.pauses.turn(self.clock.now()) {
+                let ms = length.as_millis() as u64;
+                log::warn!("this process was paused", kv: { ms });
+            }
+            match input {
+                Input::Finished(Some(finished)) => self.finish(finished),
+                Input::Message(Some(message)) => self.take(message),
+                Input::Message(None) => return,
+                Input::Finished(None) | Input::Tick => self.tick(),
             }
         }
     }
@@ -196,8 +200,7 @@
             return;
         };
         if self.target != Some(id) {
-            // A ledger belongs to one target id; keys of an earlier one must not match.
-            self.ledger = Some(Ledger::new(self.instance, id, self.key_limits));
+            self.memory.serve_target(id);
         }
         self.target = Some(id);
         self.service = Some(target.service);
@@ -224,43 +227,38 @@
             TargetState::Down => Some(Refusal::Down),
             TargetState::Serving => None,
         };
-        let now = self.clock.now();
-        match (refused, &mut self.ledger) {
-            (None, Some(ledger)) => {
-                let issued = ledger.issue(service, rand::rng().random(), now);
-                issued.map_or_else(RunEnd::Refused, RunEnd::Issued)
-            }
-            (refused, _) => RunEnd::Refused(refused.unwrap_or(Refusal::NotReady)),
+        match refused {
+            Some(refusal) => RunEnd::Refused(refusal),
+            None => self.memory.issue(service, self.clock.now()),
         }
     }
 
-    fn admit(&mut self, run: Box<Run>, waiter: Waiter) {
+    fn admit(&mut self, mut run: Box<Run>, waiter: Waiter) {
+        let now = self.clock.now();
+        // A message that waited in a buffer while this process was stopped has less time left.
+        run.left = run.left.saturating_sub(self.pauses.staleness(now));
         let known = self.target == Some(run.target) && self.service == Some(run.service);
-        let decision = match (&run.key, &mut self.ledger) {
-            // The ledger knows better than the configuration what has run under a key.
-            (Some(key), Some(ledger)) => {
-                let now = self.clock.now();
-                ledger.request(key, print(&run.http), now)
-            }
-            (Some(_), None) => Decision::Lost(Loss::KeyForgotten),
-            (None, _) if known => Decision::Run,
-            (None, _) => Decision::Refuse(Refusal::WrongTarget),
-        };
-        let serial = run.key.map(|key| key.serial);
-        match decision {
-            Decision::Join => self.work.join(serial.unwrap_or_default(), waiter),
-            Decision::Lost(loss) => self.reply(waiter, RunEnd::Lost(loss)),
-            Decision::Refuse(refusal) => self.reply(waiter, RunEnd::Refused(refusal)),
-            Decision::Replay => {
-                let stored = self.answers.get(serial.unwrap_or_default()).cloned();
-                let end = stored.map_or(RunEnd::Lost(Loss::KeyForgotten), RunEnd::Answered);
+        // What has run under a key is known whatever the configuration says now.
+        if !known && run.key.is_none() {
+            return self.reply(waiter, RunEnd::Refused(Refusal::WrongTarget));
+        }
+        let (decision, memo) = self.memory.decide(waiter.id, &run, now);
+        match (decision, memo) {
+            (Decision::Join, Some(memo)) => self.work.join(memo, waiter),
+            (Decision::Replay, Some(memo)) => {
+                let end = self.memory.replay(memo);
                 self.reply(waiter, end);
             }
-            Decision::Run => self.enter(run, waiter, serial),
+            (Decision::Join | Decision::Replay, None) => {
+                unreachable!("only a remembered request is joined or replayed")
+            }
+            (Decision::Lost(loss), _) => self.reply(waiter, RunEnd::Lost(loss)),
+            (Decision::Refuse(refusal), _) => self.reply(waiter, RunEnd::Refused(refusal)),
+            (Decision::Run, memo) => self.enter(run, waiter, memo),
         }
     }
 
-    fn enter(&mut self, run: Box<Run>, waiter: Waiter, key: Option<u64>) {
+    fn enter(&mut self, run: Box<Run>, waiter: Waiter, memo: Option<Memo>) {
         let (work, deadline) = (waiter.work, self.clock.now() + run.left);
         let arrival = Arrival {
             deadline,
@@ -271,7 +269,7 @@
         let held = Held {
             cancel: None,
             deadline,
-            key,
+            memo,
             run: Some(run),
             span,
             waiters: vec![waiter],
@@ -283,13 +281,9 @@
     fn tick(&mut self) {
         self.apply(&Event::Tick);
         let now = self.clock.now();
-        let expired = self
-            .ledger
-            .as_mut()
-            .map(|l| l.expire(now))
-            .unwrap_or_default();
-        for serial in expired {
-            self.answers.remove(serial);
+        if now - self.expired >= EXPIRE_PERIOD {
+            self.expired = now;
+            self.memory.expire(now);
         }
     }
 
@@ -308,7 +302,7 @@
                     }
                 }
                 Effect::Refuse(work, refusal) => {
-                    self.end_work(work, KeyEnd::NotRun, &RunEnd::Refused(refusal));
+                    self.end_work(work, &RunEnd::Refused(refusal));
                 }
                 Effect::Start(work) => self.start(work),
             }
@@ -359,31 +353,28 @@
             JobEnd::Lost(_) => true,
         };
         let unreachable = matches!(end, JobEnd::Refused(Refusal::Down));
-        let (key_end, run_end) = match end {
-            JobEnd::Answered(answer) => (KeyEnd::Answered, RunEnd::Answered(answer)),
-            JobEnd::Lost(loss) => (KeyEnd::Lost(loss), RunEnd::Lost(loss)),
-            JobEnd::Refused(refusal) => (KeyEnd::NotRun, RunEnd::Refused(refusal)),
+        let run_end = match end {
+            JobEnd::Answered(answer) => RunEnd::Answered(answer),
+            JobEnd::Lost(loss) => RunEnd::Lost(loss),
+            JobEnd::Refused(refusal) => RunEnd::Refused(refusal),
         };
         let finish = Event::Finish { failed, id: work };
         let effects_first = unreachable.then_some(Event::Reachable(false));
         for event in effects_first.iter().chain([&finish]) {
             self.apply(event);
         }
-        self.end_work(work, key_end, &run_end);
+        self.end_work(work, &run_end);
         if draining {
             self.apply(&Event::TargetDrains(true));
         }
     }
 
-    fn end_work(&mut self, work: WorkId, key_end: KeyEnd, end: &RunEnd) {
+    fn end_work(&mut self, work: WorkId, end: &RunEnd) {
         let Some(held) = self.work.remove(work) else {
             return;
         };
-        if let (Some(serial), Some(ledger)) = (held.key, &mut self.ledger) {
-            ledger.end(serial, key_end, self.clock.now());
-            if let RunEnd::Answered(answer) = end {
-                self.answers.store(serial, &Rc::new(answer.clone()));
-            }
+        if let Some(memo) = held.memo {
+            self.memory.end(memo, end, self.clock.now());
         }
         for waiter in held.waiters {
             self.reply(waiter, end.clone());
@@ -416,7 +407,7 @@
 
     fn status(&mut self) -> GateStatus {
         GateStatus {
-            keys: self.ledger.as_ref().map_or(0, Ledger::len),
+            keys: self.memory.keys(),
             report: self.gate.report(self.clock.now()),
             target: self.target,
         }
--- a/crates/node/src/gate/work.rs
+++ b/crates/node/src/gate/work.rs
@@ -1,6 +1,6 @@
 //! Requests that the gate holds, and who waits for them.
 //!
-//! Invariant: a request under a key is held once; repeats only add to those who wait for it.
+//! Invariant: a remembered request is held once; repeats only add to those who wait for it.
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -10,6 +10,8 @@
 use hawthornwall_core::time::Time;
 use hawthornwall_wire::peer::{HttpRequest, RequestId, Run, RunReply};
 
+use super::memory::Memo;
+
 use crate::telemetry::trace::HopSpan;
 
 /// Somebody who waits for the end of a request.
@@ -27,8 +29,8 @@
     /// Dropping it cancels the work at the target.
     pub cancel: Option<oneshot::Sender<()>>,
     pub deadline: Time,
-    /// Serial of its idempotency key.
-    pub key: Option<u64>,
+    /// Under what it is remembered.
+    pub memo: Option<Memo>,
     /// Taken when the request goes to the target.
     pub run: Option<Box<Run>>,
     /// Covers the time from the arrival to the reply.
@@ -39,16 +41,16 @@
 /// All requests held.
 #[derive(Debug, Default)]
 pub(super) struct WorkTable {
-    by_key: HashMap<u64, WorkId>,
+    by_memo: HashMap<Memo, WorkId>,
     held: HashMap<WorkId, Held>,
-    /// Repeats under a key, by the work that they wait for.
+    /// The work that each repeat waits for.
     joined: HashMap<WorkId, WorkId>,
 }
 
 impl WorkTable {
     pub fn insert(&mut self, work: WorkId, held: Held) {
-        if let Some(key) = held.key {
-            self.by_key.insert(key, work);
+        if let Some(memo) = held.memo {
+            self.by_memo.insert(memo, work);
         }
         self.held.insert(work, held);
     }
@@ -59,8 +61,8 @@
 
     pub fn remove(&mut self, work: WorkId) -> Option<Held> {
         let held = self.held.remove(&work)?;
-        if let Some(key) = held.key {
-            self.by_key.remove(&key);
+        if let Some(memo) = held.memo {
+            self.by_memo.remove(&memo);
         }
         for waiter in &held.waiters {
             self.joined.remove(&waiter.work);
@@ -68,9 +70,9 @@
         Some(held)
     }
 
-    /// Adds a repeat to those who wait for the request under its key.
-    pub fn join(&mut self, key: u64, waiter: Waiter) {
-        let Some(work) = self.by_key.get(&key) else {
+    /// Adds a repeat to those who wait for the request.
+    pub fn join(&mut self, memo: Memo, waiter: Waiter) {
+        let Some(work) = self.by_memo.get(&memo) else {
             return;
         };
         if let Some(held) = self.held.get_mut(work) {
@@ -81,18 +83,18 @@
 
     /// Removes one who waits; the work itself if nobody else waits for it and it may be cancelled.
     ///
-    /// An execution under a key that has gone to the target goes on, since a repeat may ask for its
+    /// A remembered execution that has gone to the target goes on, since a repeat may ask for its
     /// answer.
     pub fn leave(&mut self, work: WorkId) -> Option<WorkId> {
         let main = self.joined.remove(&work).unwrap_or(work);
         let held = self.held.get_mut(&main)?;
         held.waiters.retain(|w| w.work != work);
-        let started_under_key = held.key.is_some() && held.run.is_none();
-        (held.waiters.is_empty() && !started_under_key).then_some(main)
+        let remembered = held.memo.is_some() && held.run.is_none();
+        (held.waiters.is_empty() && !remembered).then_some(main)
     }
 }
 
-/// Identifies a request under a key: the same key with another print is another request.
+/// Identifies a request's content: the same key or id with another print is another request.
 pub(super) fn print(request: &HttpRequest) -> u64 {
     let mut hasher = DefaultHasher::new();
     (&request.method, &request.path, &request.body).hash(&mut hasher);
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -6,9 +6,7 @@
 use hawthornwall_core::calls::AttemptId;
 use hawthornwall_core::keys::Key;
 use hawthornwall_core::prelude::*;
-use hawthornwall_wire::peer::{
-    HttpAnswer, HttpRequest, Reply, Request, RequestId, Run, RunEnd, RunReply,
-};
+use hawthornwall_wire::peer::{HttpAnswer, HttpRequest, Reply, Request, Run, RunEnd, RunReply};
 
 use super::listener::Backend;
 use crate::messages::{GateMessage, OpenTicket, PeerAddress, PeerFault, PeersMessage, Seen};
@@ -33,16 +31,28 @@
     pub ticket: OpenTicket,
 }
 
+/// Where and under which id a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sending {
+    pub attempt: AttemptId,
+    pub patience: Duration,
+    /// For a repeat: the run that the first sending may have reached.
+    pub repeat: Option<InstanceId>,
+    /// Shared by all sendings of a request that must not run twice.
+    pub request: RequestId,
+    pub target: TargetId,
+}
+
 /// What is sent.
 #[derive(Debug)]
 pub(super) struct AttemptRequest {
     pub deadline: Time,
-    pub id: AttemptId,
     /// Whether the target is beside this daemon.
     pub local: bool,
-    pub patience: Duration,
+    /// Whether the request must not run twice although it has no key.
+    pub once: bool,
+    pub sending: Sending,
     pub service: ServiceId,
-    pub target: TargetId,
     pub task: Task,
 }
 
@@ -57,7 +67,7 @@
 impl Attempt {
     /// Makes the attempt and reports its end to the router.
     pub async fn run(self, backend: Backend) -> (AttemptId, TargetId, AttemptResult, Yield) {
-        let (id, target) = (self.request.id, self.request.target);
+        let (id, target) = (self.request.sending.attempt, self.request.sending.target);
         let started = backend.clock.now();
         let Self {
             request,
@@ -87,13 +97,12 @@
 
 impl AttemptRequest {
     async fn send(self, backend: &Backend, trace: Option<String>) -> Result<RunReply, PeerFault> {
-        let id = RequestId(backend.requests.get());
-        backend.requests.set(id.0.wrapping_add(1));
+        let id = self.sending.request;
         let request = self.request(id, backend, trace);
         let reply = if self.local {
             send_local(backend, request).await?
         } else {
-            send_remote(backend, self.target, request).await?
+            send_remote(backend, self.sending.target, request).await?
         };
         // A reply to another request must never reach this caller.
         if reply.id == id {
@@ -104,7 +113,7 @@
     }
 
     fn request(&self, id: RequestId, backend: &Backend, trace: Option<String>) -> Request {
-        let (service, target) = (self.service, self.target);
+        let (service, target) = (self.service, self.sending.target);
         match self.task.clone() {
             Task::Issue => Request::Issue {
                 id,
@@ -113,12 +122,17 @@
             },
             Task::Run { http, key } => {
                 let left = backend.clock.until(self.deadline);
-                let patience = self.patience;
+                let Sending {
+                    patience, repeat, ..
+                } = self.sending;
+                let once = self.once;
                 let run = Run {
                     http,
                     key,
                     left,
+                    once,
                     patience,
+                    repeat,
                     service,
                     target,
                     trace,
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -8,6 +8,7 @@
 use futures::channel::oneshot;
 use futures::future::{FutureExt, Shared};
 use futures::{pin_mut, select_biased};
+use hawthornwall_core::ids::RequestId;
 use hawthornwall_settings::CallerSettings;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
@@ -38,6 +39,15 @@
     pub tracer: Tracer,
 }
 
+impl Backend {
+    /// A request id that no other request of this run has.
+    pub fn next_request(&self) -> RequestId {
+        let id = self.requests.get();
+        self.requests.set(id.wrapping_add(1));
+        RequestId(id)
+    }
+}
+
 /// What the task needs at its start.
 #[derive(Debug)]
 pub struct IngressStart<'a> {
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -1,5 +1,7 @@
 //! Carries out the effects of one call.
 
+use std::time::Duration;
+
 use futures::channel::{mpsc, oneshot};
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
@@ -9,7 +11,7 @@
 use hawthornwall_core::routing::Choice;
 use hawthornwall_wire::peer::HttpRequest;
 
-use super::attempt::{Attempt, AttemptRequest, Task, Yield};
+use super::attempt::{Attempt, AttemptRequest, Sending, Task, Yield};
 use super::listener::Backend;
 use super::reply::Reply;
 use super::request::{Asked, address, asked, idempotent, time_left};
@@ -98,9 +100,13 @@
     call: Call,
     effects: Vec<Effect>,
     local: Option<TargetId>,
+    /// Whether the request must not run twice although it has no key.
+    once: bool,
     pending: FuturesUnordered<LocalBoxFuture<'a, Step>>,
     /// The choice that the next `Send` effect is for; none for a target that a key names.
     picked: Option<(PickKind, Choice)>,
+    /// Request ids by attempt.
+    requests: Vec<RequestId>,
     service: ServiceId,
     span: &'a HopSpan,
     task: Task,
@@ -137,8 +143,10 @@
             call,
             effects,
             local: opened.own,
+            once: !spec.idempotent && pinned.is_none(),
             pending: FuturesUnordered::new(),
             picked: None,
+            requests: Vec::new(),
             service: opened.service,
             span,
             task: task_of(asked, request),
@@ -156,12 +164,39 @@
                     Effect::Cancel(_) => {}
                     Effect::Finish(outcome, _) => return self.reply(outcome),
                     Effect::Pick(kind) => self.pick(kind),
+                    Effect::Repeat {
+                        attempt,
+                        instance,
+                        of,
+                        target,
+                    } => {
+                        let request = self.requests[usize::from(of.0)];
+                        let repeat = Some(instance);
+                        let patience = Duration::MAX;
+                        let sending = Sending {
+                            attempt,
+                            patience,
+                            repeat,
+                            request,
+                            target,
+                        };
+                        self.send(sending).await;
+                    }
                     Effect::Send {
                         attempt,
                         patience,
                         target,
                     } => {
-                        self.send(attempt, patience, target).await;
+                        let request = self.backend.next_request();
+                        let repeat = None;
+                        let sending = Sending {
+                            attempt,
+                            patience,
+                            repeat,
+                            request,
+                            target,
+                        };
+                        self.send(sending).await;
                     }
                 }
             }
@@ -207,7 +242,9 @@
         self.pending.push(step.boxed_local());
     }
 
-    async fn send(&mut self, id: AttemptId, patience: std::time::Duration, target: TargetId) {
+    async fn send(&mut self, sending: Sending) {
+        self.requests.push(sending.request);
+        let target = sending.target;
         let picked = self.ticket.take();
         let ticket = match picked {
             Some(ticket) => Some(ticket),
@@ -224,11 +261,10 @@
         self.backend.telemetry.record(Count::Sent(kind));
         let request = AttemptRequest {
             deadline: self.call.deadline(),
-            id,
             local: self.local == Some(target),
-            patience,
+            once: self.once,
+            sending,
             service: self.service,
-            target,
             task: self.task.clone(),
         };
         let run = Attempt {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use hawthornwall_core::config::{Configuration, Patch};
-use hawthornwall_core::ids::{ServiceId, TargetId, Version};
+pub use hawthornwall_core::ids::RequestId;
+use hawthornwall_core::ids::{InstanceId, ServiceId, TargetId, Version};
 use hawthornwall_core::keys::Key;
 use hawthornwall_core::load::LoadReport;
 use hawthornwall_core::members::Comparison;
@@ -16,16 +17,6 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
-/// Identifies a request on a connection between two daemons.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct RequestId(pub u64);
-
-impl fmt::Display for RequestId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "request{:016x}", self.0)
-    }
-}
-
 /// An HTTP header as text and bytes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
@@ -70,9 +61,15 @@
     /// Time left until the deadline.
     #[serde_as(as = "Micros")]
     pub left: Duration,
+    /// Whether the request must not run twice although it has no key. The receiver then remembers
+    /// its id.
+    pub once: bool,
     /// Longest wait for a slot that the sender prefers to another target.
     #[serde_as(as = "Micros")]
     pub patience: Duration,
+    /// For a repeat after a lost connection: the run that the first sending may have reached. Any
+    /// other run doesn't know whether the request has run.
+    pub repeat: Option<InstanceId>,
     /// The service.
     pub service: ServiceId,
     /// The target that the sender chose.
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -44,14 +44,17 @@
         http,
         prop::option::of(key()),
         any::<(u32, u32, u16, u32)>(),
+        any::<(bool, Option<u64>)>(),
         prop::option::of(".{0,60}"),
     )
         .prop_map(
-            |(http, key, (left, patience, service, target), trace)| Run {
+            |(http, key, (left, patience, service, target), (once, repeat), trace)| Run {
                 http,
                 key,
                 left: Duration::from_micros(left.into()),
+                once,
                 patience: Duration::from_micros(patience.into()),
+                repeat: repeat.map(InstanceId),
                 service: ServiceId(service),
                 target: TargetId(target),
                 trace,
