Record presence and versions of a launched deployment, and test one as a whole

The launcher records starts, stops, kills and pauses, and takes the versions in force from the daemons' logs, so that the history checker can judge whole runs. The load generator records the daemon that each call was sent to.

--- a/crates/testkit/src/demo/figures.rs
+++ b/crates/testkit/src/demo/figures.rs
@@ -66,7 +66,7 @@
     pub direct_outcomes: BTreeMap<String, u64>,
     /// Length of the load.
     pub duration: Duration,
-    /// What the history checker found in the records of callers, targets and platform.
+    /// What the history checker found in the records of all parties.
     pub history: Report,
     /// Daemons that didn't end after a request for a graceful shutdown.
     pub killed: Vec<String>,
--- a/crates/testkit/src/demo/report.rs
+++ b/crates/testkit/src/demo/report.rs
@@ -79,7 +79,7 @@
 }
 
 fn history(out: &mut String, figures: &Figures) {
-    out.push_str("\nHistory checker, on the records of callers, targets and platform\n");
+    out.push_str("\nHistory checker, on the records of all parties\n");
     for line in figures.history.to_string().lines().take(HISTORY_LINES) {
         let _ = writeln!(out, "    {line}");
     }
--- a/crates/testkit/src/demo/run.rs
+++ b/crates/testkit/src/demo/run.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::io;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -10,7 +9,7 @@
 use super::figures::Figures;
 use super::measure::{Sample, daemon_figures, latency_figures, probe_figures};
 use crate::arguments::{ArgumentError, Arguments};
-use crate::history::{self, Limits, Record, read_records};
+use crate::history::{self, Limits, Record};
 use crate::launcher::{Cluster, ClusterOptions, Deployment, LaunchError};
 use crate::load::{CallResult, LoadOptions, Runs, check, count_outcomes, run_load};
 use crate::run;
@@ -139,9 +138,7 @@
     let busy_end = machine_load();
     let daemons = daemon_figures(&cluster, &samples);
     let killed = cluster.stop_daemons(STOP)?;
-    let records = read_all(cluster.target_histories())?;
-    let others = ["callers", "platform"].map(|n| cluster.folder().join(format!("{n}.history")));
-    let all = [records.clone(), read_all(others)?].concat();
+    let (records, all) = (cluster.target_records()?, cluster.records()?);
     let figures = Figures {
         daemons,
         duration,
@@ -153,11 +150,6 @@
     Ok(figures)
 }
 
-fn read_all(paths: impl IntoIterator<Item = PathBuf>) -> io::Result<Vec<Record>> {
-    let files: io::Result<Vec<_>> = paths.into_iter().map(|p| read_records(&p)).collect();
-    Ok(files?.concat())
-}
-
 fn limits(cluster: &Cluster) -> Limits {
     Limits {
         slots: cluster.plan().slots,
--- a/crates/testkit/src/history/writer.rs
+++ b/crates/testkit/src/history/writer.rs
@@ -33,14 +33,20 @@
         self.append_at(wall_micros(), event);
     }
 
-    /// Appends one record. Each is written at once, so that a kill loses none that happened.
+    /// Appends one record at the present time in the name of another party.
+    pub fn append_for(&mut self, party: &str, event: Event) {
+        self.write(wall_micros(), event, party.to_owned());
+    }
+
+    /// Appends one record.
     pub fn append_at(&mut self, at: u64, event: Event) {
+        self.write(at, event, self.party.clone());
+    }
+
+    /// Each record is written at once, so that a kill loses none that happened.
+    fn write(&mut self, at: u64, event: Event, party: String) {
         let Some(file) = &mut self.file else { return };
-        let record = Record {
-            at,
-            event,
-            party: self.party.clone(),
-        };
+        let record = Record { at, event, party };
         let line = serde_json::to_string(&record).map(|text| text + "\n");
         let written = line.map_err(io::Error::from);
         if let Err(e) = written.and_then(|l| file.write_all(l.as_bytes())) {
--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -2,16 +2,17 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::path::Path;
+use std::time::Duration;
 
 use hawthornwall_wire::instances::{Instance, InstanceList, InstanceState};
 use serde_json::{Value, json};
 
-use super::child::{Child, LaunchError, Signal};
+use super::child::{Child, LaunchError};
 use super::deployment::{Deployment, Plan, TargetPlan};
 use super::places::{Folder, Place, shared_address};
 use super::shared::start_platform;
+use crate::history::{Change, Writer};
 use crate::http1::json_once;
 
 /// Longest wait for a child to become ready.
@@ -78,6 +79,7 @@
     /// The relay, if it runs.
     pub relay: Option<Child>,
     relay_control: SocketAddr,
+    pub(super) presence: Writer,
     pub(super) folder: Folder,
 }
 
@@ -94,6 +96,8 @@
         let address = || shared_address().map_err(LaunchError::io("free ports"));
         let (platform_address, relay_control) = (address()?, address()?);
         let platform = start_platform(&folder, platform_address)?;
+        let presence = Writer::open(Some(&folder.file("presence.history")), "launcher");
+        let presence = presence.map_err(LaunchError::io("presence.history"))?;
         let mut cluster = Self {
             folder,
             nodes,
@@ -103,6 +107,7 @@
             platform_address,
             relay: None,
             relay_control,
+            presence,
         };
         cluster.publish_start()?;
         if cluster.options.relay && cluster.options.daemons {
@@ -143,50 +148,20 @@
         self.relay_control
     }
 
-    /// History files of all targets.
-    pub fn target_histories(&self) -> Vec<PathBuf> {
-        let name = |n: &Node| self.folder.file(&format!("{}.history", n.plan.name));
-        self.nodes.iter().map(name).collect()
-    }
-
     /// The daemon with this index, if it runs.
     pub fn daemon(&mut self, index: usize) -> Option<&mut Child> {
         self.nodes[index].daemon.as_mut()
     }
 
-    /// Asks all daemons for a graceful shutdown and returns the names of those that haven't ended
-    /// within `limit`; these are killed.
-    ///
-    /// # Errors
-    ///
-    /// A daemon can't be signalled or waited for.
-    pub fn stop_daemons(&mut self, limit: Duration) -> Result<Vec<String>, LaunchError> {
-        for node in &self.nodes {
-            if let Some(daemon) = &node.daemon {
-                daemon.signal(Signal::Terminate)?;
-            }
-        }
-        let end = Instant::now() + limit;
-        let mut killed = Vec::new();
-        for node in &mut self.nodes {
-            let Some(mut daemon) = node.daemon.take() else {
-                continue;
-            };
-            let left = end.saturating_duration_since(Instant::now());
-            if daemon.wait(left)?.is_none() {
-                killed.push(node.plan.name.clone());
-            }
-        }
-        Ok(killed)
-    }
-
     /// Starts the daemon of one instance, killing one that runs, and waits until it is ready.
     ///
     /// # Errors
     ///
     /// It can't be started or doesn't become ready.
     pub fn restart_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
-        self.nodes[index].daemon = None;
+        if self.nodes[index].daemon.is_some() {
+            self.kill_daemon(index);
+        }
         self.spawn_daemon(index)?;
         self.wait_daemon(index)
     }
@@ -251,6 +226,7 @@
         let path = self.write(&format!("{name}.json"), &settings)?;
         let log = self.folder.file(&format!("{name}.daemon.log"));
         let arguments = flatten(&[("--settings", path)]);
+        self.record_daemon(index, Change::Started);
         let child = Child::start(&name, "hawthornwalld", &arguments, &log)?;
         self.nodes[index].daemon = Some(child);
         Ok(())
@@ -259,10 +235,10 @@
     fn wait_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
         let admin = self.nodes[index].place.admin;
         let ready = || json_once(admin, "GET", "/status", "").is_ok();
-        match self.daemon(index) {
-            Some(child) => child.wait_ready(READY, ready),
-            None => Ok(()),
+        if let Some(child) = self.daemon(index) {
+            child.wait_ready(READY, ready)?;
         }
+        Ok(())
     }
 
     pub(super) fn write(&self, name: &str, text: &str) -> Result<String, LaunchError> {
--- a/crates/testkit/src/launcher/mod.rs
+++ b/crates/testkit/src/launcher/mod.rs
@@ -7,6 +7,8 @@
 mod control;
 mod deployment;
 mod places;
+mod presence;
+mod records;
 mod settings;
 mod shared;
 
@@ -14,3 +16,4 @@
 pub use cluster::{Cluster, ClusterOptions, Node};
 pub use deployment::{Deployment, Plan, ServicePlan, TargetPlan};
 pub use places::{Folder, Place};
+pub use records::{daemon_party, log_records};
--- a/crates/testkit/src/load/driver.rs
+++ b/crates/testkit/src/load/driver.rs
@@ -104,7 +104,7 @@
     }
 
     fn start_call(&mut self, call: Call, planned: Instant) {
-        let (address, direct) = self.address(&call);
+        let (address, beside) = self.address(&call);
         let idle = self.idle.entry(address).or_default();
         let mut connection = idle.pop();
         while connection.as_mut().is_some_and(|c| !is_usable(c)) {
@@ -113,7 +113,7 @@
         let job = Job {
             address,
             call,
-            direct,
+            beside,
             driver: self.sender.clone(),
             planned,
             service: self.options.services[call.service].name.clone(),
@@ -121,12 +121,16 @@
         monoio::spawn(perform(job, connection));
     }
 
-    fn address(&self, call: &Call) -> (SocketAddr, bool) {
+    /// The address that takes the call, and the target beside it if that is a daemon's.
+    fn address(&self, call: &Call) -> (SocketAddr, Option<String>) {
         match call.route {
-            Route::Daemon(index) => (self.options.daemons[index].address, false),
+            Route::Daemon(index) => {
+                let daemon = &self.options.daemons[index];
+                (daemon.address, Some(daemon.name.clone()))
+            }
             Route::Direct(index) => {
                 let targets = &self.options.services[call.service].targets;
-                (targets[index].address, true)
+                (targets[index].address, None)
             }
         }
     }
--- a/crates/testkit/src/load/exchange.rs
+++ b/crates/testkit/src/load/exchange.rs
@@ -14,6 +14,7 @@
 use super::result::CallResult;
 use crate::history::Event;
 use crate::http1::{Connection, Fault};
+use crate::launcher::daemon_party;
 use crate::payload::{CHUNKED_HEADER, REQUEST_HEADER, SIZE_HEADER, Verdict, verify};
 use crate::wall_micros;
 
@@ -34,7 +35,8 @@
 pub(super) struct Job {
     pub address: SocketAddr,
     pub call: Call,
-    pub direct: bool,
+    /// Name of the target beside the daemon, absent for a direct call.
+    pub beside: Option<String>,
     pub driver: UnboundedSender<Message>,
     /// The planned arrival.
     pub planned: Instant,
@@ -64,6 +66,7 @@
     let (key, answer) = match (key, &mut connection) {
         (Ok(key), Ok(open)) => {
             job.record(sent_event(&job, key.as_deref()));
+            job.record_route();
             let answer = exchange(open, &job.request(key.as_deref())).await;
             (key, answer.ok())
         }
@@ -97,6 +100,15 @@
         let _ = self.driver.unbounded_send(message);
     }
 
+    fn record_route(&self) {
+        if let Some(target) = &self.beside {
+            self.record(Event::Routed {
+                daemon: daemon_party(target),
+                request: self.call.number,
+            });
+        }
+    }
+
     fn builder(&self, method: &str, path: String) -> Builder {
         let builder = Request::builder().method(method).uri(path);
         builder.header("host", self.address.to_string())
@@ -187,7 +199,7 @@
         result.status = answer.status().as_u16();
         result.outcome = header(answer, "hawthornwall-outcome");
         result.reason = header(answer, "hawthornwall-reason");
-        if job.direct {
+        if job.beside.is_none() {
             let shed = answer.headers().contains_key("hawthornwall-not-run");
             let outcome = if shed { "refused" } else { "answered" };
             outcome.clone_into(&mut result.outcome);
--- a/crates/testkit/tests/launcher.rs
+++ b/crates/testkit/tests/launcher.rs
@@ -3,7 +3,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use hawthornwall_testkit::launcher::{Child, Cluster, ClusterOptions, Deployment, Signal};
+use hawthornwall_testkit::launcher::{
+    Child, Cluster, ClusterOptions, Deployment, Signal, log_records,
+};
 use hawthornwall_testkit::procfs::Usage;
 use insta::assert_debug_snapshot;
 
@@ -83,3 +85,16 @@
     });
     assert_debug_snapshot!(plans);
 }
+
+// Guards against a history that misses or misdates what daemons put in force.
+#[test]
+fn versions_in_a_daemon_log() {
+    let log = r#"
+{"level":"info","timestamp":1000,"payload":"daemon started","kv":{"instance":"instance01"},"tid":1}
+{"level":"info","timestamp":1184,"payload":"adopted configuration","kv":{"version":"v1","digest":"ff"}}
+thread 'main' panicked
+{"level":"info","timestamp":2000,"payload":"daemon started","kv":{"instance":"instance02"},"tid":1}
+{"level":"info","timestamp":2100,"payload":"adopted configuration","kv":{"version":"v2","digest":"100"}}
+"#;
+    assert_debug_snapshot!(log_records(log, "daemon-order-1"));
+}
--- a/crates/testkit/tests/load.rs
+++ b/crates/testkit/tests/load.rs
@@ -1,6 +1,5 @@
 //! Load generator and launcher, on targets without daemons.
 
-use hawthornwall_testkit::history::read_records;
 use hawthornwall_testkit::launcher::{Cluster, ClusterOptions, Deployment};
 use hawthornwall_testkit::load::{LoadOptions, check, count_outcomes, plan_calls, run_load};
 use hawthornwall_testkit::run;
@@ -23,12 +22,7 @@
         ..LoadOptions::for_cluster(&cluster)
     };
     let results = run(run_load(&load)).expect("runtime").expect("load");
-    let histories = cluster.target_histories();
-    let records: Vec<_> = histories
-        .iter()
-        .map(|h| read_records(h).expect("records"))
-        .collect();
-    let found = check(&results, &records.concat());
+    let found = check(&results, &cluster.target_records().expect("records"));
     assert_json_snapshot!(count_outcomes(&results));
     assert_debug_snapshot!(found);
 }
