--- a/crates/core/src/config/force.rs
+++ b/crates/core/src/config/force.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use super::canonical::chain_digest;
-use super::{Bridge, Configuration, Divergence, Document, Offer, Patch, Skipped};
+use super::{Configuration, Delta, Divergence, Document, Offer, Patch, Skipped};
 use crate::ids::Version;
 
 /// Most patches kept for peers that are a few versions behind.
@@ -37,7 +37,7 @@
 pub struct InForce {
     config: Configuration,
     /// Digest of the version that the first step starts from.
-    floor: u64,
+    start_digest: u64,
     reported: BTreeSet<Divergence>,
     steps: VecDeque<Step>,
 }
@@ -48,7 +48,7 @@
         &self.config
     }
 
-    /// Offers a published document; also tells which of its patches no reader accepts.
+    /// Offers a published document; also returns the patches that no reader accepts.
     pub fn offer_document(&mut self, document: &Document) -> (Offer, Vec<Skipped>) {
         let mut reached = document.checkpoint.clone();
         let faults = reached.verify();
@@ -118,18 +118,18 @@
     }
 
     /// What brings a peer with `version` and `digest` to the version in force.
-    pub fn bridge(&self, version: Version, digest: u64) -> Bridge<'_> {
+    pub fn delta(&self, version: Version, digest: u64) -> Delta<'_> {
         if let Some(divergence) = self.compare(version, digest) {
-            return Bridge::Diverged(divergence);
+            return Delta::Diverged(divergence);
         }
         if version >= self.config.version {
-            return Bridge::Level;
+            return Delta::Level;
         }
         let patches = self.patches_since(version);
         if patches.is_empty() {
-            return Bridge::Checkpoint(&self.config);
+            return Delta::Checkpoint(&self.config);
         }
-        Bridge::Patches(patches)
+        Delta::Patches(patches)
     }
 
     /// The patches that follow `version`, none if they are no longer kept.
@@ -141,7 +141,7 @@
         missing.map(|s| &s.patch).collect()
     }
 
-    /// Notes a divergence that [`InForce::bridge`] found; tells whether it is new.
+    /// Notes a divergence that [`InForce::delta`] found; returns whether it is new.
     pub fn report(&mut self, divergence: Divergence) -> bool {
         if self.reported.len() >= REPORT_LIMIT {
             return false;
@@ -152,7 +152,7 @@
     /// Broken invariants.
     pub fn verify(&self) -> Vec<String> {
         let mut faults = self.config.verify();
-        let mut digest = self.floor;
+        let mut digest = self.start_digest;
         let first = self.config.version.0.checked_sub(self.steps.len() as u64);
         let Some(mut version) = first else {
             faults.push("more patches are kept than versions exist".to_owned());
@@ -190,7 +190,7 @@
         let position = self.steps.len().checked_sub(behind)?;
         match position.checked_sub(1) {
             Some(last) => self.steps.get(last).map(|s| s.digest),
-            None => Some(self.floor),
+            None => Some(self.start_digest),
         }
     }
 
@@ -199,8 +199,8 @@
         Offer::Divergent { divergence, first }
     }
 
-    /// Adopts `reached` if it is newer; `steps` lead to it from a version with the digest `floor`.
-    fn adopt(&mut self, reached: Configuration, floor: u64, steps: VecDeque<Step>) -> Offer {
+    /// Adopts `reached` if it is newer; `steps` lead to it from a version with the digest `start_digest`.
+    fn adopt(&mut self, reached: Configuration, start_digest: u64, steps: VecDeque<Step>) -> Offer {
         let from = self.config.version;
         if reached.version < from {
             return Offer::Older;
@@ -212,24 +212,24 @@
                 Offer::Broken(vec![format!("{from} has other contents under its digest")])
             };
         }
-        self.keep(reached.version, floor, steps);
+        self.keep(reached.version, start_digest, steps);
         self.config = reached;
         Offer::Adopted { from }
     }
 
     /// Joins `steps`, which end at `version`, to those kept, and drops the oldest beyond the limit.
-    fn keep(&mut self, version: Version, floor: u64, steps: VecDeque<Step>) {
+    fn keep(&mut self, version: Version, start_digest: u64, steps: VecDeque<Step>) {
         let gained = usize::try_from(version.0 - self.config.version.0).unwrap_or(usize::MAX);
         if gained <= steps.len() {
             self.steps
                 .extend(steps.into_iter().rev().take(gained).rev());
         } else {
-            self.floor = floor;
+            self.start_digest = start_digest;
             self.steps = steps;
         }
         while self.steps.len() > STEP_LIMIT {
             if let Some(dropped) = self.steps.pop_front() {
-                self.floor = dropped.digest;
+                self.start_digest = dropped.digest;
             }
         }
     }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -27,7 +27,7 @@
 pub use force::InForce;
 pub use history::Entry;
 pub use model::{Configuration, Rules, Service, Target};
-pub use offer::{Bridge, Divergence, Offer};
+pub use offer::{Delta, Divergence, Offer};
 pub use patch::{Change, Patch, PatchFault, RulesChange};
 pub use undo::UndoFault;
 pub use warning::Warning;
--- a/crates/core/src/config/offer.rs
+++ b/crates/core/src/config/offer.rs
@@ -41,7 +41,7 @@
 
 /// What brings a peer from its version to the version in force.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Bridge<'a> {
+pub enum Delta<'a> {
     /// The whole configuration, since the patches are no longer kept.
     Checkpoint(&'a Configuration),
     /// Nothing: the peer has another history.
--- a/crates/core/src/members/announcement.rs
+++ b/crates/core/src/members/announcement.rs
@@ -1,4 +1,4 @@
-//! What a daemon announces of itself.
+//! Announcements of daemons.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,7 +22,7 @@
     pub target: String,
 }
 
-/// What one daemon says of itself, passed on by others.
+/// State of one daemon as published by itself and relayed by peers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Announcement {
     /// Who it is.
@@ -40,10 +40,10 @@
     /// Orders the instances that announce one target; the greatest counts.
     ///
     /// The start time is a hint from a clock that may be wrong: a replacement whose clock is behind
-    /// would lose to its dead predecessor. Therefore a daemon that hears, soon after its start, of
+    /// would lose to its dead predecessor. Therefore a daemon that learns, soon after its start, of
     /// another instance of its target raises its own `started` above that instance's, once for each
-    /// instance. What remains: if it does not hear of the predecessor in that time, its announcements
-    /// count only after the predecessor's have faded, and until then its target gets no work from
+    /// instance. What remains: if it does not learn of the predecessor in that time, its announcements
+    /// count only after the predecessor's have expired, and until then its target gets no work from
     /// others. Two daemons configured with one target by mistake settle on one of them.
     pub fn precedence(&self) -> (u64, InstanceId) {
         (self.started, self.identity.instance)
--- a/crates/core/src/members/compare.rs
+++ b/crates/core/src/members/compare.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::merge::Entry;
-use super::{Heard, Members, Relayed};
+use super::{Members, Merged, Relayed};
 use crate::digest::Digest;
 use crate::ids::InstanceId;
 use crate::time::Time;
@@ -55,7 +55,7 @@
 }
 
 impl Comparison {
-    /// Whether the other side should hear of more than the digest.
+    /// Whether it carries more than the digest, so that the comparison goes on.
     pub fn is_open(&self) -> bool {
         !self.announcements.is_empty()
             || !self.buckets.is_empty()
@@ -91,18 +91,18 @@
             .collect()
     }
 
-    /// Takes in the announcements of the other side's message; returns the instances that peers should
-    /// hear of, and which of them are only repeated.
-    pub fn hear_all(&mut self, theirs: &Comparison, now: Time) -> Vec<(InstanceId, Heard)> {
+    /// Takes in the announcements of the other side's message; returns the instances to relay,
+    /// with what changed.
+    pub fn receive_all(&mut self, theirs: &Comparison, now: Time) -> Vec<(InstanceId, Merged)> {
         let mut news = Vec::new();
         for relayed in &theirs.announcements {
-            let heard = self.hear(relayed, now);
+            let heard = self.receive(relayed, now);
             match heard {
-                Heard::Known => {}
-                Heard::New | Heard::Repeated => {
+                Merged::Known => {}
+                Merged::New | Merged::Repeated => {
                     news.push((relayed.announcement.identity.instance, heard));
                 }
-                Heard::Own => news.push((self.own().identity.instance, heard)),
+                Merged::Own => news.push((self.own().identity.instance, heard)),
             }
         }
         news
@@ -145,8 +145,8 @@
 
     /// Sends what the other side's list lacks, and asks for what this side lacks.
     ///
-    /// Of one instance each side may lack something: a later announcement, or the word that it is
-    /// leaving.
+    /// Of one instance each side may lack something: a later announcement, or the mark that it
+    /// is leaving.
     fn answer_known(&self, theirs: &Comparison, ours: &mut Comparison, now: Time) {
         let known: BTreeMap<_, _> = theirs.known.iter().map(|k| (k.instance, k)).collect();
         let own: BTreeMap<_, _> = self
@@ -161,7 +161,7 @@
         ours.announcements.extend(self.relay(&lacking, now));
         let wanted = theirs.known.iter().filter(|k| match own.get(&k.instance) {
             Some(entry) => entry.known().lacks(k.seq, k.leaving),
-            None => !self.has_faded(k.instance, k.seq),
+            None => !self.has_expired(k.instance, k.seq),
         });
         ours.wanted = wanted.map(|k| k.instance).collect();
     }
--- a/crates/core/src/members/merge.rs
+++ b/crates/core/src/members/merge.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::table::OUTBID_WINDOW;
-use super::{Announcement, Heard, Known, Members};
+use super::table::SUPERSEDE_WINDOW;
+use super::{Announcement, Known, Members, Merged};
 use crate::ids::InstanceId;
 use crate::time::Time;
 
@@ -15,7 +15,7 @@
     pub(super) announcement: Announcement,
     /// Its age when it was received.
     pub(super) age: Duration,
-    /// The list's word that it is leaving was there before the instance and concerns its predecessor
+    /// The list marked it as leaving before it was known, which concerns its predecessor
     /// at the same address.
     pub(super) outdated: bool,
     pub(super) received: Time,
@@ -41,25 +41,25 @@
 
 impl Members {
     /// Whether an announcement with this sequence number was dropped before.
-    pub(super) fn has_faded(&self, instance: InstanceId, seq: u64) -> bool {
-        let dropped = self.faded.get(&instance);
+    pub(super) fn has_expired(&self, instance: InstanceId, seq: u64) -> bool {
+        let dropped = self.expired.get(&instance);
         dropped.is_some_and(|(last, _)| seq <= *last)
     }
 
-    pub(super) fn must_outbid(&self, heard: &Announcement, now: Time) -> bool {
+    pub(super) fn must_supersede(&self, heard: &Announcement, now: Time) -> bool {
         let own = &self.own;
         heard.identity.target == own.identity.target
             && own.precedence() < heard.precedence()
             && !own.leaving
-            && now - self.start < OUTBID_WINDOW
-            && !self.outbid.contains(&heard.identity.instance)
+            && now - self.start < SUPERSEDE_WINDOW
+            && !self.superseded.contains(&heard.identity.instance)
     }
 
     /// Merges an announcement into the table.
-    pub(super) fn merge(&mut self, heard: &Announcement, age: Duration, now: Time) -> Heard {
+    pub(super) fn merge(&mut self, heard: &Announcement, age: Duration, now: Time) -> Merged {
         let target = &heard.identity.target;
         let mut announcement = heard.clone();
-        let (mut merged, mut outdated) = (Heard::New, false);
+        let (mut merged, mut outdated) = (Merged::New, false);
         if let Some(entry) = self.entries.get_mut(target) {
             let known = &mut entry.announcement;
             if known.identity.instance == heard.identity.instance {
@@ -67,17 +67,17 @@
                 let same = announcement.leaving == known.leaving;
                 if heard.seq <= known.seq {
                     known.leaving = announcement.leaving;
-                    return if same { Heard::Known } else { Heard::New };
+                    return if same { Merged::Known } else { Merged::New };
                 }
                 if same && known.started == heard.started && known.identity == heard.identity {
-                    merged = Heard::Repeated;
+                    merged = Merged::Repeated;
                 }
                 outdated = entry.outdated;
             } else if heard.precedence() < known.precedence() {
-                return Heard::Known;
+                return Merged::Known;
             }
         } else if self.entries.len() >= MEMBER_LIMIT {
-            return Heard::Known;
+            return Merged::Known;
         }
         let listed = self.list.at(target, heard.identity.peer);
         outdated |= !announcement.leaving && listed.is_some_and(|l| l.leaving);
--- a/crates/core/src/members/mod.rs
+++ b/crates/core/src/members/mod.rs
@@ -8,9 +8,9 @@
 //! - of two instances that announce one target, the later by [`Announcement::precedence`] counts;
 //! - the list names members that have not announced themselves, and marks leaving ones; it never
 //!   removes an announced member by itself;
-//! - an announced member is dropped only when it has not announced for [`FADE`] and is not listed.
+//! - an announced member is dropped only when it has not announced for [`EXPIRY`] and is not listed.
 //!
-//! Merging is commutative, associative and idempotent, so all daemons that have heard the same
+//! Merging is commutative, associative and idempotent, so all daemons that have received the same
 //! announcements have the same table and the same digest.
 
 mod announcement;
@@ -22,4 +22,4 @@
 pub use announcement::{Announcement, Identity, Relayed};
 pub use compare::{BUCKETS, Comparison, Known};
 pub use list::Listed;
-pub use table::{BEAT, FADE, Heard, MemberView, Members, OUTBID_WINDOW};
+pub use table::{EXPIRY, HEARTBEAT, MemberView, Members, Merged, SUPERSEDE_WINDOW};
--- a/crates/core/src/members/table.rs
+++ b/crates/core/src/members/table.rs
@@ -14,28 +14,28 @@
 ///
 /// At 540 daemons this is about one announcement a second for the whole fleet, which costs each daemon
 /// an estimated 2.8 KB/s of its 7 KB/s, sent and received.
-pub const BEAT: Duration = Duration::from_mins(10);
+pub const HEARTBEAT: Duration = Duration::from_mins(10);
 /// Time without an announcement after which an unlisted member is dropped: two announcements missed.
-pub const FADE: Duration = Duration::from_mins(25);
+pub const EXPIRY: Duration = Duration::from_mins(25);
 /// Time after its start in which a daemon raises its `started` above that of a predecessor.
 ///
 /// A daemon that was paused and resumes after its replacement is past it and yields.
-pub const OUTBID_WINDOW: Duration = Duration::from_mins(1);
+pub const SUPERSEDE_WINDOW: Duration = Duration::from_mins(1);
 
 /// Time between two looks at the table after which this process counts as resumed from a pause.
 const PAUSE: Duration = Duration::from_mins(1);
 
 /// What an announcement changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Heard {
-    /// Nothing: it was known, older, or faded.
+pub enum Merged {
+    /// Nothing: it was known, older, or expired.
     Known,
-    /// The table; peers should hear of it.
+    /// The table; it must be relayed.
     New,
-    /// Only that the member is still there; peers should hear of it in time.
+    /// Only the time of the last announcement; it can be relayed later.
     Repeated,
     /// This daemon's own announcement: another instance claims its target, or the platform or a peer
-    /// says that it is leaving. Peers should hear the new one.
+    /// marked it as leaving. The new one must be relayed.
     Own,
 }
 
@@ -56,11 +56,11 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     pub(super) entries: BTreeMap<String, Entry>,
-    pub(super) faded: BTreeMap<InstanceId, (u64, Time)>,
-    /// When the table was last looked at by [`Members::fade`].
+    pub(super) expired: BTreeMap<InstanceId, (u64, Time)>,
+    /// When the table was last looked at by [`Members::expire`].
     last: Time,
     pub(super) list: List,
-    pub(super) outbid: BTreeSet<InstanceId>,
+    pub(super) superseded: BTreeSet<InstanceId>,
     pub(super) own: Announcement,
     pub(super) start: Time,
 }
@@ -70,10 +70,10 @@
     pub fn new(identity: Identity, started: u64, now: Time) -> Self {
         Self {
             entries: BTreeMap::new(),
-            faded: BTreeMap::new(),
+            expired: BTreeMap::new(),
             last: now,
             list: List::default(),
-            outbid: BTreeSet::new(),
+            superseded: BTreeSet::new(),
             own: Announcement {
                 identity,
                 leaving: false,
@@ -107,22 +107,22 @@
     }
 
     /// Takes in an announcement passed on by a peer.
-    pub fn hear(&mut self, relayed: &Relayed, now: Time) -> Heard {
+    pub fn receive(&mut self, relayed: &Relayed, now: Time) -> Merged {
         let heard = &relayed.announcement;
         if heard.identity.instance == self.own.identity.instance {
-            // Only a peer's word that this daemon is leaving is news to it.
+            // Only the mark as leaving can be news about this daemon.
             let told = heard.leaving && self.leave(now);
-            return if told { Heard::Own } else { Heard::Known };
+            return if told { Merged::Own } else { Merged::Known };
         }
-        if self.has_faded(heard.identity.instance, heard.seq) {
-            return Heard::Known;
+        if self.has_expired(heard.identity.instance, heard.seq) {
+            return Merged::Known;
         }
         let merged = self.merge(heard, relayed.age, now);
-        if merged == Heard::New && self.must_outbid(heard, now) {
-            self.outbid.insert(heard.identity.instance);
+        if merged == Merged::New && self.must_supersede(heard, now) {
+            self.superseded.insert(heard.identity.instance);
             self.own.started = heard.started.saturating_add(1);
             self.announce(now);
-            return Heard::Own;
+            return Merged::Own;
         }
         merged
     }
@@ -149,29 +149,30 @@
     }
 
     /// Drops members that nothing supports any more; true if there were any.
-    pub fn fade(&mut self, now: Time) -> bool {
+    pub fn expire(&mut self, now: Time) -> bool {
         let gap = now - self.last;
         self.last = now;
         if gap > PAUSE {
-            // What was not heard during a pause of this process says nothing about others.
+            // Announcements missed during a pause of this process are no evidence against members.
             for entry in self.entries.values_mut() {
                 entry.received = entry.received + gap;
             }
         }
-        let (list, faded) = (&self.list, &mut self.faded);
+        let (list, expired) = (&self.list, &mut self.expired);
         let own = self.own.identity.instance;
         let before = self.entries.len();
         self.entries.retain(|target, entry| {
             let identity = &entry.announcement.identity;
-            let listed = list.at(target, identity.peer).is_some();
-            let keep = listed || identity.instance == own || entry.age(now) < FADE;
+            let recent = entry.age(now) < EXPIRY;
+            let listed = !recent && list.at(target, identity.peer).is_some();
+            let keep = recent || identity.instance == own || listed;
             if !keep {
-                faded.insert(identity.instance, (entry.announcement.seq, now));
+                expired.insert(identity.instance, (entry.announcement.seq, now));
             }
             keep
         });
         // By then every peer has dropped them too, and none passes them on any more.
-        faded.retain(|_, (_, since)| now - *since < 2 * FADE);
+        expired.retain(|_, (_, since)| now - *since < 2 * EXPIRY);
         self.entries.len() < before
     }
 
--- a/crates/core/src/probing/budget.rs
+++ b/crates/core/src/probing/budget.rs
@@ -125,6 +125,11 @@
         self.counts.time = self.counts.time.saturating_sub(unused);
     }
 
+    /// The longest probe that can ever be granted; one that may take longer never is.
+    pub fn longest(&self) -> Duration {
+        Duration::from_micros(self.time.capacity / (QUARTERS * WHOLE))
+    }
+
     /// What was spent and skipped.
     pub fn counts(&self) -> ProbeCounts {
         self.counts
--- a/crates/core/src/spread/mod.rs
+++ b/crates/core/src/spread/mod.rs
@@ -6,8 +6,8 @@
 //! - only the first daemons of each failure domain watch the platform, so its reads grow with the
 //!   domains; all others read it rarely, and every read that has no cause of its own is spread at
 //!   random over an interval;
-//! - a daemon without a configuration does not serve, and one that has heard of only one kind of
-//!   source waits for the other for a limited time;
+//! - a daemon without a configuration does not serve, and one that only one kind of source has
+//!   answered waits for the other for a limited time;
 //! - a peer that can't be reached is avoided by this daemon alone, and tried again.
 
 mod outbox;
--- a/crates/core/src/spread/plan.rs
+++ b/crates/core/src/spread/plan.rs
@@ -1,4 +1,4 @@
-//! What a daemon's spread starts from, is told and does.
+//! Inputs and effects of the spread.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -12,7 +12,7 @@
 pub struct SpreadSettings {
     /// Time between two comparisons with a neighbour.
     pub exchange: Duration,
-    /// How long a daemon that has heard of one kind of source waits for the other.
+    /// How long a daemon that one kind of source has answered waits for the other.
     pub start_wait: Duration,
     /// Daemons of each failure domain that watch the platform.
     pub watchers: usize,
@@ -43,7 +43,7 @@
     pub settings: SpreadSettings,
 }
 
-/// What peers should hear.
+/// What is pushed to peers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum News {
     /// An announcement that changes something.
--- a/crates/core/src/spread/platform.rs
+++ b/crates/core/src/spread/platform.rs
@@ -46,7 +46,7 @@
 
 /// How often a daemon reads.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Pace {
+pub(super) enum ReadMode {
     /// As a safety net only.
     Rare,
     /// About once in this time, since it has no configuration yet.
@@ -76,37 +76,39 @@
     }
 
     /// Starts the read if it is due; returns how long the platform may hold it.
-    pub(super) fn start(&mut self, pace: Pace, now: Time) -> Option<Duration> {
+    pub(super) fn start(&mut self, mode: ReadMode, now: Time) -> Option<Duration> {
         if self.pending || now < self.due {
             return None;
         }
         self.pending = true;
         self.started = now;
         // After a fault the state is read at once, not waited for.
-        let watch = pace == Pace::Watch && self.faults == 0;
+        let watch = mode == ReadMode::Watch && self.faults == 0;
         Some(if watch { WATCH_WAIT } else { Duration::ZERO })
     }
 
     /// Plans the read after the one that ended.
-    pub(super) fn end(&mut self, ok: bool, pace: Pace, now: Time, rng: &mut impl Rng) {
+    pub(super) fn end(&mut self, ok: bool, mode: ReadMode, now: Time, rng: &mut impl Rng) {
         self.pending = false;
         self.faults = if ok { 0 } else { self.faults.saturating_add(1) };
-        self.due = match (ok, pace) {
-            (true, Pace::Watch) => now.max(self.started + READ_GAP),
-            (true, Pace::Rare) => now + SAFETY_READ.mul_f64(rng.random_range(0.5..1.5)),
-            (true, Pace::Start(wait)) => now + wait.mul_f64(rng.random_range(0.5..1.5)),
-            (false, Pace::Watch) => now + backoff(WATCH_BACKOFF, self.faults, rng),
-            (false, Pace::Rare | Pace::Start(_)) => now + backoff(OTHER_BACKOFF, self.faults, rng),
+        self.due = match (ok, mode) {
+            (true, ReadMode::Watch) => now.max(self.started + READ_GAP),
+            (true, ReadMode::Rare) => now + SAFETY_READ.mul_f64(rng.random_range(0.5..1.5)),
+            (true, ReadMode::Start(wait)) => now + wait.mul_f64(rng.random_range(0.5..1.5)),
+            (false, ReadMode::Watch) => now + backoff(WATCH_BACKOFF, self.faults, rng),
+            (false, ReadMode::Rare | ReadMode::Start(_)) => {
+                now + backoff(OTHER_BACKOFF, self.faults, rng)
+            }
         };
     }
 
     /// Brings the next read forward to a random point within `window`.
-    pub(super) fn hurry(&mut self, window: Duration, now: Time, rng: &mut impl Rng) {
+    pub(super) fn bring_forward(&mut self, window: Duration, now: Time, rng: &mut impl Rng) {
         self.due = self.due.min(now + window.mul_f64(rng.random()));
     }
 
     pub(super) fn take_over(&mut self, now: Time, rng: &mut impl Rng) {
-        self.hurry(TAKEOVER, now, rng);
+        self.bring_forward(TAKEOVER, now, rng);
     }
 }
 
--- a/crates/core/src/spread/readiness.rs
+++ b/crates/core/src/spread/readiness.rs
@@ -10,7 +10,7 @@
     Starting,
 }
 
-/// What a daemon has heard since its start.
+/// Sources of configuration that have answered since the start.
 #[derive(Clone, Debug)]
 pub(super) struct Readiness {
     /// Whether a peer gave a configuration; without seeds there is none to ask.
@@ -33,13 +33,13 @@
     }
 
     /// Notes the reply of a peer; one without a configuration is no source.
-    pub(super) fn hear_peer(&mut self, configured: bool) {
+    pub(super) fn note_peer(&mut self, configured: bool) {
         if configured {
             self.peers = Some(true);
         }
     }
 
-    pub(super) fn hear_platform(&mut self) {
+    pub(super) fn note_platform(&mut self) {
         self.platform = true;
     }
 
--- a/crates/core/src/spread/schedule.rs
+++ b/crates/core/src/spread/schedule.rs
@@ -8,11 +8,11 @@
 use rand_pcg::Pcg32;
 
 use super::outbox::Outbox;
-use super::platform::{Pace, Reads};
+use super::platform::{ReadMode, Reads};
 use super::readiness::Readiness;
 use super::suspects::Suspects;
 use super::{Effect, Endpoint, News, Ring, RingMember, SpreadStart};
-use crate::members::BEAT;
+use crate::members::HEARTBEAT;
 use crate::time::Time;
 
 /// Time between two questions to the seeds while this daemon is not ready.
@@ -25,12 +25,12 @@
 ///
 /// Until it knows other members it would count itself among the watchers, and so would all others
 /// when a whole fleet starts.
-const LONE_WATCH: Duration = Duration::from_secs(10);
+const UNLISTED_WATCH: Duration = Duration::from_secs(10);
 
 /// The plan of one daemon.
 #[derive(Clone, Debug)]
 pub struct Spread {
-    beat: Time,
+    heartbeat: Time,
     compare: Time,
     cursor: usize,
     instances: Reads,
@@ -60,7 +60,7 @@
         let neighbours: Vec<_> = seeds.collect::<BTreeSet<_>>().into_iter().collect();
         let readiness = Readiness::new(!neighbours.is_empty(), wait, now);
         Self {
-            beat: now,
+            heartbeat: now,
             compare: now,
             config,
             cursor: rng.random_range(0..1 << 16),
@@ -79,7 +79,7 @@
         }
     }
 
-    /// The peers that hear of news.
+    /// The peers that news are pushed to.
     pub fn neighbours(&self) -> &[SocketAddr] {
         &self.neighbours
     }
@@ -107,7 +107,7 @@
 
     /// Notes the reply of a peer.
     pub fn peer_answered(&mut self, peer: SocketAddr, configured: bool, now: Time) {
-        self.readiness.hear_peer(configured);
+        self.readiness.note_peer(configured);
         if self.suspects.clear(peer) {
             self.arrange(now);
         }
@@ -121,12 +121,12 @@
 
     /// Notes that the platform gave a usable configuration.
     pub fn platform_configured(&mut self) {
-        self.readiness.hear_platform();
+        self.readiness.note_platform();
     }
 
     /// Notes the end of a read of the platform; `ok` unless there was no proper response.
     pub fn read_ended(&mut self, endpoint: Endpoint, ok: bool, now: Time) {
-        let pace = self.pace(endpoint);
+        let mode = self.mode(endpoint);
         let reads = match endpoint {
             Endpoint::Config => &mut self.config,
             Endpoint::Instances => {
@@ -134,7 +134,7 @@
                 &mut self.instances
             }
         };
-        reads.end(ok, pace, now, &mut self.rng);
+        reads.end(ok, mode, now, &mut self.rng);
     }
 
     /// Everything that is due.
@@ -147,19 +147,19 @@
         if self.readiness.become_ready(now) {
             effects.push(Effect::Serve);
         }
-        if self.is_ready() && now >= self.beat {
-            self.beat = now + BEAT.mul_f64(self.rng.random_range(0.9..1.0));
+        if self.is_ready() && now >= self.heartbeat {
+            self.heartbeat = now + HEARTBEAT.mul_f64(self.rng.random_range(0.9..1.0));
             effects.push(Effect::Announce);
         }
         effects.extend(self.outbox.push(&self.neighbours, now));
         self.compare(now, &mut effects);
         for endpoint in [Endpoint::Config, Endpoint::Instances] {
-            let pace = self.pace(endpoint);
+            let mode = self.mode(endpoint);
             let reads = match endpoint {
                 Endpoint::Config => &mut self.config,
                 Endpoint::Instances => &mut self.instances,
             };
-            let wait = reads.start(pace, now);
+            let wait = reads.start(mode, now);
             effects.extend(wait.map(|wait| Effect::Read(endpoint, wait)));
         }
         effects
@@ -169,8 +169,8 @@
     pub fn next(&self) -> Time {
         let reads = [&self.config, &self.instances];
         let reads = reads.into_iter().filter(|r| !r.pending).map(|r| r.due);
-        let beat = self.is_ready().then_some(self.beat);
-        let timers = [self.outbox.due(), beat, self.readiness.due()];
+        let heartbeat = self.is_ready().then_some(self.heartbeat);
+        let timers = [self.outbox.due(), heartbeat, self.readiness.due()];
         let others = timers.into_iter().flatten().chain(reads);
         others.fold(self.compare, Time::min)
     }
@@ -189,12 +189,12 @@
         faults
     }
 
-    fn pace(&self, endpoint: Endpoint) -> Pace {
+    fn mode(&self, endpoint: Endpoint) -> ReadMode {
         let published = self.is_ready() || self.readiness.has_platform();
         match endpoint {
-            Endpoint::Config | Endpoint::Instances if self.watching => Pace::Watch,
-            Endpoint::Config if !published => Pace::Start(self.start.settings.start_wait),
-            Endpoint::Config | Endpoint::Instances => Pace::Rare,
+            Endpoint::Config | Endpoint::Instances if self.watching => ReadMode::Watch,
+            Endpoint::Config if !published => ReadMode::Start(self.start.settings.start_wait),
+            Endpoint::Config | Endpoint::Instances => ReadMode::Rare,
         }
     }
 
@@ -203,7 +203,7 @@
         self.compare = now;
         self.suspects.clear_all();
         for reads in [&mut self.config, &mut self.instances] {
-            reads.hurry(self.start.settings.start_wait, now, &mut self.rng);
+            reads.bring_forward(self.start.settings.start_wait, now, &mut self.rng);
         }
         self.arrange(now);
     }
@@ -224,7 +224,7 @@
             let others = seeds.iter().copied().filter(|s| s != own);
             self.neighbours = others.collect::<BTreeSet<_>>().into_iter().collect();
         }
-        let informed = self.list || now - self.started >= LONE_WATCH;
+        let informed = self.list || now - self.started >= UNLISTED_WATCH;
         let watching = informed && self.ring.watches(*own, domain, settings.watchers, gone);
         if watching && !self.watching {
             self.config.take_over(now, &mut self.rng);
--- a/crates/node/src/control/conversation.rs
+++ b/crates/node/src/control/conversation.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use futures::channel::oneshot;
-use hawthornwall_core::config::{Bridge, Patch};
+use hawthornwall_core::config::{Delta, Patch};
 use hawthornwall_core::ids::{InstanceId, Version};
-use hawthornwall_core::members::Heard;
+use hawthornwall_core::members::Merged;
 use hawthornwall_core::spread::News;
 use hawthornwall_wire::peer::{Exchange, Reply, Request};
 
@@ -47,7 +47,7 @@
 
     /// Takes in a peer's request and returns what the peer lacks.
     pub(super) fn exchange(&mut self, theirs: &Exchange) -> Exchange {
-        self.take_in(theirs, theirs.from);
+        self.receive(theirs, theirs.from);
         self.answer(theirs)
     }
 
@@ -64,7 +64,7 @@
             self.spread.peer_failed(peer, now);
             return;
         };
-        self.take_in(&theirs, Some(peer));
+        self.receive(&theirs, Some(peer));
         self.spread
             .peer_answered(peer, theirs.version > Version(0), now);
         let next = self.answer(&theirs);
@@ -74,45 +74,45 @@
         }
     }
 
-    fn take_in(&mut self, theirs: &Exchange, from: Option<SocketAddr>) {
+    fn receive(&mut self, theirs: &Exchange, from: Option<SocketAddr>) {
         let now = self.clock.now();
         if let Some(checkpoint) = &theirs.checkpoint {
             let offer = self.force.offer_configuration(checkpoint);
-            self.settle(offer, "peer", from);
+            self.apply_offer(offer, "peer", from);
         } else if theirs.version > self.force.config().version && !theirs.patches.is_empty() {
             let (version, digest) = (theirs.version, theirs.digest);
             let offer = self.force.offer_patches(&theirs.patches, version, digest);
-            self.settle(offer, "peer", from);
+            self.apply_offer(offer, "peer", from);
         }
         let was_leaving = self.members.own().leaving;
-        for (instance, heard) in self.members.hear_all(&theirs.members, now) {
+        for (instance, heard) in self.members.receive_all(&theirs.members, now) {
             let (news, from) = match heard {
-                Heard::Known => continue,
-                Heard::New => (News::Member(instance), from),
-                Heard::Own => (News::Member(instance), None),
-                Heard::Repeated => (News::Repeat(instance), from),
+                Merged::Known => continue,
+                Merged::New => (News::Member(instance), from),
+                Merged::Own => (News::Member(instance), None),
+                Merged::Repeated => (News::Repeat(instance), from),
             };
-            self.changed |= heard != Heard::Repeated;
+            self.changed |= heard != Merged::Repeated;
             self.spread.note(news, from, now);
         }
-        self.notice_leaving(was_leaving);
+        self.drain_if_leaving(was_leaving);
     }
 
     fn answer(&mut self, theirs: &Exchange) -> Exchange {
         let mut ours = self.own_exchange();
         ours.members = self.members.answer(&theirs.members, self.clock.now());
-        let diverged = match self.force.bridge(theirs.version, theirs.digest) {
-            Bridge::Checkpoint(config) => {
+        let diverged = match self.force.delta(theirs.version, theirs.digest) {
+            Delta::Checkpoint(config) => {
                 ours.checkpoint = Some(config.clone());
                 None
             }
-            Bridge::Diverged(divergence) => Some(divergence),
-            Bridge::Level => None,
-            Bridge::Patches(patches) if patches.len() > PATCH_LIMIT => {
+            Delta::Diverged(divergence) => Some(divergence),
+            Delta::Level => None,
+            Delta::Patches(patches) if patches.len() > PATCH_LIMIT => {
                 ours.checkpoint = Some(self.force.config().clone());
                 None
             }
-            Bridge::Patches(patches) => {
+            Delta::Patches(patches) => {
                 ours.patches = owned(&patches);
                 None
             }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -34,7 +34,7 @@
     pub clock: Clock,
     /// The `gate` task.
     pub gate: GateSender,
-    /// What this daemon says of itself.
+    /// Identity of this daemon in announcements.
     pub identity: Identity,
     /// The `peers` task.
     pub peers: PeersSender,
--- a/crates/node/src/control/task.rs
+++ b/crates/node/src/control/task.rs
@@ -148,7 +148,7 @@
     /// Carries out everything that is due.
     fn step(&mut self) {
         let now = self.clock.now();
-        if self.members.fade(now) {
+        if self.members.expire(now) {
             self.changed = true;
         }
         for effect in self.spread.tick(now) {
@@ -206,7 +206,7 @@
         if usable {
             self.spread.platform_configured();
         }
-        self.settle(offer, "platform", None);
+        self.apply_offer(offer, "platform", None);
     }
 
     fn read_list(&mut self, list: InstanceList) {
@@ -216,11 +216,16 @@
             self.spread.note(News::Member(instance), None, now);
         }
         self.changed = true;
-        self.notice_leaving(was_leaving);
+        self.drain_if_leaving(was_leaving);
     }
 
     /// Acts on what became of an offered configuration.
-    pub(super) fn settle(&mut self, offer: Offer, source: &'static str, from: Option<SocketAddr>) {
+    pub(super) fn apply_offer(
+        &mut self,
+        offer: Offer,
+        source: &'static str,
+        from: Option<SocketAddr>,
+    ) {
         match offer {
             Offer::Adopted { from: before } => {
                 let now = self.clock.now();
@@ -249,9 +254,9 @@
     }
 
     /// Drains the gate if the list or a peer has just said that this daemon is leaving.
-    pub(super) fn notice_leaving(&mut self, before: bool) {
+    pub(super) fn drain_if_leaving(&mut self, before: bool) {
         if self.members.own().leaving && !before {
-            info!("the platform says that this instance is leaving");
+            info!("the platform marked this instance as leaving");
             let (drained, _) = oneshot::channel();
             self.gate.send(GateMessage::Drain(drained));
         }
--- a/crates/node/src/control/world.rs
+++ b/crates/node/src/control/world.rs
@@ -1,4 +1,4 @@
-//! What the other tasks and operators are told.
+//! Changes for the other tasks, and the status for operators.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -86,7 +86,7 @@
 /// An exchange goes on with another request as long as a reply shows a difference.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Exchange {
-    /// The whole configuration, if patches can't bridge the gap.
+    /// The whole configuration, if the patches that the other side lacks are no longer kept.
     pub checkpoint: Option<Configuration>,
     /// Digest of the configuration in force.
     pub digest: u64,
