Let a failing target's reports fade with their age

Cause: the cost added for failures used the last report whatever its age. A target that is avoided for its failures gets no work and so sends no newer report. Ruled out: the pause after failures and the decay of occupancy; both end within seconds. Before: 60 s after one report of 100% failures, 0 of 200 picks went to the target, whose only competitor was at half load. After: none for the first 2 s, tried again by 10 s. Conclusion: the weight of reported failures falls with a life of 1 s. A target that still fails then raises it with its next reply. Scenario routing/fails_fast_recovers covers it.

--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -25,6 +25,9 @@
 const RAMP_FACTOR: f64 = 4.0;
 /// Added to the cost for a target whose recent answers all failed while others' did not.
 const FAILING_COST: Duration = Duration::from_millis(500);
+/// The failures of a report weigh less by a factor of e with each such time, so that a target that
+/// gets no work is tried again within about 5 s, the longest pause of an unreachable one.
+const FAILING_LIFE: Duration = Duration::from_secs(1);
 /// Share of the service time charged at full occupancy before any queue forms, since the
 /// occupancy at arrival is uncertain.
 const BUSY_COST: f64 = 0.5;
@@ -166,7 +169,7 @@
         let busy = BUSY_COST * (occupancy / slots).min(1.0).powi(2);
         let mut cost = service.mul_f64(1.0 + waiting + busy) + self.rtt;
         cost += self.overdue(service, now);
-        cost += FAILING_COST.mul_f64(self.excess_failures(mean));
+        cost += FAILING_COST.mul_f64(self.excess_failures(mean, now));
         cost = cost.mul_f64(self.ramp_factor(now));
         Estimate {
             age: self.report.map(|(_, at)| now - at),
@@ -207,9 +210,13 @@
 
     /// Share of failed answers above the service's mean. A target that fails fast looks idle and
     /// would otherwise attract the work of all others.
-    fn excess_failures(&self, mean: &Mean) -> f64 {
-        let own = self.report.map_or(0.0, |(r, _)| f64::from(r.failing));
-        ((own - mean.failing) / 100.0).max(0.0)
+    fn excess_failures(&self, mean: &Mean, now: Time) -> f64 {
+        let Some((report, at)) = self.report else {
+            return 0.0;
+        };
+        let excess = (f64::from(report.failing) - mean.failing) / 100.0;
+        let fading = (-(now - at).as_secs_f64() / FAILING_LIFE.as_secs_f64()).exp();
+        excess.max(0.0) * fading
     }
 
     fn ramp_factor(&self, now: Time) -> f64 {
