List scenario files when the tests run

rstest lists files at compile time, so cargo didn't notice a new scenario until the test was built again. All files of a folder are now compared even if one fails, and the failing ones are named.

--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -9,7 +9,7 @@
 mod line;
 mod routing;
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use line::Line;
 use rstest::rstest;
@@ -94,12 +94,28 @@
 
 /// Guards against a change of decisions that nobody reviewed; each file names its own failure.
 #[rstest]
-fn scenario(#[files("tests/scenarios/*/*.txt")] path: PathBuf) {
-    let text = std::fs::read_to_string(&path).unwrap();
+#[case::admission("admission")]
+#[case::calls("calls")]
+#[case::keys("keys")]
+#[case::routing("routing")]
+fn scenarios(#[case] folder: &str) {
+    let entries = Path::new("tests/scenarios")
+        .join(folder)
+        .read_dir()
+        .unwrap();
+    let mut paths: Vec<_> = entries.map(|entry| entry.unwrap().path()).collect();
+    paths.retain(|path| path.extension().is_some_and(|e| e == "txt"));
+    paths.sort();
+    // Each file is compared, also after one has failed.
+    paths.retain(|path| std::panic::catch_unwind(|| compare(folder, path)).is_err());
+    assert!(paths.is_empty(), "{paths:?}");
+}
+
+fn compare(folder: &str, path: &Path) {
+    let text = std::fs::read_to_string(path).unwrap();
     let name = path.file_stem().and_then(|s| s.to_str()).unwrap();
-    let folder = path.parent().and_then(Path::file_name).unwrap();
     let mut settings = insta::Settings::clone_current();
-    settings.set_snapshot_path(Path::new(folder));
+    settings.set_snapshot_path(folder);
     settings.set_prepend_module_to_snapshot(false);
     settings.set_omit_expression(true);
     settings.bind(|| insta::assert_snapshot!(name, play(&text)));
