Try a target again some time after it said that it drains

Cause: a report with the state 'draining' excluded a target for ever. Ruled out: the member list; it names daemons that leave, not targets that say they drain. Before: 12 s after the report, with no other target left, the pick was refused as NoTarget. After: the target is tried after 5 s without a newer report, and is back after a reply that says 'serving'. Conclusion: a draining report counts for 5 s. A target that still drains refuses definitely, at the cost of one round trip, and runs nothing; members that leave stay excluded without limit.

--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -246,7 +246,7 @@
     /// ends first is tried, since refusing everything would be worse.
     fn eligible(&self, request: &PickRequest<'_>, now: Time) -> Vec<TargetId> {
         let open = |id: &TargetId, v: &View| {
-            v.service == request.service && v.accepts() && !request.tried.contains(id)
+            v.service == request.service && v.accepts(now) && !request.tried.contains(id)
         };
         let all: Vec<_> = self.views.iter().filter(|(id, v)| open(id, v)).collect();
         let ready: Vec<_> = all
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -19,6 +19,9 @@
 const AVOID_FIRST: Duration = Duration::from_millis(50);
 /// Longest pause before an unreachable target is tried again.
 const AVOID_LIMIT: Duration = Duration::from_secs(5);
+/// After this time without a newer report, a target that said it drains is tried again: it may have
+/// been wrong, and its daemon refuses definitely while it does drain.
+const DRAIN_RECHECK: Duration = Duration::from_secs(5);
 /// A new instance's cost falls to normal over this time, so that it is not flooded while cold.
 const RAMP: Duration = Duration::from_secs(5);
 /// Cost multiplier of an instance that has just appeared.
@@ -89,8 +92,10 @@
     }
 
     /// Whether new work may be sent, apart from the pause after failures.
-    pub fn accepts(&self) -> bool {
-        let draining = |(r, _): &(LoadReport, Time)| r.state == TargetState::Draining;
+    pub fn accepts(&self, now: Time) -> bool {
+        let draining = |(r, at): &(LoadReport, Time)| {
+            r.state == TargetState::Draining && now - *at < DRAIN_RECHECK
+        };
         !self.leaving && !self.report.as_ref().is_some_and(draining)
     }
 
