--- a/crates/node/src/control/task.rs
+++ b/crates/node/src/control/task.rs
@@ -135,6 +135,14 @@
             }
         }
         self.refresh();
+        debug_assert_eq!(self.verify(), Vec::<String>::new());
+    }
+
+    /// Broken invariants of the aggregates.
+    fn verify(&self) -> Vec<String> {
+        let (force, members) = (self.force.verify(), self.members.verify());
+        let all = [force, members, self.spread.verify()];
+        all.concat()
     }
 
     /// Carries out everything that is due.
@@ -147,9 +155,11 @@
             match effect {
                 Effect::Announce => {
                     self.members.announce(now);
-                    let own = self.members.own().identity.instance;
-                    self.spread.note(News::Member(own), None, now);
-                    self.changed = true;
+                    let own = self.members.own();
+                    let first = own.seq == 1;
+                    let news = if first { News::Member } else { News::Repeat };
+                    self.spread.note(news(own.identity.instance), None, now);
+                    self.changed |= first;
                 }
                 Effect::Compare(peer) => self.compare(peer),
                 Effect::Push { members, since, to } => self.push(to, since, &members),
--- a/crates/testkit/src/demo/report.rs
+++ b/crates/testkit/src/demo/report.rs
@@ -6,10 +6,14 @@
 use super::figures::{DaemonFigures, Figures, ProbeFigures};
 use crate::load::Quantiles;
 
+/// Longest part of the history checker's report that is shown; the rest repeats the same faults.
+const HISTORY_LINES: usize = 20;
+
 const NOTES: &str = "\
 Latency counts from the planned arrival; of a POST with a key, from its own sending.
-Outside the target = latency - time between the target's records of start and end of the run
-  - one emulated round trip if ingress and target lie in different domains. Added = daemons - direct.
+Outside targets = latency - time in which at least one target ran the call, by their records
+  - emulated way to the first and from the answering target, if in another domain than the ingress.
+Added = through daemons - direct, outside targets, at the same quantile.
 The callers' own distance to the system is emulated on neither side and so left out of both.
 ";
 
@@ -18,9 +22,15 @@
     let mut out = String::new();
     let seconds = figures.duration.as_secs_f64();
     let _ = writeln!(out, "Requests in {seconds:.1} s");
+    let [before, after] = &figures.machine_load;
+    let _ = writeln!(
+        out,
+        "  load average of the machine: {before} before, {after} after"
+    );
     outcomes(&mut out, "through daemons", &figures.through_outcomes);
     outcomes(&mut out, "direct", &figures.direct_outcomes);
     mismatches(&mut out, figures);
+    history(&mut out, figures);
     latencies(&mut out, figures);
     probes(&mut out, &figures.probes);
     daemons(&mut out, &figures.daemons);
@@ -68,6 +78,13 @@
     }
 }
 
+fn history(out: &mut String, figures: &Figures) {
+    out.push_str("\nHistory checker, on the records of callers, targets and platform\n");
+    for line in figures.history.to_string().lines().take(HISTORY_LINES) {
+        let _ = writeln!(out, "    {line}");
+    }
+}
+
 fn latencies(out: &mut String, figures: &Figures) {
     let (direct, through) = (&figures.direct, &figures.through);
     let _ = writeln!(
@@ -78,8 +95,8 @@
     let rows = [
         ("direct", direct.whole),
         ("through daemons", through.whole),
-        ("direct, outside the target", direct.outside),
-        ("through daemons, outside the target", through.outside),
+        ("direct, outside targets", direct.outside),
+        ("through daemons, outside targets", through.outside),
     ];
     for (name, q) in rows {
         let Quantiles {
--- a/crates/testkit/src/demo/run.rs
+++ b/crates/testkit/src/demo/run.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -9,9 +10,9 @@
 use super::figures::Figures;
 use super::measure::{Sample, daemon_figures, latency_figures, probe_figures};
 use crate::arguments::{ArgumentError, Arguments};
-use crate::history::{Record, read_records};
+use crate::history::{self, Limits, Record, read_records};
 use crate::launcher::{Cluster, ClusterOptions, Deployment, LaunchError};
-use crate::load::{CallResult, LoadOptions, check, count_outcomes, run_load, run_times};
+use crate::load::{CallResult, LoadOptions, Runs, check, count_outcomes, run_load};
 use crate::run;
 
 /// Options of the program.
@@ -130,23 +131,46 @@
     let start = Sample::take(&cluster);
     std::thread::sleep(options.idle);
     let idle = Sample::take(&cluster);
+    let busy_start = machine_load();
     let begun = Instant::now();
     let results = run(run_load(&load))??;
     let duration = begun.elapsed();
     let samples = [start, idle, Sample::take(&cluster)];
+    let busy_end = machine_load();
     let daemons = daemon_figures(&cluster, &samples);
     let killed = cluster.stop_daemons(STOP)?;
-    let histories = cluster.target_histories();
-    let records: io::Result<Vec<_>> = histories.iter().map(|path| read_records(path)).collect();
+    let records = read_all(cluster.target_histories())?;
+    let others = ["callers", "platform"].map(|n| cluster.folder().join(format!("{n}.history")));
+    let all = [records.clone(), read_all(others)?].concat();
     let figures = Figures {
         daemons,
         duration,
+        history: history::check(&all, &limits(&cluster)),
         killed,
-        ..evaluate(&cluster, &load, &results, &records?.concat())
+        machine_load: [busy_start, busy_end],
+        ..evaluate(&cluster, &load, &results, &records)
     };
     Ok(figures)
 }
 
+fn read_all(paths: impl IntoIterator<Item = PathBuf>) -> io::Result<Vec<Record>> {
+    let files: io::Result<Vec<_>> = paths.into_iter().map(|p| read_records(&p)).collect();
+    Ok(files?.concat())
+}
+
+fn limits(cluster: &Cluster) -> Limits {
+    Limits {
+        slots: cluster.plan().slots,
+        ..Limits::DEFAULT
+    }
+}
+
+/// Runnable processes of the whole machine, averaged over the last minute.
+fn machine_load() -> String {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split(' ').next().unwrap_or_default().to_owned()
+}
+
 fn load_options(options: &DemoOptions, cluster: &Cluster) -> LoadOptions {
     // A twentieth more than expected, so that the random share of direct calls leaves enough.
     let through = u64::from(100 - options.direct_percent.min(90));
@@ -165,16 +189,16 @@
     results: &[CallResult],
     records: &[Record],
 ) -> Figures {
-    let times = run_times(records);
+    let runs = Runs::of(records);
     let delay = Duration::from_micros(cluster.plan().delay_us);
     let direct = results.iter().filter(|r| r.is_direct());
     let through = results.iter().filter(|r| !r.is_direct());
     Figures {
-        direct: latency_figures(direct.clone(), &times, load, delay),
+        direct: latency_figures(direct.clone(), &runs, load, delay),
         direct_outcomes: count_outcomes(direct),
         mismatches: check(results, records),
-        probes: probe_figures(records, &times),
-        through: latency_figures(through.clone(), &times, load, delay),
+        probes: probe_figures(records, &runs),
+        through: latency_figures(through.clone(), &runs, load, delay),
         through_outcomes: count_outcomes(through),
         ..Figures::default()
     }
