--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -12,7 +12,7 @@
 mod routing;
 mod spread;
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use line::Line;
 use rstest::rstest;
@@ -112,24 +112,23 @@
 
 /// Guards against a change of decisions that nobody reviewed; each file names its own failure.
 #[rstest]
-#[case::admission("admission")]
-#[case::calls("calls")]
-#[case::keys("keys")]
-#[case::routing("routing")]
-fn scenarios(#[case] folder: &str) {
-    let entries = Path::new("tests/scenarios")
-        .join(folder)
-        .read_dir()
-        .unwrap();
-    let mut paths: Vec<_> = entries.map(|entry| entry.unwrap().path()).collect();
+fn scenarios() {
+    let folders = entries(Path::new("tests/scenarios")).filter(|path| path.is_dir());
+    let mut paths: Vec<_> = folders.flat_map(|folder| entries(&folder)).collect();
     paths.retain(|path| path.extension().is_some_and(|e| e == "txt"));
-    paths.sort();
+    assert!(!paths.is_empty(), "no scenario was found");
     // Each file is compared, also after one has failed.
-    paths.retain(|path| std::panic::catch_unwind(|| compare(folder, path)).is_err());
+    paths.retain(|path| std::panic::catch_unwind(|| compare(path)).is_err());
     assert!(paths.is_empty(), "{paths:?}");
 }
 
-fn compare(folder: &str, path: &Path) {
+fn entries(folder: &Path) -> impl Iterator<Item = PathBuf> + use<> {
+    let entries = folder.read_dir().unwrap();
+    entries.map(|entry| entry.unwrap().path())
+}
+
+fn compare(path: &Path) {
+    let folder = path.parent().and_then(Path::file_name).unwrap();
     let text = std::fs::read_to_string(path).unwrap();
     let name = path.file_stem().and_then(|s| s.to_str()).unwrap();
     let mut settings = insta::Settings::clone_current();
