Name a timeout in the tool's messages

A paused daemon was reported as "Resource temporarily unavailable (os error 11)", the system's text for a socket timeout. Say for how long nothing was received instead.

--- a/crates/cli/src/run/daemon.rs
+++ b/crates/cli/src/run/daemon.rs
@@ -1,7 +1,7 @@
 //! Questions to the operators' listener of a daemon.
 
 use std::fmt;
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -87,7 +87,7 @@
 
 /// Status code and body of a page.
 fn get(address: SocketAddr, path: &str) -> Result<(u16, String), Report<Failure>> {
-    let bytes = fetch(address, path);
+    let bytes = fetch(address, path).map_err(name_timeout);
     let bytes = bytes.change_context_lazy(|| Failure::Daemon(address.to_string()))?;
     decode(&bytes).change_context_lazy(|| Failure::Response(address.to_string()))
 }
@@ -110,7 +110,19 @@
     Ok((code, text.to_owned()))
 }
 
-fn fetch(address: SocketAddr, path: &str) -> std::io::Result<Vec<u8>> {
+/// Names a timeout. Where a socket's timeout shows as `WouldBlock`, the system's own text is
+/// "Resource temporarily unavailable".
+fn name_timeout(error: io::Error) -> io::Error {
+    match error.kind() {
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => {
+            let text = format!("nothing was received for {} s", PATIENCE.as_secs());
+            io::Error::new(io::ErrorKind::TimedOut, text)
+        }
+        _ => error,
+    }
+}
+
+fn fetch(address: SocketAddr, path: &str) -> io::Result<Vec<u8>> {
     let mut stream = TcpStream::connect_timeout(&address, PATIENCE)?;
     stream.set_read_timeout(Some(PATIENCE))?;
     stream.set_write_timeout(Some(PATIENCE))?;
--- a/crates/cli/tests/daemons.rs
+++ b/crates/cli/tests/daemons.rs
@@ -145,3 +145,15 @@
     assert_eq!(finished.exit, Exit::Unreachable);
     assert_snapshot!(readable(&finished, &[address]));
 }
+
+/// Guards against the system's text for a timeout, "Resource temporarily unavailable", which tells an
+/// operator nothing about a paused daemon.
+#[test]
+fn silent() {
+    // Connections are completed by the system and never accepted, as with a paused process.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let finished = run(&format!("show --daemon {address}"));
+    assert_eq!(finished.exit, Exit::Unreachable);
+    assert_snapshot!(readable(&finished, &[address]));
+}
