Stop in two steps, and take pauses off callers' time

A planned stop first answers every request with 'Connection: close' and still serves new ones for 2 s, then closes idle connections; a request of which any byte has arrived is served. Before, idle connections were closed 1 s after the signal while callers still used them. A paused process takes the pause off the time left of callers' requests that waited in its buffers. A malformed deadline header is refused instead of ignored.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::clock::Clock;
 use crate::control::{self, ControlStart};
 use crate::gate::{GateStart, Gatekeeper};
-use crate::ingress::{Ingress, IngressStart};
+use crate::ingress::{Ingress, IngressStart, StopReceiver, StopSender};
 use crate::messages::{
     ControlMessage, ControlSender, GateMessage, GateSender, PeersMessage, PeersSender,
     RouterMessage, RouterSender, World,
@@ -39,9 +39,9 @@
 /// Bytes of a peer message beyond the bodies and heads that it carries; a configuration document may
 /// take a megabyte.
 const MESSAGE_OVERHEAD: usize = 1 << 20;
-/// Time between announcing the stop and refusing connections, so that peers and callers learn of it
-/// while they are still answered.
-const ANNOUNCE: Duration = Duration::from_secs(1);
+/// Time between announcing the stop and closing idle connections, so that peers and callers learn of
+/// it while they are still answered.
+const ANNOUNCE: Duration = Duration::from_secs(2);
 /// Longest wait for work in flight at a planned stop.
 const DRAIN_LIMIT: Duration = Duration::from_mins(10);
 
@@ -131,7 +131,7 @@
         })
     }
 
-    fn ingress(&self, stop: oneshot::Receiver<()>) -> Result<Ingress, Report<StartError>> {
+    fn ingress(&self, stop: StopReceiver) -> Result<Ingress, Report<StartError>> {
         Ingress::start(IngressStart {
             clock: self.clock,
             gate: self.senders.gate.clone(),
@@ -224,7 +224,7 @@
     ingress: Ingress,
     senders: Senders,
     signals: StopSignals,
-    stop: oneshot::Sender<()>,
+    stop: StopSender,
 }
 
 impl Daemon {
@@ -238,7 +238,7 @@
             senders,
             settings,
         };
-        let (stop, stopped) = oneshot::channel();
+        let (stop, stopped) = StopSender::channel();
         let signals = StopSignals::register().change_context(StartError::Runtime)?;
         let listener = bind_admin(settings)?;
         let peers = parts.peers(receivers.peers)?;
@@ -277,8 +277,7 @@
         let _ = self.senders.control.unbounded_send(ControlMessage::Leaving);
         self.senders.gate.send(GateMessage::Drain(drained));
         let stopping = async {
-            monoio::time::sleep(ANNOUNCE).await;
-            let _ = self.stop.send(());
+            self.stop.stop(ANNOUNCE).await;
             let _ = done.await;
         }
         .fuse();
--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -19,17 +19,10 @@
 pub(super) async fn run(tcp: TcpStream, backend: Backend, stop: Stopping) {
     let mut stream = HttpStream::new(tcp, backend.default_limits);
     loop {
-        let head = {
-            let read = stream.read_request_head().fuse();
-            let mut stop = stop.clone();
-            pin_mut!(read);
-            select_biased! {
-                head = read => head,
-                // Nothing of a request has been answered, so closing here cuts no request in flight.
-                _ = stop => return,
-            }
+        let Some(head) = next_head(&mut stream, &stop).await else {
+            return;
         };
-        let closing = || stop.peek().is_some();
+        let closing = || stop.announced.peek().is_some();
         match serve_one(&mut stream, &backend, head, closing).await {
             Next::Close => return,
             Next::Read => {}
@@ -37,6 +30,27 @@
     }
 }
 
+type Head = Result<(RequestHead, Framing), ReadFault>;
+
+/// The next head, or `None` once the daemon closes idle connections. A request of which any byte has
+/// arrived is still served.
+async fn next_head(stream: &mut HttpStream, stop: &Stopping) -> Option<Head> {
+    let head = {
+        let read = stream.read_request_head().fuse();
+        let mut closing = stop.closing.clone();
+        pin_mut!(read);
+        select_biased! {
+            head = read => Some(head),
+            _ = closing => None,
+        }
+    };
+    match head {
+        Some(head) => Some(head),
+        None if stream.has_buffered() => Some(stream.read_request_head().await),
+        None => None,
+    }
+}
+
 /// What happens to the connection after a request.
 enum Next {
     Close,
@@ -46,7 +60,7 @@
 async fn serve_one(
     stream: &mut HttpStream,
     backend: &Backend,
-    head: Result<(RequestHead, Framing), ReadFault>,
+    head: Head,
     closing: impl Fn() -> bool,
 ) -> Next {
     let (head, framing) = match head {
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -23,8 +23,46 @@
 /// Pause after a failed accept, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Ends when the daemon stops accepting callers.
-pub(super) type Stopping = Shared<oneshot::Receiver<()>>;
+/// The two steps of a planned stop, as every connection sees them.
+#[derive(Clone, Debug)]
+pub(super) struct Stopping {
+    /// Ends when callers are told to use other connections.
+    pub announced: Shared<oneshot::Receiver<()>>,
+    /// Ends when idle connections are closed.
+    pub closing: Shared<oneshot::Receiver<()>>,
+}
+
+/// Tells the callers' connections of a planned stop.
+#[derive(Debug)]
+pub struct StopSender {
+    announce: oneshot::Sender<()>,
+    close: oneshot::Sender<()>,
+}
+
+impl StopSender {
+    /// A sender and the other end for [`IngressStart`].
+    pub fn channel() -> (Self, StopReceiver) {
+        let (announce, announced) = oneshot::channel();
+        let (close, closing) = oneshot::channel();
+        let stopping = Stopping {
+            announced: announced.shared(),
+            closing: closing.shared(),
+        };
+        (Self { announce, close }, StopReceiver(stopping))
+    }
+
+    /// Ends each connection after its next answer. Until `linger` has passed, connections and new
+    /// callers are still served, since a request may be on its way.
+    pub async fn stop(self, linger: Duration) {
+        let _ = self.announce.send(());
+        monoio::time::sleep(linger).await;
+        let _ = self.close.send(());
+    }
+}
+
+/// The callers' end of a [`StopSender`].
+#[derive(Clone, Debug)]
+pub struct StopReceiver(Stopping);
 
 /// What a connection needs to serve calls.
 #[derive(Clone, Debug)]
@@ -63,8 +101,8 @@
     pub seed: u64,
     /// Address and limits.
     pub settings: &'a CallerSettings,
-    /// Ends when no more callers are accepted.
-    pub stop: oneshot::Receiver<()>,
+    /// Tells of a planned stop.
+    pub stop: StopReceiver,
     /// Counters.
     pub telemetry: Telemetry,
     /// Decides which requests are traced.
@@ -115,7 +153,7 @@
             tracer: start.tracer,
         };
         let open = Rc::new(Cell::new(0));
-        let stop = start.stop.shared();
+        let StopReceiver(stop) = start.stop;
         Ok(Self {
             backend,
             limit: settings.connections,
@@ -129,7 +167,7 @@
     pub async fn run(self) {
         loop {
             let accept = self.listener.accept().fuse();
-            let mut stop = self.stop.clone();
+            let mut stop = self.stop.closing.clone();
             pin_mut!(accept);
             select_biased! {
                 accepted = accept => match accepted {
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -12,4 +12,4 @@
 mod request;
 mod serve;
 
-pub use listener::{Ingress, IngressStart};
+pub use listener::{Ingress, IngressStart, StopReceiver, StopSender};
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -65,11 +65,17 @@
     )
 }
 
-/// The time that the caller gives its request, or the service's default.
-pub(super) fn time_left(request: &HttpRequest, default: Duration) -> Duration {
-    let text = header_text(&request.headers, DEADLINE_HEADER);
-    let asked = text
-        .and_then(|t| t.trim().parse().ok())
-        .map(Duration::from_millis);
-    asked.unwrap_or(default).min(DEADLINE_LIMIT)
+/// The time that the caller gives its request, or `None` to take the service's default.
+///
+/// # Errors
+///
+/// [`Refusal::Malformed`] for a header that is no number of milliseconds: guessing a deadline could
+/// run the request when its caller has long given up.
+pub(super) fn time_left(request: &HttpRequest) -> Result<Option<Duration>, Refusal> {
+    if !request.headers.iter().any(|h| h.name == DEADLINE_HEADER) {
+        return Ok(None);
+    }
+    let text = header_text(&request.headers, DEADLINE_HEADER).ok_or(Refusal::Malformed)?;
+    let ms = text.trim().parse().map_err(|_| Refusal::Malformed)?;
+    Ok(Some(Duration::from_millis(ms).min(DEADLINE_LIMIT)))
 }
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -37,7 +37,7 @@
 }
 
 async fn answer(backend: &Backend, request: HttpRequest, span: &HopSpan) -> Reply {
-    let asked = match asked(&request) {
+    let (asked, left) = match asked(&request).and_then(|a| Ok((a, time_left(&request)?))) {
         Ok(asked) => asked,
         Err(refusal) => return Reply::unanswered(Outcome::Refused(refusal)),
     };
@@ -55,8 +55,13 @@
     {
         return Reply::unanswered(Outcome::Refused(Refusal::KeyMismatch));
     }
-    let mut serving = Serving::new(backend, &opened, asked, request, span);
-    serving.run().await
+    // A request that waited in a buffer while this process was stopped has less time left.
+    let left = left
+        .unwrap_or(opened.rules.deadline)
+        .saturating_sub(opened.staleness);
+    let spec = spec_of(&asked, &opened, &request, backend.clock.now() + left);
+    let task = task_of(asked, request);
+    Serving::new(backend, &opened, spec, task, span).run().await
 }
 
 fn refused(asked: &Asked, refusal: Refusal) -> Outcome {
@@ -120,36 +125,23 @@
     fn new(
         backend: &'a Backend,
         opened: &Opened,
-        asked: Asked,
-        request: HttpRequest,
+        spec: Spec,
+        task: Task,
         span: &'a HopSpan,
     ) -> Self {
-        let now = backend.clock.now();
-        let rules = &opened.rules;
-        let pinned = match asked {
-            Asked::Keyed(key) => Some(key.target),
-            Asked::Key | Asked::Plain => None,
-        };
-        let spec = Spec {
-            deadline: now + time_left(&request, rules.deadline),
-            hedge: rules.hedge && asked == Asked::Plain,
-            // An unused key does no harm, so asking for one may be repeated.
-            idempotent: asked == Asked::Key || idempotent(&request.method),
-            pinned,
-        };
-        let (call, effects) = Call::start(spec, now);
+        let (call, effects) = Call::start(spec, backend.clock.now());
         Self {
             backend,
             call,
             effects,
             local: opened.own,
-            once: !spec.idempotent && pinned.is_none(),
+            once: !spec.idempotent && spec.pinned.is_none(),
             pending: FuturesUnordered::new(),
             picked: None,
             requests: Vec::new(),
             service: opened.service,
             span,
-            task: task_of(asked, request),
+            task,
             ticket: None,
             yielded: None,
         }
@@ -307,6 +299,20 @@
     }
 }
 
+fn spec_of(asked: &Asked, opened: &Opened, request: &HttpRequest, deadline: Time) -> Spec {
+    let pinned = match asked {
+        Asked::Keyed(key) => Some(key.target),
+        Asked::Key | Asked::Plain => None,
+    };
+    Spec {
+        deadline,
+        hedge: opened.rules.hedge && *asked == Asked::Plain,
+        // An unused key does no harm, so asking for one may be repeated.
+        idempotent: *asked == Asked::Key || idempotent(&request.method),
+        pinned,
+    }
+}
+
 fn task_of(asked: Asked, request: HttpRequest) -> Task {
     match asked {
         Asked::Key => Task::Issue,
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -104,6 +104,8 @@
     pub own: Option<TargetId>,
     /// Sharing rules of the service.
     pub rules: Rules,
+    /// How long the request may have waited unread while this process was paused.
+    pub staleness: Duration,
     /// The service that the request is for.
     pub service: ServiceId,
 }
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -7,10 +7,12 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::channel::mpsc;
 use hawthornwall_core::calls::{PickKind, RetryBudget};
+use hawthornwall_core::pause::PauseDetector;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routing::{
     Balancer, Choice, MemberView, Observation, PickRequest, Policy, Ticket,
@@ -19,6 +21,9 @@
 use crate::clock::Clock;
 use crate::messages::{OpenTicket, Opened, RouterMessage, RouterSender, Seen, World};
 
+/// Time between two turns while nothing happens; a longer gap shows that the process was paused.
+const TURN: Duration = Duration::from_millis(200);
+
 /// What the task needs at its start.
 #[derive(Debug)]
 pub struct RouterStart<'a> {
@@ -49,6 +54,7 @@
     inflight: BTreeMap<ServiceId, usize>,
     limit: usize,
     name: String,
+    pauses: PauseDetector,
     receiver: mpsc::UnboundedReceiver<RouterMessage>,
     sender: RouterSender,
     world: Rc<World>,
@@ -64,6 +70,7 @@
             inflight: BTreeMap::new(),
             limit: start.service_limit,
             name: start.name.to_owned(),
+            pauses: PauseDetector::new(TURN, start.clock.now()),
             receiver: start.receiver,
             sender: start.sender,
             world: Rc::default(),
@@ -72,33 +79,42 @@
 
     /// Serves messages until all senders are gone.
     pub async fn run(mut self) {
-        while let Some(message) = self.receiver.next().await {
-            match message {
-                RouterMessage::Close(service) => self.close(service),
-                RouterMessage::Observe { seen, ticket } => self.observe(&seen, ticket),
-                RouterMessage::Open { host, path, reply } => {
-                    let opened = self.open(&host, &path);
-                    // A requester that is gone closes nothing, so the count is taken back here.
-                    if let Err(Ok(opened)) = reply.send(opened) {
-                        self.close(opened.service);
-                    }
-                }
-                RouterMessage::Pick {
-                    kind,
-                    reply,
-                    service,
-                    tried,
-                } => {
-                    let picked = self.pick(kind, service, &tried);
-                    let _ =
-                        reply.send(picked.map(|choice| (choice, self.open_ticket(choice.ticket))));
-                }
-                RouterMessage::Pin { reply, target } => {
-                    let ticket = self.balancer.pin(target, self.clock.now());
-                    let _ = reply.send(self.open_ticket(ticket));
+        loop {
+            let next = monoio::time::timeout(TURN, self.receiver.next()).await;
+            self.pauses.turn(self.clock.now());
+            match next {
+                Ok(Some(message)) => self.take(message),
+                Ok(None) => return,
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn take(&mut self, message: RouterMessage) {
+        match message {
+            RouterMessage::Close(service) => self.close(service),
+            RouterMessage::Observe { seen, ticket } => self.observe(&seen, ticket),
+            RouterMessage::Open { host, path, reply } => {
+                let opened = self.open(&host, &path);
+                // A requester that is gone closes nothing, so the count is taken back here.
+                if let Err(Ok(opened)) = reply.send(opened) {
+                    self.close(opened.service);
                 }
-                RouterMessage::World(world) => self.configure(world),
             }
+            RouterMessage::Pick {
+                kind,
+                reply,
+                service,
+                tried,
+            } => {
+                let picked = self.pick(kind, service, &tried);
+                let _ = reply.send(picked.map(|choice| (choice, self.open_ticket(choice.ticket))));
+            }
+            RouterMessage::Pin { reply, target } => {
+                let ticket = self.balancer.pin(target, self.clock.now());
+                let _ = reply.send(self.open_ticket(ticket));
+            }
+            RouterMessage::World(world) => self.configure(world),
         }
     }
 
@@ -139,10 +155,12 @@
         }
         *inflight += 1;
         let rules = config.services[&service].rules.clone();
+        let staleness = self.pauses.staleness(self.clock.now());
         Ok(Opened {
             own: config.target_named(&self.name),
             rules,
             service,
+            staleness,
         })
     }
 
