Repeat some calls under their keys through other daemons

Repeats are what at-most-once execution is for: a repeat must get the first call's answer and not run again. A caller also repeats a call that got no answer. The check of runs is by operation, so a second execution under the repeat's number counts.

--- a/crates/testkit/src/load/driver.rs
+++ b/crates/testkit/src/load/driver.rs
@@ -18,8 +18,12 @@
 #[derive(Debug)]
 struct Driver<'a> {
     idle: BTreeMap<SocketAddr, Vec<Connection>>,
+    /// Calls that have not ended.
+    open: usize,
     options: &'a LoadOptions,
     records: Writer,
+    /// Repeats so far.
+    repeats: u64,
     results: Vec<CallResult>,
     sender: UnboundedSender<Message>,
 }
@@ -33,8 +37,10 @@
     let (sender, mut receiver) = unbounded();
     let mut driver = Driver {
         idle: BTreeMap::new(),
+        open: 0,
         options,
         records: Writer::open(options.history.as_deref(), "caller")?,
+        repeats: 0,
         results: Vec::new(),
         sender,
     };
@@ -44,9 +50,9 @@
     for call in plan_calls(options) {
         let planned = start + call.at;
         driver.serve_until(&mut receiver, &timer, planned).await;
-        driver.start_call(call, planned);
+        driver.start_call(call, planned, None);
     }
-    while (driver.results.len() as u64) < options.requests {
+    while driver.open > 0 {
         if let Some(message) = receiver.next().await {
             driver.take(message);
         }
@@ -93,17 +99,38 @@
                     let (address, _) = self.address(&result.call);
                     self.idle.entry(address).or_default().push(connection);
                 }
+                self.open -= 1;
+                self.repeat(&result);
                 self.results.push(*result);
             }
             Message::Record(at, event) => self.record(at, event),
         }
     }
 
+    /// Repeats a call under its key through another daemon, as a caller without an answer does.
+    fn repeat(&mut self, result: &CallResult) {
+        let unanswered = matches!(result.outcome.as_str(), "" | "unknown");
+        let due = result.call.repeated || unanswered;
+        let (Some(key), Route::Daemon(index)) = (&result.key, result.call.route) else {
+            return;
+        };
+        if due && !result.call.is_repeat() {
+            self.repeats += 1;
+            let call = Call {
+                number: self.options.requests + self.repeats,
+                route: Route::Daemon((index + 1) % self.options.daemons.len()),
+                ..result.call
+            };
+            self.start_call(call, Instant::now(), Some(key.clone()));
+        }
+    }
+
     fn record(&mut self, at: u64, event: Event) {
         self.records.append_at(at, event);
     }
 
-    fn start_call(&mut self, call: Call, planned: Instant) {
+    fn start_call(&mut self, call: Call, planned: Instant, key: Option<String>) {
+        self.open += 1;
         let (address, beside) = self.address(&call);
         let idle = self.idle.entry(address).or_default();
         let mut connection = idle.pop();
@@ -115,8 +142,10 @@
             call,
             beside,
             driver: self.sender.clone(),
+            key,
             planned,
             service: self.options.services[call.service].name.clone(),
+            timeout: self.options.timeout,
         };
         monoio::spawn(perform(job, connection));
     }
