--- a/crates/core/src/spread/schedule.rs
+++ b/crates/core/src/spread/schedule.rs
@@ -54,8 +54,10 @@
     pub fn new(start: SpreadStart, now: Time) -> Self {
         let mut rng = Pcg32::seed_from_u64(start.seed);
         let wait = start.settings.start_wait;
-        let mut read = || Reads::new(now + wait.mul_f64(rng.random()));
-        let (config, instances) = (read(), read());
+        // Both endpoints at one time: a daemon that announces itself before it has read the list
+        // would exchange with neighbours that it drops again once it knows more members.
+        let first = now + wait.mul_f64(rng.random());
+        let (config, instances) = (Reads::new(first), Reads::new(first));
         let seeds = start.seeds.iter().copied().filter(|s| *s != start.own);
         let neighbours: Vec<_> = seeds.collect::<BTreeSet<_>>().into_iter().collect();
         let readiness = Readiness::new(!neighbours.is_empty(), wait, now);
--- a/crates/core/tests/figures.rs
+++ b/crates/core/tests/figures.rs
@@ -6,7 +6,7 @@
 
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::spread::{
-    Effect, Fleet, Ring, RingMember, Spread, SpreadSettings, SpreadStart, platform_reads,
+    Effect, Endpoint, Fleet, Ring, RingMember, Spread, SpreadSettings, SpreadStart, platform_reads,
 };
 use insta::assert_snapshot;
 use rstest::rstest;
@@ -57,11 +57,12 @@
             let now = Time::from_micros(ms * 1_000);
             while let Some(at) = ends.iter().position(|(end, _)| *end <= now) {
                 let (_, endpoint) = ends.swap_remove(at);
-                spread.read_ended(endpoint, answered, now);
-                if answered {
-                    spread.platform_configured();
-                    spread.set_members(members(), now);
+                match (answered, endpoint) {
+                    (true, Endpoint::Config) => spread.platform_configured(),
+                    (true, Endpoint::Instances) => spread.set_members(members(), now),
+                    (false, _) => {}
                 }
+                spread.read_ended(endpoint, answered, now);
             }
             if spread.next() > now {
                 continue;
