--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -112,12 +112,27 @@
 
 /// Guards against a change of decisions that nobody reviewed; each file names its own failure.
 #[rstest]
-fn scenario(#[files("tests/scenarios/*/*.txt")] path: PathBuf) {
-    let text = std::fs::read_to_string(&path).unwrap();
-    let name = path.file_stem().and_then(|s| s.to_str()).unwrap();
+fn scenarios() {
+    let folders = entries(Path::new("tests/scenarios")).filter(|path| path.is_dir());
+    let mut paths: Vec<_> = folders.flat_map(|folder| entries(&folder)).collect();
+    paths.retain(|path| path.extension().is_some_and(|e| e == "txt"));
+    assert!(!paths.is_empty(), "no scenario was found");
+    // Each file is compared, also after one has failed.
+    paths.retain(|path| std::panic::catch_unwind(|| compare(path)).is_err());
+    assert!(paths.is_empty(), "{paths:?}");
+}
+
+fn entries(folder: &Path) -> impl Iterator<Item = PathBuf> + use<> {
+    let entries = folder.read_dir().unwrap();
+    entries.map(|entry| entry.unwrap().path())
+}
+
+fn compare(path: &Path) {
     let folder = path.parent().and_then(Path::file_name).unwrap();
+    let text = std::fs::read_to_string(path).unwrap();
+    let name = path.file_stem().and_then(|s| s.to_str()).unwrap();
     let mut settings = insta::Settings::clone_current();
-    settings.set_snapshot_path(Path::new(folder));
+    settings.set_snapshot_path(folder);
     settings.set_prepend_module_to_snapshot(false);
     settings.set_omit_expression(true);
     settings.bind(|| insta::assert_snapshot!(name, play(&text)));
