--- a/crates/node/src/control/world.rs
+++ b/crates/node/src/control/world.rs
@@ -50,7 +50,7 @@
         let config = self.force.config();
         let members = self.members.current();
         ControlStatus {
-            digest: config.digest,
+            digest: format!("{:016x}", config.digest),
             in_force_ms: (self.clock.now() - self.in_force_since).as_millis() as u64,
             members: members.map(|(n, v)| (n.to_owned(), member(v))).collect(),
             neighbours: self.spread.neighbours().len(),
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -293,8 +293,8 @@
 /// Configuration and membership for operators.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct ControlStatus {
-    /// Digest of the configuration in force.
-    pub digest: u64,
+    /// Digest of the configuration in force, 16 hexadecimal digits as in documents and logs.
+    pub digest: String,
     /// Time since the version came into force, in milliseconds.
     pub in_force_ms: u64,
     /// Members by target name.
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -81,7 +81,7 @@
                     peer: ([127, 0, 0, 1], 9001).into(),
                 };
                 let status = ControlStatus {
-                    digest: 7,
+                    digest: format!("{:016x}", 7),
                     in_force_ms: 1_500,
                     members: [("calendar-1".to_owned(), member)].into(),
                     neighbours: 4,
