--- a/crates/node/src/control/conversation.rs
+++ b/crates/node/src/control/conversation.rs
@@ -39,7 +39,11 @@
     ) {
         let mut exchange = self.own_exchange();
         if let Some(since) = since {
-            exchange.patches = owned(&self.force.patches_since(since));
+            // A peer that lacks more than the limit says so in its reply and gets a checkpoint.
+            let patches = self.force.patches_since(since);
+            if patches.len() <= PATCH_LIMIT {
+                exchange.patches = owned(&patches);
+            }
         }
         exchange.members.announcements = self.members.relay(members, self.clock.now());
         self.send(peer, exchange, 0);
