--- a/crates/testkit/src/demo/mod.rs
+++ b/crates/testkit/src/demo/mod.rs
@@ -7,4 +7,4 @@
 
 pub use figures::{DaemonFigures, Figures, LatencyFigures, ProbeFigures};
 pub use report::render;
-pub use run::{DemoOptions, OPTIONS, run_demo};
+pub use run::{DemoError, DemoOptions, OPTIONS, run_demo};
--- a/crates/testkit/src/http1/connection.rs
+++ b/crates/testkit/src/http1/connection.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::{Buf, Bytes, BytesMut};
+use futures::FutureExt;
 use http::{Request, Response};
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
@@ -99,6 +100,26 @@
         while matches!(self.fill().await, Ok(n) if n > 0) {}
     }
 
+    /// Whether the peer has neither closed nor sent anything unasked.
+    pub fn is_usable(&mut self) -> bool {
+        self.closed().now_or_never().is_none() && !self.has_rest()
+    }
+
+    /// Sends only the first bytes of a request.
+    ///
+    /// # Errors
+    ///
+    /// The connection breaks.
+    pub async fn send_part(
+        &mut self,
+        request: &Request<Bytes>,
+        length: usize,
+    ) -> Result<(), Fault> {
+        let mut bytes = encode_request(request);
+        bytes.truncate(length);
+        self.write(bytes).await
+    }
+
     /// Whether bytes have arrived that belong to no message yet.
     pub fn has_rest(&self) -> bool {
         !self.arrived.is_empty()
--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -180,15 +180,25 @@
         Ok(killed)
     }
 
-    /// Starts the daemon of one instance, killing one that runs, and waits until it is ready.
+    /// Starts the daemons of some instances at once, killing those that run, and waits until they are
+    /// ready.
     ///
     /// # Errors
     ///
-    /// It can't be started or doesn't become ready.
-    pub fn restart_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
-        self.nodes[index].daemon = None;
-        self.spawn_daemon(index)?;
-        self.wait_daemon(index)
+    /// One can't be started or doesn't become ready.
+    pub fn restart_daemons(&mut self, indices: &[usize]) -> Result<(), LaunchError> {
+        for index in indices {
+            self.nodes[*index].daemon = None;
+            self.spawn_daemon(*index)?;
+        }
+        indices
+            .iter()
+            .try_for_each(|index| self.wait_daemon(*index))
+    }
+
+    /// Changes the behaviour that targets are started with from now on.
+    pub fn set_behaviour(&mut self, behaviour: Value) {
+        self.options.behaviour = behaviour;
     }
 
     /// Starts the target of one instance, killing one that runs, and waits until it is ready.
--- a/crates/testkit/src/launcher/deployment.rs
+++ b/crates/testkit/src/launcher/deployment.rs
@@ -14,6 +14,8 @@
     Faellesvaerftet,
     /// Paint kits for councils.
     Ogun,
+    /// Five instances, for tests of single faults.
+    Small,
 }
 
 impl Deployment {
@@ -22,34 +24,41 @@
         match self {
             Self::Faellesvaerftet => "faellesvaerftet",
             Self::Ogun => "ogun",
+            Self::Small => "small",
         }
     }
 
     /// Services with their targets.
     pub fn plan(self) -> Plan {
-        let (domains, delay_us, slots, services) = match self {
+        let (domains, delay_us, slots, services): (&[&str], _, _, &[_]) = match self {
             Self::Faellesvaerftet => (
-                ["dk-1", "dk-2", "dk-3"].as_slice(),
+                &["dk-1", "dk-2", "dk-3"],
                 1_500,
                 10,
-                [("calendar", 5), ("enrolment", 3), ("certificate", 3)],
+                &[("calendar", 5), ("enrolment", 3), ("certificate", 3)],
             ),
             Self::Ogun => (
-                ["ng-1", "ng-2", "ng-3", "ng-4"].as_slice(),
+                &["ng-1", "ng-2", "ng-3", "ng-4"],
                 500,
                 6,
-                [("shade-matching", 4), ("order", 4), ("lot-record", 4)],
+                &[("shade-matching", 4), ("order", 4), ("lot-record", 4)],
+            ),
+            Self::Small => (
+                &["dk-1", "dk-2", "dk-3"],
+                1_500,
+                10,
+                &[("calendar", 3), ("enrolment", 2)],
             ),
         };
-        let service = |(name, targets): (&str, usize)| ServicePlan {
-            name: name.to_owned(),
-            targets: (0..targets)
+        let service = |(name, targets): &(&str, usize)| ServicePlan {
+            name: (*name).to_owned(),
+            targets: (0..*targets)
                 .map(|n| TargetPlan::new(name, n, domains))
                 .collect(),
         };
         Plan {
             delay_us,
-            services: services.into_iter().map(service).collect(),
+            services: services.iter().map(service).collect(),
             slots,
         }
     }
@@ -65,9 +74,9 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        let all = [Self::Faellesvaerftet, Self::Ogun];
+        let all = [Self::Faellesvaerftet, Self::Ogun, Self::Small];
         let found = all.into_iter().find(|d| d.name() == text);
-        found.ok_or_else(|| format!("`{text}` is not faellesvaerftet or ogun"))
+        found.ok_or_else(|| format!("`{text}` is not faellesvaerftet, ogun or small"))
     }
 }
 
--- a/crates/testkit/src/load/driver.rs
+++ b/crates/testkit/src/load/driver.rs
@@ -8,7 +8,7 @@
 use futures::{FutureExt, StreamExt, select_biased};
 
 use super::arrivals::{Call, Route, plan_calls};
-use super::exchange::{Job, Message, is_usable, perform};
+use super::exchange::{Job, Message, perform};
 use super::options::LoadOptions;
 use super::result::CallResult;
 use crate::history::{Event, Writer};
@@ -107,7 +107,7 @@
         let (address, direct) = self.address(&call);
         let idle = self.idle.entry(address).or_default();
         let mut connection = idle.pop();
-        while connection.as_mut().is_some_and(|c| !is_usable(c)) {
+        while connection.as_mut().is_some_and(|c| !c.is_usable()) {
             connection = idle.pop();
         }
         let job = Job {
--- a/crates/testkit/src/load/exchange.rs
+++ b/crates/testkit/src/load/exchange.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::FutureExt;
 use futures::channel::mpsc::UnboundedSender;
 use http::request::Builder;
 use http::{Request, Response};
@@ -86,11 +85,6 @@
         .unbounded_send(Message::Done(Box::new(result), connection));
 }
 
-/// Whether an idle connection can still be used; the peer may have closed it.
-pub(super) fn is_usable(connection: &mut Connection) -> bool {
-    connection.closed().now_or_never().is_none() && !connection.has_rest()
-}
-
 impl Job {
     fn record(&self, event: Event) {
         let message = Message::Record(wall_micros(), event);
