Refuse requests with several hosts, or none in HTTP/1.1

Seen before: contract rows "no host" and "two hosts" of the callers' interface were answered 200. Cause: the head check looked at framing only, and the router took the first Host header, while another party on the way might take the last one and so choose another service (RFC 9112, 3.2). Ruled out: the decoder, which passes both headers on. After: both rows get 400, not run; HTTP/1.0 without a host is still answered. Conclusion: the host belongs to the checks of heads that parties could read differently.

--- a/crates/node/src/admin/http.rs
+++ b/crates/node/src/admin/http.rs
@@ -41,7 +41,6 @@
     Chunked,
     Decode(String),
     Head(HeadFault),
-    Host,
     Slow,
 }
 
@@ -51,7 +50,7 @@
             Self::Body(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Chunked => StatusCode::LENGTH_REQUIRED,
             Self::Head(HeadFault::TooLarge) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::Decode(_) | Self::Head(_) | Self::Host => StatusCode::BAD_REQUEST,
+            Self::Decode(_) | Self::Head(_) => StatusCode::BAD_REQUEST,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
         }
     }
@@ -64,7 +63,6 @@
             Self::Chunked => f.write_str("a chunked body is not accepted here"),
             Self::Decode(what) => write!(f, "malformed HTTP head: {what}"),
             Self::Head(fault) => fault.fmt(f),
-            Self::Host => f.write_str("the Host header is missing"),
             Self::Slow => write!(f, "the request took longer than {} s", REQUEST.as_secs()),
         }
     }
@@ -146,7 +144,7 @@
             }
         }
         let _ = self.buf.split_to(body);
-        request_of(&head).map(Some)
+        Ok(Some(request_of(&head)))
     }
 
     /// Appends what arrives; false at the end of the stream or after a failure.
@@ -177,11 +175,8 @@
     }
 }
 
-fn request_of(head: &RequestHead) -> Result<Request, RequestFault> {
+fn request_of(head: &RequestHead) -> Request {
     let modern = head.version == Version::HTTP_11;
-    if modern && !head.headers.contains_key(header::HOST) {
-        return Err(RequestFault::Host);
-    }
     let close = head
         .headers
         .get_all(header::CONNECTION)
@@ -190,9 +185,9 @@
             let value = value.as_bytes();
             value.eq_ignore_ascii_case(b"close")
         });
-    Ok(Request {
+    Request {
         keep_alive: modern && !close,
         method: head.method.clone(),
         path: head.uri.path().to_owned(),
-    })
+    }
 }
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -99,6 +99,7 @@
         ReadFault::Head(
             HeadFault::BothLengths
             | HeadFault::Folded
+            | HeadFault::Host
             | HeadFault::Length
             | HeadFault::Malformed(_)
             | HeadFault::TransferCoding,
--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -30,6 +30,8 @@
     Length,
     /// A header line continues on the next line.
     Folded,
+    /// A request has several hosts, or none in HTTP/1.1.
+    Host,
     /// The head exceeds the limit.
     TooLarge,
     /// A transfer coding other than one `chunked`.
@@ -41,6 +43,7 @@
         match self {
             Self::BothLengths => f.write_str("both Content-Length and Transfer-Encoding are given"),
             Self::Folded => f.write_str("a header is folded over two lines"),
+            Self::Host => f.write_str("a request needs exactly one Host header"),
             Self::Length => f.write_str("Content-Length is given twice or is no number"),
             Self::Malformed(what) => write!(f, "malformed HTTP head: {what}"),
             Self::TooLarge => f.write_str("the head exceeds the size limit"),
@@ -109,6 +112,15 @@
     let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
     let (version, parsed) = parse(head, kind, &mut headers)?;
     let framing = framing(parsed)?;
+    // The host selects the service; parties that read another of two would route differently
+    // (RFC 9112, 3.2).
+    let hosts = parsed.iter().filter(|h| is_named(h, "host")).count();
+    match kind {
+        HeadKind::Request if hosts > 1 || (hosts == 0 && version == Some(1)) => {
+            return Err(HeadFault::Host);
+        }
+        HeadKind::Answer | HeadKind::Request => {}
+    }
     // HTTP/1.0 has no transfer codings, so its recipients would ignore the header (RFC 9112, 6.1).
     if framing == Framing::Chunked && version != Some(1) {
         return Err(HeadFault::TransferCoding);
@@ -152,7 +164,7 @@
     let of = |name: &str| -> Vec<&[u8]> {
         headers
             .iter()
-            .filter(|h| h.name.eq_ignore_ascii_case(name))
+            .filter(|h| is_named(h, name))
             .map(|h| h.value)
             .collect()
     };
@@ -167,6 +179,10 @@
     }
 }
 
+fn is_named(header: &httparse::Header<'_>, name: &str) -> bool {
+    header.name.eq_ignore_ascii_case(name)
+}
+
 fn content_length(value: &[u8]) -> Result<usize, HeadFault> {
     // `str::parse` accepts a sign, which the header doesn't allow.
     if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
--- a/crates/wire/tests/head.rs
+++ b/crates/wire/tests/head.rs
@@ -42,12 +42,22 @@
 )]
 #[case::gzip("Transfer-Encoding: gzip, chunked\r\n", HeadFault::TransferCoding)]
 #[case::identity("Transfer-Encoding: identity\r\n", HeadFault::TransferCoding)]
+#[case::two_hosts("Host: c\r\n", HeadFault::Host)]
 #[case::quoted_coding("Transfer-Encoding: \"chunked\"\r\n", HeadFault::TransferCoding)]
 fn ambiguous_framing_is_refused(#[case] headers: &str, #[case] fault: HeadFault) {
     let head = format!("POST /a HTTP/1.1\r\nHost: b\r\n{headers}\r\n");
     assert_eq!(read(head.as_bytes()), Err(fault));
 }
 
+/// Guards against requests whose service another party would choose differently.
+#[rstest]
+#[case::without_host("GET / HTTP/1.1\r\n\r\n", Err(HeadFault::Host))]
+#[case::http_1_0("GET / HTTP/1.0\r\n\r\n", Ok(Framing::None))]
+#[case::two_in_http_1_0("GET / HTTP/1.0\r\nHost: a\r\nhost: b\r\n\r\n", Err(HeadFault::Host))]
+fn a_request_names_one_host(#[case] head: &str, #[case] result: Result<Framing, HeadFault>) {
+    assert_eq!(read(head.as_bytes()), result);
+}
+
 /// Guards against syntax that some parsers accept and others don't.
 #[rstest]
 #[case::bare_lf("POST / HTTP/1.1\nContent-Length: 3\n\n\r\n\r\n")]
