--- /dev/null
+++ b/crates/testkit/tests/faults.rs
@@ -0,0 +1,48 @@
+//! Rows of the fault table that take a few seconds each; the whole table is run by `scripts/faults`.
+
+use std::collections::BTreeSet;
+use std::sync::{Mutex, PoisonError};
+
+use hawthornwall_testkit::faults::{
+    FaultOptions, ROWS, Row, RowResult, parse_script, render, run_row,
+};
+use hawthornwall_testkit::random::Random;
+use rstest::rstest;
+
+/// One deployment at a time: several would take each other's processor time.
+static TURN: Mutex<()> = Mutex::new(());
+
+// Guards against violations of the design's invariants under the most common faults.
+#[rstest]
+#[case::crash("both-killed")]
+#[case::pause("daemon-paused")]
+#[case::planned_stop("daemon-stopped")]
+#[case::rude_callers("rude-callers")]
+fn invariants_hold(#[case] name: &str) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let row = Row::named(name).expect("a row");
+    let options = FaultOptions {
+        seed: 1,
+        ..FaultOptions::default()
+    };
+    let run = run_row(row, &options).expect("a run");
+    let result = RowResult {
+        errors: Vec::new(),
+        name: row.name,
+        runs: vec![run],
+    };
+    // Without requests nothing would be proved.
+    assert!(result.runs[0].report.requests > 100);
+    assert!(result.is_clean(), "{}", render(&result));
+}
+
+// Guards against rows that can't be run or chosen by name.
+#[test]
+fn rows_are_sound() {
+    let names: BTreeSet<_> = ROWS.iter().map(|row| row.name).collect();
+    assert_eq!(names.len(), ROWS.len());
+    for row in ROWS {
+        let steps = parse_script(row.script, &mut Random::new(1));
+        assert!(steps.is_ok(), "{}: {steps:?}", row.name);
+    }
+}
