--- a/crates/testkit/src/faults/inject.rs
+++ b/crates/testkit/src/faults/inject.rs
@@ -1,7 +1,5 @@
 //! Carries out the steps of a row and records the changes of presence.
 
-use std::io;
-use std::path::PathBuf;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -10,8 +8,8 @@
 use serde_json::{Value, json};
 
 use super::step::{Action, NodeSet, Part, Step};
-use crate::history::{Change, Event, Writer};
-use crate::launcher::{Child, Cluster, LaunchError, Signal};
+use crate::history::Change;
+use crate::launcher::{Cluster, LaunchError, Signal};
 use crate::random::Random;
 
 /// Longest wait for the end of a process that was told to stop.
@@ -29,42 +27,25 @@
     pub cluster: Cluster,
     cut_off: Vec<usize>,
     document: Document,
-    history: PathBuf,
     order: Vec<usize>,
     /// Processes that did not end by themselves when they were told to stop.
     pub stuck: Vec<String>,
 }
 
-/// The party of the daemon beside a target.
-pub(super) fn daemon_party(target: &str) -> String {
-    format!("daemon-{target}")
-}
-
 impl Injector {
     /// Takes over a deployment that has just started.
-    ///
-    /// # Errors
-    ///
-    /// The history can't be written.
-    pub fn new(cluster: Cluster, started: u64, random: &mut Random) -> io::Result<Self> {
+    pub fn new(cluster: Cluster, random: &mut Random) -> Self {
         let mut order: Vec<usize> = (0..cluster.nodes.len()).collect();
         for last in (1..order.len()).rev() {
             order.swap(last, random.below(last + 1));
         }
-        let injector = Self {
+        Self {
             cut_off: Vec::new(),
             document: cluster.plan().document(),
-            history: cluster.folder().join("injector.history"),
             order,
             stuck: Vec::new(),
             cluster,
-        };
-        for index in 0..injector.cluster.nodes.len() {
-            for part in [Part::Target, Part::Daemon] {
-                injector.note_at(started, part, index, Change::Started)?;
-            }
         }
-        Ok(injector)
     }
 
     /// Waits, then carries out one step.
@@ -85,7 +66,10 @@
             }
             Action::Heal => self.heal(),
             Action::Isolate(set) => self.each(*set, Self::isolate),
-            Action::Kill(part, set) => self.each(*set, |i, index| i.kill(*part, index)),
+            Action::Kill(part, set) => self.each(*set, |i, index| {
+                i.kill(*part, index);
+                Ok(())
+            }),
             Action::Leaving(set, leaving) => self.list(*set, *leaving),
             Action::Partition => self.partition(),
             Action::Patch => self.publish(1),
@@ -112,24 +96,11 @@
     ///
     /// A daemon can't be signalled.
     pub fn stop_all(&mut self) -> Result<(), LaunchError> {
-        for index in 0..self.order.len() {
-            self.note(Part::Daemon, index, Change::Stopping)?;
-        }
         let killed = self.cluster.stop_daemons(STOP)?;
         self.stuck.extend(killed);
         Ok(())
     }
 
-    /// The files with the records of the injector, the targets and the platform.
-    pub fn histories(&self) -> Vec<PathBuf> {
-        let own = [
-            self.history.clone(),
-            self.cluster.folder().join("platform.history"),
-        ];
-        let targets = self.cluster.target_histories();
-        own.into_iter().chain(targets).collect()
-    }
-
     fn nodes(&self, set: NodeSet) -> Vec<usize> {
         match set {
             NodeSet::Half => self.order[..self.order.len() / 2].to_vec(),
@@ -150,83 +121,66 @@
         &self.cluster.nodes[index].plan.name
     }
 
-    fn note(&self, part: Part, index: usize, change: Change) -> Result<(), LaunchError> {
-        self.note_at(crate::wall_micros(), part, index, change)
-            .map_err(LaunchError::io("injector.history"))
-    }
-
-    fn note_at(&self, at: u64, part: Part, index: usize, change: Change) -> io::Result<()> {
-        let target = self.name(index);
-        let (party, beside) = match part {
-            Part::Daemon => (daemon_party(target), Some(target.to_owned())),
-            Part::Target => (target.to_owned(), None),
-        };
-        self.record(at, &party, Event::Presence { beside, change })
-    }
-
-    fn record(&self, at: u64, party: &str, event: Event) -> io::Result<()> {
-        Writer::open(Some(&self.history), party)?.append_at(at, event);
-        Ok(())
-    }
-
-    fn child(&mut self, part: Part, index: usize) -> &mut Option<Child> {
-        let node = &mut self.cluster.nodes[index];
+    fn kill(&mut self, part: Part, index: usize) {
         match part {
-            Part::Daemon => &mut node.daemon,
-            Part::Target => &mut node.target,
+            Part::Daemon => self.cluster.kill_daemon(index),
+            Part::Target => self.cluster.kill_target(index),
         }
     }
 
-    fn kill(&mut self, part: Part, index: usize) -> Result<(), LaunchError> {
-        self.note(part, index, Change::Killed)?;
-        *self.child(part, index) = None;
-        Ok(())
-    }
-
     fn pause(&mut self, part: Part, index: usize) -> Result<(), LaunchError> {
-        self.note(part, index, Change::CutOff)?;
-        let child = self.child(part, index).as_ref();
-        child.map_or(Ok(()), |child| child.signal(Signal::Stop))
+        match part {
+            Part::Daemon => self.cluster.pause_daemon(index),
+            Part::Target => {
+                self.cluster.record_target(index, Change::CutOff);
+                self.signal_target(index, Signal::Stop)
+            }
+        }
     }
 
     fn resume(&mut self, part: Part, index: usize) -> Result<(), LaunchError> {
-        let child = self.child(part, index).as_ref();
-        child.map_or(Ok(()), |child| child.signal(Signal::Continue))?;
-        self.note(part, index, Change::Restored)
+        match part {
+            Part::Daemon => self.cluster.resume_daemon(index),
+            Part::Target => {
+                self.signal_target(index, Signal::Continue)?;
+                self.cluster.record_target(index, Change::Restored);
+                Ok(())
+            }
+        }
+    }
+
+    fn signal_target(&self, index: usize, signal: Signal) -> Result<(), LaunchError> {
+        let target = self.cluster.nodes[index].target.as_ref();
+        target.map_or(Ok(()), |target| target.signal(signal))
     }
 
     fn start(&mut self, part: Part, nodes: &[usize]) -> Result<(), LaunchError> {
-        for index in nodes {
-            self.note(part, *index, Change::Started)?;
-        }
         match part {
             Part::Daemon => self.cluster.restart_daemons(nodes),
-            Part::Target => nodes.iter().try_for_each(|n| self.cluster.start_target(*n)),
+            Part::Target => nodes.iter().try_for_each(|index| {
+                self.cluster.record_target(*index, Change::Started);
+                self.cluster.start_target(*index)
+            }),
         }
     }
 
     fn stop(&mut self, part: Part, index: usize) -> Result<(), LaunchError> {
         match part {
             Part::Daemon => {
-                self.note(part, index, Change::Stopping)?;
-                let mut child = self.child(part, index).take();
-                if let Some(child) = &mut child {
-                    child.signal(Signal::Terminate)?;
-                    if child.wait(STOP)?.is_none() {
-                        let name = daemon_party(self.name(index));
-                        self.stuck.push(name);
-                    }
+                if !self.cluster.stop_daemon(index, STOP)? {
+                    self.stuck.push(self.name(index).to_owned());
                 }
             }
             Part::Target => {
                 let drain = json!({ "state": "draining" });
                 self.cluster.control_target(index, &drain)?;
                 sleep(DRAIN);
-                self.note(part, index, Change::Stopping)?;
-                *self.child(part, index) = None;
+                self.cluster.record_target(index, Change::Stopping);
+                self.cluster.nodes[index].target = None;
+                self.cluster.record_target(index, Change::Stopped);
             }
         }
-        self.note(part, index, Change::Stopped)
+        Ok(())
     }
 
     fn relay(&self, command: &Value) -> Result<(), LaunchError> {
@@ -235,13 +189,14 @@
 
     fn heal(&mut self) -> Result<(), LaunchError> {
         self.relay(&json!({ "command": "heal" }))?;
-        let cut_off = std::mem::take(&mut self.cut_off);
-        let note = |index| self.note(Part::Daemon, index, Change::Restored);
-        cut_off.into_iter().try_for_each(note)
+        for index in std::mem::take(&mut self.cut_off) {
+            self.cluster.record_daemon(index, Change::Restored);
+        }
+        Ok(())
     }
 
     fn isolate(&mut self, index: usize) -> Result<(), LaunchError> {
-        self.note(Part::Daemon, index, Change::CutOff)?;
+        self.cluster.record_daemon(index, Change::CutOff);
         self.cut_off.push(index);
         let isolate = |direction: &str| {
             let name = self.name(index);
@@ -259,39 +214,33 @@
         self.relay(&json!({ "command": "partition", "groups": [names(left), names(right)] }))
     }
 
-    fn platform(&self, fault: &str) -> Result<(), LaunchError> {
+    fn platform(&mut self, fault: &str) -> Result<(), LaunchError> {
         let (body, change) = match fault {
             "down" => (json!({ "down": true }), Change::CutOff),
             "stale" => (json!({ "stale": true }), Change::CutOff),
             "lag" => (json!({ "lag_ms": LAG_MS }), Change::Restored),
             _ => (json!({}), Change::Restored),
         };
-        let event = Event::Presence {
-            beside: None,
-            change,
-        };
-        let note = || self.record(crate::wall_micros(), "platform", event);
-        note().map_err(LaunchError::io("injector.history"))?;
+        self.cluster.record_platform(change);
         self.cluster
             .control_platform("POST", "/fault", &body.to_string())
             .map(drop)
     }
 
-    /// The target counts as leaving from the time at which the list shows it.
-    fn list(&self, set: NodeSet, leaving: bool) -> Result<(), LaunchError> {
+    /// The target counts as leaving from the time at which the list shows it, even if it lags.
+    fn list(&mut self, set: NodeSet, leaving: bool) -> Result<(), LaunchError> {
         let index = self.nodes(set)[0];
         let mut list = self.cluster.instances();
         if leaving {
             list.instances[index].state = InstanceState::Leaving;
         } else {
-            self.note(Part::Target, index, Change::Restored)?;
+            self.cluster.record_target(index, Change::Restored);
         }
         let text = serde_json::to_string(&list).map_err(|e| LaunchError::Refused(e.to_string()))?;
         self.cluster.control_platform("PUT", "/instances", &text)?;
         if leaving {
-            let at = crate::wall_micros() + LAG_MS * 1_000;
-            let noted = self.record(at, self.name(index), Event::Leaving);
-            noted.map_err(LaunchError::io("injector.history"))?;
+            sleep(Duration::from_millis(LAG_MS));
+            self.cluster.record_leaving(index);
         }
         Ok(())
     }
--- a/crates/testkit/src/faults/mod.rs
+++ b/crates/testkit/src/faults/mod.rs
@@ -11,7 +11,6 @@
 mod rows;
 mod run;
 mod step;
-mod versions;
 
 pub use callers::{CallersOptions, Operation, run_callers};
 pub use inject::Injector;
@@ -19,4 +18,3 @@
 pub use rows::{ROWS, Row};
 pub use run::{FaultOptions, OPTIONS, RunResult, run_row};
 pub use step::{Action, NodeSet, Part, Step, parse_script};
-pub use versions::versions_in_force;
--- a/crates/testkit/src/faults/run.rs
+++ b/crates/testkit/src/faults/run.rs
@@ -8,13 +8,12 @@
 use serde_json::json;
 
 use super::callers::{CallersOptions, Operation, run_callers};
-use super::inject::{Injector, daemon_party};
+use super::inject::Injector;
 use super::rows::Row;
 use super::step::parse_script;
-use super::versions::versions_in_force;
 use crate::demo::DemoError;
-use crate::history::{Limits, Record, Report, check, read_records};
-use crate::launcher::{Cluster, ClusterOptions, Deployment, LaunchError};
+use crate::history::{Limits, Report, check};
+use crate::launcher::{Cluster, ClusterOptions, Deployment, LaunchError, daemon_party};
 use crate::random::Random;
 use crate::wall_micros;
 
@@ -63,7 +62,6 @@
 pub fn run_row(row: &Row, options: &FaultOptions) -> Result<RunResult, DemoError> {
     let mut random = Random::new(options.seed);
     let steps = parse_script(row.script, &mut random).map_err(LaunchError::Refused)?;
-    let started = wall_micros();
     let cluster = Cluster::start(
         options.deployment.unwrap_or(row.deployment),
         ClusterOptions {
@@ -81,7 +79,7 @@
             cluster.folder().display()
         );
     }
-    let mut injector = Injector::new(cluster, started, &mut random)?;
+    let mut injector = Injector::new(cluster, &mut random);
     let stop = Arc::new(AtomicBool::new(false));
     let callers = callers(row, options.seed, &injector.cluster, Arc::clone(&stop));
     let thread = thread::spawn(move || run_callers(callers));
@@ -100,7 +98,7 @@
     Ok(RunResult {
         last_step,
         operations,
-        report: check(&records(&injector)?, &Limits::DEFAULT),
+        report: check(&injector.cluster.records()?, &Limits::DEFAULT),
         seed: options.seed,
         stuck: std::mem::take(&mut injector.stuck),
     })
@@ -120,20 +118,3 @@
         stop,
     }
 }
-
-fn records(injector: &Injector) -> std::io::Result<Vec<Record>> {
-    let folder = injector.cluster.folder();
-    let mut records = read_records(&folder.join("callers.history"))?;
-    for path in injector.histories() {
-        // A target that was never called has not written anything.
-        if path.exists() {
-            records.extend(read_records(&path)?);
-        }
-    }
-    for node in &injector.cluster.nodes {
-        let name = &node.plan.name;
-        let log = folder.join(format!("{name}.daemon.log"));
-        records.extend(versions_in_force(&log, &daemon_party(name))?);
-    }
-    Ok(records)
-}
