--- a/crates/testkit/src/faults/inject.rs
+++ b/crates/testkit/src/faults/inject.rs
@@ -71,6 +71,12 @@
                 Ok(())
             }),
             Action::Leaving(set, leaving) => self.list(*set, *leaving),
+            Action::Old => {
+                let mut old = self.document.clone();
+                old.patches.pop();
+                // Unchecked, so that the history holds no second publication of a version.
+                self.put(&old, "/config?unchecked=1")
+            }
             Action::Partition => self.partition(),
             Action::Patch => self.publish(1),
             Action::Pause(part, set) => self.each(*set, |i, index| i.pause(*part, index)),
@@ -266,10 +272,12 @@
                 time: String::new(),
             });
         }
-        let text = serde_json::to_string(&self.document);
+        self.put(&self.document, "/config")
+    }
+
+    fn put(&self, document: &Document, path: &str) -> Result<(), LaunchError> {
+        let text = serde_json::to_string(document);
         let text = text.map_err(|e| LaunchError::Refused(e.to_string()))?;
-        self.cluster
-            .control_platform("PUT", "/config", &text)
-            .map(drop)
+        self.cluster.control_platform("PUT", path, &text).map(drop)
     }
 }
--- a/crates/testkit/src/faults/rows.rs
+++ b/crates/testkit/src/faults/rows.rs
@@ -114,6 +114,10 @@
         "500 patch; 1500 platform stale; 100 patch; 300 kill daemon A; 0 start daemon A; \
          300 kill daemon B; 0 start daemon B; 300 platform ok",
     ),
+    small(
+        "old-document",
+        "300 patch; 800 patch; 800 old; 500 kill daemon A; 0 start daemon A; 500 patch",
+    ),
     small("rival-patches", "500 rivals; 500 patch; 500 rivals"),
     // Planned stops.
     small(
--- a/crates/testkit/src/faults/step.rs
+++ b/crates/testkit/src/faults/step.rs
@@ -39,6 +39,8 @@
     Kill(Part, NodeSet),
     /// List an instance as leaving, or as live again.
     Leaving(NodeSet, bool),
+    /// Show the document without its last patch, as a platform restored from a backup would.
+    Old,
     /// Drop everything between two halves.
     Partition,
     /// Publish a patch.
@@ -120,6 +122,7 @@
         "kill" => with(Action::Kill),
         "leaving" => Some(Action::Leaving(parse_set(rest)?, true)),
         "live" => Some(Action::Leaving(parse_set(rest)?, false)),
+        "old" => Some(Action::Old),
         "partition" => Some(Action::Partition),
         "patch" => Some(Action::Patch),
         "pause" => with(Action::Pause),
