--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -104,8 +104,6 @@
     pub own: Option<TargetId>,
     /// Sharing rules of the service.
     pub rules: Rules,
-    /// How long the request may have waited unread while this process was paused.
-    pub staleness: Duration,
     /// The service that the request is for.
     pub service: ServiceId,
 }
@@ -297,8 +295,8 @@
 /// Configuration and membership for operators.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct ControlStatus {
-    /// Digest of the configuration in force, 16 hexadecimal digits as in documents and logs.
-    pub digest: String,
+    /// Digest of the configuration in force.
+    pub digest: u64,
     /// Time since the version came into force, in milliseconds.
     pub in_force_ms: u64,
     /// Members by target name.
--- a/crates/testkit/src/launcher/presence.rs
+++ b/crates/testkit/src/launcher/presence.rs
@@ -31,6 +31,21 @@
         self.presence.append_for(&name, event);
     }
 
+    /// Records that a target leaves although it doesn't say so itself.
+    pub fn record_leaving(&mut self, index: usize) {
+        let name = self.nodes[index].plan.name.clone();
+        self.presence.append_for(&name, Event::Leaving);
+    }
+
+    /// Records a change of presence of the platform.
+    pub fn record_platform(&mut self, change: Change) {
+        let event = Event::Presence {
+            beside: None,
+            change,
+        };
+        self.presence.append_for("platform", event);
+    }
+
     /// Asks a daemon for a graceful shutdown and waits for its end; `false` if it had to be killed
     /// after `limit`.
     ///
