--- a/crates/testkit/src/target/connection.rs
+++ b/crates/testkit/src/target/connection.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 
 use super::behaviour::State;
-use super::executor::{Message, Verdict, Work};
+use super::messages::{Message, Verdict, Work};
 use super::workplace::JobId;
 use crate::http1::{Coding, Connection, answer};
 use crate::payload::{CHUNKED_HEADER, REQUEST_HEADER, SIZE_HEADER, encode};
--- a/crates/testkit/src/target/executor.rs
+++ b/crates/testkit/src/target/executor.rs
@@ -5,9 +5,9 @@
 
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, select_biased};
-use serde::Serialize;
 
 use super::behaviour::{Behaviour, Load, Report, State};
+use super::messages::{Counts, Message, Probe, Verdict, Work};
 use super::workplace::{Finished, JobId, Offer, Workplace};
 use crate::history::{Event, Writer};
 use crate::timer::Timer;
@@ -15,57 +15,6 @@
 /// How long past loads are kept for reports that lag.
 const LOAD_HISTORY: Duration = Duration::from_mins(1);
 
-/// How a job ended, for the connection task that answers it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Verdict {
-    Done,
-    Expired,
-    Failed,
-    NotRun,
-}
-
-/// A probe's answer.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Probe {
-    pub cost: Duration,
-    pub load: Load,
-    pub silent: bool,
-}
-
-/// Counts since the start, for `GET /stats` on the control port.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub(super) struct Counts {
-    pub cancelled: u64,
-    pub connections: u64,
-    pub expired: u64,
-    pub probe_us: u64,
-    pub probes: u64,
-    pub shed: u64,
-    pub started: u64,
-    pub work_us: u64,
-}
-
-#[derive(Debug)]
-pub(super) enum Message {
-    Behaviour(oneshot::Sender<Behaviour>),
-    Cancel(JobId),
-    Connected(oneshot::Sender<Duration>),
-    Control(Vec<u8>, oneshot::Sender<Result<Behaviour, String>>),
-    Counts(oneshot::Sender<Counts>),
-    Probe(oneshot::Sender<Probe>),
-    /// The connection task has sent the answer or failed to.
-    Sent(u64, bool),
-    Work(Work),
-}
-
-#[derive(Debug)]
-pub(super) struct Work {
-    pub deadline: Option<Instant>,
-    pub id: JobId,
-    pub reply: oneshot::Sender<(Verdict, State)>,
-    pub request: u64,
-}
-
 #[derive(Debug)]
 struct Job {
     reply: oneshot::Sender<(Verdict, State)>,
--- a/crates/testkit/src/target/mod.rs
+++ b/crates/testkit/src/target/mod.rs
@@ -4,6 +4,7 @@
 mod behaviour;
 mod connection;
 mod executor;
+mod messages;
 mod serve;
 mod workplace;
 
--- a/crates/testkit/src/target/serve.rs
+++ b/crates/testkit/src/target/serve.rs
@@ -13,7 +13,8 @@
 
 use super::behaviour::Behaviour;
 use super::connection::{Context, serve_work};
-use super::executor::{Executor, Message};
+use super::executor::Executor;
+use super::messages::Message;
 use super::workplace::Workplace;
 use crate::arguments::{ArgumentError, Arguments};
 use crate::history::Writer;
