Measure what control plane and request path cost at several fleet sizes

The capacity tool starts up to 150 real daemons in 2 regions and 6 failure domains with the configuration of the full size (54 services, 540 targets) and a platform endpoint for each region. Figures at 540 daemons are extrapolated from slopes over the number of daemons, so the configuration must not change with that number. The launcher accepts a plan of its own, settings by failure domain and one target that all daemons share, and starts several daemons together.

--- /dev/null
+++ b/crates/testkit/src/bin/capacity.rs
@@ -0,0 +1,102 @@
+//! `capacity [--mode fleet|steady|requests|history] [--counts N,N,...] [--settle-s N] [--steady-s N]
+//! [--patches N] [--rates N,N,...] [--seconds N] [--seeds FIRST-LAST]`
+//!
+//! Prints tables, and the same as JSON. In mode `history` it ends with status 1 if a version went back
+//! or had two digests, or if a daemon ended without the last version.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use hawthornwall_testkit::arguments::{ArgumentError, Arguments};
+use hawthornwall_testkit::capacity::{
+    CapacityError, HistoryRow, MeasureOptions, Phases, fits, measure_fleet, measure_requests,
+    prove_history, render_fits, render_fleets, render_history, render_requests,
+};
+use serde::Serialize;
+
+const OPTIONS: [&str; 8] = [
+    "mode", "counts", "settle-s", "steady-s", "patches", "rates", "seconds", "seeds",
+];
+
+fn main() -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let arguments = Arguments::from_env(&OPTIONS)?;
+    let mode: String = arguments.optional("mode")?.unwrap_or_default();
+    Ok(match mode.as_str() {
+        "" | "fleet" => measure_fleets(&arguments, Phases::All)?,
+        "steady" => measure_fleets(&arguments, Phases::Steady)?,
+        "requests" => measure_request_path(&arguments)?,
+        "history" => prove(&arguments)?,
+        _ => return Err(ArgumentError::Value("mode".to_owned()).into()),
+    })
+}
+
+fn measure_fleets(arguments: &Arguments, phases: Phases) -> Result<ExitCode, CapacityError> {
+    let counts: Vec<usize> = list(arguments, "counts", &[12, 24, 48, 96, 150])?;
+    let seconds = |name, default| {
+        let given: Option<u64> = arguments.optional(name)?;
+        Ok::<_, ArgumentError>(Duration::from_secs(given.unwrap_or(default)))
+    };
+    let mut fleets = Vec::new();
+    for count in counts {
+        let options = MeasureOptions {
+            count,
+            patches: arguments.optional("patches")?.unwrap_or(30),
+            phases,
+            settle: seconds("settle-s", 8)?,
+            steady: seconds("steady-s", 20)?,
+        };
+        fleets.push(measure_fleet(&options)?);
+        // Each fleet takes minutes, so what is known is shown at once.
+        println!("{}", render_fleets(&fleets));
+    }
+    let fits = fits(&fleets);
+    println!("{}", render_fits(&fits));
+    print_json(&(fleets, fits));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn measure_request_path(arguments: &Arguments) -> Result<ExitCode, CapacityError> {
+    let rates: Vec<u32> = list(arguments, "rates", &[50, 100, 200, 300])?;
+    let seconds = arguments.optional("seconds")?.unwrap_or(8);
+    let figures = measure_requests(&rates, seconds)?;
+    println!("{}", render_requests(&figures));
+    print_json(&figures);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn prove(arguments: &Arguments) -> Result<ExitCode, CapacityError> {
+    let seeds: String = arguments
+        .optional("seeds")?
+        .unwrap_or_else(|| "1-20".to_owned());
+    let bounds = seeds.split_once('-');
+    let bounds = bounds.and_then(|(a, b)| Some((a.parse::<u64>().ok()?, b.parse::<u64>().ok()?)));
+    let (first, last) = bounds.ok_or_else(|| ArgumentError::Value("seeds".to_owned()))?;
+    let rows: Result<Vec<_>, _> = (first..=last).map(prove_history).collect();
+    let rows = rows?;
+    println!("{}", render_history(&rows));
+    print_json(&rows);
+    Ok(if rows.iter().all(HistoryRow::is_clean) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn list<T: Copy + std::str::FromStr>(
+    arguments: &Arguments,
+    name: &str,
+    default: &[T],
+) -> Result<Vec<T>, ArgumentError> {
+    let Some(text) = arguments.optional::<String>(name)? else {
+        return Ok(default.to_vec());
+    };
+    let numbers: Result<Vec<T>, _> = text.split(',').map(str::parse).collect();
+    numbers.map_err(|_| ArgumentError::Value(name.to_owned()))
+}
+
+fn print_json(value: &impl Serialize) {
+    match serde_json::to_string(value) {
+        Ok(text) => println!("{text}"),
+        Err(e) => eprintln!("the figures can't be written as JSON: {e}"),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/capacity/plan.rs
@@ -0,0 +1,75 @@
+//! A fleet in 2 regions with the configuration of the full size.
+
+use std::time::Duration;
+
+use hawthornwall_core::config::{Change, Document, Patch, RulesChange};
+use hawthornwall_core::ids::Version;
+
+use crate::launcher::{Plan, ServicePlan, TargetPlan};
+
+/// Failure domains; the first letter and digit name the region.
+pub const DOMAINS: [&str; 6] = ["r1-a", "r2-a", "r1-b", "r2-b", "r1-c", "r2-c"];
+/// Services at full size.
+const SERVICES: usize = 54;
+/// Targets at full size.
+pub const TARGETS: usize = 540;
+
+/// The first `count` targets of the full size, spread over all domains and services.
+pub fn fleet_plan(count: usize) -> Plan {
+    let target = |n: usize| TargetPlan {
+        domain: DOMAINS[n % DOMAINS.len()].to_owned(),
+        name: format!("target-{n:03}"),
+    };
+    let service = |s: usize| ServicePlan {
+        name: format!("service-{s:02}"),
+        targets: (0..count)
+            .filter(|n| n % SERVICES == s)
+            .map(target)
+            .collect(),
+    };
+    Plan {
+        delay_us: 1_500,
+        services: (0..SERVICES).map(service).collect(),
+        slots: 10,
+    }
+}
+
+/// The plan's document with the remaining targets of the full size, so that the configuration that a
+/// daemon holds doesn't depend on the number of daemons.
+pub(super) fn full_document(plan: &Plan, count: usize) -> Document {
+    let mut document = plan.document();
+    let create = |n: usize| Change::CreateTarget {
+        name: format!("target-{n:03}"),
+        service: format!("service-{:02}", n % SERVICES),
+        domain: DOMAINS[n % DOMAINS.len()].to_owned(),
+        slots: plan.slots,
+    };
+    let changes: Vec<Change> = (count..TARGETS).map(create).collect();
+    document.patches.push(Patch {
+        author: "launcher".to_owned(),
+        base: Version(1),
+        changes,
+        note: "targets without a process".to_owned(),
+        time: String::new(),
+    });
+    document
+}
+
+/// A patch of one sharing rule, as operators submit many a day.
+pub fn rules_patch(service: &str, base: Version, author: &str) -> Patch {
+    let rules = RulesChange {
+        queue_wait: Some(Duration::from_millis(50 + base.0 % 100)),
+        ..RulesChange::default()
+    };
+    Patch {
+        author: author.to_owned(),
+        base,
+        changes: vec![Change::UpdateService {
+            name: service.to_owned(),
+            hosts: None,
+            rules,
+        }],
+        note: "queue wait".to_owned(),
+        time: String::new(),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/capacity/sample.rs
@@ -0,0 +1,118 @@
+//! What the daemons of a fleet used between two points in time.
+
+use std::time::Instant;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use super::fleet::Fleet;
+use crate::launcher::Child;
+use crate::platform::Stats;
+use crate::procfs::Usage;
+
+/// Counters of all daemons at one time.
+#[derive(Debug)]
+pub struct Sample {
+    daemons: Vec<(Usage, Value)>,
+    platform: Stats,
+    time: Instant,
+}
+
+/// Means over the daemons of what each used a second.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Rates {
+    /// Open peer connections.
+    pub connections: f64,
+    /// Bytes of exchanges a second, sent and received.
+    pub control_bytes: f64,
+    /// Processor time in percent of one core.
+    pub cpu_percent: f64,
+    /// The highest processor time of any daemon, in percent of one core.
+    pub cpu_max_percent: f64,
+    /// Bytes of datagrams a second, sent and received, with headers of IP and UDP.
+    pub datagram_bytes: f64,
+    /// The highest such number of any daemon.
+    pub datagram_max: f64,
+    /// Resident memory in MiB.
+    pub memory_mib: f64,
+    /// The highest resident memory of any daemon.
+    pub memory_max_mib: f64,
+    /// Peers that hear of news at once.
+    pub neighbours: f64,
+    /// Reads of the platform a second, a watch counted once, by all daemons.
+    pub platform_reads: f64,
+    /// Watches that waited at the end.
+    pub platform_waiting: f64,
+    /// Length of the window in seconds.
+    pub seconds: f64,
+}
+
+impl Sample {
+    /// Reads all daemons. Usage is read before status, so that a window holds the cost of only the
+    /// first sample's status requests.
+    pub fn take(fleet: &Fleet) -> Self {
+        let nodes = &fleet.cluster.nodes;
+        let usage = |node: &crate::launcher::Node| {
+            let pid = node.daemon.as_ref().map(Child::pid);
+            pid.and_then(|pid| Usage::of(pid).ok()).unwrap_or_default()
+        };
+        let platform = fleet.platform_stats();
+        let usages: Vec<Usage> = nodes.iter().map(usage).collect();
+        let time = Instant::now();
+        let status = |index| fleet.cluster.status(index).unwrap_or(Value::Null);
+        let daemons = usages.into_iter().enumerate();
+        Self {
+            daemons: daemons.map(|(index, u)| (u, status(index))).collect(),
+            platform,
+            time,
+        }
+    }
+
+    /// Rates from `self` to `later` over the daemons in `chosen` that ran throughout.
+    pub fn rates(&self, later: &Self, chosen: impl Fn(usize) -> bool) -> Rates {
+        let seconds = (later.time - self.time).as_secs_f64();
+        let indices: Vec<usize> = (0..self.daemons.len()).filter(|i| chosen(*i)).collect();
+        let mean = |of: &dyn Fn(usize) -> f64| {
+            indices.iter().map(|i| of(*i)).sum::<f64>() / indices.len().max(1) as f64
+        };
+        let max = |of: &dyn Fn(usize) -> f64| indices.iter().map(|i| of(*i)).fold(0.0, f64::max);
+        let rate = |index: usize, fields: &[&str]| {
+            let total = |s: &Self| -> f64 {
+                let numbers = fields.iter().map(|f| number(&s.daemons[index].1, f));
+                numbers.sum()
+            };
+            (total(later) - total(self)) / seconds
+        };
+        let cpu = |index: usize| {
+            let used = later.daemons[index]
+                .0
+                .cpu
+                .saturating_sub(self.daemons[index].0.cpu);
+            used.as_secs_f64() / seconds * 100.0
+        };
+        let memory = |index: usize| later.daemons[index].0.memory_kib as f64 / 1024.0;
+        let datagrams = |index| rate(index, &["/peers/sent", "/peers/received"]);
+        let control = |index| rate(index, &["/peers/control_sent", "/peers/control_received"]);
+        let last =
+            |field: &'static str| mean(&move |index: usize| number(&later.daemons[index].1, field));
+        Rates {
+            connections: last("/peers/connections"),
+            control_bytes: mean(&control),
+            cpu_max_percent: max(&cpu),
+            cpu_percent: mean(&cpu),
+            datagram_bytes: mean(&datagrams),
+            datagram_max: max(&datagrams),
+            memory_max_mib: max(&memory),
+            memory_mib: mean(&memory),
+            neighbours: last("/control/neighbours"),
+            platform_reads: (later.platform.total - self.platform.total) as f64 / seconds,
+            platform_waiting: later.platform.waiting as f64,
+            seconds,
+        }
+    }
+}
+
+fn number(status: &Value, field: &str) -> f64 {
+    let found = status.pointer(field).and_then(Value::as_f64);
+    found.unwrap_or(f64::NAN)
+}
--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -29,12 +29,16 @@
     pub keep: bool,
     /// One-way delay between domains; the deployment's own if absent.
     pub delay_us: Option<u64>,
+    /// Further changes of the settings of the daemons in one failure domain, by its name.
+    pub domain_settings: Value,
     /// Whether daemons reach each other through the relay.
     pub relay: bool,
     /// Seed of the targets.
     pub seed: u64,
     /// Changes of the daemons' settings: an object of sections, each an object of fields.
     pub settings: Value,
+    /// A running target that all daemons share; if absent, each gets a target of its own.
+    pub shared_target: Option<SocketAddr>,
 }
 
 impl Default for ClusterOptions {
@@ -43,10 +47,12 @@
             behaviour: json!({}),
             daemons: true,
             delay_us: None,
+            domain_settings: json!({}),
             keep: false,
             relay: true,
             seed: 1,
             settings: json!({}),
+            shared_target: None,
         }
     }
 }
@@ -90,8 +96,16 @@
     ///
     /// A process can't be started or doesn't become ready.
     pub fn start(deployment: Deployment, options: ClusterOptions) -> Result<Self, LaunchError> {
+        Self::start_plan(deployment.plan(), options)
+    }
+
+    /// Starts the instances of a plan and waits until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// A process can't be started or doesn't become ready.
+    pub fn start_plan(plan: Plan, options: ClusterOptions) -> Result<Self, LaunchError> {
         let folder = Folder::create(options.keep).map_err(LaunchError::io("temporary folder"))?;
-        let plan = deployment.plan();
         let nodes = place_nodes(&plan).map_err(LaunchError::io("free ports"))?;
         let address = || shared_address().map_err(LaunchError::io("free ports"));
         let (platform_address, relay_control) = (address()?, address()?);
@@ -113,21 +127,39 @@
         if cluster.options.relay && cluster.options.daemons {
             cluster.start_relay()?;
         }
-        for index in 0..cluster.nodes.len() {
-            cluster.start_target(index)?;
-        }
-        if cluster.options.daemons {
-            // All are started before the first is waited for: each needs peers to be ready.
-            for index in 0..cluster.nodes.len() {
-                cluster.spawn_daemon(index)?;
-            }
+        if cluster.options.shared_target.is_none() {
             for index in 0..cluster.nodes.len() {
-                cluster.wait_daemon(index)?;
+                cluster.start_target(index)?;
             }
         }
+        if cluster.options.daemons {
+            let all: Vec<usize> = (0..cluster.nodes.len()).collect();
+            cluster.restart_daemons(&all)?;
+        }
         Ok(cluster)
     }
 
+    /// Starts several daemons together, killing those that run, and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// One can't be started or doesn't become ready.
+    pub fn restart_daemons(&mut self, indices: &[usize]) -> Result<(), LaunchError> {
+        for index in indices {
+            if self.nodes[*index].daemon.is_some() {
+                self.kill_daemon(*index);
+            }
+        }
+        // All are started before the first is waited for: each needs peers to be ready.
+        for index in indices {
+            self.spawn_daemon(*index)?;
+        }
+        for index in indices {
+            self.wait_daemon(*index)?;
+        }
+        Ok(())
+    }
+
     /// Folder with settings, histories (`*.history`) and logs (`*.log`).
     pub fn folder(&self) -> &Path {
         self.folder.path()
@@ -159,11 +191,7 @@
     ///
     /// It can't be started or doesn't become ready.
     pub fn restart_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
-        if self.nodes[index].daemon.is_some() {
-            self.kill_daemon(index);
-        }
-        self.spawn_daemon(index)?;
-        self.wait_daemon(index)
+        self.restart_daemons(&[index])
     }
 
     /// Starts the target of one instance, killing one that runs, and waits until it is ready.
--- a/crates/testkit/src/launcher/mod.rs
+++ b/crates/testkit/src/launcher/mod.rs
@@ -15,5 +15,5 @@
 pub use child::{Child, LaunchError, Signal};
 pub use cluster::{Cluster, ClusterOptions, Node};
 pub use deployment::{Deployment, Plan, ServicePlan, TargetPlan};
-pub use places::{Folder, Place};
+pub use places::{Folder, Place, shared_address};
 pub use records::{daemon_party, log_records};
--- a/crates/testkit/src/launcher/records.rs
+++ b/crates/testkit/src/launcher/records.rs
@@ -73,6 +73,17 @@
                 records.extend(read_records(&path)?);
             }
         }
+        records.extend(self.daemon_records()?);
+        Ok(records)
+    }
+
+    /// The versions that came into force at the daemons, by their logs.
+    ///
+    /// # Errors
+    ///
+    /// A log can't be read.
+    pub fn daemon_records(&self) -> io::Result<Vec<Record>> {
+        let mut records = Vec::new();
         for node in self.nodes.iter().filter(|_| self.options.daemons) {
             let name = &node.plan.name;
             let log = fs::read_to_string(self.folder.file(&format!("{name}.daemon.log")))?;
--- a/crates/testkit/src/launcher/settings.rs
+++ b/crates/testkit/src/launcher/settings.rs
@@ -17,7 +17,9 @@
     pub(super) fn daemon_settings(&self, index: usize) -> Result<String, LaunchError> {
         let refused = |e: serde_json::Error| LaunchError::Refused(e.to_string());
         let mut all = serde_json::to_value(self.settings(index)).map_err(refused)?;
-        for (section, fields) in self.options.settings.as_object().into_iter().flatten() {
+        let of_domain = &self.options.domain_settings[&self.nodes[index].plan.domain];
+        let changes = [&self.options.settings, of_domain];
+        for (section, fields) in changes.iter().filter_map(|c| c.as_object()).flatten() {
             match (&mut all[section], fields) {
                 (Value::Object(known), Value::Object(new)) => known.extend(new.clone()),
                 (known, new) => *known = new.clone(),
@@ -55,7 +57,7 @@
             probe: ProbeSettings::default(),
             routing: RoutingSettings::default(),
             target: TargetSettings {
-                address: place.target,
+                address: self.options.shared_target.unwrap_or(place.target),
                 health: "/health".to_owned(),
                 load: "/load".to_owned(),
                 silence: Duration::from_secs(10),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! their sockets and state.
 
 pub mod arguments;
+pub mod capacity;
 pub mod demo;
 pub mod history;
 pub mod http1;
--- /dev/null
+++ b/crates/testkit/tests/spread.rs
@@ -0,0 +1,72 @@
+//! Configuration versions in a running deployment.
+
+use std::time::{Duration, Instant};
+
+use hawthornwall_testkit::capacity::{Fleet, FleetOptions};
+use hawthornwall_testkit::launcher::LaunchError;
+use serde_json::{Value, json};
+
+/// Bound for today's deployments.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+fn start(count: usize) -> Fleet {
+    let options = FleetOptions {
+        count,
+        relay: false,
+    };
+    Fleet::start(options).expect("the fleet starts")
+}
+
+fn version(status: &Result<Value, LaunchError>) -> Option<u64> {
+    let status = status.as_ref().ok()?;
+    status.pointer("/control/version")?.as_u64()
+}
+
+/// Whether all daemons have `expected` in force, or have it before the bound ends.
+fn reaches(fleet: &Fleet, expected: u64) -> bool {
+    let end = Instant::now() + IN_FORCE;
+    loop {
+        let mut statuses = (0..fleet.cluster.nodes.len()).map(|i| fleet.cluster.status(i));
+        if statuses.all(|status| version(&status) == Some(expected)) {
+            return true;
+        }
+        if Instant::now() >= end {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+// Guards against patches that some daemon gets late or never: those that don't watch the platform
+// depend on pushes from peers.
+#[test]
+fn a_patch_is_in_force_everywhere_in_time() {
+    let mut fleet = start(18);
+    let first = fleet.version().0;
+    assert!(reaches(&fleet, first), "v{first}");
+    for number in 1..=3 {
+        let published = fleet.publish_patch(&[true, true]).expect("published");
+        assert_eq!(published, first + number);
+        assert!(reaches(&fleet, published), "v{published}");
+    }
+}
+
+// Guards against a daemon that can't start without the platform, and against one that then serves an
+// older version than its peers have.
+#[test]
+fn a_daemon_starts_from_peers_while_the_platform_is_down() {
+    let mut fleet = start(6);
+    let newest = fleet.publish_patch(&[true, true]).expect("published");
+    assert!(reaches(&fleet, newest), "v{newest}");
+    for region in 0..2 {
+        let down = json!({ "down": true });
+        fleet.platform_fault(region, &down).expect("a fault");
+    }
+    fleet.cluster.restart_daemon(0).expect("a daemon starts");
+    let status = fleet.cluster.status(0);
+    assert_eq!(version(&status), Some(newest));
+    let ready = status
+        .ok()
+        .and_then(|s| s.pointer("/control/ready")?.as_bool());
+    assert_eq!(ready, Some(true));
+}
