Add the experiment tool

It runs named plans of load and faults with real daemons for each routing policy, with the same seeded arrivals and faults, and writes tables, JSON and a plot.

--- /dev/null
+++ b/crates/testkit/src/experiment/arrivals.rs
@@ -0,0 +1,75 @@
+//! Seeded open-loop arrivals in phases of constant rate.
+
+use std::time::Duration;
+
+use crate::load::{Call, CallKind, Route};
+use crate::random::Random;
+
+/// Share of calls that are `POST`s, in percent. They have no idempotency key, since a key is issued by
+/// an extra call whose wait would have to be told apart from the request's own.
+const POST_PERCENT: u32 = 30;
+
+/// Poisson arrivals for one service at one rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Phase {
+    /// Its end, from the start of the load.
+    pub end: Duration,
+    /// Calls a second.
+    pub rate: f64,
+    /// Index of the service.
+    pub service: usize,
+    /// Its start, from the start of the load.
+    pub start: Duration,
+}
+
+/// All calls of some phases in the order of their times, each to a random one of the daemons.
+///
+/// ```
+/// use std::time::Duration;
+/// use hawthornwall_testkit::experiment::{Phase, plan_arrivals};
+///
+/// let second = Duration::from_secs(1);
+/// let phase = Phase { end: second, rate: 100.0, service: 0, start: Duration::ZERO };
+/// let calls = plan_arrivals(&[phase], 4, 7);
+/// assert_eq!(calls, plan_arrivals(&[phase], 4, 7));
+/// assert!(calls.iter().all(|call| call.at < second));
+/// ```
+pub fn plan_arrivals(phases: &[Phase], daemons: usize, seed: u64) -> Vec<Call> {
+    let mut random = Random::new(seed);
+    let mut calls = Vec::new();
+    for phase in phases {
+        let gap = Duration::from_secs_f64(1.0 / phase.rate);
+        let mut at = phase.start + random.exponential(gap);
+        while at < phase.end {
+            calls.push(plan_call(&mut random, phase.service, daemons, at));
+            at += random.exponential(gap);
+        }
+    }
+    calls.sort_by_key(|call| call.at);
+    for (number, call) in (1..).zip(&mut calls) {
+        call.number = number;
+    }
+    calls
+}
+
+fn plan_call(random: &mut Random, service: usize, daemons: usize, at: Duration) -> Call {
+    let kind = if random.chance(POST_PERCENT) {
+        CallKind::Post
+    } else {
+        CallKind::Read
+    };
+    let sent = match kind {
+        CallKind::Read => 0,
+        CallKind::KeyedPost | CallKind::Post => 10 + random.below(1_000),
+    };
+    Call {
+        at,
+        chunked: false,
+        kind,
+        number: 0,
+        route: Route::Daemon(random.below(daemons.max(1))),
+        sent,
+        service,
+        size: 200 + random.below(2_000),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/experiment/options.rs
@@ -0,0 +1,70 @@
+//! Command line of the experiment tool.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hawthornwall_core::routing::Policy;
+
+use super::plan::{PlanName, Scope};
+use super::variant::Variant;
+use crate::arguments::{ArgumentError, Arguments};
+use crate::launcher::Deployment;
+
+/// Options of the program.
+pub const OPTIONS: [&str; 7] = [
+    "plan",
+    "deployment",
+    "policies",
+    "seeds",
+    "seconds",
+    "rate",
+    "out",
+];
+
+/// What is compared.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExperimentOptions {
+    /// Folder for results and plots.
+    pub out: PathBuf,
+    /// The plan.
+    pub plan: PlanName,
+    /// Deployment, load and length.
+    pub scope: Scope,
+    /// Seeds, from 1.
+    pub seeds: u64,
+    /// What is compared.
+    pub variants: Vec<Variant>,
+}
+
+impl ExperimentOptions {
+    /// Reads the command line.
+    ///
+    /// # Errors
+    ///
+    /// The plan is missing or a value can't be read.
+    pub fn from_arguments(arguments: &Arguments) -> Result<Self, ArgumentError> {
+        let seconds: f64 = arguments.optional("seconds")?.unwrap_or(10.0);
+        let policies: Option<String> = arguments.optional("policies")?;
+        let policies = match policies {
+            Some(names) => read_policies(&names)?,
+            None => Policy::ALL.to_vec(),
+        };
+        let deployment: Option<Deployment> = arguments.optional("deployment")?;
+        Ok(Self {
+            out: arguments.optional("out")?.unwrap_or_else(|| ".".into()),
+            plan: arguments.required("plan")?,
+            scope: Scope {
+                deployment: deployment.unwrap_or(Deployment::Faellesvaerftet),
+                rate: arguments.optional("rate")?,
+                length: Duration::from_secs_f64(seconds.clamp(1.0, 3_600.0)),
+            },
+            seeds: arguments.optional("seeds")?.unwrap_or(3),
+            variants: Variant::of(&policies),
+        })
+    }
+}
+
+fn read_policies(names: &str) -> Result<Vec<Policy>, ArgumentError> {
+    let read = |name: &str| name.parse().map_err(ArgumentError::Syntax);
+    names.split(',').map(read).collect()
+}
--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use hawthornwall_core::config::Rules;
 use hawthornwall_wire::instances::{Instance, InstanceList, InstanceState};
 use serde_json::{Value, json};
 
@@ -30,6 +31,8 @@
     pub delay_us: Option<u64>,
     /// Whether daemons reach each other through the relay.
     pub relay: bool,
+    /// Sharing rules of every service.
+    pub rules: Rules,
     /// Seed of the targets.
     pub seed: u64,
     /// Changes of the daemons' settings: an object of sections, each an object of fields.
@@ -44,6 +47,7 @@
             delay_us: None,
             keep: false,
             relay: true,
+            rules: Rules::default(),
             seed: 1,
             settings: json!({}),
         }
@@ -89,7 +93,10 @@
     /// A process can't be started or doesn't become ready.
     pub fn start(deployment: Deployment, options: ClusterOptions) -> Result<Self, LaunchError> {
         let folder = Folder::create(options.keep).map_err(LaunchError::io("temporary folder"))?;
-        let plan = deployment.plan();
+        let plan = Plan {
+            rules: options.rules.clone(),
+            ..deployment.plan()
+        };
         let nodes = place_nodes(&plan).map_err(LaunchError::io("free ports"))?;
         let address = || shared_address().map_err(LaunchError::io("free ports"));
         let (platform_address, relay_control) = (address()?, address()?);
--- a/crates/testkit/src/launcher/deployment.rs
+++ b/crates/testkit/src/launcher/deployment.rs
@@ -49,6 +49,7 @@
         };
         Plan {
             delay_us,
+            rules: Rules::default(),
             services: services.into_iter().map(service).collect(),
             slots,
         }
@@ -103,6 +104,8 @@
 pub struct Plan {
     /// One-way network delay between two failure domains, in microseconds.
     pub delay_us: u64,
+    /// Sharing rules of every service.
+    pub rules: Rules,
     /// All services.
     pub services: Vec<ServicePlan>,
     /// Slots of each target.
@@ -115,7 +118,7 @@
         let create = |service: &ServicePlan| Change::CreateService {
             name: service.name.clone(),
             hosts: BTreeSet::new(),
-            rules: Rules::default(),
+            rules: self.rules.clone(),
         };
         let mut changes: Vec<Change> = self.services.iter().map(create).collect();
         for service in &self.services {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod arguments;
 pub mod demo;
+pub mod experiment;
 pub mod history;
 pub mod http1;
 pub mod launcher;
--- a/crates/testkit/src/load/driver.rs
+++ b/crates/testkit/src/load/driver.rs
@@ -30,6 +30,21 @@
 ///
 /// The history or the timer can't be opened.
 pub async fn run_load(options: &LoadOptions) -> std::io::Result<Vec<CallResult>> {
+    run_calls(options, plan_calls(options), None).await
+}
+
+/// Makes the given calls, in the order of their times, and returns when every call has ended.
+///
+/// The times count from `start`, or else from the end of opening connections.
+///
+/// # Errors
+///
+/// The history or the timer can't be opened.
+pub async fn run_calls(
+    options: &LoadOptions,
+    calls: Vec<Call>,
+    start: Option<Instant>,
+) -> std::io::Result<Vec<CallResult>> {
     let (sender, mut receiver) = unbounded();
     let mut driver = Driver {
         idle: BTreeMap::new(),
@@ -40,13 +55,14 @@
     };
     let timer = Timer::start()?;
     driver.warm_up().await;
-    let start = Instant::now();
-    for call in plan_calls(options) {
+    let start = start.unwrap_or_else(Instant::now);
+    let count = calls.len();
+    for call in calls {
         let planned = start + call.at;
         driver.serve_until(&mut receiver, &timer, planned).await;
         driver.start_call(call, planned);
     }
-    while (driver.results.len() as u64) < options.requests {
+    while driver.results.len() < count {
         if let Some(message) = receiver.next().await {
             driver.take(message);
         }
--- a/crates/testkit/src/load/exchange.rs
+++ b/crates/testkit/src/load/exchange.rs
@@ -49,6 +49,7 @@
 /// Carries out one call and hands its connection back.
 pub(super) async fn perform(job: Job, idle: Option<Connection>) {
     let mut start = job.planned;
+    let late = start.elapsed();
     let mut connection = match idle {
         Some(connection) => Ok(connection),
         None => Connection::open(job.address).await,
@@ -69,7 +70,10 @@
         }
         // Without a key nothing is sent; the call counts as refused.
         (Err(refusal), Ok(_)) => {
-            let result = no_key_result(&job, refusal, start.elapsed());
+            let result = CallResult {
+                late,
+                ..no_key_result(&job, refusal, start.elapsed())
+            };
             let _ = job
                 .driver
                 .unbounded_send(Message::Done(Box::new(result), None));
@@ -77,7 +81,10 @@
         }
         (_, Err(_)) => (None, None),
     };
-    let result = judge(&job, key, answer.as_ref(), start.elapsed());
+    let result = CallResult {
+        late,
+        ..judge(&job, key, answer.as_ref(), start.elapsed())
+    };
     job.record(received_event(&result));
     let reusable = answer.is_some_and(|a| keeps_alive(&a));
     let connection = connection.ok().filter(|c| reusable && !c.has_rest());
@@ -159,6 +166,7 @@
     CallResult {
         call: job.call,
         key: None,
+        late: Duration::ZERO,
         latency,
         outcome: if refused { "no key" } else { "" }.to_owned(),
         reason,
@@ -177,6 +185,7 @@
     let mut result = CallResult {
         call: job.call,
         key,
+        late: Duration::ZERO,
         latency,
         outcome: String::new(),
         reason: String::new(),
--- a/crates/testkit/src/load/mod.rs
+++ b/crates/testkit/src/load/mod.rs
@@ -13,7 +13,7 @@
 
 pub use arrivals::{Call, CallKind, Route, plan_calls};
 pub use check::{Mismatches, check};
-pub use driver::run_load;
+pub use driver::{run_calls, run_load};
 pub use options::{Endpoint, LoadOptions, ServiceLoad};
 pub use result::{CallResult, Quantiles, count_outcomes};
 pub use runs::{Busy, Run, Runs};
--- a/crates/testkit/src/load/result.rs
+++ b/crates/testkit/src/load/result.rs
@@ -15,6 +15,8 @@
     pub call: Call,
     /// Its idempotency key, if it has one.
     pub key: Option<String>,
+    /// Time from the planned arrival until this process began to send the call.
+    pub late: Duration,
     /// Time from the planned arrival to the whole answer; with a key, from the sending of the call.
     pub latency: Duration,
     /// `Hawthornwall-Outcome`; for a direct call derived from the status; empty if there is no whole
--- a/crates/testkit/src/target/executor.rs
+++ b/crates/testkit/src/target/executor.rs
@@ -55,6 +55,8 @@
     Probe(oneshot::Sender<Probe>),
     /// The connection task has sent the answer or failed to.
     Sent(u64, bool),
+    /// Stall the whole process once for this long.
+    Stall(Duration),
     Work(Work),
 }
 
@@ -143,6 +145,7 @@
             Message::Sent(request, answered) => {
                 self.history.append(Event::RunEnded { answered, request });
             }
+            Message::Stall(length) => self.stall(length),
             Message::Work(work) => self.offer(work, now),
         }
     }
@@ -209,9 +212,7 @@
 
     fn advance(&mut self, now: Instant) {
         if let Some((_, length)) = self.stall.take_if(|(at, _)| *at <= now) {
-            // Blocks the only thread, as a neighbour that takes the processor would.
-            std::thread::sleep(length);
-            self.workplace.stall(length);
+            self.stall(length);
             self.plan_stall(Instant::now());
         }
         for (id, finished) in self.workplace.take_finished(now) {
@@ -226,6 +227,12 @@
         self.remember_load(now);
     }
 
+    /// Blocks the only thread, as a neighbour that takes the processor would.
+    fn stall(&mut self, length: Duration) {
+        std::thread::sleep(length);
+        self.workplace.stall(length);
+    }
+
     fn finish(&mut self, id: JobId, finished: Finished, now: Instant) {
         let Some(job) = self.jobs.remove(&id) else {
             return;
--- a/crates/testkit/src/target/serve.rs
+++ b/crates/testkit/src/target/serve.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::channel::{mpsc, oneshot};
@@ -118,6 +118,15 @@
                 Err(e) => Some(answer(StatusCode::BAD_REQUEST, e)),
             }
         }
+        (&Method::POST, "/stall") => {
+            let ms = std::str::from_utf8(request.body()).ok()?.parse().ok();
+            let Some(ms) = ms else {
+                return Some(answer(StatusCode::BAD_REQUEST, "a number of milliseconds"));
+            };
+            let stall = Message::Stall(Duration::from_millis(ms));
+            executor.unbounded_send(stall).ok()?;
+            json(&ms)
+        }
         (&Method::GET, "/control") => {
             let (reply, behaviour) = oneshot::channel();
             executor.unbounded_send(Message::Behaviour(reply)).ok()?;
