Follow a target's service time only outside a band around the mean

In steady load at 55% the product rerouted 800 of 5,000 requests after refusals by full targets, least outstanding 26. All daemons see the same moving average of about ten answers, whose chance deviations of 15% outweighed occupancy, and followed it to the same target.

--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -23,6 +23,9 @@
 const RAMP: Duration = Duration::from_secs(5);
 /// Cost multiplier of an instance that has just appeared.
 const RAMP_FACTOR: f64 = 4.0;
+/// A service time within this factor of the service's mean counts as the mean. The reported average
+/// covers about ten answers; all daemons would follow its chance deviations to the same target.
+const SERVICE_BAND: f64 = 1.6;
 /// Added to the cost for a target whose recent answers all failed while others' did not.
 const FAILING_COST: Duration = Duration::from_millis(500);
 /// Share of the service time charged at full occupancy before any queue forms, since the
@@ -177,7 +180,13 @@
 
     fn service_time(&self, mean: &Mean) -> Duration {
         let reported = self.report.map_or(Duration::ZERO, |(r, _)| r.service);
-        let known = [reported, mean.service].into_iter().find(|s| !s.is_zero());
+        let ordinary = mean.service.div_f64(SERVICE_BAND)..mean.service.mul_f64(SERVICE_BAND);
+        let first = if ordinary.contains(&reported) {
+            mean.service
+        } else {
+            reported
+        };
+        let known = [first, mean.service].into_iter().find(|s| !s.is_zero());
         known.unwrap_or(DEFAULT_SERVICE)
     }
 
