Let a long service time fade, and limit what one stall adds to it

One stall lengthens all running requests, so the moving average named a long service time afterwards, and since nobody then picked the target, nobody heard of its recovery; the others had to take its share. Now a sample counts at most twice the average, and a service time above the mean fades with the report's age.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -10,7 +10,10 @@
 use crate::time::Time;
 
 /// Weight of a new service time in the moving average.
-const SERVICE_WEIGHT: f64 = 0.1;
+const SERVICE_WEIGHT: f64 = 0.05;
+/// A sample counts as at most this many times the average. A stall lengthens all running requests at
+/// once, which says nothing about later ones; a target that stays slow raises the average steadily.
+const SERVICE_SAMPLE_LIMIT: u32 = 2;
 /// Weight of a new answer in the moving share of failures.
 const FAILING_WEIGHT: f64 = 0.1;
 /// Queue places per slot.
@@ -293,6 +296,7 @@
             self.service = sample;
             return;
         }
+        let sample = sample.min(self.service * SERVICE_SAMPLE_LIMIT);
         let old = self.service.as_secs_f64();
         let new = old + SERVICE_WEIGHT * (sample.as_secs_f64() - old);
         self.service = Duration::from_secs_f64(new);
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -23,6 +23,8 @@
 const RAMP: Duration = Duration::from_secs(5);
 /// Cost multiplier of an instance that has just appeared.
 const RAMP_FACTOR: f64 = 4.0;
+/// A reported service time above the mean fades over about this many of itself.
+const SERVICE_LIFE_SERVICES: f64 = 4.0;
 /// A service time within this factor of the service's mean counts as the mean. The reported average
 /// covers about ten answers; all daemons would follow its chance deviations to the same target.
 const SERVICE_BAND: f64 = 1.6;
@@ -150,7 +152,7 @@
     /// leave no trace and it would look idle.
     pub fn note_cancelled(&mut self, sent: Time, now: Time) {
         let heard = self.report.is_some_and(|(_, at)| at > sent);
-        let service = self.service_time(&Mean::default());
+        let service = self.service_time(&Mean::default(), now);
         if !heard && now - sent > service * 2 + self.rtt {
             self.note_failure(now);
         }
@@ -162,7 +164,7 @@
     }
 
     pub fn estimate(&self, mean: &Mean, now: Time) -> Estimate {
-        let service = self.service_time(mean);
+        let service = self.service_time(mean, now);
         let slots = f64::from(self.slots);
         let occupancy = self.expected_occupancy(mean, service, now);
         let waiting = (occupancy + 1.0 - slots).max(0.0) / slots;
@@ -178,8 +180,8 @@
         }
     }
 
-    fn service_time(&self, mean: &Mean) -> Duration {
-        let reported = self.report.map_or(Duration::ZERO, |(r, _)| r.service);
+    fn service_time(&self, mean: &Mean, now: Time) -> Duration {
+        let reported = self.reported_service(mean, now);
         let ordinary = mean.service.div_f64(SERVICE_BAND)..mean.service.mul_f64(SERVICE_BAND);
         let first = if ordinary.contains(&reported) {
             mean.service
@@ -190,6 +192,20 @@
         known.unwrap_or(DEFAULT_SERVICE)
     }
 
+    /// The reported service time, which fades toward the mean with the report's age: a target that is
+    /// never picked sends no reports, so its recovery would not be noticed.
+    fn reported_service(&self, mean: &Mean, now: Time) -> Duration {
+        let Some((report, at)) = self.report else {
+            return Duration::ZERO;
+        };
+        if report.service <= mean.service || mean.service.is_zero() {
+            return report.service;
+        }
+        let life = report.service.as_secs_f64() * SERVICE_LIFE_SERVICES;
+        let weight = (-(now - at).as_secs_f64() / life).exp();
+        mean.service + (report.service.saturating_sub(mean.service)).mul_f64(weight)
+    }
+
     fn expected_occupancy(&self, mean: &Mean, service: Duration, now: Time) -> f64 {
         let usual = mean.load * f64::from(self.slots);
         let Some((report, at)) = self.report else {
