Wait longer at a full target when all others are worse

The patience for a slot was the way to another target, except for the last attempt, which waits as long as the queue allows. Since the product asks the best target first, its last attempt was at the worst, a stalled one, while the queues of the others stayed empty. Patience now follows the cost expected at the best other target; in normal load it stays the way to it. Baselines keep the way, which for them is right: they know no cost.

--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -165,12 +165,9 @@
             .choose(&eligible, &mean, now)
             .ok_or(Refusal::NoTarget)?;
         let estimate = self.views[&target].estimate(&mean, now);
-        let others = || eligible.iter().filter(|id| **id != target);
-        let patience = others()
-            .map(|id| self.views[id].rtt)
-            .min()
-            .unwrap_or_default();
-        let alternatives = others().count();
+        let others: Vec<_> = eligible.into_iter().filter(|id| *id != target).collect();
+        let patience = self.patience(target, &others, &mean, now);
+        let alternatives = others.len();
         let hedge = self.hedge_delay(request.service);
         let ticket = self.issue(target, now);
         Ok(Choice {
@@ -290,6 +287,25 @@
         }
     }
 
+    /// Longest wait for a slot that is cheaper than being refused and asking another target: at least
+    /// the way to the other one. If all others are expected to answer late, waiting is cheaper even
+    /// for long; otherwise the last attempt, which waits longest, would be at the worst target.
+    fn patience(&self, target: TargetId, others: &[TargetId], mean: &Mean, now: Time) -> Duration {
+        let view = |id: &TargetId| &self.views[id];
+        let way = others.iter().map(|id| view(id).rtt).min();
+        let way = way.unwrap_or_default();
+        match self.policy {
+            Policy::Expected => {
+                let cost = others.iter().map(|id| view(id).estimate(mean, now).cost);
+                let busy = view(&target).busy_time(mean, now);
+                way.max(cost.min().unwrap_or_default().saturating_sub(busy))
+            }
+            Policy::LeastOutstanding | Policy::Random | Policy::RoundRobin | Policy::TwoChoices => {
+                way
+            }
+        }
+    }
+
     fn reported(&self, target: TargetId) -> u32 {
         self.views[&target]
             .report
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Expected time to an answer at a target whose slots are all taken but where none waits.
+    pub fn busy_time(&self, mean: &Mean, now: Time) -> Duration {
+        self.service_time(mean, now).mul_f64(1.0 + BUSY_COST)
+    }
+
     fn service_time(&self, mean: &Mean, now: Time) -> Duration {
         let reported = self.reported_service(mean, now);
         let ordinary = mean.service.div_f64(SERVICE_BAND)..mean.service.mul_f64(SERVICE_BAND);
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -43,9 +43,13 @@
                 if let (Ok(choice), Some(name)) = (&picked, line.text("as")) {
                     self.tickets.insert(name.to_owned(), choice.ticket);
                 }
-                return vec![
-                    picked.map_or_else(|refusal| format!("Refuse({refusal:?})"), |c| describe(&c)),
-                ];
+                let text =
+                    picked.map_or_else(|refusal| format!("Refuse({refusal:?})"), |c| describe(&c));
+                let patience = picked.ok().filter(|_| line.flag("patience"));
+                return vec![text]
+                    .into_iter()
+                    .chain(patience.map(|c| format!("patience {:.1?}", c.patience)))
+                    .collect();
             }
             "pin" => {
                 let ticket = self.balancer.pin(line.word(0), line.now);
