--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -26,6 +26,11 @@
 const RAMP: Duration = Duration::from_secs(5);
 /// Cost multiplier of an instance that has just appeared.
 const RAMP_FACTOR: f64 = 4.0;
+/// A reported service time above the mean fades over about this many of itself.
+const SERVICE_LIFE_SERVICES: f64 = 4.0;
+/// A service time within this factor of the service's mean counts as the mean. The reported average
+/// covers about ten answers; all daemons would follow its chance deviations to the same target.
+const SERVICE_BAND: f64 = 1.6;
 /// Added to the cost for a target whose recent answers all failed while others' did not.
 const FAILING_COST: Duration = Duration::from_millis(500);
 /// The failures of a report weigh less by a factor of e with each such time, so that a target that
@@ -155,7 +160,7 @@
     /// leave no trace and it would look idle.
     pub fn note_cancelled(&mut self, sent: Time, now: Time) {
         let heard = self.report.is_some_and(|(_, at)| at > sent);
-        let service = self.service_time(&Mean::default());
+        let service = self.service_time(&Mean::default(), now);
         if !heard && now - sent > service * 2 + self.rtt {
             self.note_failure(now);
         }
@@ -167,7 +172,7 @@
     }
 
     pub fn estimate(&self, mean: &Mean, now: Time) -> Estimate {
-        let service = self.service_time(mean);
+        let service = self.service_time(mean, now);
         let slots = f64::from(self.slots);
         let occupancy = self.expected_occupancy(mean, service, now);
         let waiting = (occupancy + 1.0 - slots).max(0.0) / slots;
@@ -183,12 +188,37 @@
         }
     }
 
-    fn service_time(&self, mean: &Mean) -> Duration {
-        let reported = self.report.map_or(Duration::ZERO, |(r, _)| r.service);
-        let known = [reported, mean.service].into_iter().find(|s| !s.is_zero());
+    /// Expected time to an answer at a target whose slots are all taken but where none waits.
+    pub fn busy_time(&self, mean: &Mean, now: Time) -> Duration {
+        self.service_time(mean, now).mul_f64(1.0 + BUSY_COST)
+    }
+
+    fn service_time(&self, mean: &Mean, now: Time) -> Duration {
+        let reported = self.reported_service(mean, now);
+        let ordinary = mean.service.div_f64(SERVICE_BAND)..mean.service.mul_f64(SERVICE_BAND);
+        let first = if ordinary.contains(&reported) {
+            mean.service
+        } else {
+            reported
+        };
+        let known = [first, mean.service].into_iter().find(|s| !s.is_zero());
         known.unwrap_or(DEFAULT_SERVICE)
     }
 
+    /// The reported service time, which fades toward the mean with the report's age: a target that is
+    /// never picked sends no reports, so its recovery would not be noticed.
+    fn reported_service(&self, mean: &Mean, now: Time) -> Duration {
+        let Some((report, at)) = self.report else {
+            return Duration::ZERO;
+        };
+        if report.service <= mean.service || mean.service.is_zero() {
+            return report.service;
+        }
+        let life = report.service.as_secs_f64() * SERVICE_LIFE_SERVICES;
+        let weight = (-(now - at).as_secs_f64() / life).exp();
+        mean.service + (report.service.saturating_sub(mean.service)).mul_f64(weight)
+    }
+
     fn expected_occupancy(&self, mean: &Mean, service: Duration, now: Time) -> f64 {
         let usual = mean.load * f64::from(self.slots);
         let Some((report, at)) = self.report else {
--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use hawthornwall_core::config::Rules;
 use hawthornwall_wire::instances::{Instance, InstanceList, InstanceState};
 use serde_json::{Value, json};
 
@@ -33,6 +34,8 @@
     pub domain_settings: Value,
     /// Whether daemons reach each other through the relay.
     pub relay: bool,
+    /// Sharing rules of every service.
+    pub rules: Rules,
     /// Seed of the targets.
     pub seed: u64,
     /// Changes of the daemons' settings: an object of sections, each an object of fields.
@@ -50,6 +53,7 @@
             domain_settings: json!({}),
             keep: false,
             relay: true,
+            rules: Rules::default(),
             seed: 1,
             settings: json!({}),
             shared_target: None,
@@ -106,6 +110,10 @@
     /// A process can't be started or doesn't become ready.
     pub fn start_plan(plan: Plan, options: ClusterOptions) -> Result<Self, LaunchError> {
         let folder = Folder::create(options.keep).map_err(LaunchError::io("temporary folder"))?;
+        let plan = Plan {
+            rules: options.rules.clone(),
+            ..plan
+        };
         let nodes = place_nodes(&plan).map_err(LaunchError::io("free ports"))?;
         let address = || shared_address().map_err(LaunchError::io("free ports"));
         let (platform_address, relay_control) = (address()?, address()?);
--- a/crates/testkit/src/launcher/deployment.rs
+++ b/crates/testkit/src/launcher/deployment.rs
@@ -58,6 +58,7 @@
         };
         Plan {
             delay_us,
+            rules: Rules::default(),
             services: services.iter().map(service).collect(),
             slots,
         }
@@ -112,6 +113,8 @@
 pub struct Plan {
     /// One-way network delay between two failure domains, in microseconds.
     pub delay_us: u64,
+    /// Sharing rules of every service.
+    pub rules: Rules,
     /// All services.
     pub services: Vec<ServicePlan>,
     /// Slots of each target.
@@ -124,7 +127,7 @@
         let create = |service: &ServicePlan| Change::CreateService {
             name: service.name.clone(),
             hosts: BTreeSet::new(),
-            rules: Rules::default(),
+            rules: self.rules.clone(),
         };
         let mut changes: Vec<Change> = self.services.iter().map(create).collect();
         for service in &self.services {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod arguments;
 pub mod capacity;
 pub mod demo;
+pub mod experiment;
 pub mod faults;
 pub mod history;
 pub mod http1;
--- a/crates/testkit/src/target/executor.rs
+++ b/crates/testkit/src/target/executor.rs
@@ -92,6 +92,7 @@
             Message::Sent(request, answered) => {
                 self.history.append(Event::RunEnded { answered, request });
             }
+            Message::Stall(length) => self.stall(length),
             Message::Work(work) => self.offer(work, now),
         }
     }
@@ -158,9 +159,7 @@
 
     fn advance(&mut self, now: Instant) {
         if let Some((_, length)) = self.stall.take_if(|(at, _)| *at <= now) {
-            // Blocks the only thread, as a neighbour that takes the processor would.
-            std::thread::sleep(length);
-            self.workplace.stall(length);
+            self.stall(length);
             self.plan_stall(Instant::now());
         }
         for (id, finished) in self.workplace.take_finished(now) {
@@ -175,6 +174,12 @@
         self.remember_load(now);
     }
 
+    /// Blocks the only thread, as a neighbour that takes the processor would.
+    fn stall(&mut self, length: Duration) {
+        std::thread::sleep(length);
+        self.workplace.stall(length);
+    }
+
     fn finish(&mut self, id: JobId, finished: Finished, now: Instant) {
         let Some(job) = self.jobs.remove(&id) else {
             return;
--- a/crates/testkit/src/target/messages.rs
+++ b/crates/testkit/src/target/messages.rs
@@ -48,6 +48,8 @@
     Probe(oneshot::Sender<Probe>),
     /// The connection task has sent the answer or failed to.
     Sent(u64, bool),
+    /// Stall the whole process once for this long.
+    Stall(Duration),
     Work(Work),
 }
 
