--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,7 +5,10 @@
 //! their sockets and state.
 
 pub mod arguments;
+pub mod capacity;
 pub mod demo;
+pub mod experiment;
+pub mod faults;
 pub mod history;
 pub mod http1;
 pub mod launcher;
--- a/crates/testkit/src/load/exchange.rs
+++ b/crates/testkit/src/load/exchange.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::FutureExt;
 use futures::channel::mpsc::UnboundedSender;
 use http::request::Builder;
 use http::{Request, Response};
@@ -51,6 +50,7 @@
 /// Carries out one call and hands its connection back.
 pub(super) async fn perform(job: Job, idle: Option<Connection>) {
     let mut start = job.planned;
+    let late = start.elapsed();
     let mut connection = match idle {
         Some(connection) => Ok(connection),
         None => Connection::open(job.address).await,
@@ -72,7 +72,10 @@
         }
         // Without a key nothing is sent; the call counts as refused.
         (Err(refusal), Ok(_)) => {
-            let result = no_key_result(&job, refusal, start.elapsed());
+            let result = CallResult {
+                late,
+                ..no_key_result(&job, refusal, start.elapsed())
+            };
             let _ = job
                 .driver
                 .unbounded_send(Message::Done(Box::new(result), None));
@@ -80,7 +83,10 @@
         }
         (_, Err(_)) => (None, None),
     };
-    let result = judge(&job, key, answer.as_ref(), start.elapsed());
+    let result = CallResult {
+        late,
+        ..judge(&job, key, answer.as_ref(), start.elapsed())
+    };
     job.record(received_event(&result));
     let reusable = answer.is_some_and(|a| keeps_alive(&a));
     let connection = connection.ok().filter(|c| reusable && !c.has_rest());
@@ -89,11 +95,6 @@
         .unbounded_send(Message::Done(Box::new(result), connection));
 }
 
-/// Whether an idle connection can still be used; the peer may have closed it.
-pub(super) fn is_usable(connection: &mut Connection) -> bool {
-    connection.closed().now_or_never().is_none() && !connection.has_rest()
-}
-
 impl Job {
     fn record(&self, event: Event) {
         let message = Message::Record(wall_micros(), event);
@@ -171,6 +172,7 @@
     CallResult {
         call: job.call,
         key: None,
+        late: Duration::ZERO,
         latency,
         outcome: if refused { "no key" } else { "" }.to_owned(),
         reason,
@@ -189,6 +191,7 @@
     let mut result = CallResult {
         call: job.call,
         key,
+        late: Duration::ZERO,
         latency,
         outcome: String::new(),
         reason: String::new(),
