Let the last answer arrive before a connection closes

Cause: after refusing a body that is too large the daemon closed with unread bytes, so the system reset the connection, and the reset could overtake the answer. Ruled out: a lost answer in the daemon; the 413 was written whole. Conclusion: the daemon ends its side, then discards what still arrives for up to 500 ms.

--- a/crates/node/src/http/stream.rs
+++ b/crates/node/src/http/stream.rs
@@ -8,7 +8,7 @@
 use hawthornwall_wire::head::{Framing, HeadFault, HeadKind, check_head, head_length};
 use http::request::Parts as RequestHead;
 use http::response::Parts as AnswerHead;
-use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::{
@@ -17,6 +17,8 @@
 
 /// Bytes asked of the socket at once.
 const READ_SIZE: usize = 8 << 10;
+/// Longest time for which bytes are read and discarded before a connection closes.
+const LINGER: Duration = Duration::from_millis(500);
 /// Room for chunk sizes and line ends beyond the body's own limit.
 const CHUNK_OVERHEAD: usize = 16 << 10;
 
@@ -152,6 +154,20 @@
         std::future::pending::<()>().await;
     }
 
+    /// Closes the connection so that the last answer arrives. Closing with unread bytes would reset
+    /// the connection, and a reset may overtake the answer.
+    pub async fn close(mut self) {
+        if self.tcp.shutdown().await.is_err() {
+            return;
+        }
+        let discard = async {
+            while matches!(self.fill().await, Ok(n) if n > 0) {
+                self.buf.clear();
+            }
+        };
+        let _ = monoio::time::timeout(LINGER, discard).await;
+    }
+
     /// Whether bytes have arrived that no message has consumed.
     pub fn has_buffered(&self) -> bool {
         !self.buf.is_empty()
--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -31,7 +31,8 @@
         };
         let closing = || stop.peek().is_some();
         match serve_one(&mut stream, &backend, head, closing).await {
-            Next::Close => return,
+            Next::Close => return stream.close().await,
+            Next::Drop => return,
             Next::Read => {}
         }
     }
@@ -39,7 +40,10 @@
 
 /// What happens to the connection after a request.
 enum Next {
+    /// The answer was the last one.
     Close,
+    /// The other side is gone.
+    Drop,
     Read,
 }
 
@@ -65,15 +69,15 @@
         select_biased! {
             answer = serving => answer,
             // Dropping the call cancels its attempts.
-            () = gone => return Next::Close,
+            () = gone => return Next::Drop,
         }
     };
     let close = closing() || wants_close(&head);
     let written = stream.write(answer.encode(&head.method, close)).await;
-    if written.is_err() || close {
-        Next::Close
-    } else {
-        Next::Read
+    match written {
+        Err(_) => Next::Drop,
+        Ok(()) if close => Next::Close,
+        Ok(()) => Next::Read,
     }
 }
 
