Check that a repeat is refused only if no earlier request of its operation ran

A caller that repeats a keyed request since it was left in doubt takes a refusal for the outcome of the operation, which the check of single requests does not cover.

--- a/crates/testkit/src/faults/report.rs
+++ b/crates/testkit/src/faults/report.rs
@@ -26,7 +26,7 @@
     /// key that was issued before don't count, since its issuer may be gone for good.
     pub fn recovery(&self) -> Duration {
         let bad = |o: &&Operation| {
-            !o.answered && !o.abandoned && !o.key.is_some_and(|at| at < self.last_step)
+            !o.answered && !o.abandoned && o.key.is_none_or(|at| at >= self.last_step)
         };
         let begun = self.operations.iter().filter(bad).map(|o| o.started);
         let last = begun.max().unwrap_or(0);
--- a/crates/testkit/src/history/invariants/runs.rs
+++ b/crates/testkit/src/history/invariants/runs.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::history::view::RequestView;
 use crate::history::{Event, Invariant, Record, View, Violation};
 
 /// Starts before and after the refusal count: "not run" promises that it never runs.
@@ -17,9 +18,43 @@
             violations.push(Violation::new(Invariant::NotRun, what, [*start, *refusal]));
         }
     }
+    violations.extend(refused_repeats(view));
     violations
 }
 
+/// A caller that repeats an operation since it was left in doubt takes a refusal for the operation's
+/// outcome, so no earlier request of the operation may have run.
+fn refused_repeats<'a>(view: &'a View<'_>) -> impl Iterator<Item = Violation> + 'a {
+    let refused = |r: &&RequestView<'_>| r.received.iter().any(|r| is_refusal(r));
+    view.requests.values().filter(refused).filter_map(|repeat| {
+        let (sent, refusal) = (repeat.sent?, *repeat.received.first()?);
+        let operation = non_idempotent(sent)?;
+        let before = view.requests.values().filter(|earlier| {
+            let over = earlier.received.first().is_none_or(|r| r.at < sent.at);
+            over && earlier.sent.is_some_and(|earlier| {
+                earlier.at < sent.at && non_idempotent(earlier) == Some(operation)
+            })
+        });
+        let start = *before.flat_map(|earlier| &earlier.starts).next()?;
+        let what = format!("operation {operation} had run when a repeat was refused");
+        let proof = [start, sent, refusal];
+        Some(Violation::new(Invariant::NotRun, what, proof))
+    })
+}
+
+/// The operation that a sending is for, if it must not be carried out twice.
+fn non_idempotent(record: &Record) -> Option<u64> {
+    let Event::Sent {
+        idempotent: false,
+        operation,
+        ..
+    } = record.event
+    else {
+        return None;
+    };
+    Some(operation)
+}
+
 fn is_refusal(record: &Record) -> bool {
     matches!(&record.event, Event::Received { outcome, .. } if outcome == "refused")
 }
@@ -27,16 +62,8 @@
 pub fn at_most_once(view: &View<'_>) -> Vec<Violation> {
     let mut starts: BTreeMap<u64, Vec<&Record>> = BTreeMap::new();
     for request in view.requests.values() {
-        if let Some(Event::Sent {
-            idempotent: false,
-            operation,
-            ..
-        }) = request.sent.map(|r| &r.event)
-        {
-            starts
-                .entry(*operation)
-                .or_default()
-                .extend(&request.starts);
+        if let Some(operation) = request.sent.and_then(non_idempotent) {
+            starts.entry(operation).or_default().extend(&request.starts);
         }
     }
     let several = starts.into_iter().filter(|(_, starts)| starts.len() > 1);
--- a/crates/testkit/tests/history/plant.rs
+++ b/crates/testkit/tests/history/plant.rs
@@ -39,6 +39,10 @@
 )]
 #[case::refused_ran_later(Invariant::NotRun, "1700 target-a start 7")]
 #[case::refused_ran_before(Invariant::NotRun, "1601 target-a start 7")]
+#[case::repeat_refused(
+    Invariant::NotRun,
+    "2000 caller-1 sent 20 1 once; 2010 caller-1 refused 20"
+)]
 #[case::response_of_another(
     Invariant::OwnResponse,
     "2000 caller-1 sent 20; 2010 caller-1 answered 20 3"
