--- a/crates/testkit/tests/experiment.rs
+++ b/crates/testkit/tests/experiment.rs
@@ -66,7 +66,7 @@
     let [from, to] = scenario.middle;
     let rate = |from: Duration, to: Duration| {
         let within = calls.iter().filter(|c| (from..to).contains(&c.at));
-        within.count() as f64 / (to - from).as_secs_f64()
+        within.count() as f64 / to.saturating_sub(from).as_secs_f64()
     };
     let ratio = rate(from, to) / rate(Duration::ZERO, from);
     assert!((8.5..11.5).contains(&ratio), "ratio {ratio}");
