--- a/crates/testkit/src/capacity/measure.rs
+++ b/crates/testkit/src/capacity/measure.rs
@@ -70,16 +70,18 @@
     pub cut: Option<CutFigures>,
     /// Length of the published document.
     pub document_bytes: usize,
-    /// While patches were published, one a second.
-    pub patches: Option<Rates>,
+    /// While patches were published, one a second: daemons that watch the platform, and others.
+    pub patches: Option<[Rates; 2]>,
     /// Highest number of platform reads in one second while all restarted.
     pub restart_reads: Option<u64>,
     /// Time until all were ready after all were started at once.
     pub restart_ms: Option<u128>,
     /// Extra datagram bytes at each other daemon for one replacement.
     pub replace_bytes: Option<f64>,
-    /// Steady state, by daemons that watch the platform and others together.
+    /// Steady state.
     pub steady: Rates,
+    /// Steady state of daemons that watch the platform, and of others.
+    pub steady_split: [Rates; 2],
 }
 
 /// Measures one fleet.
@@ -95,7 +97,8 @@
     thread::sleep(options.settle);
     let start = Sample::take(&fleet);
     thread::sleep(options.steady);
-    let steady = start.rates(&Sample::take(&fleet), |_| true);
+    let end = Sample::take(&fleet);
+    let steady = start.rates(&end, |_| true);
     let mut figures = FleetFigures {
         first: Spread::default(),
         last: Spread::default(),
@@ -108,6 +111,7 @@
         restart_ms: None,
         replace_bytes: None,
         steady,
+        steady_split: split(&start, &end),
     };
     if options.phases == Phases::All {
         publish_patches(&mut fleet, options, &mut figures)?;
@@ -131,7 +135,7 @@
         let next = begun + Duration::from_secs(1) * number;
         thread::sleep(next.saturating_duration_since(Instant::now()));
     }
-    figures.patches = Some(start.rates(&Sample::take(fleet), |_| true));
+    figures.patches = Some(split(&start, &Sample::take(fleet)));
     thread::sleep(SETTLE);
     let records = fleet.cluster.daemon_records()?;
     let times = in_force_times(&fleet.published, &records, &parties(fleet, |_| true));
@@ -142,6 +146,11 @@
     Ok(())
 }
 
+/// Rates of daemons that watch the platform, and of others; 0 if there are none.
+fn split(start: &Sample, end: &Sample) -> [Rates; 2] {
+    [true, false].map(|watching| start.rates(end, |index| start.is_watching(index) == watching))
+}
+
 /// Kills and starts some daemons one after the other; the others' extra traffic is what it costs.
 fn replace(
     fleet: &mut Fleet,
--- a/crates/testkit/src/capacity/report.rs
+++ b/crates/testkit/src/capacity/report.rs
@@ -7,6 +7,8 @@
 
 /// Daemons at full size.
 const FULL: f64 = 540.0;
+/// Daemons that watch the platform: 2 in each of 6 failure domains, by the settings' default.
+const WATCHERS: usize = 12;
 
 /// A figure's name and how it is read.
 type Figure = (&'static str, fn(&FleetFigures) -> f64);
@@ -37,7 +39,7 @@
         );
     }
     text.push_str(
-        "\ndaemons | cpu ms per patch | datagram B per patch | first ms p50, max | last ms p50, p99, \
+        "\ndaemons | cpu ms per patch, watchers and others | datagram B per patch, same | first ms p50, max | last ms p50, p99, \
          max (n) | missed | cut: last ms (of) | healed ms | restart reads in 1 s | restart ms | B per \
          replacement\n",
     );
@@ -48,7 +50,7 @@
 }
 
 fn events(f: &FleetFigures) -> String {
-    let (cpu, bytes) = per_patch(f);
+    let [(watch_cpu, watch_bytes), (cpu, bytes)] = per_patch(f);
     let cut = f.cut.as_ref().map_or_else(String::new, |c| {
         let r = &c.reachable;
         let healed = c
@@ -60,7 +62,7 @@
         )
     });
     format!(
-        "{cpu:.2} | {bytes:.0} | {:.0}, {:.0} | {:.0}, {:.0}, {:.0} ({}) | {} | {cut} | {} | {} | {:.0}",
+        "{watch_cpu:.2}, {cpu:.2} | {watch_bytes:.0}, {bytes:.0} | {:.0}, {:.0} | {:.0}, {:.0}, {:.0} ({}) | {} | {cut} | {} | {} | {:.0}",
         f.first.p50,
         f.first.max,
         f.last.p50,
@@ -74,25 +76,34 @@
     )
 }
 
-/// Processor time in milliseconds and datagram bytes of a daemon for each patch.
-fn per_patch(f: &FleetFigures) -> (f64, f64) {
+/// Processor time in milliseconds and datagram bytes for each patch, of a daemon that watches the
+/// platform and of another.
+fn per_patch(f: &FleetFigures) -> [(f64, f64); 2] {
     // One patch a second, so rates above the steady state are costs of one patch.
-    f.patches.map_or((f64::NAN, f64::NAN), |p| {
-        let cpu = (p.cpu_percent - f.steady.cpu_percent) * 10.0;
-        (cpu, p.datagram_bytes - f.steady.datagram_bytes)
+    let Some(patches) = f.patches else {
+        return [(f64::NAN, f64::NAN); 2];
+    };
+    [0, 1].map(|i| {
+        let (patches, steady) = (patches[i], f.steady_split[i]);
+        let cpu = (patches.cpu_percent - steady.cpu_percent) * 10.0;
+        (cpu, patches.datagram_bytes - steady.datagram_bytes)
     })
 }
 
 /// Lines through the figures of several fleets, by name.
 pub fn fits(fleets: &[FleetFigures]) -> Vec<(&'static str, Fit)> {
-    let figures: [Figure; 9] = [
+    let figures: [Figure; 11] = [
         ("cpu, % of a core", |f| f.steady.cpu_percent),
         ("memory, MiB", |f| f.steady.memory_mib),
         ("datagrams, B/s", |f| f.steady.datagram_bytes),
         ("payload, B/s", |f| f.steady.control_bytes),
         ("peer connections", |f| f.steady.connections),
-        ("cpu per patch, ms", |f| per_patch(f).0),
-        ("datagrams per patch, B", |f| per_patch(f).1),
+        ("cpu per patch, watcher, ms", |f| per_patch(f)[0].0),
+        ("cpu per patch, other, ms", |f| other(f, per_patch(f)[1].0)),
+        ("datagrams per patch, watcher, B", |f| per_patch(f)[0].1),
+        ("datagrams per patch, other, B", |f| {
+            other(f, per_patch(f)[1].1)
+        }),
         ("last in force, median ms", |f| f.last.p50),
         ("datagrams per replacement, B", |f| {
             f.replace_bytes.unwrap_or(f64::NAN)
@@ -106,6 +117,11 @@
     figures.map(fit).to_vec()
 }
 
+/// A figure of daemons that don't watch the platform; absent in a fleet where all do.
+fn other(f: &FleetFigures, figure: f64) -> f64 {
+    if f.count > WATCHERS { figure } else { f64::NAN }
+}
+
 /// Slopes with their standard errors, and values extrapolated to the full size.
 pub fn render_fits(fits: &[(&'static str, Fit)]) -> String {
     let mut text =
--- a/crates/testkit/src/capacity/sample.rs
+++ b/crates/testkit/src/capacity/sample.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Whether a daemon watches the platform for its failure domain.
+    pub fn is_watching(&self, index: usize) -> bool {
+        let watching = self.daemons[index].1.pointer("/control/watching");
+        watching.and_then(Value::as_bool).unwrap_or(false)
+    }
+
     /// Rates from `self` to `later` over the daemons in `chosen` that ran throughout.
     pub fn rates(&self, later: &Self, chosen: impl Fn(usize) -> bool) -> Rates {
         let seconds = (later.time - self.time).as_secs_f64();
