Mix an outage of the whole platform into the proof that versions never go back

An outage of one region's endpoint left the other as a source, so that daemons seldom had to start from peers alone. Add the number of probes as an option, to find what one costs.

--- a/crates/testkit/src/bin/capacity.rs
+++ b/crates/testkit/src/bin/capacity.rs
@@ -1,5 +1,5 @@
 //! `capacity [--mode fleet|steady|requests|history] [--counts N,N,...] [--settle-s N] [--steady-s N]
-//! [--patches N] [--rates N,N,...] [--seconds N] [--seeds FIRST-LAST]`
+//! [--patches N] [--probes PER_100S] [--rates N,N,...] [--seconds N] [--seeds FIRST-LAST]`
 //!
 //! Prints tables, and the same as JSON. In mode `history` it ends with status 1 if a version went back
 //! or had two digests, or if a daemon ended without the last version.
@@ -14,8 +14,8 @@
 };
 use serde::Serialize;
 
-const OPTIONS: [&str; 8] = [
-    "mode", "counts", "settle-s", "steady-s", "patches", "rates", "seconds", "seeds",
+const OPTIONS: [&str; 9] = [
+    "mode", "counts", "settle-s", "steady-s", "patches", "probes", "rates", "seconds", "seeds",
 ];
 
 fn main() -> Result<ExitCode, Box<dyn std::error::Error>> {
@@ -42,6 +42,7 @@
             count,
             patches: arguments.optional("patches")?.unwrap_or(30),
             phases,
+            probes: arguments.optional("probes")?,
             settle: seconds("settle-s", 8)?,
             steady: seconds("steady-s", 20)?,
         };
--- a/crates/testkit/src/capacity/fleet.rs
+++ b/crates/testkit/src/capacity/fleet.rs
@@ -23,6 +23,8 @@
 pub struct FleetOptions {
     /// Number of daemons.
     pub count: usize,
+    /// Probes of the shared target by each daemon in 100 seconds; the settings' default if absent.
+    pub probes: Option<u32>,
     /// Whether daemons reach each other through the relay, as cutting off a region needs.
     pub relay: bool,
 }
@@ -66,6 +68,7 @@
             ClusterOptions {
                 domain_settings: json!(domains),
                 relay: options.relay,
+                settings: probe_settings(options.probes),
                 shared_target: Some(target),
                 ..ClusterOptions::default()
             },
@@ -178,6 +181,14 @@
     }
 }
 
+/// The share of slot time is opened wide, so that only the count limits the probes.
+fn probe_settings(probes: Option<u32>) -> Value {
+    probes.map_or_else(
+        || json!({}),
+        |count| json!({ "probe": { "per_100s": count, "slot_share": 10_000 } }),
+    )
+}
+
 /// Reads of several platform endpoints together.
 pub(super) fn platform_stats(platforms: [SocketAddr; 2]) -> Stats {
     let mut all = Stats::default();
--- a/crates/testkit/src/capacity/history.rs
+++ b/crates/testkit/src/capacity/history.rs
@@ -7,7 +7,7 @@
 
 use hawthornwall_core::ids::Version;
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::CapacityError;
 use super::fleet::{Fleet, FleetOptions};
@@ -59,8 +59,8 @@
 enum Step {
     /// All faults of the platform end.
     Clear,
-    /// The platform endpoint of a region closes connections.
-    Outage(usize),
+    /// The platform closes all connections of readers in both regions.
+    Outage,
     /// Half of the daemons are killed and started again.
     Restart,
     /// The platform endpoint of a region keeps showing its value.
@@ -78,6 +78,7 @@
     let mut random = Random::new(seed);
     let mut fleet = Fleet::start(FleetOptions {
         count: DAEMONS,
+        probes: None,
         relay: false,
     })?;
     thread::sleep(STEP);
@@ -101,13 +102,13 @@
 
 /// All kinds of steps in a random order.
 fn steps(random: &mut Random) -> Vec<Step> {
-    let (first, second) = (random.below(2), random.below(2));
+    let stale = random.below(2);
     let mut left = vec![
         Step::Clear,
-        Step::Outage(first),
+        Step::Outage,
         Step::Restart,
         Step::Restart,
-        Step::Stale(second),
+        Step::Stale(stale),
         Step::TwoPatches,
         Step::TwoPatches,
     ];
@@ -126,12 +127,11 @@
 ) -> Result<Option<bool>, CapacityError> {
     match step {
         Step::Clear => {
-            fleet.platform_fault(0, &json!({}))?;
-            fleet.platform_fault(1, &json!({}))?;
+            set_platform(fleet, &json!({}))?;
             Ok(Some(false))
         }
-        Step::Outage(region) => {
-            fleet.platform_fault(region, &json!({ "down": true }))?;
+        Step::Outage => {
+            set_platform(fleet, &json!({ "down": true }))?;
             Ok(Some(true))
         }
         Step::Restart => {
@@ -159,6 +159,11 @@
     }
 }
 
+fn set_platform(fleet: &Fleet, fault: &Value) -> Result<(), CapacityError> {
+    fleet.platform_fault(0, fault)?;
+    fleet.platform_fault(1, fault)
+}
+
 fn evaluate(
     fleet: &Fleet,
     healthy: &BTreeMap<u64, u64>,
--- a/crates/testkit/src/capacity/measure.rs
+++ b/crates/testkit/src/capacity/measure.rs
@@ -38,6 +38,8 @@
     pub patches: u32,
     /// Phases.
     pub phases: Phases,
+    /// Probes by each daemon in 100 seconds; the settings' default if absent.
+    pub probes: Option<u32>,
     /// Wait after the start before the steady state is measured.
     pub settle: Duration,
     /// Length of the steady state.
@@ -92,6 +94,7 @@
 pub fn measure_fleet(options: &MeasureOptions) -> Result<FleetFigures, CapacityError> {
     let mut fleet = Fleet::start(FleetOptions {
         count: options.count,
+        probes: options.probes,
         relay: true,
     })?;
     thread::sleep(options.settle);
--- a/crates/testkit/src/capacity/mod.rs
+++ b/crates/testkit/src/capacity/mod.rs
@@ -25,6 +25,7 @@
 pub use plan::{fleet_plan, rules_patch};
 pub use report::{fits, render_fits, render_fleets};
 pub use requests::{RequestFigures, measure_requests, render_requests};
+pub use sample::{Rates, Sample};
 
 /// Why a measurement can't be carried out.
 #[derive(Debug)]
--- a/crates/testkit/tests/spread.rs
+++ b/crates/testkit/tests/spread.rs
@@ -12,6 +12,7 @@
 fn start(count: usize) -> Fleet {
     let options = FleetOptions {
         count,
+        probes: None,
         relay: false,
     };
     Fleet::start(options).expect("the fleet starts")
