Allow few streams on a peer connection, as quinn keeps state for each

Cause: quinn allocates state for every stream that the peer may open when a connection starts, used or not. With 4,096 streams each end of each connection took about 300 KB, so that the memory of a daemon grew by 0.4 MB for each further daemon in the fleet; a daemon of a fleet of 540 that talks to all others would have needed some 200 MB and the bound is 64 MB.

Ruled out: the member table and the configuration. All fleets had the configuration of 540 targets, and an announcement takes about 100 bytes.

Before: 421 KiB for each connection in the new test; 19.3 MiB a daemon in a fleet of 24 with 28.6 connections. After: 10.1 MiB with 25.9 connections, and the test passes its bound of 150 KiB.

Conclusion: a peer may open 256 streams, and the side that opened the connection accepts none, since each daemon sends its requests over connections of its own. A daemon with more than 256 requests in flight at one other daemon now waits for a stream.

--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -27,8 +27,11 @@
 const IDLE_TIMEOUT: Duration = Duration::from_mins(5);
 /// Round trip assumed before the first sample; bounds how late a lost first packet is sent again.
 const INITIAL_RTT: Duration = Duration::from_millis(50);
-/// Streams that one peer may have open.
-const STREAM_LIMIT: u32 = 4096;
+/// Streams that one peer may have open; requests beyond wait for one.
+///
+/// quinn keeps state for each stream that a peer may open, open or not: 4,096 cost some 300 KB for
+/// each end of each connection. A target runs and queues far fewer requests of one peer.
+const STREAM_LIMIT: u32 = 256;
 /// Bytes for datagrams, which carry no content.
 const DATAGRAM_BUFFER: usize = 1024;
 /// Code on connections closed by a planned stop.
@@ -174,9 +177,9 @@
     let secret = parse_secret(&settings.secret).ok_or(StartError::Secret)?;
     let (mut client, mut server) =
         fleet_key::configs(&secret).change_context(StartError::Secret)?;
-    let transport = Arc::new(transport());
-    client.transport_config(Arc::clone(&transport));
-    server.transport_config(transport);
+    // Each daemon opens connections of its own for its requests, so only accepted ones take streams.
+    client.transport_config(Arc::new(transport(0)));
+    server.transport_config(Arc::new(transport(STREAM_LIMIT)));
     let bind = StartError::Bind(settings.listen);
     let socket = UdpSocket::bind(settings.listen).change_context(bind.clone())?;
     let runtime = Arc::new(MonoioRuntime::new(traffic));
@@ -186,13 +189,13 @@
     Ok(endpoint)
 }
 
-fn transport() -> TransportConfig {
+fn transport(streams: u32) -> TransportConfig {
     let mut transport = TransportConfig::default();
     let idle = IdleTimeout::try_from(IDLE_TIMEOUT).expect("the timeout fits a QUIC integer");
     transport
         .datagram_receive_buffer_size(Some(DATAGRAM_BUFFER))
         .initial_rtt(INITIAL_RTT)
-        .max_concurrent_bidi_streams(VarInt::from_u32(STREAM_LIMIT))
+        .max_concurrent_bidi_streams(VarInt::from_u32(streams))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
         .max_idle_timeout(Some(idle));
     transport
--- a/crates/testkit/tests/spread.rs
+++ b/crates/testkit/tests/spread.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hawthornwall_testkit::capacity::{Fleet, FleetOptions};
+use hawthornwall_testkit::capacity::{Fleet, FleetOptions, Sample};
 use hawthornwall_testkit::launcher::LaunchError;
 use serde_json::{Value, json};
 
@@ -71,3 +71,23 @@
         .and_then(|s| s.pointer("/control/ready")?.as_bool());
     assert_eq!(ready, Some(true));
 }
+
+/// Means of memory in KiB and open connections, some time after the start.
+fn memory_and_connections(count: usize) -> [f64; 2] {
+    let fleet = start(count);
+    std::thread::sleep(Duration::from_secs(1));
+    let sample = Sample::take(&fleet);
+    let rates = sample.rates(&Sample::take(&fleet), |_| true);
+    [rates.memory_mib * 1024.0, rates.connections]
+}
+
+// Guards against state that is allocated for each peer connection whether it is needed or not: a
+// daemon of a large fleet has hundreds of them.
+#[test]
+fn a_peer_connection_takes_little_memory() {
+    let (few, many) = (memory_and_connections(6), memory_and_connections(24));
+    let [memory, connections] = [0, 1].map(|i| many[i] - few[i]);
+    assert!(connections > 4.0, "{connections} more connections");
+    let each = memory / connections;
+    assert!(each < 150.0, "{each:.0} KiB for each connection");
+}
