--- a/crates/testkit/src/bin/capacity.rs
+++ b/crates/testkit/src/bin/capacity.rs
@@ -1,4 +1,4 @@
-//! `capacity [--mode fleet|steady|requests|history] [--counts N,N,...] [--settle-s N] [--steady-s N]
+//! `capacity [--mode fleet|steady|requests|history|document] [--counts N,N,...] [--settle-s N] [--steady-s N]
 //! [--patches N] [--probes PER_100S] [--rates N,N,...] [--seconds N] [--seeds FIRST-LAST]`
 //!
 //! Prints tables, and the same as JSON. In mode `history` it ends with status 1 if a version went back
@@ -9,8 +9,9 @@
 
 use hawthornwall_testkit::arguments::{ArgumentError, Arguments};
 use hawthornwall_testkit::capacity::{
-    CapacityError, HistoryRow, MeasureOptions, Phases, fits, measure_fleet, measure_requests,
-    prove_history, render_fits, render_fleets, render_history, render_requests,
+    CapacityError, HistoryRow, MeasureOptions, Phases, fits, measure_documents, measure_fleet,
+    measure_requests, prove_history, render_documents, render_fits, render_fleets, render_history,
+    render_requests,
 };
 use serde::Serialize;
 
@@ -25,6 +26,13 @@
         "" | "fleet" => measure_fleets(&arguments, Phases::All)?,
         "steady" => measure_fleets(&arguments, Phases::Steady)?,
         "requests" => measure_request_path(&arguments)?,
+        "document" => {
+            let figures =
+                measure_documents(&list(&arguments, "counts", &[0, 100, 500, 1_000, 2_700])?);
+            println!("{}", render_documents(&figures));
+            print_json(&figures);
+            ExitCode::SUCCESS
+        }
         "history" => prove(&arguments)?,
         _ => return Err(ArgumentError::Value("mode".to_owned()).into()),
     })
--- a/crates/testkit/src/capacity/mod.rs
+++ b/crates/testkit/src/capacity/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariant: a figure comes from a bounded run; extrapolations are named as such.
 
+mod document;
 mod fit;
 mod fleet;
 mod history;
@@ -18,6 +19,7 @@
 use crate::arguments::ArgumentError;
 use crate::launcher::LaunchError;
 
+pub use document::{DocumentFigures, measure_documents, render_documents};
 pub use fit::Fit;
 pub use fleet::{Fleet, FleetOptions};
 pub use history::{HistoryRow, prove_history, render_history};
