--- a/crates/testkit/src/target/workplace.rs
+++ b/crates/testkit/src/target/workplace.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::behaviour::{Behaviour, Load, Spread};
+use super::behaviour::{Behaviour, Load};
 use crate::random::Random;
 
 /// Number of a job, unique within one target.
@@ -192,7 +192,6 @@
         } = self.behaviour;
         let cold = now < self.start + Duration::from_millis(cold_ms);
         let factor = slow_factor * if cold { cold_factor } else { 1.0 };
-        let spread: Spread = spread;
         let base = self.random.spread(Duration::from_micros(mean_us), spread);
         base.mul_f64(factor)
     }
