Restore repeats under keys, and send Host in the fakes' contract tests

Repeats are off unless asked for, so experiments keep their load; the demonstration repeats 5% and the deployment test 50% of the calls with a key.

The contract tests of HTTP/1.1 parsing sent requests without Host, which the head check has refused since. They now send it, so that the ambiguous ones fail for the ambiguity alone.

--- a/crates/testkit/src/demo/figures.rs
+++ b/crates/testkit/src/demo/figures.rs
@@ -76,6 +76,8 @@
     pub mismatches: Mismatches,
     /// Measurement of targets.
     pub probes: ProbeFigures,
+    /// Outcomes of repeats under a key that was used before.
+    pub repeat_outcomes: BTreeMap<String, u64>,
     /// Calls through daemons.
     pub through: LatencyFigures,
     /// Outcomes of calls through daemons.
--- a/crates/testkit/src/demo/report.rs
+++ b/crates/testkit/src/demo/report.rs
@@ -28,6 +28,11 @@
         "  load average of the machine: {before} before, {after} after"
     );
     outcomes(&mut out, "through daemons", &figures.through_outcomes);
+    outcomes(
+        &mut out,
+        "repeats under a used key",
+        &figures.repeat_outcomes,
+    );
     outcomes(&mut out, "direct", &figures.direct_outcomes);
     mismatches(&mut out, figures);
     history(&mut out, figures);
--- a/crates/testkit/src/demo/run.rs
+++ b/crates/testkit/src/demo/run.rs
@@ -169,6 +169,7 @@
     LoadOptions {
         direct_percent: options.direct_percent.min(90),
         rate: options.rate,
+        repeat_percent: 5,
         requests: options.requests * 105 / through,
         seed: options.seed,
         ..LoadOptions::for_cluster(cluster)
@@ -184,12 +185,16 @@
     let runs = Runs::of(records);
     let delay = Duration::from_micros(cluster.plan().delay_us);
     let direct = results.iter().filter(|r| r.is_direct());
-    let through = results.iter().filter(|r| !r.is_direct());
+    let through = results
+        .iter()
+        .filter(|r| !r.is_direct() && !r.call.is_repeat());
+    let repeats = results.iter().filter(|r| r.call.is_repeat());
     Figures {
         direct: latency_figures(direct.clone(), &runs, load, delay),
         direct_outcomes: count_outcomes(direct),
         mismatches: check(results, records),
         probes: probe_figures(records, &runs),
+        repeat_outcomes: count_outcomes(repeats),
         through: latency_figures(through.clone(), &runs, load, delay),
         through_outcomes: count_outcomes(through),
         ..Figures::default()
--- a/crates/testkit/src/experiment/arrivals.rs
+++ b/crates/testkit/src/experiment/arrivals.rs
@@ -48,6 +48,7 @@
     calls.sort_by_key(|call| call.at);
     for (number, call) in (1..).zip(&mut calls) {
         call.number = number;
+        call.operation = number;
     }
     calls
 }
@@ -67,6 +68,8 @@
         chunked: false,
         kind,
         number: 0,
+        operation: 0,
+        repeated: false,
         route: Route::Daemon(random.below(daemons.max(1))),
         sent,
         service,
--- a/crates/testkit/src/load/arrivals.rs
+++ b/crates/testkit/src/load/arrivals.rs
@@ -36,6 +36,10 @@
     pub kind: CallKind,
     /// Its number, from 1.
     pub number: u64,
+    /// Number of the operation: that of the call itself, or of the call that it repeats.
+    pub operation: u64,
+    /// Whether the call is repeated under its key once it has ended.
+    pub repeated: bool,
     /// Where it is sent.
     pub route: Route,
     /// Length of the request's body, 0 for reads.
@@ -47,9 +51,14 @@
 }
 
 impl Call {
-    /// The request's body.
+    /// Whether it repeats another call.
+    pub fn is_repeat(&self) -> bool {
+        self.number != self.operation
+    }
+
+    /// The request's body, the same for a repeat.
     pub fn body(&self) -> Vec<u8> {
-        let pattern = format!("{}/", self.number);
+        let pattern = format!("{}/", self.operation);
         pattern.bytes().cycle().take(self.sent).collect()
     }
 }
@@ -90,6 +99,8 @@
         chunked: random.chance(25),
         kind,
         number,
+        operation: number,
+        repeated: random.chance(options.repeat_percent),
         route,
         sent,
         service,
--- a/crates/testkit/src/load/driver.rs
+++ b/crates/testkit/src/load/driver.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures::{FutureExt, StreamExt, select_biased};
@@ -18,6 +18,10 @@
 #[derive(Debug)]
 struct Driver<'a> {
     idle: BTreeMap<SocketAddr, Vec<Connection>>,
+    /// Highest number of a call; repeats get the next ones.
+    last_number: u64,
+    /// Calls that have not ended.
+    open: usize,
     options: &'a LoadOptions,
     records: Writer,
     results: Vec<CallResult>,
@@ -48,6 +52,8 @@
     let (sender, mut receiver) = unbounded();
     let mut driver = Driver {
         idle: BTreeMap::new(),
+        last_number: calls.iter().map(|c| c.number).max().unwrap_or(0),
+        open: 0,
         options,
         records: Writer::open(options.history.as_deref(), "caller")?,
         results: Vec::new(),
@@ -56,13 +62,12 @@
     let timer = Timer::start()?;
     driver.warm_up().await;
     let start = start.unwrap_or_else(Instant::now);
-    let count = calls.len();
     for call in calls {
         let planned = start + call.at;
         driver.serve_until(&mut receiver, &timer, planned).await;
-        driver.start_call(call, planned);
+        driver.start_call(call, planned, None);
     }
-    while driver.results.len() < count {
+    while driver.open > 0 {
         if let Some(message) = receiver.next().await {
             driver.take(message);
         }
@@ -109,17 +114,38 @@
                     let (address, _) = self.address(&result.call);
                     self.idle.entry(address).or_default().push(connection);
                 }
+                self.open -= 1;
+                self.repeat(&result);
                 self.results.push(*result);
             }
             Message::Record(at, event) => self.record(at, event),
         }
     }
 
+    /// Repeats a call under its key through another daemon, as a caller without an answer does.
+    fn repeat(&mut self, result: &CallResult) {
+        let unanswered = matches!(result.outcome.as_str(), "" | "unknown");
+        let due = result.call.repeated || unanswered && self.options.repeat_percent > 0;
+        let (Some(key), Route::Daemon(index)) = (&result.key, result.call.route) else {
+            return;
+        };
+        if due && !result.call.is_repeat() {
+            self.last_number += 1;
+            let call = Call {
+                number: self.last_number,
+                route: Route::Daemon((index + 1) % self.options.daemons.len()),
+                ..result.call
+            };
+            self.start_call(call, Instant::now(), Some(key.clone()));
+        }
+    }
+
     fn record(&mut self, at: u64, event: Event) {
         self.records.append_at(at, event);
     }
 
-    fn start_call(&mut self, call: Call, planned: Instant) {
+    fn start_call(&mut self, call: Call, planned: Instant, key: Option<String>) {
+        self.open += 1;
         let (address, beside) = self.address(&call);
         let idle = self.idle.entry(address).or_default();
         let mut connection = idle.pop();
@@ -131,8 +157,11 @@
             call,
             beside,
             driver: self.sender.clone(),
+            key,
+            late: Duration::ZERO,
             planned,
             service: self.options.services[call.service].name.clone(),
+            timeout: self.options.timeout,
         };
         monoio::spawn(perform(job, connection));
     }
--- a/crates/testkit/src/load/exchange.rs
+++ b/crates/testkit/src/load/exchange.rs
@@ -17,9 +17,6 @@
 use crate::payload::{CHUNKED_HEADER, REQUEST_HEADER, SIZE_HEADER, Verdict, verify};
 use crate::wall_micros;
 
-/// Longest wait for an answer, well above every deadline of the system.
-const TIMEOUT: Duration = Duration::from_secs(30);
-
 /// What call tasks tell the driver.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -37,9 +34,14 @@
     /// Name of the target beside the daemon, absent for a direct call.
     pub beside: Option<String>,
     pub driver: UnboundedSender<Message>,
-    /// The planned arrival.
+    /// The key, once it has been issued.
+    pub key: Option<String>,
+    /// How much later than planned the task began.
+    pub late: Duration,
+    /// The planned arrival; with a new key, the time after it was issued.
     pub planned: Instant,
     pub service: String,
+    pub timeout: Duration,
 }
 
 #[derive(Deserialize)]
@@ -48,51 +50,45 @@
 }
 
 /// Carries out one call and hands its connection back.
-pub(super) async fn perform(job: Job, idle: Option<Connection>) {
-    let mut start = job.planned;
-    let late = start.elapsed();
-    let mut connection = match idle {
-        Some(connection) => Ok(connection),
-        None => Connection::open(job.address).await,
+pub(super) async fn perform(mut job: Job, idle: Option<Connection>) {
+    let driver = job.driver.clone();
+    job.late = job.planned.elapsed();
+    let (result, connection) = match prepare(&mut job, idle).await {
+        Ok(connection) => exchange_recorded(&job, connection).await,
+        Err((status, reason)) => (job.not_sent(status, reason), None),
     };
-    let key = match (job.call.kind, &mut connection) {
-        (CallKind::KeyedPost, Ok(open)) => {
-            let issued = issue_key(&job, open).await;
-            start = Instant::now();
-            issued
-        }
-        _ => Ok(None),
+    let _ = driver.unbounded_send(Message::Done(Box::new(result), connection));
+}
+
+/// A connection, and the key if the call needs a new one; else the status and reason of the refusal.
+async fn prepare(job: &mut Job, idle: Option<Connection>) -> Result<Connection, (u16, String)> {
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => Connection::open(job.address)
+            .await
+            .map_err(|_| (0, "no connection".to_owned()))?,
     };
-    let (key, answer) = match (key, &mut connection) {
-        (Ok(key), Ok(open)) => {
-            job.record(sent_event(&job, key.as_deref()));
-            job.record_route();
-            let answer = exchange(open, &job.request(key.as_deref())).await;
-            (key, answer.ok())
+    match job.call.kind {
+        CallKind::KeyedPost if job.key.is_none() => {
+            job.key = Some(issue_key(job, &mut connection).await?);
+            job.planned = Instant::now();
         }
-        // Without a key nothing is sent; the call counts as refused.
-        (Err(refusal), Ok(_)) => {
-            let result = CallResult {
-                late,
-                ..no_key_result(&job, refusal, start.elapsed())
-            };
-            let _ = job
-                .driver
-                .unbounded_send(Message::Done(Box::new(result), None));
-            return;
-        }
-        (_, Err(_)) => (None, None),
-    };
-    let result = CallResult {
-        late,
-        ..judge(&job, key, answer.as_ref(), start.elapsed())
-    };
+        CallKind::KeyedPost | CallKind::Post | CallKind::Read => {}
+    }
+    Ok(connection)
+}
+
+async fn exchange_recorded(
+    job: &Job,
+    mut connection: Connection,
+) -> (CallResult, Option<Connection>) {
+    job.record(sent_event(job));
+    job.record_route();
+    let answer = exchange(&mut connection, &job.request(), job.timeout).await;
+    let result = judge(job, answer.as_ref().ok(), job.planned.elapsed());
     job.record(received_event(&result));
-    let reusable = answer.is_some_and(|a| keeps_alive(&a));
-    let connection = connection.ok().filter(|c| reusable && !c.has_rest());
-    let _ = job
-        .driver
-        .unbounded_send(Message::Done(Box::new(result), connection));
+    let reusable = answer.is_ok_and(|a| keeps_alive(&a)) && !connection.has_rest();
+    (result, reusable.then_some(connection))
 }
 
 impl Job {
@@ -101,6 +97,28 @@
         let _ = self.driver.unbounded_send(message);
     }
 
+    fn result(&self, latency: Duration) -> CallResult {
+        CallResult {
+            call: self.call,
+            key: self.key.clone(),
+            late: self.late,
+            latency,
+            outcome: String::new(),
+            reason: String::new(),
+            status: 0,
+            verdict: Verdict::default(),
+        }
+    }
+
+    fn not_sent(&self, status: u16, reason: String) -> CallResult {
+        CallResult {
+            outcome: "not sent".to_owned(),
+            reason,
+            status,
+            ..self.result(self.planned.elapsed())
+        }
+    }
+
     fn record_route(&self) {
         if let Some(target) = &self.beside {
             self.record(Event::Routed {
@@ -115,11 +133,12 @@
         builder.header("host", self.address.to_string())
     }
 
-    fn request(&self, key: Option<&str>) -> Request<Bytes> {
+    fn request(&self) -> Request<Bytes> {
         let Call {
             chunked,
             kind,
             number,
+            operation,
             size,
             ..
         } = self.call;
@@ -128,13 +147,13 @@
             CallKind::KeyedPost | CallKind::Post => "POST",
         };
         let mut builder = self
-            .builder(method, format!("/{}/item?call={number}", self.service))
+            .builder(method, format!("/{}/item?call={operation}", self.service))
             .header(REQUEST_HEADER, number)
             .header(SIZE_HEADER, size);
         if chunked {
             builder = builder.header(CHUNKED_HEADER, 1);
         }
-        if let Some(key) = key {
+        if let Some(key) = &self.key {
             builder = builder.header("idempotency-key", key);
         }
         let request = builder.body(self.call.body().into());
@@ -145,59 +164,29 @@
 async fn exchange(
     connection: &mut Connection,
     request: &Request<Bytes>,
+    timeout: Duration,
 ) -> Result<Response<Bytes>, Fault> {
-    let answer = monoio::time::timeout(TIMEOUT, connection.exchange(request)).await;
+    let answer = monoio::time::timeout(timeout, connection.exchange(request)).await;
     answer.unwrap_or(Err(Fault::Cut))
 }
 
-/// The key that the daemon issues, or its refusal; without an answer the status is 0.
-async fn issue_key(
-    job: &Job,
-    connection: &mut Connection,
-) -> Result<Option<String>, (u16, String)> {
+/// The key that the daemon issues, or status and reason of its refusal; without an answer the status
+/// is 0.
+async fn issue_key(job: &Job, connection: &mut Connection) -> Result<String, (u16, String)> {
     let path = format!("/.hawthornwall/keys/{}", job.service);
     let request = job.builder("POST", path).body(Bytes::new());
     let request = request.expect("the parts of the request are valid");
-    let answer = exchange(connection, &request).await;
-    let answer = answer.map_err(|_| (0, String::new()))?;
+    let answer = exchange(connection, &request, job.timeout).await;
+    let answer = answer.map_err(|_| (0, "no key".to_owned()))?;
     let status = answer.status().as_u16();
     match serde_json::from_slice::<Issued>(answer.body()) {
-        Ok(issued) if status == 201 => Ok(Some(issued.key)),
+        Ok(issued) if status == 201 => Ok(issued.key),
         _ => Err((status, header(&answer, "hawthornwall-reason"))),
     }
 }
 
-fn no_key_result(job: &Job, (status, reason): (u16, String), latency: Duration) -> CallResult {
-    let refused = status != 0;
-    CallResult {
-        call: job.call,
-        key: None,
-        late: Duration::ZERO,
-        latency,
-        outcome: if refused { "no key" } else { "" }.to_owned(),
-        reason,
-        status,
-        verdict: Verdict::default(),
-    }
-}
-
-fn judge(
-    job: &Job,
-    key: Option<String>,
-    answer: Option<&Response<Bytes>>,
-    latency: Duration,
-) -> CallResult {
-    let Call { number, size, .. } = job.call;
-    let mut result = CallResult {
-        call: job.call,
-        key,
-        late: Duration::ZERO,
-        latency,
-        outcome: String::new(),
-        reason: String::new(),
-        status: 0,
-        verdict: Verdict::default(),
-    };
+fn judge(job: &Job, answer: Option<&Response<Bytes>>, latency: Duration) -> CallResult {
+    let mut result = job.result(latency);
     if let Some(answer) = answer {
         result.status = answer.status().as_u16();
         result.outcome = header(answer, "hawthornwall-outcome");
@@ -207,11 +196,22 @@
             let outcome = if shed { "refused" } else { "answered" };
             outcome.clone_into(&mut result.outcome);
         }
-        result.verdict = verify(answer.body(), number, &job.call.body(), size);
+        result.verdict = own_verdict(&job.call, answer.body());
     }
     result
 }
 
+/// A repeat may get the answer of the call that it repeats.
+fn own_verdict(call: &Call, body: &[u8]) -> Verdict {
+    let as_number = |number| verify(body, number, &call.body(), call.size);
+    let own = as_number(call.number);
+    if own.whole || !call.is_repeat() {
+        own
+    } else {
+        as_number(call.operation)
+    }
+}
+
 fn header(answer: &Response<Bytes>, name: &str) -> String {
     let value = answer.headers().get(name).and_then(|v| v.to_str().ok());
     value.unwrap_or_default().to_owned()
@@ -221,11 +221,11 @@
     !header(answer, "connection").eq_ignore_ascii_case("close")
 }
 
-fn sent_event(job: &Job, key: Option<&str>) -> Event {
+fn sent_event(job: &Job) -> Event {
     Event::Sent {
         idempotent: job.call.kind == CallKind::Read,
-        key: key.map(str::to_owned),
-        operation: job.call.number,
+        key: job.key.clone(),
+        operation: job.call.operation,
         request: job.call.number,
         service: job.service.clone(),
     }
--- a/crates/testkit/src/load/options.rs
+++ b/crates/testkit/src/load/options.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use crate::launcher::Cluster;
 
@@ -38,12 +39,17 @@
     pub post_percent: u32,
     /// Calls a second.
     pub rate: f64,
-    /// Number of calls.
+    /// Share of calls with a key that are repeated through another daemon, in percent. Unless it is 0,
+    /// those without an answer are repeated too.
+    pub repeat_percent: u32,
+    /// Number of calls, without repeats.
     pub requests: u64,
     /// Seed of arrivals, routes and sizes.
     pub seed: u64,
     /// Services that are called.
     pub services: Vec<ServiceLoad>,
+    /// Longest wait of a caller for an answer.
+    pub timeout: Duration,
     /// Connections opened to each daemon and target before the first call.
     pub warm: usize,
 }
@@ -68,9 +74,12 @@
             history: Some(cluster.folder().join("callers.history")),
             post_percent: 30,
             rate: 500.0,
+            repeat_percent: 0,
             requests: 10_000,
             seed: 1,
             services: names.map(service).collect(),
+            // Well above every deadline of the system.
+            timeout: Duration::from_secs(30),
             warm: 4,
         }
     }
--- a/crates/testkit/src/load/result.rs
+++ b/crates/testkit/src/load/result.rs
@@ -20,7 +20,7 @@
     /// Time from the planned arrival to the whole answer; with a key, from the sending of the call.
     pub latency: Duration,
     /// `Hawthornwall-Outcome`; for a direct call derived from the status; empty if there is no whole
-    /// answer.
+    /// answer; `not sent` if there was no connection or no key.
     pub outcome: String,
     /// `Hawthornwall-Reason`.
     pub reason: String,
--- a/crates/testkit/tests/check.rs
+++ b/crates/testkit/tests/check.rs
@@ -19,6 +19,8 @@
             chunked: false,
             kind,
             number: 7,
+            operation: 7,
+            repeated: false,
             route: Route::Daemon(0),
             sent: 0,
             service: 0,
@@ -91,6 +93,22 @@
     assert_eq!(found, expected);
 }
 
+// Guards against a second execution that hides behind the number of a repeat.
+#[test]
+fn repeat_that_ran_again() {
+    let first = result(CallKind::KeyedPost, "answered", true);
+    let mut repeat = first.clone();
+    repeat.call.number = 8;
+    let mut again = records(&RUN);
+    let replayed = check(&[first.clone(), repeat.clone()], &again);
+    again.push(Record {
+        event: Event::RunStarted { request: 8 },
+        ..again[0].clone()
+    });
+    let ran = check(&[first, repeat], &again);
+    assert_debug_snapshot!((replayed.total(), ran));
+}
+
 // Guards against added latency that counts a hedged request's first run as time outside the targets.
 // Records are 100 us apart.
 #[rstest]
--- a/crates/testkit/tests/common/mod.rs
+++ b/crates/testkit/tests/common/mod.rs
@@ -37,6 +37,7 @@
     let mut words = head.split_whitespace();
     let (method, path) = (words.next().expect("method"), words.next().expect("path"));
     let mut builder = Request::builder().method(method).uri(path);
+    builder = builder.header("host", address.to_string());
     for (name, value) in words.filter_map(|w| w.split_once('=')) {
         builder = builder.header(name, value);
     }
--- a/crates/testkit/tests/deployment.rs
+++ b/crates/testkit/tests/deployment.rs
@@ -21,6 +21,7 @@
     let load = LoadOptions {
         direct_percent: 10,
         rate: 200.0,
+        repeat_percent: 50,
         requests: 400,
         ..LoadOptions::for_cluster(&cluster)
     };
--- a/crates/testkit/tests/http1.rs
+++ b/crates/testkit/tests/http1.rs
@@ -8,14 +8,14 @@
 // Guards against a message that is taken for whole before its end has arrived, or whose end is put
 // elsewhere than its framing says.
 #[rstest]
-#[case::length("POST /a HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc", "abc")]
+#[case::length("POST /a HTTP/1.1\r\nhost: b\r\ncontent-length: 3\r\n\r\nabc", "abc")]
 #[case::no_body("GET /a HTTP/1.1\r\nhost: b\r\n\r\n", "")]
 #[case::chunked(
-    "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+    "POST / HTTP/1.1\r\nhost: b\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
     "abc"
 )]
 #[case::trailer(
-    "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1\r\nc\r\n0\r\na: b\r\n\r\n",
+    "POST / HTTP/1.1\r\nhost: b\r\ntransfer-encoding: chunked\r\n\r\n1\r\nc\r\n0\r\na: b\r\n\r\n",
     "c"
 )]
 fn requests_end_where_their_framing_says(#[case] text: &str, #[case] body: &str) {
@@ -23,7 +23,7 @@
         let parsed = parse_request(&text.as_bytes()[..cut]).expect("no fault");
         assert!(parsed.is_none(), "whole after {cut} bytes");
     }
-    let next = format!("{text}GET /next HTTP/1.1\r\n\r\n");
+    let next = format!("{text}GET /next HTTP/1.1\r\nhost: b\r\n\r\n");
     let (request, length) = parse_request(next.as_bytes())
         .expect("no fault")
         .expect("whole");
@@ -35,9 +35,15 @@
 
 // Guards against messages that two parties could delimit differently.
 #[rstest]
-#[case::two_lengths("POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab")]
-#[case::both("POST / HTTP/1.1\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n")]
-#[case::long_chunk("POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1\r\nabcd\r\n0\r\n\r\n")]
+#[case::two_lengths(
+    "POST / HTTP/1.1\r\nhost: b\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab"
+)]
+#[case::both(
+    "POST / HTTP/1.1\r\nhost: b\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+)]
+#[case::long_chunk(
+    "POST / HTTP/1.1\r\nhost: b\r\ntransfer-encoding: chunked\r\n\r\n1\r\nabcd\r\n0\r\n\r\n"
+)]
 fn ambiguous_requests_are_faults(#[case] text: &str) {
     assert!(parse_request(text.as_bytes()).is_err());
 }
--- a/crates/testkit/tests/load.rs
+++ b/crates/testkit/tests/load.rs
@@ -1,5 +1,7 @@
 //! Load generator and launcher, on targets without daemons.
 
+use std::time::Duration;
+
 use hawthornwall_testkit::launcher::{Cluster, ClusterOptions, Deployment};
 use hawthornwall_testkit::load::{LoadOptions, check, count_outcomes, plan_calls, run_load};
 use hawthornwall_testkit::run;
@@ -36,6 +38,7 @@
         history: None,
         post_percent: 30,
         rate: 100.0,
+        repeat_percent: 0,
         requests: 1_000,
         seed: 7,
         services: vec![hawthornwall_testkit::load::ServiceLoad {
@@ -46,6 +49,7 @@
                 name: "order-1".to_owned(),
             }],
         }],
+        timeout: Duration::from_secs(1),
         warm: 0,
     };
     let calls = plan_calls(&load);
