--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -27,7 +27,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_mins(5);
 /// Round trip assumed before the first sample; bounds how late a lost first packet is sent again.
 const INITIAL_RTT: Duration = Duration::from_millis(50);
-/// Streams that one peer may have open; requests beyond wait for one.
+/// Requests that one peer may have in flight here; one more is refused at once.
 ///
 /// quinn keeps state for each stream that a peer may open, open or not: 4,096 cost some 300 KB for
 /// each end of each connection. A target runs and queues far fewer requests of one peer.
--- a/crates/testkit/src/capacity/plan.rs
+++ b/crates/testkit/src/capacity/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hawthornwall_core::config::{Change, Document, Patch, RulesChange};
+use hawthornwall_core::config::{Change, Document, Patch, Rules, RulesChange};
 use hawthornwall_core::ids::Version;
 
 use crate::launcher::{Plan, ServicePlan, TargetPlan};
@@ -29,6 +29,7 @@
     };
     Plan {
         delay_us: 1_500,
+        rules: Rules::default(),
         services: (0..SERVICES).map(service).collect(),
         slots: 10,
     }
