Record that a drained target takes work again

Cause: the runner told the target to serve again, which a target does not record, so the checker held it to be leaving for the rest of the run. Ruled out: the daemons, since every start reported was later than the order to serve. The check itself is unchanged; the runner now records this change of presence like all others that it causes.

--- a/crates/testkit/src/faults/inject.rs
+++ b/crates/testkit/src/faults/inject.rs
@@ -57,6 +57,10 @@
         sleep(step.wait);
         match &step.action {
             Action::Behave(set, changes) => self.each(*set, |injector, index| {
+                // A target records that it leaves, but not that it takes work again.
+                if changes["state"] == "serving" {
+                    injector.cluster.record_target(index, Change::Restored);
+                }
                 injector.cluster.control_target(index, changes).map(drop)
             }),
             Action::Cold(_) => {
