Pause before a request is sent again, and exchange once a second

Repeats now wait 20 ms, doubling. A daemon that misses a push gets the version by the next exchange; the interval of 2 s was itself the bound for today's sizes, so it is 1 s now. An oversized length is refused without asking for the body first. Ruled out: the ring, which listed the restarted daemon.

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -14,6 +14,9 @@
 /// definite refusal is worth more to the caller than an unknown outcome.
 const REPLY_GRACE: Duration = Duration::from_millis(20);
 
+/// Pause before a request is sent again to the same target; doubles with each attempt.
+const RESEND_PAUSE: Duration = Duration::from_millis(20);
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Attempt {
     /// The run that it was sent to, as far as it is known.
@@ -31,9 +34,20 @@
     finished: bool,
     hedge: Option<Time>,
     picking: Option<PickKind>,
+    /// When a request that may be sent again to the same target goes out.
+    resend: Option<(Time, Resend)>,
     spec: Spec,
 }
 
+/// What is sent again after a pause.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Resend {
+    /// A keyed request.
+    Keyed(TargetId),
+    /// The repeat of an attempt under its request id.
+    Repeat(AttemptId),
+}
+
 impl Call {
     /// A call and the first thing to do for it.
     pub fn start(spec: Spec, now: Time) -> (Self, Vec<Effect>) {
@@ -42,6 +56,7 @@
             finished: false,
             hedge: None,
             picking: None,
+            resend: None,
             spec,
         };
         let mut effects = Vec::new();
@@ -73,8 +88,9 @@
 
     /// When [`Event::Timer`] is due next.
     pub fn next_timer(&self) -> Time {
-        let end = self.deadline_timer();
-        self.hedge.map_or(end, |hedge| hedge.min(end))
+        let resend = self.resend.map(|(due, _)| due);
+        let due = [self.hedge, resend].into_iter().flatten();
+        due.fold(self.deadline_timer(), Time::min)
     }
 
     /// When the caller no longer wants an answer.
@@ -251,8 +267,8 @@
             Loss::Cancelled | Loss::Expired | Loss::KeyForgotten | Loss::Malformed => false,
         });
         match target {
-            Some(target) if self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline => {
-                self.send(target, None, Duration::MAX, effects);
+            Some(target) if self.may_resend(now) => {
+                self.resend = Some((self.resend_time(now), Resend::Keyed(target)));
             }
             Some(_) | None => self.finish(Outcome::Unknown(loss), None, effects),
         }
@@ -261,28 +277,47 @@
     /// Repeats a non-idempotent request whose connection was lost, under its request id, at the run
     /// that may have received it. That run remembers the id and runs it only if it never saw it.
     fn ask_again(&mut self, id: AttemptId, loss: Loss, now: Time, effects: &mut Vec<Effect>) {
+        let known = self.attempts[usize::from(id.0)].instance.is_some();
+        if loss == Loss::Closed && known && self.may_resend(now) {
+            self.resend = Some((self.resend_time(now), Resend::Repeat(id)));
+        } else {
+            self.finish(Outcome::Unknown(loss), None, effects);
+        }
+    }
+
+    fn may_resend(&self, now: Time) -> bool {
+        self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline
+    }
+
+    /// The pause doubles with each attempt, since a peer that has just started can't be reached for
+    /// some milliseconds and four attempts at once would all fail.
+    fn resend_time(&self, now: Time) -> Time {
+        now + RESEND_PAUSE * (1 << (self.attempts.len() - 1).min(8))
+    }
+
+    fn resend(&mut self, resend: Resend, effects: &mut Vec<Effect>) {
+        let id = match resend {
+            Resend::Keyed(target) => return self.send(target, None, Duration::MAX, effects),
+            Resend::Repeat(id) => id,
+        };
         let Attempt {
             instance,
             repeats,
             target,
             ..
         } = self.attempts[usize::from(id.0)];
-        let more = self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline;
-        let (Some(instance), Loss::Closed, true) = (instance, loss, more) else {
-            return self.finish(Outcome::Unknown(loss), None, effects);
-        };
+        let Some(run) = instance else { return };
         let attempt = AttemptId(self.attempts.len() as u8);
         let of = repeats.unwrap_or(id);
-        let (instance_known, repeats) = (Some(instance), Some(of));
         self.attempts.push(Attempt {
-            instance: instance_known,
-            repeats,
+            instance,
+            repeats: Some(of),
             result: None,
             target,
         });
         effects.push(Effect::Repeat {
             attempt,
-            instance,
+            instance: run,
             of,
             target,
         });
@@ -324,6 +359,9 @@
     fn expire(&mut self, now: Time, effects: &mut Vec<Effect>) {
         if now >= self.deadline_timer() {
             self.give_up(Loss::Expired, Refusal::Expired, effects);
+        } else if let Some((_, resend)) = self.resend.filter(|(due, _)| *due <= now) {
+            self.resend = None;
+            self.resend(resend, effects);
         } else if self.hedge.is_some_and(|due| due <= now) {
             self.hedge = None;
             if self.picking.is_none()
--- a/crates/node/src/http/stream.rs
+++ b/crates/node/src/http/stream.rs
@@ -168,6 +168,11 @@
         let _ = monoio::time::timeout(LINGER, discard).await;
     }
 
+    /// Bytes that a body may have.
+    pub fn body_limit(&self) -> usize {
+        self.limits.body
+    }
+
     /// Whether bytes have arrived that no message has consumed.
     pub fn has_buffered(&self) -> bool {
         !self.buf.is_empty()
--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -90,7 +90,8 @@
         .headers
         .get(EXPECT)
         .is_some_and(|v| v.as_bytes() == b"100-continue");
-    if expects && framing != Framing::None && !stream.has_buffered() {
+    let fits = !matches!(framing, Framing::Length(length) if length > stream.body_limit());
+    if expects && fits && framing != Framing::None && !stream.has_buffered() {
         stream
             .write(CONTINUE.to_vec())
             .await
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -209,7 +209,7 @@
 
     required("admin.listen", Kind::Address, "TCP address of the operators' listener."),
 
-    number("control.exchange_ms", 2_000, Unit::Milliseconds, (10, 60_000), "Time between two exchanges with a peer."),
+    number("control.exchange_ms", 1_000, Unit::Milliseconds, (10, 60_000), "Time between two exchanges with a peer."),
     number("control.start_wait_ms", 2_000, Unit::Milliseconds, (0, 60_000),
         "How long a daemon that has heard from only one source waits for others before it serves."),
     number("control.watchers", 2, Unit::Count, (1, 100), "Daemons of each failure domain that watch the platform."),
