--- a/crates/testkit/src/launcher/cluster.rs
+++ b/crates/testkit/src/launcher/cluster.rs
@@ -147,27 +147,6 @@
         Ok(cluster)
     }
 
-    /// Starts several daemons together, killing those that run, and waits until all are ready.
-    ///
-    /// # Errors
-    ///
-    /// One can't be started or doesn't become ready.
-    pub fn restart_daemons(&mut self, indices: &[usize]) -> Result<(), LaunchError> {
-        for index in indices {
-            if self.nodes[*index].daemon.is_some() {
-                self.kill_daemon(*index);
-            }
-        }
-        // All are started before the first is waited for: each needs peers to be ready.
-        for index in indices {
-            self.spawn_daemon(*index)?;
-        }
-        for index in indices {
-            self.wait_daemon(*index)?;
-        }
-        Ok(())
-    }
-
     /// Folder with settings, histories (`*.history`) and logs (`*.log`).
     pub fn folder(&self) -> &Path {
         self.folder.path()
@@ -198,15 +177,6 @@
         self.options.behaviour = behaviour;
     }
 
-    /// Starts the daemon of one instance, killing one that runs, and waits until it is ready.
-    ///
-    /// # Errors
-    ///
-    /// It can't be started or doesn't become ready.
-    pub fn restart_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
-        self.restart_daemons(&[index])
-    }
-
     /// Starts the target of one instance, killing one that runs, and waits until it is ready.
     ///
     /// # Errors
@@ -261,7 +231,7 @@
         }
     }
 
-    fn spawn_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
+    pub(super) fn spawn_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
         let name = self.nodes[index].plan.name.clone();
         let settings = self.daemon_settings(index)?;
         let path = self.write(&format!("{name}.json"), &settings)?;
@@ -273,7 +243,7 @@
         Ok(())
     }
 
-    fn wait_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
+    pub(super) fn wait_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
         let admin = self.nodes[index].place.admin;
         let ready = || json_once(admin, "GET", "/status", "").is_ok();
         if let Some(child) = self.daemon(index) {
--- a/crates/testkit/src/launcher/presence.rs
+++ b/crates/testkit/src/launcher/presence.rs
@@ -78,6 +78,36 @@
         Ok(killed)
     }
 
+    /// Starts several daemons together, killing those that run, and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// One can't be started or doesn't become ready.
+    pub fn restart_daemons(&mut self, indices: &[usize]) -> Result<(), LaunchError> {
+        for index in indices {
+            if self.nodes[*index].daemon.is_some() {
+                self.kill_daemon(*index);
+            }
+        }
+        // All are started before the first is waited for: each needs peers to be ready.
+        for index in indices {
+            self.spawn_daemon(*index)?;
+        }
+        for index in indices {
+            self.wait_daemon(*index)?;
+        }
+        Ok(())
+    }
+
+    /// Starts the daemon of one instance, killing one that runs, and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started or doesn't become ready.
+    pub fn restart_daemon(&mut self, index: usize) -> Result<(), LaunchError> {
+        self.restart_daemons(&[index])
+    }
+
     /// Kills a daemon.
     pub fn kill_daemon(&mut self, index: usize) {
         self.record_daemon(index, Change::Killed);
