Give the measuring tools a crate of their own

The test kit had grown to fakes, launcher and checker on one side and load generator, demonstration, experiments, capacity measurement and fault runs on the other. The tools are a product part that uses the kit, so they lie above it. Files moved unchanged but for paths and dependencies.

--- a/crates/testkit/src/bin/capacity.rs
+++ b/crates/measure/src/bin/capacity.rs
@@ -7,12 +7,12 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use hawthornwall_testkit::arguments::{ArgumentError, Arguments};
-use hawthornwall_testkit::capacity::{
+use hawthornwall_measure::capacity::{
     CapacityError, HistoryRow, MeasureOptions, Phases, fits, measure_documents, measure_fleet,
     measure_requests, prove_history, render_documents, render_fits, render_fleets, render_history,
     render_requests,
 };
+use hawthornwall_testkit::arguments::{ArgumentError, Arguments};
 use serde::Serialize;
 
 const OPTIONS: [&str; 9] = [
--- a/crates/testkit/src/bin/demo.rs
+++ b/crates/measure/src/bin/demo.rs
@@ -6,8 +6,8 @@
 use std::error::Error;
 use std::process::ExitCode;
 
+use hawthornwall_measure::demo::{DemoOptions, OPTIONS, render, run_demo};
 use hawthornwall_testkit::arguments::Arguments;
-use hawthornwall_testkit::demo::{DemoOptions, OPTIONS, render, run_demo};
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     let arguments = Arguments::from_env(&OPTIONS)?;
--- a/crates/testkit/src/bin/experiment.rs
+++ b/crates/measure/src/bin/experiment.rs
@@ -8,10 +8,10 @@
 use std::fs;
 use std::process::ExitCode;
 
-use hawthornwall_testkit::arguments::Arguments;
-use hawthornwall_testkit::experiment::{
+use hawthornwall_measure::experiment::{
     ExperimentOptions, Figures, OPTIONS, PlanName, draw, render, run_experiment, to_json,
 };
+use hawthornwall_testkit::arguments::Arguments;
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     if std::env::args().skip(1).eq(["--list"]) {
--- a/crates/testkit/src/bin/faults.rs
+++ b/crates/measure/src/bin/faults.rs
@@ -5,8 +5,8 @@
 use std::error::Error;
 use std::process::ExitCode;
 
+use hawthornwall_measure::faults::{FaultOptions, OPTIONS, ROWS, Row, RowResult, render, run_row};
 use hawthornwall_testkit::arguments::Arguments;
-use hawthornwall_testkit::faults::{FaultOptions, OPTIONS, ROWS, Row, RowResult, render, run_row};
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     let arguments = Arguments::from_env(&OPTIONS)?;
--- a/crates/testkit/src/capacity/fleet.rs
+++ b/crates/measure/src/capacity/fleet.rs
@@ -10,10 +10,12 @@
 
 use super::CapacityError;
 use super::plan::{DOMAINS, TARGETS, fleet_plan, full_document, rules_patch};
-use crate::http1::json_once;
-use crate::launcher::{Child, Cluster, ClusterOptions, Folder, LaunchError, shared_address};
-use crate::platform::Stats;
-use crate::wall_micros;
+use hawthornwall_testkit::http1::json_once;
+use hawthornwall_testkit::launcher::{
+    Child, Cluster, ClusterOptions, Folder, LaunchError, shared_address,
+};
+use hawthornwall_testkit::platform::Stats;
+use hawthornwall_testkit::wall_micros;
 
 /// Longest wait for a shared process.
 const READY: Duration = Duration::from_secs(10);
--- a/crates/testkit/src/capacity/history.rs
+++ b/crates/measure/src/capacity/history.rs
@@ -14,8 +14,8 @@
 use super::measure::parties;
 use super::plan::rules_patch;
 use super::timing::{Spread, in_force_times};
-use crate::history::{self, Event, Invariant, Limits, Record};
-use crate::random::Random;
+use hawthornwall_testkit::history::{self, Event, Invariant, Limits, Record};
+use hawthornwall_testkit::random::Random;
 
 /// Daemons of each fleet.
 const DAEMONS: usize = 12;
--- a/crates/testkit/src/capacity/measure.rs
+++ b/crates/measure/src/capacity/measure.rs
@@ -11,7 +11,7 @@
 use super::fleet::{Fleet, FleetOptions, is_second, platform_stats};
 use super::sample::{Rates, Sample};
 use super::timing::{InForceTime, Spread, in_force_times};
-use crate::launcher::daemon_party;
+use hawthornwall_testkit::launcher::daemon_party;
 
 /// Daemons replaced to find what one replacement costs the others.
 const REPLACED: usize = 4;
@@ -184,7 +184,7 @@
     let reachable = in_force_times(&published, &records, &near);
     // The second region's platform stays stale: the version arrives from peers alone.
     fleet.heal()?;
-    let healed = BTreeMap::from([(version, crate::wall_micros())]);
+    let healed = BTreeMap::from([(version, hawthornwall_testkit::wall_micros())]);
     let far = parties(fleet, is_second);
     let end = Instant::now() + HEAL;
     let healed_ms = loop {
--- a/crates/testkit/src/capacity/mod.rs
+++ b/crates/measure/src/capacity/mod.rs
@@ -16,8 +16,8 @@
 use std::fmt;
 use std::io;
 
-use crate::arguments::ArgumentError;
-use crate::launcher::LaunchError;
+use hawthornwall_testkit::arguments::ArgumentError;
+use hawthornwall_testkit::launcher::LaunchError;
 
 pub use document::{DocumentFigures, measure_documents, render_documents};
 pub use fit::Fit;
--- a/crates/testkit/src/capacity/plan.rs
+++ b/crates/measure/src/capacity/plan.rs
@@ -5,7 +5,7 @@
 use hawthornwall_core::config::{Change, Document, Patch, Rules, RulesChange};
 use hawthornwall_core::ids::Version;
 
-use crate::launcher::{Plan, ServicePlan, TargetPlan};
+use hawthornwall_testkit::launcher::{Plan, ServicePlan, TargetPlan};
 
 /// Failure domains; the first letter and digit name the region.
 pub const DOMAINS: [&str; 6] = ["r1-a", "r2-a", "r1-b", "r2-b", "r1-c", "r2-c"];
--- a/crates/testkit/src/capacity/requests.rs
+++ b/crates/measure/src/capacity/requests.rs
@@ -11,10 +11,10 @@
 
 use super::CapacityError;
 use super::fit::Fit;
-use crate::launcher::{Child, Cluster, ClusterOptions, Deployment};
 use crate::load::{LoadOptions, run_load};
-use crate::procfs::Usage;
-use crate::run;
+use hawthornwall_testkit::launcher::{Child, Cluster, ClusterOptions, Deployment};
+use hawthornwall_testkit::procfs::Usage;
+use hawthornwall_testkit::run;
 
 /// Slots of each target, so that many requests can be in flight.
 const SLOTS: u32 = 100;
--- a/crates/testkit/src/capacity/sample.rs
+++ b/crates/measure/src/capacity/sample.rs
@@ -6,9 +6,9 @@
 use serde_json::Value;
 
 use super::fleet::Fleet;
-use crate::launcher::Child;
-use crate::platform::Stats;
-use crate::procfs::Usage;
+use hawthornwall_testkit::launcher::Child;
+use hawthornwall_testkit::platform::Stats;
+use hawthornwall_testkit::procfs::Usage;
 
 /// Counters of all daemons at one time.
 #[derive(Debug)]
@@ -52,7 +52,7 @@
     /// first sample's status requests.
     pub fn take(fleet: &Fleet) -> Self {
         let nodes = &fleet.cluster.nodes;
-        let usage = |node: &crate::launcher::Node| {
+        let usage = |node: &hawthornwall_testkit::launcher::Node| {
             let pid = node.daemon.as_ref().map(Child::pid);
             pid.and_then(|pid| Usage::of(pid).ok()).unwrap_or_default()
         };
--- a/crates/testkit/src/capacity/timing.rs
+++ b/crates/measure/src/capacity/timing.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::history::{Event, Record};
+use hawthornwall_testkit::history::{Event, Record};
 
 /// Milliseconds from publication to the first and the last daemon.
 #[derive(Clone, Copy, Debug, Serialize)]
--- a/crates/testkit/src/demo/figures.rs
+++ b/crates/measure/src/demo/figures.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::history::Report;
 use crate::load::{Mismatches, Quantiles};
+use hawthornwall_testkit::history::Report;
 
 /// Latencies of calls through daemons or of direct calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/testkit/src/demo/measure.rs
+++ b/crates/measure/src/demo/measure.rs
@@ -5,10 +5,10 @@
 use serde_json::Value;
 
 use super::figures::{DaemonFigures, LatencyFigures, ProbeFigures};
-use crate::history::{Event, Record};
-use crate::launcher::Cluster;
 use crate::load::{CallResult, LoadOptions, Quantiles, Route, Runs};
-use crate::procfs::Usage;
+use hawthornwall_testkit::history::{Event, Record};
+use hawthornwall_testkit::launcher::Cluster;
+use hawthornwall_testkit::procfs::Usage;
 
 /// State of all daemons at one time.
 #[derive(Debug)]
@@ -20,8 +20,11 @@
 impl Sample {
     /// Reads all daemons; one that doesn't answer leaves its figures absent.
     pub fn take(cluster: &Cluster) -> Self {
-        let usage = |node: &crate::launcher::Node| {
-            let pid = node.daemon.as_ref().map(crate::launcher::Child::pid);
+        let usage = |node: &hawthornwall_testkit::launcher::Node| {
+            let pid = node
+                .daemon
+                .as_ref()
+                .map(hawthornwall_testkit::launcher::Child::pid);
             pid.and_then(|pid| Usage::of(pid).ok()).unwrap_or_default()
         };
         let sample = |(index, node)| {
--- a/crates/testkit/src/demo/run.rs
+++ b/crates/measure/src/demo/run.rs
@@ -8,11 +8,11 @@
 
 use super::figures::Figures;
 use super::measure::{Sample, daemon_figures, latency_figures, probe_figures};
-use crate::arguments::{ArgumentError, Arguments};
-use crate::history::{self, Limits, Record};
-use crate::launcher::{Cluster, ClusterOptions, Deployment, LaunchError};
 use crate::load::{CallResult, LoadOptions, Runs, check, count_outcomes, run_load};
-use crate::run;
+use hawthornwall_testkit::arguments::{ArgumentError, Arguments};
+use hawthornwall_testkit::history::{self, Limits, Record};
+use hawthornwall_testkit::launcher::{Cluster, ClusterOptions, Deployment, LaunchError};
+use hawthornwall_testkit::run;
 
 /// Options of the program.
 pub const OPTIONS: [&str; 8] = [
--- a/crates/testkit/src/experiment/arrivals.rs
+++ b/crates/measure/src/experiment/arrivals.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::load::{Call, CallKind, Route};
-use crate::random::Random;
+use hawthornwall_testkit::random::Random;
 
 /// Share of calls that are `POST`s, in percent. They have no idempotency key, since a key is issued by
 /// an extra call whose wait would have to be told apart from the request's own.
--- a/crates/testkit/src/experiment/faults.rs
+++ b/crates/measure/src/experiment/faults.rs
@@ -5,8 +5,8 @@
 
 use serde_json::{Value, json};
 
-use crate::http1::json_once;
-use crate::random::Random;
+use hawthornwall_testkit::http1::json_once;
+use hawthornwall_testkit::random::Random;
 
 /// Mean time between two stalls of one target.
 const STALL_GAP: Duration = Duration::from_millis(1_200);
@@ -75,7 +75,10 @@
     failed
 }
 
-fn act(control: SocketAddr, action: Action) -> Result<Value, crate::http1::BlockingError> {
+fn act(
+    control: SocketAddr,
+    action: Action,
+) -> Result<Value, hawthornwall_testkit::http1::BlockingError> {
     let change = |value: Value| json_once(control, "POST", "/control", &value.to_string());
     match action {
         Action::FailFast(fails) => change(json!({ "fail_fast": fails })),
--- a/crates/testkit/src/experiment/figures.rs
+++ b/crates/measure/src/experiment/figures.rs
@@ -8,8 +8,8 @@
 
 use super::overload::OverloadFigures;
 use super::plan::Scenario;
-use crate::history::{Event, Invariant, Limits, Record, check as check_history};
 use crate::load::{CallKind, CallResult, Runs, check, count_outcomes};
+use hawthornwall_testkit::history::{Event, Invariant, Limits, Record, check as check_history};
 
 /// Exact percentiles, in microseconds.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
--- a/crates/testkit/src/experiment/options.rs
+++ b/crates/measure/src/experiment/options.rs
@@ -7,8 +7,8 @@
 
 use super::plan::{PlanName, Scope};
 use super::variant::Variant;
-use crate::arguments::{ArgumentError, Arguments};
-use crate::launcher::Deployment;
+use hawthornwall_testkit::arguments::{ArgumentError, Arguments};
+use hawthornwall_testkit::launcher::Deployment;
 
 /// Options of the program.
 pub const OPTIONS: [&str; 7] = [
--- a/crates/testkit/src/experiment/plan.rs
+++ b/crates/measure/src/experiment/plan.rs
@@ -8,7 +8,7 @@
 
 use super::arrivals::Phase;
 use super::faults::{Action, Fault};
-use crate::launcher::Deployment;
+use hawthornwall_testkit::launcher::Deployment;
 
 /// Load before the measured part, in which connections are opened and averages form.
 const WARM: Duration = Duration::from_secs(1);
--- a/crates/testkit/src/experiment/run.rs
+++ b/crates/measure/src/experiment/run.rs
@@ -14,10 +14,10 @@
 use super::options::ExperimentOptions;
 use super::plan::Scenario;
 use super::variant::Variant;
-use crate::launcher::{Child, Cluster, ClusterOptions, LaunchError};
 use crate::load::{CallResult, LoadOptions, run_calls};
-use crate::procfs::Usage;
-use crate::run;
+use hawthornwall_testkit::launcher::{Child, Cluster, ClusterOptions, LaunchError};
+use hawthornwall_testkit::procfs::Usage;
+use hawthornwall_testkit::run;
 
 /// Time to open the generator's connections before the first planned arrival.
 const LEAD: Duration = Duration::from_millis(500);
--- a/crates/testkit/src/faults/callers.rs
+++ b/crates/measure/src/faults/callers.rs
@@ -13,10 +13,10 @@
 use futures::future::join_all;
 
 use super::exchange::{Flight, Landed, Wanted, connect, header, issue_key};
-use crate::history::{Event, Writer};
-use crate::http1::Connection;
-use crate::random::Random;
-use crate::{run, wall_micros};
+use hawthornwall_testkit::history::{Event, Writer};
+use hawthornwall_testkit::http1::Connection;
+use hawthornwall_testkit::random::Random;
+use hawthornwall_testkit::{run, wall_micros};
 
 /// Requests of one operation.
 const REQUESTS: usize = 5;
--- a/crates/testkit/src/faults/exchange.rs
+++ b/crates/measure/src/faults/exchange.rs
@@ -7,9 +7,9 @@
 use http::{Request, Response};
 use serde::Deserialize;
 
-use crate::http1::Connection;
-use crate::payload::{REQUEST_HEADER, SIZE_HEADER, verify};
-use crate::wall_micros;
+use hawthornwall_testkit::http1::Connection;
+use hawthornwall_testkit::payload::{REQUEST_HEADER, SIZE_HEADER, verify};
+use hawthornwall_testkit::wall_micros;
 
 /// Longest wait for an answer, well above every deadline of the system.
 const TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/testkit/src/faults/inject.rs
+++ b/crates/measure/src/faults/inject.rs
@@ -8,9 +8,9 @@
 use serde_json::{Value, json};
 
 use super::step::{Action, NodeSet, Part, Step};
-use crate::history::Change;
-use crate::launcher::{Cluster, LaunchError, Signal};
-use crate::random::Random;
+use hawthornwall_testkit::history::Change;
+use hawthornwall_testkit::launcher::{Cluster, LaunchError, Signal};
+use hawthornwall_testkit::random::Random;
 
 /// Longest wait for the end of a process that was told to stop.
 const STOP: Duration = Duration::from_secs(15);
--- a/crates/testkit/src/faults/rows.rs
+++ b/crates/measure/src/faults/rows.rs
@@ -1,6 +1,6 @@
 //! The table of faults.
 
-use crate::launcher::Deployment;
+use hawthornwall_testkit::launcher::Deployment;
 
 /// One row: faults in the notation of [`super::parse_script`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/testkit/src/faults/run.rs
+++ b/crates/measure/src/faults/run.rs
@@ -12,10 +12,12 @@
 use super::rows::Row;
 use super::step::parse_script;
 use crate::demo::DemoError;
-use crate::history::{Limits, Report, check};
-use crate::launcher::{Cluster, ClusterOptions, Deployment, LaunchError, daemon_party};
-use crate::random::Random;
-use crate::wall_micros;
+use hawthornwall_testkit::history::{Limits, Report, check};
+use hawthornwall_testkit::launcher::{
+    Cluster, ClusterOptions, Deployment, LaunchError, daemon_party,
+};
+use hawthornwall_testkit::random::Random;
+use hawthornwall_testkit::wall_micros;
 
 /// Options of the program.
 pub const OPTIONS: [&str; 5] = ["row", "seeds", "first-seed", "deployment", "keep"];
@@ -106,7 +108,8 @@
 
 fn callers(row: &Row, seed: u64, cluster: &Cluster, stop: Arc<AtomicBool>) -> CallersOptions {
     let nodes = &cluster.nodes;
-    let daemon = |n: &crate::launcher::Node| (daemon_party(&n.plan.name), n.place.caller);
+    let daemon =
+        |n: &hawthornwall_testkit::launcher::Node| (daemon_party(&n.plan.name), n.place.caller);
     CallersOptions {
         count: CALLERS,
         daemons: nodes.iter().map(daemon).collect(),
--- a/crates/testkit/src/faults/step.rs
+++ b/crates/measure/src/faults/step.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use crate::random::Random;
+use hawthornwall_testkit::random::Random;
 
 /// One of the two processes of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/testkit/src/load/arrivals.rs
+++ b/crates/measure/src/load/arrivals.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::options::LoadOptions;
-use crate::random::Random;
+use hawthornwall_testkit::random::Random;
 
 /// How a call may be treated by the system.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/testkit/src/load/check.rs
+++ b/crates/measure/src/load/check.rs
@@ -5,8 +5,8 @@
 use super::arrivals::CallKind;
 use super::result::CallResult;
 use super::runs::Runs;
-use crate::history::Record;
-use crate::payload::Verdict;
+use hawthornwall_testkit::history::Record;
+use hawthornwall_testkit::payload::Verdict;
 
 /// Contradictions between callers and targets, as lists of request numbers.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/crates/testkit/src/load/driver.rs
+++ b/crates/measure/src/load/driver.rs
@@ -11,9 +11,9 @@
 use super::exchange::{Job, Message, perform};
 use super::options::LoadOptions;
 use super::result::CallResult;
-use crate::history::{Event, Writer};
-use crate::http1::Connection;
-use crate::timer::Timer;
+use hawthornwall_testkit::history::{Event, Writer};
+use hawthornwall_testkit::http1::Connection;
+use hawthornwall_testkit::timer::Timer;
 
 #[derive(Debug)]
 struct Driver<'a> {
--- a/crates/testkit/src/load/exchange.rs
+++ b/crates/measure/src/load/exchange.rs
@@ -11,11 +11,11 @@
 
 use super::arrivals::{Call, CallKind};
 use super::result::CallResult;
-use crate::history::Event;
-use crate::http1::{Connection, Fault};
-use crate::launcher::daemon_party;
-use crate::payload::{CHUNKED_HEADER, REQUEST_HEADER, SIZE_HEADER, Verdict, verify};
-use crate::wall_micros;
+use hawthornwall_testkit::history::Event;
+use hawthornwall_testkit::http1::{Connection, Fault};
+use hawthornwall_testkit::launcher::daemon_party;
+use hawthornwall_testkit::payload::{CHUNKED_HEADER, REQUEST_HEADER, SIZE_HEADER, Verdict, verify};
+use hawthornwall_testkit::wall_micros;
 
 /// What call tasks tell the driver.
 #[derive(Debug)]
--- a/crates/testkit/src/load/options.rs
+++ b/crates/measure/src/load/options.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use crate::launcher::Cluster;
+use hawthornwall_testkit::launcher::Cluster;
 
 /// An address that takes requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -57,7 +57,7 @@
 impl LoadOptions {
     /// A moderate load on all of a deployment: 10,000 calls, 30% of them `POST`s.
     pub fn for_cluster(cluster: &Cluster) -> Self {
-        let daemon = |n: &crate::launcher::Node| Endpoint {
+        let daemon = |n: &hawthornwall_testkit::launcher::Node| Endpoint {
             address: n.place.caller,
             domain: n.plan.domain.clone(),
             name: n.plan.name.clone(),
@@ -87,7 +87,7 @@
 
 fn targets_of(cluster: &Cluster, service: &str) -> Vec<Endpoint> {
     let nodes = cluster.nodes.iter().filter(|n| n.service == service);
-    let endpoint = |n: &crate::launcher::Node| Endpoint {
+    let endpoint = |n: &hawthornwall_testkit::launcher::Node| Endpoint {
         address: n.place.target,
         domain: n.plan.domain.clone(),
         name: n.plan.name.clone(),
--- a/crates/testkit/src/load/result.rs
+++ b/crates/measure/src/load/result.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 
 use super::arrivals::{Call, Route};
-use crate::payload::Verdict;
+use hawthornwall_testkit::payload::Verdict;
 
 /// What became of one call.
 #[derive(Clone, Debug)]
--- a/crates/testkit/src/load/runs.rs
+++ b/crates/measure/src/load/runs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::history::{Event, Record};
+use hawthornwall_testkit::history::{Event, Record};
 
 /// One run of a request at one target; times are wall clock in microseconds.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/testkit/tests/check.rs
+++ b/crates/measure/tests/check.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hawthornwall_testkit::demo::{DaemonFigures, Figures, LatencyFigures, ProbeFigures, render};
-use hawthornwall_testkit::history::{Event, Record};
-use hawthornwall_testkit::load::{
+use hawthornwall_measure::demo::{DaemonFigures, Figures, LatencyFigures, ProbeFigures, render};
+use hawthornwall_measure::load::{
     Call, CallKind, CallResult, Mismatches, Quantiles, Route, Runs, check,
 };
+use hawthornwall_testkit::history::{Event, Record};
 use hawthornwall_testkit::payload::{Verdict, encode, verify};
 use insta::{assert_debug_snapshot, assert_snapshot};
 use rstest::rstest;
--- a/crates/testkit/tests/deployment.rs
+++ b/crates/measure/tests/deployment.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use hawthornwall_measure::load::{LoadOptions, check, count_outcomes, run_load};
 use hawthornwall_testkit::history;
 use hawthornwall_testkit::launcher::{Cluster, ClusterOptions, Deployment};
-use hawthornwall_testkit::load::{LoadOptions, check, count_outcomes, run_load};
 use hawthornwall_testkit::run;
 use insta::assert_debug_snapshot;
 use serde_json::json;
--- a/crates/testkit/tests/experiment.rs
+++ b/crates/measure/tests/experiment.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hawthornwall_testkit::experiment::{Fault, PlanName, Scenario, Scope, plan_arrivals};
+use hawthornwall_measure::experiment::{Fault, PlanName, Scenario, Scope, plan_arrivals};
 use hawthornwall_testkit::launcher::Deployment;
 use insta::assert_snapshot;
 use rstest::rstest;
--- a/crates/testkit/tests/faults.rs
+++ b/crates/measure/tests/faults.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
 
-use hawthornwall_testkit::faults::{
+use hawthornwall_measure::faults::{
     FaultOptions, ROWS, Row, RowResult, parse_script, render, run_row,
 };
 use hawthornwall_testkit::random::Random;
--- a/crates/testkit/tests/load.rs
+++ b/crates/measure/tests/load.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use hawthornwall_measure::load::{LoadOptions, check, count_outcomes, plan_calls, run_load};
 use hawthornwall_testkit::launcher::{Cluster, ClusterOptions, Deployment};
-use hawthornwall_testkit::load::{LoadOptions, check, count_outcomes, plan_calls, run_load};
 use hawthornwall_testkit::run;
 use insta::{assert_debug_snapshot, assert_json_snapshot};
 use serde_json::json;
@@ -41,9 +41,9 @@
         repeat_percent: 0,
         requests: 1_000,
         seed: 7,
-        services: vec![hawthornwall_testkit::load::ServiceLoad {
+        services: vec![hawthornwall_measure::load::ServiceLoad {
             name: "order".to_owned(),
-            targets: vec![hawthornwall_testkit::load::Endpoint {
+            targets: vec![hawthornwall_measure::load::Endpoint {
                 address: ([127, 0, 0, 1], 1).into(),
                 domain: "ng-1".to_owned(),
                 name: "order-1".to_owned(),
--- a/crates/testkit/tests/spread.rs
+++ b/crates/measure/tests/spread.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hawthornwall_testkit::capacity::{Fleet, FleetOptions, Sample};
+use hawthornwall_measure::capacity::{Fleet, FleetOptions, Sample};
 use hawthornwall_testkit::launcher::LaunchError;
 use serde_json::{Value, json};
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,18 +1,12 @@
-//! Fakes of the platform and of targets, UDP relay, launcher, history checker, load and experiment
-//! tool.
+//! Fakes of the platform and of targets, UDP relay, launcher and history checker.
 //!
 //! Invariant: every fake is a process of its own with one monoio runtime on epoll; its tasks own
 //! their sockets and state.
 
 pub mod arguments;
-pub mod capacity;
-pub mod demo;
-pub mod experiment;
-pub mod faults;
 pub mod history;
 pub mod http1;
 pub mod launcher;
-pub mod load;
 pub mod payload;
 pub mod platform;
 pub mod procfs;
