--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::refusal::{elsewhere, keyed_outcome};
+use super::resend::Resend;
 use super::{AttemptId, Effect, Event, PickKind, Spec};
 use crate::ids::{InstanceId, TargetId};
 use crate::outcome::{AttemptResult, Loss, Outcome, Refusal};
@@ -14,38 +16,26 @@
 /// definite refusal is worth more to the caller than an unknown outcome.
 const REPLY_GRACE: Duration = Duration::from_millis(20);
 
-/// Pause before a request is sent again to the same target; doubles with each attempt.
-const RESEND_PAUSE: Duration = Duration::from_millis(20);
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Attempt {
+pub(super) struct Attempt {
     /// The run that it was sent to, as far as it is known.
-    instance: Option<InstanceId>,
+    pub instance: Option<InstanceId>,
     /// The attempt that it repeats under the same request id.
-    repeats: Option<AttemptId>,
-    result: Option<AttemptResult>,
-    target: TargetId,
+    pub repeats: Option<AttemptId>,
+    pub result: Option<AttemptResult>,
+    pub target: TargetId,
 }
 
 /// One caller's request.
 #[derive(Clone, Debug)]
 pub struct Call {
-    attempts: Vec<Attempt>,
-    finished: bool,
-    hedge: Option<Time>,
-    picking: Option<PickKind>,
+    pub(super) attempts: Vec<Attempt>,
+    pub(super) finished: bool,
+    pub(super) hedge: Option<Time>,
+    pub(super) picking: Option<PickKind>,
     /// When a request that may be sent again to the same target goes out.
-    resend: Option<(Time, Resend)>,
-    spec: Spec,
-}
-
-/// What is sent again after a pause.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Resend {
-    /// A keyed request.
-    Keyed(TargetId),
-    /// The repeat of an attempt under its request id.
-    Repeat(AttemptId),
+    pub(super) resend: Option<(Time, Resend)>,
+    pub(super) spec: Spec,
 }
 
 impl Call {
@@ -157,7 +147,7 @@
         effects.push(Effect::Pick(kind));
     }
 
-    fn send(
+    pub(super) fn send(
         &mut self,
         target: TargetId,
         instance: Option<InstanceId>,
@@ -259,86 +249,6 @@
         }
     }
 
-    /// Sends a keyed request again to the target that its key names, since the ledger there can tell
-    /// what became of the earlier attempt.
-    fn repeat(&mut self, loss: Loss, now: Time, effects: &mut Vec<Effect>) {
-        let target = self.spec.pinned.filter(|_| match loss {
-            Loss::Closed | Loss::KeyUnreachable => true,
-            Loss::Cancelled | Loss::Expired | Loss::KeyForgotten | Loss::Malformed => false,
-        });
-        match target {
-            Some(target) if self.may_resend(now) => {
-                self.resend = Some((self.resend_time(now), Resend::Keyed(target)));
-            }
-            Some(_) | None => self.finish(Outcome::Unknown(loss), None, effects),
-        }
-    }
-
-    /// Repeats a non-idempotent request whose connection was lost, under its request id, at the run
-    /// that may have received it. That run remembers the id and runs it only if it never saw it.
-    fn ask_again(&mut self, id: AttemptId, loss: Loss, now: Time, effects: &mut Vec<Effect>) {
-        let known = self.attempts[usize::from(id.0)].instance.is_some();
-        if loss == Loss::Closed && known && self.may_resend(now) {
-            self.resend = Some((self.resend_time(now), Resend::Repeat(id)));
-        } else {
-            self.finish(Outcome::Unknown(loss), None, effects);
-        }
-    }
-
-    fn may_resend(&self, now: Time) -> bool {
-        self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline
-    }
-
-    /// The pause doubles with each attempt, since a peer that has just started can't be reached for
-    /// some milliseconds and four attempts at once would all fail.
-    fn resend_time(&self, now: Time) -> Time {
-        now + RESEND_PAUSE * (1 << (self.attempts.len() - 1).min(8))
-    }
-
-    fn resend(&mut self, resend: Resend, effects: &mut Vec<Effect>) {
-        let id = match resend {
-            Resend::Keyed(target) => return self.send(target, None, Duration::MAX, effects),
-            Resend::Repeat(id) => id,
-        };
-        let Attempt {
-            instance,
-            repeats,
-            target,
-            ..
-        } = self.attempts[usize::from(id.0)];
-        let Some(run) = instance else { return };
-        let attempt = AttemptId(self.attempts.len() as u8);
-        let of = repeats.unwrap_or(id);
-        self.attempts.push(Attempt {
-            instance,
-            repeats: Some(of),
-            result: None,
-            target,
-        });
-        effects.push(Effect::Repeat {
-            attempt,
-            instance: run,
-            of,
-            target,
-        });
-    }
-
-    /// A refusal of a repeat by the run that knows the request id holds for every sending of it.
-    fn settle(&mut self, first: AttemptId, result: AttemptResult) {
-        let definite = match result {
-            AttemptResult::Refused(refusal) => refusal != Refusal::Unreachable,
-            AttemptResult::Answered | AttemptResult::Lost(_) => false,
-        };
-        if definite {
-            self.attempts[usize::from(first.0)].result = Some(result);
-            let repeats = self
-                .attempts
-                .iter_mut()
-                .filter(|a| a.repeats == Some(first));
-            repeats.for_each(|a| a.result = Some(result));
-        }
-    }
-
     fn try_again(
         &mut self,
         kind: PickKind,
@@ -398,7 +308,12 @@
         }
     }
 
-    fn finish(&mut self, outcome: Outcome, answer: Option<AttemptId>, effects: &mut Vec<Effect>) {
+    pub(super) fn finish(
+        &mut self,
+        outcome: Outcome,
+        answer: Option<AttemptId>,
+        effects: &mut Vec<Effect>,
+    ) {
         let outcome = match outcome {
             Outcome::Refused(refusal) if self.spec.pinned.is_some() => keyed_outcome(refusal),
             Outcome::Answered | Outcome::Failed(_) | Outcome::Refused(_) | Outcome::Unknown(_) => {
@@ -410,53 +325,3 @@
         effects.push(Effect::Finish(outcome, answer));
     }
 }
-
-/// What a caller is told of a refused request under a key.
-///
-/// An earlier request may have run under the same key, so only the ledger that knows the key may say
-/// "not run". Refusals by this daemon alone leave the outcome unknown.
-pub fn keyed_outcome(refusal: Refusal) -> Outcome {
-    match refusal {
-        Refusal::Budget
-        | Refusal::NoTarget
-        | Refusal::NotReady
-        | Refusal::Overload
-        | Refusal::Unreachable
-        | Refusal::UnknownService
-        | Refusal::WrongTarget => Outcome::Unknown(Loss::KeyUnreachable),
-        Refusal::Cancelled
-        | Refusal::Down
-        | Refusal::Draining
-        | Refusal::Expired
-        | Refusal::Full
-        | Refusal::KeyInvalid
-        | Refusal::KeyMismatch
-        | Refusal::Malformed
-        | Refusal::Shed
-        | Refusal::TooLarge => Outcome::Refused(refusal),
-    }
-}
-
-/// Whether another target may accept what this one refused.
-fn elsewhere(refusal: Refusal) -> bool {
-    match refusal {
-        // The run cancels a waiting request when its connection is lost; a repeat learns of it.
-        Refusal::Cancelled
-        | Refusal::Down
-        | Refusal::Draining
-        | Refusal::Full
-        | Refusal::NotReady
-        | Refusal::Shed
-        | Refusal::Unreachable
-        | Refusal::WrongTarget => true,
-        Refusal::Budget
-        | Refusal::Expired
-        | Refusal::KeyInvalid
-        | Refusal::KeyMismatch
-        | Refusal::Malformed
-        | Refusal::NoTarget
-        | Refusal::Overload
-        | Refusal::TooLarge
-        | Refusal::UnknownService => false,
-    }
-}
--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -11,7 +11,10 @@
 mod budget;
 mod call;
 mod event;
+mod refusal;
+mod resend;
 
 pub use budget::RetryBudget;
-pub use call::{Call, MAX_ATTEMPTS, keyed_outcome};
+pub use call::{Call, MAX_ATTEMPTS};
 pub use event::{AttemptId, Effect, Event, PickKind, Spec};
+pub use refusal::keyed_outcome;
--- a/crates/measure/src/capacity/fit.rs
+++ b/crates/measure/src/capacity/fit.rs
@@ -22,7 +22,7 @@
     /// The line through `points`; with fewer than 3 the errors are unknown and given as 0.
     ///
     /// ```
-    /// use hawthornwall_testkit::capacity::Fit;
+    /// use hawthornwall_measure::capacity::Fit;
     ///
     /// let fit = Fit::of(&[(0.0, 1.0), (1.0, 3.0), (2.0, 5.0)]);
     /// assert_eq!((fit.at_zero, fit.slope, fit.residual), (1.0, 2.0, 0.0));
--- a/crates/measure/src/experiment/arrivals.rs
+++ b/crates/measure/src/experiment/arrivals.rs
@@ -26,7 +26,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use hawthornwall_testkit::experiment::{Phase, plan_arrivals};
+/// use hawthornwall_measure::experiment::{Phase, plan_arrivals};
 ///
 /// let second = Duration::from_secs(1);
 /// let phase = Phase { end: second, rate: 100.0, service: 0, start: Duration::ZERO };
--- a/crates/measure/src/experiment/figures.rs
+++ b/crates/measure/src/experiment/figures.rs
@@ -31,7 +31,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use hawthornwall_testkit::experiment::Percentiles;
+    /// use hawthornwall_measure::experiment::Percentiles;
     ///
     /// let p = Percentiles::of((1..=100).map(Duration::from_micros));
     /// assert_eq!((p.p50, p.p99, p.p999), (50, 99, 100));
--- a/crates/measure/src/faults/step.rs
+++ b/crates/measure/src/faults/step.rs
@@ -79,7 +79,7 @@
 /// The step that can't be read.
 ///
 /// ```
-/// use hawthornwall_testkit::faults::{Action, parse_script};
+/// use hawthornwall_measure::faults::{Action, parse_script};
 /// use hawthornwall_testkit::random::Random;
 ///
 /// let steps = parse_script("500 partition; 3000 heal", &mut Random::new(1))?;
