--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -58,10 +58,6 @@
     };
 }
 
-id!(
-    /// A failure domain, by its position in the settings' list of domains.
-    DomainId, u8, "domain"
-);
 id!(
     /// A service, numbered in the order of creation.
     ServiceId, u16, "service"
--- a/crates/core/src/keys/ledger.rs
+++ b/crates/core/src/keys/ledger.rs
@@ -190,6 +190,11 @@
         serials
     }
 
+    /// The target whose requests are remembered.
+    pub fn target(&self) -> TargetId {
+        self.target
+    }
+
     /// Records held.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/core/src/keys/recent.rs
+++ b/crates/core/src/keys/recent.rs
@@ -88,9 +88,11 @@
             self.records.insert(id, record);
             return Decision::Run;
         };
-        match record.state {
+        if record.print != print {
             // Two daemons have drawn the same id.
-            _ if record.print != print => Decision::Refuse(Refusal::KeyMismatch),
+            return Decision::Refuse(Refusal::KeyMismatch);
+        }
+        match record.state {
             State::Ended(RecentEnd::Answered) => Decision::Replay,
             State::Ended(RecentEnd::Lost(loss)) => Decision::Lost(loss),
             State::Ended(RecentEnd::Refused(refusal)) => Decision::Refuse(refusal),
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -225,11 +225,13 @@
             }
         };
         let bodiless = to_head || matches!(head.status.as_u16(), 204 | 304);
-        let body = match framing {
-            _ if bodiless => Vec::new(),
+        let body = match (bodiless, framing) {
+            (true, _) => Vec::new(),
             // Without a length, the end of the connection can't be told from a cut answer.
-            Framing::None => return Err(ReadFault::Malformed("no length".to_owned())),
-            Framing::Chunked | Framing::Length(_) => self.stream.read_body(framing).await?,
+            (false, Framing::None) => return Err(ReadFault::Malformed("no length".to_owned())),
+            (false, Framing::Chunked | Framing::Length(_)) => {
+                self.stream.read_body(framing).await?
+            }
         };
         let is = |name: &str, value: &str| header_is(&head, name, value);
         let draining = is(STATE_HEADER, "draining");
--- a/crates/node/src/gate/memory.rs
+++ b/crates/node/src/gate/memory.rs
@@ -52,9 +52,16 @@
         }
     }
 
-    /// Starts a new ledger. It belongs to one target id; keys of an earlier one must not match.
+    /// Starts a new ledger unless the target has one. A ledger belongs to one target id; keys of an
+    /// earlier one must not match, and none may be forgotten while its target stays.
     pub fn serve_target(&mut self, target: TargetId) {
-        self.ledger = Some(Ledger::new(self.instance, target, self.limits));
+        if self
+            .ledger
+            .as_ref()
+            .is_none_or(|ledger| ledger.target() != target)
+        {
+            self.ledger = Some(Ledger::new(self.instance, target, self.limits));
+        }
     }
 
     /// Issues a key.
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -223,17 +223,13 @@
     }
 
     fn issue(&mut self, service: ServiceId, target: TargetId) -> RunEnd {
-        let refused = match self.gate.state() {
-            _ if self.target != Some(target) || self.service != Some(service) => {
-                Some(Refusal::WrongTarget)
-            }
-            TargetState::Draining => Some(Refusal::Draining),
-            TargetState::Down => Some(Refusal::Down),
-            TargetState::Serving => None,
-        };
-        match refused {
-            Some(refusal) => RunEnd::Refused(refusal),
-            None => self.memory.issue(service, self.clock.now()),
+        if self.target != Some(target) || self.service != Some(service) {
+            return RunEnd::Refused(Refusal::WrongTarget);
+        }
+        match self.gate.state() {
+            TargetState::Draining => RunEnd::Refused(Refusal::Draining),
+            TargetState::Down => RunEnd::Refused(Refusal::Down),
+            TargetState::Serving => self.memory.issue(service, self.clock.now()),
         }
     }
 
--- a/crates/testkit/src/platform/serve.rs
+++ b/crates/testkit/src/platform/serve.rs
@@ -111,10 +111,10 @@
                 self.instances.set_stale(fault.stale, now);
             }
             Message::Publish(publish) => {
-                let checked = match publish.endpoint {
-                    _ if publish.unchecked => Ok(publish.body),
-                    Endpoint::Config => self.check_document(publish.body),
-                    Endpoint::Instances => self.number_list(&publish.body),
+                let checked = match (publish.unchecked, publish.endpoint) {
+                    (true, _) => Ok(publish.body),
+                    (false, Endpoint::Config) => self.check_document(publish.body),
+                    (false, Endpoint::Instances) => self.number_list(&publish.body),
                 };
                 let result = checked.map(|body| self.publish(publish.endpoint, body, now));
                 let _ = publish.reply.send(result);
