--- a/crates/measure/src/experiment/json.rs
+++ b/crates/measure/src/experiment/json.rs
@@ -14,7 +14,7 @@
         .map(|(variant, runs)| json!({ "runs": runs, "variant": variant.to_string() }));
     json!({
         "capacity_per_second": scenario.capacity,
-        "command": std::env::args().collect::<Vec<_>>(),
+        "command": command(),
         "deployment": options.scope.deployment.name(),
         "mean_us": scenario.mean.as_micros() as u64,
         "plan": options.plan.name(),
@@ -24,3 +24,17 @@
         "variants": variants.collect::<Vec<_>>(),
     })
 }
+
+/// The options of this run, without the place of the program and of its results.
+fn command() -> Vec<String> {
+    let mut words = vec!["experiment".to_owned()];
+    let mut arguments = std::env::args().skip(1);
+    while let Some(word) = arguments.next() {
+        if word == "--out" {
+            arguments.next();
+        } else {
+            words.push(word);
+        }
+    }
+    words
+}
