Replace a silent connection from a socket of its own

Cause: a connection that replaced a silent one used the same pair of addresses, so what had lost track of the first silenced the second as well; only the deadline ended the requests. Ruled out: the silence bound, which closed the first connection in time, and the repeat, which was sent. Conclusion: a peer that the common socket can't reach is called from new sockets.

--- a/crates/measure/tests/faults.rs
+++ b/crates/measure/tests/faults.rs
@@ -18,6 +18,7 @@
 #[case::pause("daemon-paused")]
 #[case::planned_stop("daemon-stopped")]
 #[case::rude_callers("rude-callers")]
+#[case::silent_connection("silent-flow")]
 fn invariants_hold(#[case] name: &str) {
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let row = Row::named(name).expect("a row");
--- a/crates/node/src/peers/outbound.rs
+++ b/crates/node/src/peers/outbound.rs
@@ -1,7 +1,7 @@
 //! Requests to peers: one task per request, one shared connection per peer.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,9 +12,9 @@
 use futures::{pin_mut, select_biased};
 use hawthornwall_core::outcome::Loss;
 use hawthornwall_wire::peer::{Reply, Request, decode_reply, encode_request};
-use quinn::{Connection, Endpoint, RecvStream, VarInt};
+use quinn::{Connection, ConnectionError, RecvStream, VarInt};
 
-use super::fleet_key::SERVER_NAME;
+use super::dialer::{Dialer, Path};
 use super::stream::{MessageWriter, read_message};
 use super::task::ControlTraffic;
 use crate::messages::PeerFault;
@@ -27,9 +27,11 @@
 type Connecting = Shared<LocalBoxFuture<'static, Option<Connection>>>;
 
 /// Connections to peers, opened when first needed.
-#[derive(Default)]
 pub(super) struct Links {
     by_address: HashMap<SocketAddr, Link>,
+    dialer: Dialer,
+    /// Peers that the common socket could not reach, or not any more.
+    silent: HashSet<SocketAddr>,
 }
 
 enum Link {
@@ -38,28 +40,47 @@
 }
 
 impl Links {
+    /// No connections.
+    pub fn new(dialer: Dialer) -> Self {
+        Self {
+            by_address: HashMap::new(),
+            dialer,
+            silent: HashSet::new(),
+        }
+    }
+
     /// The connection to a peer, or the attempt to open it.
-    pub fn connection(
-        &mut self,
-        endpoint: &Endpoint,
-        to: SocketAddr,
-        limit: Duration,
-    ) -> Connecting {
+    pub fn connection(&mut self, to: SocketAddr, limit: Duration) -> Connecting {
         if let Some(Link::Connecting(pending)) = self.by_address.get(&to) {
             match pending.peek().cloned() {
                 None => return pending.clone(),
-                Some(Some(open)) => self.by_address.insert(to, Link::Open(open)),
-                Some(None) => self.by_address.remove(&to),
-            };
+                Some(Some(open)) => {
+                    self.by_address.insert(to, Link::Open(open));
+                }
+                Some(None) => {
+                    self.silent.insert(to);
+                }
+            }
         }
-        if let Some(Link::Open(open)) = self.by_address.get(&to)
-            && open.close_reason().is_none()
-        {
-            return futures::future::ready(Some(open.clone()))
-                .boxed_local()
-                .shared();
+        if let Some(Link::Open(open)) = self.by_address.get(&to) {
+            match open.close_reason() {
+                None => {
+                    let open = futures::future::ready(Some(open.clone()));
+                    return open.boxed_local().shared();
+                }
+                Some(reason) if went_silent(&reason) => {
+                    self.silent.insert(to);
+                }
+                Some(_) => {}
+            }
         }
-        let pending = connect(endpoint.clone(), to, limit).boxed_local().shared();
+        let path = if self.silent.contains(&to) {
+            Path::Fresh
+        } else {
+            Path::Common
+        };
+        let pending = self.dialer.clone().dial(to, path, limit);
+        let pending = pending.boxed_local().shared();
         self.by_address
             .insert(to, Link::Connecting(pending.clone()));
         pending
@@ -75,9 +96,13 @@
     }
 }
 
-async fn connect(endpoint: Endpoint, to: SocketAddr, limit: Duration) -> Option<Connection> {
-    let connecting = endpoint.connect(to, SERVER_NAME).ok()?;
-    monoio::time::timeout(limit, connecting).await.ok()?.ok()
+/// Whether a connection ended because nothing arrived any more: closed here by [`silence`], or timed
+/// out.
+fn went_silent(reason: &ConnectionError) -> bool {
+    matches!(
+        reason,
+        ConnectionError::LocallyClosed | ConnectionError::TimedOut
+    )
 }
 
 /// What one request needs.
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -13,6 +13,7 @@
 use hawthornwall_wire::peer::{Reply, Request};
 use quinn::{Endpoint, EndpointConfig, IdleTimeout, TransportConfig, VarInt};
 
+use super::dialer::Dialer;
 use super::fleet_key::{self, SECRET_LENGTH};
 use super::inbound::{self, Inbound};
 use super::outbound::{Links, Outbound, deliver};
@@ -99,7 +100,8 @@
     /// If the address is in use or the secret is malformed.
     pub fn start(start: PeersStart<'_>) -> Result<Self, Report<StartError>> {
         let traffic = Traffic::default();
-        let endpoint = bind(start.settings, &traffic)?;
+        let dialer = bind(start.settings, &traffic)?;
+        let endpoint = dialer.common.clone();
         let control = Rc::new(RefCell::new(ControlTraffic::default()));
         let inbound = Inbound {
             control: start.control,
@@ -112,7 +114,7 @@
             control,
             endpoint,
             limit: start.limit,
-            links: Links::default(),
+            links: Links::new(dialer),
             own: start.settings.advertise.unwrap_or(start.settings.listen),
             receiver: start.receiver,
             silence: start.settings.silence,
@@ -152,7 +154,7 @@
         }
         let peers = self.world.members.values().map(|member| member.peer);
         for peer in peers.filter(|peer| *peer != self.own) {
-            monoio::spawn(self.links.connection(&self.endpoint, peer, self.silence));
+            monoio::spawn(self.links.connection(peer, self.silence));
         }
     }
 
@@ -171,7 +173,7 @@
             return;
         };
         let outbound = Outbound {
-            connection: self.links.connection(&self.endpoint, address, self.silence),
+            connection: self.links.connection(address, self.silence),
             limit: self.limit,
             request,
             silence: self.silence,
@@ -193,7 +195,7 @@
     }
 }
 
-fn bind(settings: &PeerSettings, traffic: &Traffic) -> Result<Endpoint, Report<StartError>> {
+fn bind(settings: &PeerSettings, traffic: &Traffic) -> Result<Dialer, Report<StartError>> {
     let secret = parse_secret(&settings.secret).ok_or(StartError::Secret)?;
     let (mut client, mut server) =
         fleet_key::configs(&secret).change_context(StartError::Secret)?;
@@ -204,9 +206,14 @@
     let socket = UdpSocket::bind(settings.listen).change_context(bind.clone())?;
     let runtime = Arc::new(MonoioRuntime::new(traffic));
     let config = EndpointConfig::default();
-    let mut endpoint = Endpoint::new(config, Some(server), socket, runtime).change_context(bind)?;
-    endpoint.set_default_client_config(client);
-    Ok(endpoint)
+    let common = Endpoint::new(config, Some(server), socket, runtime).change_context(bind)?;
+    let (ip, traffic) = (settings.listen.ip(), traffic.clone());
+    Ok(Dialer {
+        client,
+        common,
+        ip,
+        traffic,
+    })
 }
 
 fn transport(streams: u32) -> TransportConfig {
