Issue keys through one function, and name every case of own enums

The request for a key to the local gate stood twice, and two matches over the kinds of settings ended in a wildcard. Behaviour and assertions are unchanged.

--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -9,8 +9,8 @@
 use hawthornwall_wire::peer::{HttpAnswer, HttpRequest, Reply, Request, Run, RunEnd, RunReply};
 
 use super::listener::Backend;
-use crate::messages::{GateMessage, OpenTicket, PeerAddress, PeerFault, PeersMessage, Seen};
-use crate::peers::run_at_gate;
+use crate::messages::{OpenTicket, PeerAddress, PeerFault, PeersMessage, Seen};
+use crate::peers::{issue_at_gate, run_at_gate};
 use crate::telemetry::Event;
 use crate::telemetry::trace::HopSpan;
 
@@ -150,16 +150,7 @@
             id,
             service,
             target,
-        } => {
-            let (reply, receiver) = oneshot::channel();
-            backend.gate.send(GateMessage::Issue {
-                id,
-                reply,
-                service,
-                target,
-            });
-            receiver.await.ok()
-        }
+        } => issue_at_gate(&backend.gate, id, service, target).await,
         Request::Exchange(_) => None,
     };
     reply.ok_or(PeerFault::Lost(Loss::Closed))
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -184,33 +184,28 @@
                         of,
                         target,
                     } => {
-                        let request = self.requests[usize::from(of.0)];
-                        let repeat = Some(instance);
-                        let patience = Duration::MAX;
-                        let sending = Sending {
+                        self.send(Sending {
                             attempt,
-                            patience,
-                            repeat,
-                            request,
+                            patience: Duration::MAX,
+                            repeat: Some(instance),
+                            request: self.requests[usize::from(of.0)],
                             target,
-                        };
-                        self.send(sending).await;
+                        })
+                        .await;
                     }
                     Effect::Send {
                         attempt,
                         patience,
                         target,
                     } => {
-                        let request = self.backend.next_request();
-                        let repeat = None;
-                        let sending = Sending {
+                        self.send(Sending {
                             attempt,
                             patience,
-                            repeat,
-                            request,
+                            repeat: None,
+                            request: self.backend.next_request(),
                             target,
-                        };
-                        self.send(sending).await;
+                        })
+                        .await;
                     }
                 }
             }
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -3,6 +3,7 @@
 use futures::channel::oneshot;
 use futures::{FutureExt, pin_mut, select_biased};
 use hawthornwall_core::admission::WorkId;
+use hawthornwall_core::ids::{ServiceId, TargetId};
 use hawthornwall_wire::peer::{
     Reply, Request, RequestId, Run, RunReply, decode_request, encode_reply,
 };
@@ -85,14 +86,8 @@
                 service,
                 target,
             } => {
-                let (reply, receiver) = oneshot::channel();
-                self.gate.send(GateMessage::Issue {
-                    id,
-                    reply,
-                    service,
-                    target,
-                });
-                receiver.await.ok().map(|r| Reply::Run(Box::new(r)))
+                let issued = issue_at_gate(&self.gate, id, service, target).await;
+                issued.map(|r| Reply::Run(Box::new(r)))
             }
             Request::Run(id, run) => run_at_gate(&self.gate, id, run)
                 .await
@@ -101,6 +96,23 @@
     }
 }
 
+/// Asks the local gate for an idempotency key.
+pub(crate) async fn issue_at_gate(
+    gate: &GateSender,
+    id: RequestId,
+    service: ServiceId,
+    target: TargetId,
+) -> Option<RunReply> {
+    let (reply, receiver) = oneshot::channel();
+    gate.send(GateMessage::Issue {
+        id,
+        reply,
+        service,
+        target,
+    });
+    receiver.await.ok()
+}
+
 /// Runs a request at the local gate. Dropping the future cancels the work.
 pub(crate) async fn run_at_gate(
     gate: &GateSender,
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -14,6 +14,6 @@
 mod stream;
 mod task;
 
-pub(crate) use inbound::run_at_gate;
+pub(crate) use inbound::{issue_at_gate, run_at_gate};
 pub use quic_runtime::MonoioRuntime;
 pub use task::{Peers, PeersStart};
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -220,12 +220,11 @@
                 self.value(&format!("{path}[{index}]"), Kind::Address, value);
             }
         } else if let Some(fault) = value_fault(kind, value) {
-            let found = match (kind, value) {
-                (Kind::Secret, Value::String(text)) => {
-                    format!("a text of {} characters", text.chars().count())
-                }
-                (Kind::Secret, _) => "another type".to_owned(),
-                _ => show(value),
+            // A secret is never shown.
+            let found = match (kind == Kind::Secret, value.as_str()) {
+                (true, Some(text)) => format!("a text of {} characters", text.chars().count()),
+                (true, None) => "another type".to_owned(),
+                (false, _) => show(value),
             };
             self.fault(path, fault, found, kind.to_string());
         }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -40,7 +40,21 @@
             Kind::Address | Kind::Choice(_) | Kind::Name | Kind::Path | Kind::Secret,
             Value::String(text),
         ) => text_fault(kind, text),
-        _ => Some(FaultKind::Type),
+        (
+            Kind::Address
+            | Kind::Addresses
+            | Kind::Choice(_)
+            | Kind::Name
+            | Kind::Number { .. }
+            | Kind::Path
+            | Kind::Secret,
+            Value::Array(_)
+            | Value::Bool(_)
+            | Value::Null
+            | Value::Number(_)
+            | Value::Object(_)
+            | Value::String(_),
+        ) => Some(FaultKind::Type),
     }
 }
 
