--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -26,6 +26,16 @@
     pub target: TargetId,
 }
 
+impl Attempt {
+    /// Whether the target may have seen the request.
+    fn may_have_reached(&self) -> bool {
+        match self.result {
+            None | Some(AttemptResult::Answered | AttemptResult::Lost(_)) => true,
+            Some(AttemptResult::Refused(refusal)) => refusal == Refusal::Shed,
+        }
+    }
+}
+
 /// One caller's request.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -125,6 +135,17 @@
         faults
     }
 
+    /// Whether another target may be asked.
+    fn may_send(&self) -> bool {
+        self.sendings_left() > 0
+    }
+
+    fn sendings_left(&self) -> usize {
+        let reached = self.attempts.iter().filter(|a| a.may_have_reached());
+        let allowed = self.spec.attempts.saturating_sub(reached.count());
+        allowed.min(MAX_ATTEMPTS.saturating_sub(self.attempts.len()))
+    }
+
     fn deadline_timer(&self) -> Time {
         if self.open().next().is_some() {
             self.spec.deadline + REPLY_GRACE
@@ -174,7 +195,7 @@
         if now >= self.spec.deadline {
             return self.miss(Refusal::Expired, effects);
         }
-        let more = self.attempts.len() + 1 < MAX_ATTEMPTS && choice.alternatives > 0;
+        let more = self.sendings_left() > 1 && choice.alternatives > 0;
         let patience = if more { choice.patience } else { Duration::MAX };
         let first = self.attempts.is_empty();
         self.send(choice.target, choice.instance, patience, effects);
@@ -257,7 +278,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let busy = self.picking.is_some() || self.open().next().is_some();
-        let spent = self.attempts.len() >= MAX_ATTEMPTS || now >= self.spec.deadline;
+        let spent = !self.may_send() || now >= self.spec.deadline;
         if !busy && (spent || self.spec.pinned.is_some()) {
             let outcome = self.outcome_without_answer(refusal);
             self.finish(outcome, None, effects);
@@ -274,10 +295,7 @@
             self.resend(resend, effects);
         } else if self.hedge.is_some_and(|due| due <= now) {
             self.hedge = None;
-            if self.picking.is_none()
-                && self.attempts.len() < MAX_ATTEMPTS
-                && now < self.spec.deadline
-            {
+            if self.picking.is_none() && self.may_send() && now < self.spec.deadline {
                 self.pick(PickKind::Hedge, effects);
             }
         }
--- a/crates/core/src/calls/event.rs
+++ b/crates/core/src/calls/event.rs
@@ -21,6 +21,8 @@
 /// What is known of a call when it arrives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Spec {
+    /// Targets that it may be sent to; a daemon's refusal of what it has not passed on doesn't count.
+    pub attempts: usize,
     /// When its answer is useless.
     pub deadline: Time,
     /// Whether a second target may be asked while the first is late.
--- /dev/null
+++ b/crates/core/src/catalog/follow.rs
@@ -0,0 +1,146 @@
+//! When the store is read, and how.
+//!
+//! Rules kept here:
+//! - the whole contents are read at the start and after the history is lost, changes otherwise;
+//! - after failures the pauses double, and differ between daemons, so that a store that returns is
+//!   not met by all at once;
+//! - a failure is an outage of the store only once it has lasted [`OUTAGE`]: a single lost call says
+//!   nothing of what happened meanwhile.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::time::Time;
+
+/// First pause after a failed call; doubles with each further one.
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+/// Longest pause, so that a store that returns is noticed within a second.
+const PAUSE_LIMIT: Duration = Duration::from_millis(800);
+/// Time without a proper answer after which entries may have lapsed unseen. Entries lapse after
+/// three missed heartbeats, so a shorter failure removes none.
+const OUTAGE: Duration = Duration::from_secs(1);
+
+/// The next call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Call {
+    /// Read everything.
+    Load,
+    /// Wait for changes after a revision.
+    Watch {
+        /// The revision.
+        after: u64,
+    },
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEnd {
+    /// No proper answer.
+    Failed,
+    /// The history after the revision is no longer available.
+    HistoryGone,
+    /// The contents or changes up to a revision were read.
+    Read {
+        /// The revision.
+        revision: u64,
+    },
+}
+
+/// What the end of a call means for the entries that it showed as gone.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Outage {
+    /// When the store answered again after an outage.
+    pub ended: Option<Time>,
+    /// Whether the store has just answered again after failures.
+    pub returned: bool,
+}
+
+/// Follows the contents of the store.
+///
+/// ```
+/// use hawthornwall_core::catalog::{Call, CallEnd, Follower};
+/// use hawthornwall_core::time::Time;
+///
+/// let mut follower = Follower::new(1);
+/// assert_eq!(follower.next(), (Time::ZERO, Call::Load));
+/// follower.end(CallEnd::Read { revision: 7 }, Time::ZERO);
+/// assert_eq!(follower.next(), (Time::ZERO, Call::Watch { after: 7 }));
+/// follower.end(CallEnd::HistoryGone, Time::ZERO);
+/// assert_eq!(follower.next().1, Call::Load);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Follower {
+    due: Time,
+    failures: u32,
+    /// The first failure since the last proper answer.
+    failing: Option<Time>,
+    outage_end: Option<Time>,
+    revision: Option<u64>,
+    rng: Pcg64Mcg,
+}
+
+impl Follower {
+    /// A follower that has read nothing.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            due: Time::ZERO,
+            failures: 0,
+            failing: None,
+            outage_end: None,
+            revision: None,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// The next call and when it is due.
+    pub fn next(&self) -> (Time, Call) {
+        let call = match self.revision {
+            Some(after) => Call::Watch { after },
+            None => Call::Load,
+        };
+        (self.due, call)
+    }
+
+    /// Notes the end of a call.
+    pub fn end(&mut self, end: CallEnd, now: Time) -> Outage {
+        match end {
+            CallEnd::Failed => self.fail(now),
+            CallEnd::HistoryGone => {
+                self.revision = None;
+                self.due = now;
+                Outage::default()
+            }
+            CallEnd::Read { revision } => {
+                self.revision = Some(revision);
+                self.due = now;
+                self.recover(now)
+            }
+        }
+    }
+
+    fn fail(&mut self, now: Time) -> Outage {
+        self.failing.get_or_insert(now);
+        let pause = (PAUSE_FIRST * (1 << self.failures.min(8))).min(PAUSE_LIMIT);
+        self.failures += 1;
+        self.due = now + pause.mul_f64(self.rng.random_range(0.5..1.0));
+        Outage::default()
+    }
+
+    fn recover(&mut self, now: Time) -> Outage {
+        let returned = self.failing.is_some();
+        if self
+            .failing
+            .take()
+            .is_some_and(|since| now - since >= OUTAGE)
+        {
+            self.outage_end = Some(now);
+        }
+        self.failures = 0;
+        Outage {
+            ended: self.outage_end,
+            returned,
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod admission;
 pub mod calls;
+pub mod catalog;
 pub mod config;
 mod digest;
 pub mod ids;
@@ -24,6 +25,7 @@
 pub mod pause;
 pub mod prelude;
 pub mod probing;
+pub mod routes;
 pub mod routing;
 pub mod spread;
 pub mod time;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -44,3 +44,16 @@
     /// Whether the target takes new work.
     pub state: TargetState,
 }
+
+/// What a target says of its own load on an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetLoad {
+    /// Requests that hold a slot.
+    pub running: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// How long work takes at this moment, in percent of the usual.
+    pub slowdown: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+}
--- /dev/null
+++ b/crates/core/src/routes/table.rs
@@ -0,0 +1,105 @@
+//! The routes by host and prefix.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeatability {
+    /// It may run any number of times.
+    Idempotent,
+    /// It may run once at most.
+    NonIdempotent,
+}
+
+/// A service that gets requests of a route.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Destination {
+    /// Name of the service.
+    pub service: String,
+    /// Its share, relative to the other destinations of the route.
+    pub weight: u32,
+}
+
+/// What operators allow for requests under one prefix.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Targets that one request may be sent to.
+    pub attempts: usize,
+    /// The services that share its requests; never empty.
+    pub destinations: Vec<Destination>,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
+    /// The start of the paths that it applies to.
+    pub prefix: String,
+    /// Rank among all routes, 0 first.
+    pub rank: u8,
+    /// Whether its requests may run twice.
+    pub repeats: Repeatability,
+    /// Longest time that a request is kept waiting.
+    pub timeout: Duration,
+}
+
+/// All routes.
+///
+/// ```
+/// use std::time::Duration;
+/// use hawthornwall_core::routes::{Destination, Repeatability, Route, RouteTable};
+///
+/// let route = |prefix: &str| Route {
+///     attempts: 2,
+///     destinations: vec![Destination { service: "calendar".to_owned(), weight: 1 }],
+///     objective: Duration::from_millis(500),
+///     prefix: prefix.to_owned(),
+///     rank: 1,
+///     repeats: Repeatability::Idempotent,
+///     timeout: Duration::from_secs(1),
+/// };
+/// let mut table = RouteTable::default();
+/// table.insert("a.example", route("/x/"));
+/// table.insert("a.example", route("/x/y/"));
+/// assert_eq!(table.find("a.example", "/x/y/1?q=/").unwrap().prefix, "/x/y/");
+/// assert_eq!(table.find("a.example", "/x/z").unwrap().prefix, "/x/");
+/// assert!(table.find("a.example", "/xy").is_none());
+/// assert!(table.find("b.example", "/x/").is_none());
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RouteTable {
+    hosts: BTreeMap<String, BTreeMap<String, Rc<Route>>>,
+}
+
+impl RouteTable {
+    /// Adds a route; a route with the same host and prefix is replaced.
+    pub fn insert(&mut self, host: &str, route: Route) {
+        let routes = self.hosts.entry(host.to_owned()).or_default();
+        routes.insert(route.prefix.clone(), Rc::new(route));
+    }
+
+    /// The route of a request: every prefix ends with a slash, so only the parts of the path up to a
+    /// slash are looked up, the longest first.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let routes = self.hosts.get(host)?;
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        let slashes = path.rmatch_indices('/').map(|(at, _)| at);
+        slashes
+            .map(|at| &path[..=at])
+            .find_map(|prefix| routes.get(prefix))
+    }
+
+    /// Number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(BTreeMap::len).sum()
+    }
+
+    /// Whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Names of all services that a route leads to.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let routes = self.hosts.values().flat_map(BTreeMap::values);
+        routes.flat_map(|r| r.destinations.iter().map(|d| d.service.as_str()))
+    }
+}
--- a/crates/core/tests/properties/call.rs
+++ b/crates/core/tests/properties/call.rs
@@ -48,7 +48,9 @@
 
 fn spec() -> impl Strategy<Value = Spec> {
     let pinned = prop::option::of((0..6u32).prop_map(TargetId));
-    (any::<bool>(), any::<bool>(), pinned).prop_map(|(hedge, idempotent, pinned)| Spec {
+    let flags = (any::<bool>(), any::<bool>());
+    (1..5usize, flags, pinned).prop_map(|(attempts, (hedge, idempotent), pinned)| Spec {
+        attempts,
         deadline: Time::from_micros(100_000),
         hedge,
         idempotent,
--- a/crates/core/tests/scenarios/calls.rs
+++ b/crates/core/tests/scenarios/calls.rs
@@ -15,6 +15,7 @@
 impl Run {
     pub fn new(line: &Line<'_>) -> (Self, Vec<String>) {
         let spec = Spec {
+            attempts: line.value("attempts", 4),
             deadline: Time::ZERO + line.span("deadline", Duration::from_secs(1)),
             hedge: line.flag("hedge"),
             idempotent: line.flag("idempotent"),
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -52,8 +52,7 @@
 }
 
 /// Serves operators until the task is dropped.
-pub async fn run(listener: TcpListener, admin: Admin) {
-    let admin = Rc::new(admin);
+pub async fn run(listener: TcpListener, admin: Rc<Admin>) {
     loop {
         match listener.accept().await {
             // Each connection holds a reference beside the one of this loop.
--- a/crates/node/src/admin/pages.rs
+++ b/crates/node/src/admin/pages.rs
@@ -24,6 +24,7 @@
 enum Page {
     Config,
     Drain,
+    Ready,
     Status,
 }
 
@@ -32,6 +33,7 @@
         match path {
             "/config" => Some(Self::Config),
             "/drain" => Some(Self::Drain),
+            "/ready" => Some(Self::Ready),
             "/status" => Some(Self::Status),
             _ => None,
         }
@@ -39,7 +41,7 @@
 
     fn method(self) -> Method {
         match self {
-            Self::Config | Self::Status => Method::GET,
+            Self::Config | Self::Ready | Self::Status => Method::GET,
             Self::Drain => Method::POST,
         }
     }
@@ -99,7 +101,7 @@
     match Page::at(&request.path) {
         None => error(
             StatusCode::NOT_FOUND,
-            "the pages are /status, /config and /drain",
+            "the pages are /status, /config, /ready and /drain",
         ),
         Some(page) if request.method != page.method() => {
             let method = page.method();
@@ -111,6 +113,7 @@
         }
         Some(Page::Config) => config(admin).await,
         Some(Page::Drain) => drain(admin),
+        Some(Page::Ready) => ready(admin).await,
         Some(Page::Status) => status(admin).await,
     }
 }
@@ -139,6 +142,20 @@
     }
 }
 
+/// Whether callers may be sent here.
+async fn ready(admin: &Admin) -> Response {
+    let ready = ask(|reply| {
+        let _ = admin.control.unbounded_send(ControlMessage::Ready(reply));
+    });
+    let ready = ready.await.unwrap_or(false);
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    page(status, &json!({ "ready": ready }))
+}
+
 fn drain(admin: &Admin) -> Response {
     log::info!("drain requested by an operator");
     // The gate tells when nothing is left; `GET /status` shows that, so nobody waits here.
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -20,7 +20,7 @@
 
 use futures::channel::mpsc;
 use hawthornwall_core::members::Identity;
-use hawthornwall_settings::{ControlSettings, PlatformSettings};
+use hawthornwall_settings::ControlSettings;
 
 use crate::clock::Clock;
 use crate::messages::{ControlMessage, ControlSender, GateSender, PeersSender, RouterSender};
@@ -32,14 +32,16 @@
 pub struct ControlStart {
     /// The process's clock.
     pub clock: Clock,
+    /// Address of the configuration service.
+    pub config: SocketAddr,
     /// The `gate` task.
     pub gate: GateSender,
     /// Identity of this daemon in announcements.
     pub identity: Identity,
+    /// Address of the instance list.
+    pub instances: SocketAddr,
     /// The `peers` task.
     pub peers: PeersSender,
-    /// Addresses of the platform.
-    pub platform: PlatformSettings,
     /// Messages to this task.
     pub receiver: mpsc::UnboundedReceiver<ControlMessage>,
     /// The `router` task.
--- a/crates/node/src/control/task.rs
+++ b/crates/node/src/control/task.rs
@@ -69,8 +69,8 @@
     fn new(start: ControlStart) -> (Self, mpsc::UnboundedReceiver<ControlMessage>) {
         let now = start.clock.now();
         let readers = [
-            (Endpoint::Config, start.platform.config),
-            (Endpoint::Instances, start.platform.instances),
+            (Endpoint::Config, start.config),
+            (Endpoint::Instances, start.instances),
         ];
         let readers = readers.map(|(endpoint, address)| {
             let (sender, requests) = mpsc::unbounded();
@@ -130,6 +130,9 @@
             } => self.exchanged(peer, result, round),
             ControlMessage::Leaving => self.leave(),
             ControlMessage::Platform(end) => self.read_ended(end),
+            ControlMessage::Ready(reply) => {
+                let _ = reply.send(self.is_ready());
+            }
             ControlMessage::Status(reply) => {
                 let _ = reply.send(self.status());
             }
--- a/crates/node/src/control/world.rs
+++ b/crates/node/src/control/world.rs
@@ -27,13 +27,19 @@
             return;
         }
         let (config, members) = (self.force.config(), self.targets());
+        let own = config.target_named(&self.members.own().identity.target);
         // Announcements that repeat known facts change nothing for the other tasks.
         let (version, shown) = (config.version, self.world.config.version);
         if version == shown && version > Version(0) && members == self.world.members {
             return;
         }
         let config = config.clone();
-        self.world = Rc::new(World { config, members });
+        self.world = Rc::new(World {
+            config,
+            members,
+            own,
+            routes: None,
+        });
         let world = || Rc::clone(&self.world);
         let _ = self.router.unbounded_send(RouterMessage::World(world()));
         self.gate.send(GateMessage::World(world()));
@@ -46,6 +52,12 @@
         found.map(|(id, view)| (id, member(view))).collect()
     }
 
+    /// Whether this daemon takes caller work.
+    pub(super) fn is_ready(&self) -> bool {
+        let leaving = self.members.own().leaving;
+        self.spread.is_ready() && !leaving && self.force.config().version > Version(0)
+    }
+
     pub(super) fn status(&self) -> ControlStatus {
         let config = self.force.config();
         let members = self.members.current();
@@ -65,6 +77,7 @@
 
 fn member(view: MemberView<'_>) -> Member {
     Member {
+        expect: None,
         instance: view.instance,
         leaving: view.leaving,
         peer: view.peer,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -4,6 +4,7 @@
 //! - every listener is bound before the first task runs, so that a daemon starts whole or not at all;
 //! - a planned stop refuses new work first, finishes what is in flight, and exits last.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -12,14 +13,16 @@
 use futures::{FutureExt, pin_mut, select_biased};
 use hawthornwall_core::ids::InstanceId;
 use hawthornwall_core::members::Identity;
-use hawthornwall_settings::Settings;
+use hawthornwall_settings::{Settings, Source};
 use monoio::net::{ListenerOpts, TcpListener};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rand::Rng;
 
 use crate::admin::{self, Admin};
+use crate::catalog::{self, CatalogStart};
 use crate::clock::Clock;
 use crate::control::{self, ControlStart};
+use crate::dialect::Dialect;
 use crate::gate::{GateStart, Gatekeeper};
 use crate::ingress::{Ingress, IngressStart};
 use crate::messages::{
@@ -39,9 +42,6 @@
 /// Bytes of a peer message beyond the bodies and heads that it carries; a configuration document may
 /// take a megabyte.
 const MESSAGE_OVERHEAD: usize = 1 << 20;
-/// Time between announcing the stop and refusing connections, so that peers and callers learn of it
-/// while they are still answered.
-const ANNOUNCE: Duration = Duration::from_secs(1);
 /// Longest wait for work in flight at a planned stop.
 const DRAIN_LIMIT: Duration = Duration::from_mins(10);
 
@@ -111,6 +111,7 @@
 /// What the tasks are made from.
 struct Parts<'a> {
     clock: Clock,
+    dialect: Dialect,
     instance: InstanceId,
     senders: Senders,
     settings: &'a Settings,
@@ -134,10 +135,12 @@
     fn ingress(&self, stop: oneshot::Receiver<()>) -> Result<Ingress, Report<StartError>> {
         Ingress::start(IngressStart {
             clock: self.clock,
+            dialect: self.dialect,
             gate: self.senders.gate.clone(),
             peers: self.senders.peers.clone(),
             router: self.senders.router.clone(),
             seed: rand::rng().random(),
+            service: self.settings.target.service.as_deref(),
             settings: &self.settings.caller,
             stop,
             telemetry: self.senders.telemetry.clone(),
@@ -149,7 +152,6 @@
         Router::new(RouterStart {
             clock: self.clock,
             domain: &self.settings.domain,
-            name: &self.settings.name,
             policy: self.settings.routing.policy,
             receiver,
             seed: rand::rng().random(),
@@ -161,6 +163,7 @@
     fn gate(&self, receiver: mpsc::UnboundedReceiver<GateMessage>) -> Gatekeeper {
         Gatekeeper::new(GateStart {
             clock: self.clock,
+            dialect: self.dialect,
             instance: self.instance,
             probe: self.senders.probe.clone(),
             receiver,
@@ -179,10 +182,47 @@
         })
     }
 
-    fn control(&self, receiver: mpsc::UnboundedReceiver<ControlMessage>) -> ControlStart {
+    /// Starts the task that learns configuration and members from the source.
+    fn spawn_control(&self, source: &Source, receiver: mpsc::UnboundedReceiver<ControlMessage>) {
+        match *source {
+            Source::Services { config, instances } => {
+                let start = self.control(config, instances, receiver);
+                monoio::spawn(control::run(start));
+            }
+            Source::Store(store) => {
+                monoio::spawn(catalog::run(self.catalog(store, receiver)));
+            }
+        }
+    }
+
+    fn catalog(
+        &self,
+        store: SocketAddr,
+        receiver: mpsc::UnboundedReceiver<ControlMessage>,
+    ) -> CatalogStart {
+        CatalogStart {
+            clock: self.clock,
+            gate: self.senders.gate.clone(),
+            own: self.settings.target.address,
+            peer_port: self.settings.peer.listen.port(),
+            peers: self.senders.peers.clone(),
+            receiver,
+            router: self.senders.router.clone(),
+            seed: rand::rng().random(),
+            store,
+        }
+    }
+
+    fn control(
+        &self,
+        config: SocketAddr,
+        instances: SocketAddr,
+        receiver: mpsc::UnboundedReceiver<ControlMessage>,
+    ) -> ControlStart {
         let peer = &self.settings.peer;
         ControlStart {
             clock: self.clock,
+            config,
             gate: self.senders.gate.clone(),
             identity: Identity {
                 domain: self.settings.domain.clone(),
@@ -190,8 +230,8 @@
                 peer: peer.advertise.unwrap_or(peer.listen),
                 target: self.settings.name.clone(),
             },
+            instances,
             peers: self.senders.peers.clone(),
-            platform: self.settings.platform.clone(),
             receiver,
             router: self.senders.router.clone(),
             seed: rand::rng().random(),
@@ -221,6 +261,7 @@
 /// A started daemon.
 #[derive(Debug)]
 struct Daemon {
+    announce: Duration,
     ingress: Ingress,
     senders: Senders,
     signals: StopSignals,
@@ -230,17 +271,20 @@
 impl Daemon {
     /// Binds every socket, then starts the tasks.
     fn start(settings: &Settings) -> Result<Self, Report<StartError>> {
+        let source = settings.platform.source().ok_or(StartError::Source)?;
         let (senders, receivers) = channels();
         let instance = InstanceId(rand::rng().random());
         let parts = Parts {
             clock: Clock::start(),
+            dialect: Dialect::of(&source),
             instance,
             senders,
             settings,
         };
         let (stop, stopped) = oneshot::channel();
         let signals = StopSignals::register().change_context(StartError::Runtime)?;
-        let listener = bind_admin(settings)?;
+        let listener = bind(settings.admin.listen)?;
+        let ready = settings.admin.ready.map(bind).transpose()?;
         let peers = parts.peers(receivers.peers)?;
         let ingress = parts.ingress(stopped)?;
 
@@ -249,11 +293,16 @@
         monoio::spawn(parts.router(receivers.router).run());
         monoio::spawn(parts.gate(receivers.gate).run());
         monoio::spawn(parts.probe(receivers.probe).run());
-        monoio::spawn(control::run(parts.control(receivers.control)));
-        monoio::spawn(admin::run(listener, parts.admin()));
+        parts.spawn_control(&source, receivers.control);
+        let admin = Rc::new(parts.admin());
+        monoio::spawn(admin::run(listener, Rc::clone(&admin)));
+        if let Some(listener) = ready {
+            monoio::spawn(admin::run(listener, admin));
+        }
         let name = settings.name.as_str();
         log::info!("daemon started", kv: { name, instance: });
         Ok(Self {
+            announce: settings.caller.announce,
             ingress,
             senders: parts.senders,
             signals,
@@ -262,7 +311,7 @@
     }
 
     async fn run(self) -> Result<(), Report<StartError>> {
-        let mut signals = self.signals;
+        let (announce, mut signals) = (self.announce, self.signals);
         let ingress = self.ingress.run().fuse();
         pin_mut!(ingress);
         {
@@ -278,7 +327,7 @@
         let _ = self.senders.control.unbounded_send(ControlMessage::Leaving);
         self.senders.gate.send(GateMessage::Drain(drained));
         let stopping = async {
-            monoio::time::sleep(ANNOUNCE).await;
+            monoio::time::sleep(announce).await;
             let _ = self.stop.send(());
             let _ = done.await;
         }
@@ -303,8 +352,7 @@
     }
 }
 
-fn bind_admin(settings: &Settings) -> Result<TcpListener, Report<StartError>> {
-    let address = settings.admin.listen;
+fn bind(address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
     let options = ListenerOpts::new().reuse_port(false);
     TcpListener::bind_with_config(address, &options).change_context(StartError::Bind(address))
 }
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -6,23 +6,22 @@
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::admission::WorkId;
+use hawthornwall_core::load::TargetLoad;
 use hawthornwall_core::outcome::{Loss, Refusal};
 use hawthornwall_core::time::Time;
 use hawthornwall_wire::head::Framing;
+use hawthornwall_wire::names::HeaderNames;
 use hawthornwall_wire::peer::{Header, HttpAnswer, HttpRequest};
 use http::response::Parts as AnswerHead;
 use monoio::net::TcpStream;
 
 use crate::clock::Clock;
-use crate::http::{HttpStream, Limits, ReadFault, encode_request, from_answer_head};
+use crate::dialect::Dialect;
+use crate::http::{HttpStream, Limits, ReadFault, encode_request, from_answer_head, header_text};
 use crate::telemetry::trace::HopSpan;
 
 /// Longest wait for a connection to the local target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time left until the deadline, in milliseconds.
-pub(super) const DEADLINE_HEADER: &str = "hawthornwall-deadline";
-/// Set to `1` by a target on a 503 answer to a request that it has not run.
-const NOT_RUN_HEADER: &str = "hawthornwall-not-run";
 /// Set to `draining` by a target that is leaving.
 const STATE_HEADER: &str = "hawthornwall-state";
 
@@ -32,6 +31,8 @@
     /// Closes when the work is cancelled.
     pub cancel: oneshot::Receiver<()>,
     pub deadline: Time,
+    /// Name that the target must have.
+    pub expect: Option<String>,
     pub request: HttpRequest,
     /// Ends with the job.
     pub span: HopSpan,
@@ -54,6 +55,8 @@
     pub end: JobEnd,
     /// Where the connection takes its next job; `None` if it has closed.
     pub idle: Option<mpsc::UnboundedSender<Job>>,
+    /// What the target says of its load.
+    pub load: Option<TargetLoad>,
     pub work: WorkId,
 }
 
@@ -71,6 +74,7 @@
 pub(super) struct TargetAddress {
     pub address: SocketAddr,
     pub clock: Clock,
+    pub dialect: Dialect,
     pub limits: Limits,
 }
 
@@ -83,6 +87,7 @@
             draining: false,
             end,
             idle: None,
+            load: None,
             work,
         };
         let _ = reports.unbounded_send(Report::Finished(finished));
@@ -133,6 +138,7 @@
         let Served {
             draining,
             end,
+            load,
             reusable,
         } = self.serve(job).await;
         let idle = reusable.then(|| sender.clone());
@@ -141,6 +147,7 @@
                 draining,
                 end,
                 idle,
+                load,
                 work,
             },
             reusable,
@@ -156,6 +163,7 @@
 struct Served {
     draining: bool,
     end: JobEnd,
+    load: Option<TargetLoad>,
     reusable: bool,
 }
 
@@ -164,6 +172,7 @@
         Self {
             draining: false,
             end,
+            load: None,
             reusable: false,
         }
     }
@@ -171,9 +180,10 @@
 
 impl Conn {
     /// Waits for a job. A target that closes an idle connection is noticed at once, so that no job
-    /// is sent into a closed connection and counted as lost.
+    /// is sent into a closed connection and counted as lost. One that sends something unasked is
+    /// out of step and is closed too.
     async fn next_job(&mut self, jobs: &mut mpsc::UnboundedReceiver<Job>) -> Option<Job> {
-        let closed = self.stream.closed().fuse();
+        let closed = self.stream.disturbed().fuse();
         let next = jobs.next().fuse();
         pin_mut!(closed, next);
         select_biased! {
@@ -183,14 +193,15 @@
     }
 
     async fn serve(&mut self, mut job: Job) -> Served {
+        let (_, unused) = oneshot::channel();
+        let cancel = std::mem::replace(&mut job.cancel, unused);
         let left = self.target.clock.until(job.deadline);
         let trace = job.span.traceparent();
-        let exchange =
-            monoio::time::timeout(left, self.exchange(&job.request, left, trace.as_deref()));
+        let exchange = monoio::time::timeout(left, self.exchange(&job, left, trace.as_deref()));
         let exchange = exchange.fuse();
         pin_mut!(exchange);
         // Unfused, the receiver counts as terminated once its sender is dropped and is never polled.
-        let mut cancel = (&mut job.cancel).fuse();
+        let mut cancel = cancel.fuse();
         select_biased! {
             result = exchange => match result {
                 Ok(served) => served,
@@ -200,59 +211,121 @@
         }
     }
 
-    async fn exchange(
-        &mut self,
-        request: &HttpRequest,
-        left: Duration,
-        trace: Option<&str>,
-    ) -> Served {
+    async fn exchange(&mut self, job: &Job, left: Duration, trace: Option<&str>) -> Served {
+        let request = &job.request;
         let host = self.target.address.to_string();
-        let bytes = encode_request(request, &host, &extra_headers(left, trace));
+        let extra = self.extra_headers(left, job.expect.as_deref(), trace);
+        let bytes = encode_request(request, &host, &extra);
         if self.stream.write(bytes).await.is_err() {
             return Served::broken(JobEnd::Lost(Loss::Closed));
         }
-        match self.read_answer(request.method == "HEAD").await {
+        match self.read_answer(request).await {
             Ok(served) => served,
             Err(fault) => Served::broken(JobEnd::Lost(loss_of(&fault))),
         }
     }
 
-    async fn read_answer(&mut self, to_head: bool) -> Result<Served, ReadFault> {
-        let (head, framing) = loop {
+    /// Reads the answer to a request. Answers to other requests, which a target may send late, are
+    /// passed over; the connection is not used again after one.
+    async fn read_answer(&mut self, request: &HttpRequest) -> Result<Served, ReadFault> {
+        let names = self.target.dialect.names();
+        let asked = names.request.and_then(|n| header_text(&request.headers, n));
+        let mut in_step = true;
+        loop {
+            let (head, framing) = self.read_final_head().await?;
+            let (body, whole) = self.read_answer_body(request, &head, framing).await?;
+            let id = names.request.and_then(|n| head.headers.get(n));
+            let other = id.is_some_and(|id| asked.is_some_and(|a| a.as_bytes() != id.as_bytes()));
+            if other {
+                in_step = false;
+                continue;
+            }
+            let reusable = in_step
+                && whole
+                && !header_is(&head, "connection", "close")
+                && head.version == http::Version::HTTP_11
+                && !self.stream.has_buffered();
+            let load = names.load.and_then(|n| head.headers.get(n)?.to_str().ok());
+            return Ok(Served {
+                draining: header_is(&head, STATE_HEADER, "draining"),
+                end: end_of(names, &head, body, request),
+                load: load.and_then(|text| self.target.dialect.load(text)),
+                reusable,
+            });
+        }
+    }
+
+    async fn read_final_head(&mut self) -> Result<(AnswerHead, Framing), ReadFault> {
+        loop {
             let (head, framing) = self.stream.read_answer_head().await?;
             if !head.status.is_informational() {
-                break (head, framing);
+                return Ok((head, framing));
             }
-        };
-        let bodiless = to_head || matches!(head.status.as_u16(), 204 | 304);
-        let body = match (bodiless, framing) {
-            (true, _) => Vec::new(),
-            // Without a length, the end of the connection can't be told from a cut answer.
-            (false, Framing::None) => return Err(ReadFault::Malformed("no length".to_owned())),
+        }
+    }
+
+    /// The body, and whether the connection can carry another answer.
+    async fn read_answer_body(
+        &mut self,
+        request: &HttpRequest,
+        head: &AnswerHead,
+        framing: Framing,
+    ) -> Result<(Vec<u8>, bool), ReadFault> {
+        let bodiless = request.method == "HEAD" || matches!(head.status.as_u16(), 204 | 304);
+        match (bodiless, framing) {
+            (true, _) => Ok((Vec::new(), true)),
+            (false, Framing::None) => match self.target.dialect {
+                // The end of the connection can't be told from a cut answer.
+                Dialect::Own => Err(ReadFault::Malformed("no length".to_owned())),
+                Dialect::Platform => Ok((self.stream.read_to_end().await?, false)),
+            },
             (false, Framing::Chunked | Framing::Length(_)) => {
-                self.stream.read_body(framing).await?
+                Ok((self.stream.read_body(framing).await?, true))
             }
+        }
+    }
+
+    fn extra_headers(
+        &self,
+        left: Duration,
+        expect: Option<&str>,
+        trace: Option<&str>,
+    ) -> Vec<Header> {
+        let header = |name: &str, value: &str| Header {
+            name: name.to_owned(),
+            value: value.as_bytes().to_vec(),
         };
-        let is = |name: &str, value: &str| header_is(&head, name, value);
-        let draining = is(STATE_HEADER, "draining");
-        let reusable = !is("connection", "close") && head.version == http::Version::HTTP_11;
-        let refused =
-            head.status == http::StatusCode::SERVICE_UNAVAILABLE && is(NOT_RUN_HEADER, "1");
-        let end = if refused {
-            JobEnd::Refused(if draining {
-                Refusal::Draining
-            } else {
-                Refusal::Shed
-            })
+        let names = self.target.dialect.names();
+        let mut extra = vec![header(names.deadline, &left.as_millis().to_string())];
+        extra.extend(names.expect.zip(expect).map(|(n, e)| header(n, e)));
+        extra.extend(trace.map(|t| header("traceparent", t)));
+        extra
+    }
+}
+
+/// What a whole answer means.
+fn end_of(names: &HeaderNames, head: &AnswerHead, body: Vec<u8>, request: &HttpRequest) -> JobEnd {
+    let status = head.status.as_u16();
+    let not_run = header_is(head, names.not_run, "1") && matches!(status, 400 | 429 | 503);
+    if status == 421 {
+        return JobEnd::Refused(Refusal::WrongTarget);
+    }
+    if not_run {
+        let draining = header_is(head, STATE_HEADER, "draining");
+        return JobEnd::Refused(if draining {
+            Refusal::Draining
         } else {
-            JobEnd::Answered(from_answer_head(&head, body, to_head))
-        };
-        Ok(Served {
-            draining,
-            end,
-            reusable: reusable && !self.stream.has_buffered(),
-        })
+            Refusal::Shed
+        });
+    }
+    let unsealed = |seal: &str| head.status.is_success() && !head.headers.contains_key(seal);
+    // Callers take these statuses as a promise that the request has not run, which the target has
+    // not made.
+    let false_promise = names.seal.is_some() && matches!(status, 408 | 429 | 503);
+    if names.seal.is_some_and(unsealed) || false_promise {
+        return JobEnd::Lost(Loss::Malformed);
     }
+    JobEnd::Answered(from_answer_head(head, body, request.method == "HEAD"))
 }
 
 fn header_is(head: &AnswerHead, name: &str, value: &str) -> bool {
@@ -261,16 +334,6 @@
         .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(value.as_bytes()))
 }
 
-fn extra_headers(left: Duration, trace: Option<&str>) -> Vec<Header> {
-    let header = |name: &str, value: String| Header {
-        name: name.to_owned(),
-        value: value.into_bytes(),
-    };
-    let mut extra = vec![header(DEADLINE_HEADER, left.as_millis().to_string())];
-    extra.extend(trace.map(|t| header("traceparent", t.to_owned())));
-    extra
-}
-
 fn loss_of(fault: &ReadFault) -> Loss {
     match fault {
         ReadFault::Closed | ReadFault::Cut | ReadFault::Idle | ReadFault::Io(_) => Loss::Closed,
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -16,6 +16,7 @@
 use super::memory::{EXPIRE_PERIOD, Memo, Memory};
 use super::work::{Held, Waiter, WorkTable};
 use crate::clock::Clock;
+use crate::dialect::Dialect;
 use crate::http;
 use crate::messages::{GateMessage, GateStatus, ProbeResult, World};
 use crate::telemetry::trace::{Hop, HopSpan};
@@ -35,6 +36,8 @@
 pub struct GateStart<'a> {
     /// The process's clock.
     pub clock: Clock,
+    /// Conventions of the target.
+    pub dialect: Dialect,
     /// This run.
     pub instance: InstanceId,
     /// The task that measures the target, which needs to know its slots.
@@ -66,7 +69,6 @@
     gate: Gate,
     idle: Vec<mpsc::UnboundedSender<Job>>,
     memory: Memory,
-    name: String,
     pauses: PauseDetector,
     probe: mpsc::UnboundedSender<Rc<World>>,
     receiver: mpsc::UnboundedReceiver<GateMessage>,
@@ -94,6 +96,7 @@
             address: TargetAddress {
                 address: settings.target.address,
                 clock: start.clock,
+                dialect: start.dialect,
                 limits,
             },
             clock: start.clock,
@@ -104,7 +107,6 @@
             gate: Gate::new(start.instance, gate_limits),
             idle: Vec::new(),
             memory: Memory::new(start.instance, &settings.keys),
-            name: settings.name.clone(),
             pauses: PauseDetector::new(TICK_IDLE, start.clock.now()),
             probe: start.probe,
             receiver: start.receiver,
@@ -192,9 +194,9 @@
     fn configure(&mut self, world: &Rc<World>) {
         let _ = self.probe.unbounded_send(Rc::clone(world));
         let config = &world.config;
-        let target = config
-            .target_named(&self.name)
-            .map(|id| (id, &config.targets[&id]));
+        let target = world
+            .own
+            .and_then(|id| Some((id, config.targets.get(&id)?)));
         let rules = target
             .and_then(|(_, t)| config.services.get(&t.service))
             .map(|s| &s.rules);
@@ -213,6 +215,10 @@
             slots: target.slots,
         };
         self.apply(&Event::Configure(limits));
+        let published = world.members.get(&id).filter(|m| m.expect.is_some());
+        if let Some(member) = published {
+            self.apply(&Event::TargetDrains(member.leaving));
+        }
     }
 
     fn note_probe(&mut self, result: ProbeResult) {
@@ -239,7 +245,8 @@
         run.left = run.left.saturating_sub(self.pauses.staleness(now));
         let known = self.target == Some(run.target) && self.service == Some(run.service);
         // What has run under a key is known whatever the configuration says now.
-        if !known && run.key.is_none() {
+        // A target that checks its name itself refuses what is not for it.
+        if !known && run.key.is_none() && run.expect.is_none() {
             return self.reply(waiter, RunEnd::Refused(Refusal::WrongTarget));
         }
         let (decision, memo) = self.memory.decide(waiter.id, &run, now);
@@ -320,6 +327,7 @@
         let job = Job {
             cancel: cancelled,
             deadline: held.deadline,
+            expect: run.expect,
             request: run.http,
             span,
             work,
@@ -352,15 +360,21 @@
             draining,
             end,
             idle,
+            load,
             work,
         } = finished;
+        if let Some(load) = load {
+            self.note_load(load);
+        }
         self.idle.extend(idle);
         let failed = match &end {
             JobEnd::Answered(answer) => answer.status >= 500,
             JobEnd::Lost(Loss::Cancelled) | JobEnd::Refused(_) => false,
             JobEnd::Lost(_) => true,
         };
-        let unreachable = matches!(end, JobEnd::Refused(Refusal::Down));
+        // Where nothing probes the target, the next request does.
+        let probed = self.address.dialect == Dialect::Own;
+        let unreachable = probed && matches!(end, JobEnd::Refused(Refusal::Down));
         let run_end = match end {
             JobEnd::Answered(answer) => RunEnd::Answered(answer),
             JobEnd::Lost(loss) => RunEnd::Lost(loss),
@@ -377,6 +391,17 @@
         }
     }
 
+    /// Takes over the number of slots that the target states, in case no entry of it is known.
+    fn note_load(&mut self, load: TargetLoad) {
+        if self.target.is_none() && load.slots > 0 {
+            let limits = Limits {
+                queue_wait: Duration::ZERO,
+                slots: load.slots,
+            };
+            self.apply(&Event::Configure(limits));
+        }
+    }
+
     fn end_work(&mut self, work: WorkId, end: &RunEnd) {
         let Some(held) = self.work.remove(work) else {
             return;
--- a/crates/node/src/http/stream.rs
+++ b/crates/node/src/http/stream.rs
@@ -154,6 +154,29 @@
         std::future::pending::<()>().await;
     }
 
+    /// Ends when the other side closes or sends anything.
+    pub async fn disturbed(&mut self) {
+        if self.buf.is_empty() {
+            let _ = self.fill().await;
+        }
+    }
+
+    /// Reads a body that ends with the connection.
+    ///
+    /// # Errors
+    ///
+    /// If the connection is reset, goes silent or carries too much.
+    pub async fn read_to_end(&mut self) -> Result<Vec<u8>, ReadFault> {
+        loop {
+            match self.fill_timed().await {
+                Ok(()) if self.buf.len() > self.limits.body => return Err(ReadFault::TooLarge),
+                Ok(()) => {}
+                Err(ReadFault::Cut) => return Ok(self.buf.split().to_vec()),
+                Err(fault) => return Err(fault),
+            }
+        }
+    }
+
     /// Closes the connection so that the last answer arrives. Closing with unread bytes would reset
     /// the connection, and a reset may overtake the answer.
     pub async fn close(mut self) {
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to have a call answered by one target.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures::channel::oneshot;
@@ -47,6 +48,8 @@
 #[derive(Debug)]
 pub(super) struct AttemptRequest {
     pub deadline: Time,
+    /// Name that the target must have.
+    pub expect: Option<Rc<str>>,
     /// Whether the target is beside this daemon.
     pub local: bool,
     /// Whether the request must not run twice although it has no key.
@@ -126,7 +129,9 @@
                     patience, repeat, ..
                 } = self.sending;
                 let once = self.once;
+                let expect = self.expect.as_deref().map(str::to_owned);
                 let run = Run {
+                    expect,
                     http,
                     key,
                     left,
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -14,6 +14,7 @@
 
 use super::connection;
 use crate::clock::Clock;
+use crate::dialect::Dialect;
 use crate::http::Limits;
 use crate::messages::{GateSender, PeersSender, RouterSender};
 use crate::start::StartError;
@@ -31,10 +32,13 @@
 pub(super) struct Backend {
     pub clock: Clock,
     pub default_limits: Limits,
+    pub dialect: Dialect,
     pub gate: GateSender,
     pub peers: PeersSender,
     pub requests: Rc<Cell<u64>>,
     pub router: RouterSender,
+    /// The service that the instance's own requests come from.
+    pub service: Option<Rc<str>>,
     pub telemetry: Telemetry,
     pub tracer: Tracer,
 }
@@ -53,6 +57,8 @@
 pub struct IngressStart<'a> {
     /// The process's clock.
     pub clock: Clock,
+    /// Conventions of callers.
+    pub dialect: Dialect,
     /// The local gate.
     pub gate: GateSender,
     /// Other daemons.
@@ -61,6 +67,8 @@
     pub router: RouterSender,
     /// First request id; random, so that ids of two runs differ.
     pub seed: u64,
+    /// The service that the instance's own requests come from.
+    pub service: Option<&'a str>,
     /// Address and limits.
     pub settings: &'a CallerSettings,
     /// Ends when no more callers are accepted.
@@ -107,10 +115,12 @@
                 head: settings.head_limit,
                 idle: settings.idle,
             },
+            dialect: start.dialect,
             gate: start.gate,
             peers: start.peers,
             requests: Rc::new(Cell::new(start.seed)),
             router: start.router,
+            service: start.service.map(Rc::from),
             telemetry: start.telemetry,
             tracer: start.tracer,
         };
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Repeats the caller's id on an answer that doesn't carry it.
+    pub fn repeat_id(&mut self, name: Option<&str>, id: Option<&str>) {
+        let (Some(name), Some(id)) = (name, id) else {
+            return;
+        };
+        if !self.answer.headers.iter().any(|h| h.name == name) {
+            self.extra.push(header(name, id));
+        }
+    }
+
     /// What the caller is told.
     pub fn outcome(&self) -> Outcome {
         self.outcome
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -6,12 +6,12 @@
 use hawthornwall_core::prelude::*;
 use hawthornwall_wire::peer::HttpRequest;
 
+use crate::dialect::Dialect;
 use crate::http::header_text;
 
 /// Path under which keys are issued, followed by the service's name.
 const KEYS_PATH: &str = "/.hawthornwall/keys/";
 const KEY_HEADER: &str = "idempotency-key";
-const DEADLINE_HEADER: &str = "hawthornwall-deadline";
 /// Longest deadline that a caller may ask for.
 const DEADLINE_LIMIT: Duration = Duration::from_mins(10);
 
@@ -32,7 +32,10 @@
 ///
 /// [`Refusal::KeyInvalid`] for a key that was not issued by hawthornwall. Its owner is unknown, so no
 /// daemon could tell whether it has run.
-pub(super) fn asked(request: &HttpRequest) -> Result<Asked, Refusal> {
+pub(super) fn asked(dialect: Dialect, request: &HttpRequest) -> Result<Asked, Refusal> {
+    if dialect == Dialect::Platform {
+        return Ok(Asked::Plain);
+    }
     if request.method == "POST" && request.path.starts_with(KEYS_PATH) {
         return Ok(Asked::Key);
     }
@@ -66,8 +69,8 @@
 }
 
 /// The time that the caller gives its request, or the service's default.
-pub(super) fn time_left(request: &HttpRequest, default: Duration) -> Duration {
-    let text = header_text(&request.headers, DEADLINE_HEADER);
+pub(super) fn time_left(request: &HttpRequest, name: &str, default: Duration) -> Duration {
+    let text = header_text(&request.headers, name);
     let asked = text
         .and_then(|t| t.trim().parse().ok())
         .map(Duration::from_millis);
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -1,22 +1,27 @@
 //! Carries out the effects of one call.
 
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures::channel::{mpsc, oneshot};
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
-use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, PickKind, Spec, keyed_outcome};
+use hawthornwall_core::calls::{
+    AttemptId, Call, Effect, Event, MAX_ATTEMPTS, PickKind, Spec, keyed_outcome,
+};
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::routes::Repeatability;
 use hawthornwall_core::routing::Choice;
-use hawthornwall_wire::peer::HttpRequest;
+use hawthornwall_wire::peer::{Header, HttpRequest};
 
 use super::attempt::{Attempt, AttemptRequest, Sending, Task, Yield};
 use super::listener::Backend;
 use super::reply::Reply;
 use super::request::{Asked, address, asked, idempotent, time_left};
 use crate::http::header_text;
-use crate::messages::{OpenTicket, Opened, RouterMessage};
+use crate::messages::{OpenTicket, Opened, Picked, RouterMessage};
 use crate::telemetry::trace::{Hop, HopSpan};
 use crate::telemetry::{Event as Count, Telemetry};
 
@@ -30,7 +35,12 @@
         event: Count::Abandoned,
         telemetry: &backend.telemetry,
     };
-    let reply = answer(backend, request, &span).await;
+    let id_name = backend.dialect.names().request;
+    let id = id_name
+        .and_then(|n| header_text(&request.headers, n))
+        .map(str::to_owned);
+    let mut reply = answer(backend, request, &span).await;
+    reply.repeat_id(id_name, id.as_deref());
     let outcome = reply.outcome();
     span.set_outcome(outcome);
     let elapsed = backend.clock.now() - started;
@@ -50,8 +60,9 @@
     }
 }
 
-async fn answer(backend: &Backend, request: HttpRequest, span: &HopSpan) -> Reply {
-    let asked = match asked(&request) {
+async fn answer(backend: &Backend, mut request: HttpRequest, span: &HopSpan) -> Reply {
+    name_caller(backend, &mut request);
+    let asked = match asked(backend.dialect, &request) {
         Ok(asked) => asked,
         Err(refusal) => return Reply::unanswered(Outcome::Refused(refusal)),
     };
@@ -73,6 +84,20 @@
     serving.run().await
 }
 
+/// States the service that the request comes from, whatever the caller has stated.
+fn name_caller(backend: &Backend, request: &mut HttpRequest) {
+    let Some(name) = backend.dialect.names().caller else {
+        return;
+    };
+    request.headers.retain(|h| h.name != name);
+    request
+        .headers
+        .extend(backend.service.as_ref().map(|s| Header {
+            name: name.to_owned(),
+            value: s.as_bytes().to_vec(),
+        }));
+}
+
 fn refused(asked: &Asked, refusal: Refusal) -> Outcome {
     match asked {
         Asked::Keyed(_) => keyed_outcome(refusal),
@@ -106,13 +131,15 @@
 /// The end of something that the call waits for.
 enum Step {
     Ended(AttemptId, TargetId, AttemptResult, Yield),
-    Picked(PickKind, Result<(Choice, OpenTicket), Refusal>),
+    Picked(PickKind, Result<Picked, Refusal>),
 }
 
 struct Serving<'a> {
     backend: &'a Backend,
     call: Call,
     effects: Vec<Effect>,
+    /// Names that the targets tried must have.
+    expects: BTreeMap<TargetId, Option<Rc<str>>>,
     local: Option<TargetId>,
     /// Whether the request must not run twice although it has no key.
     once: bool,
@@ -144,11 +171,20 @@
             Asked::Keyed(key) => Some(key.target),
             Asked::Key | Asked::Plain => None,
         };
+        let route = opened.route.as_deref();
+        let deadline_name = backend.dialect.names().deadline;
+        let left = time_left(&request, deadline_name, rules.deadline);
+        let repeatable = match route.map(|r| r.repeats) {
+            Some(Repeatability::Idempotent) => true,
+            Some(Repeatability::NonIdempotent) => false,
+            None => idempotent(&request.method),
+        };
         let spec = Spec {
-            deadline: now + time_left(&request, rules.deadline),
+            attempts: route.map_or(MAX_ATTEMPTS, |r| r.attempts),
+            deadline: now + left.min(route.map_or(left, |r| r.timeout)),
             hedge: rules.hedge && asked == Asked::Plain,
             // An unused key does no harm, so asking for one may be repeated.
-            idempotent: asked == Asked::Key || idempotent(&request.method),
+            idempotent: asked == Asked::Key || repeatable,
             pinned,
         };
         let (call, effects) = Call::start(spec, now);
@@ -156,6 +192,7 @@
             backend,
             call,
             effects,
+            expects: BTreeMap::new(),
             local: opened.own,
             once: !spec.idempotent && pinned.is_none(),
             pending: FuturesUnordered::new(),
@@ -227,9 +264,11 @@
                 self.yielded = Some((target, yielded));
                 Event::Ended(attempt, result)
             }
-            Step::Picked(kind, Ok((choice, ticket))) => {
+            Step::Picked(kind, Ok(picked)) => {
+                let choice = picked.choice;
                 self.picked = Some((kind, choice));
-                self.ticket = Some(ticket);
+                self.ticket = Some(picked.ticket);
+                self.expects.insert(choice.target, picked.expect);
                 Event::Picked(choice)
             }
             Step::Picked(_, Err(refusal)) => Event::NotPicked(refusal),
@@ -270,6 +309,7 @@
         self.backend.telemetry.record(Count::Sent(kind));
         let request = AttemptRequest {
             deadline: self.call.deadline(),
+            expect: self.expects.get(&target).cloned().flatten(),
             local: self.local == Some(target),
             once: self.once,
             sending,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,9 +5,11 @@
 //! only carries their effects out.
 
 pub mod admin;
+pub mod catalog;
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod dialect;
 pub mod gate;
 pub mod http;
 pub mod ingress;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -14,6 +14,7 @@
 use hawthornwall_core::calls::PickKind;
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::routes::{Route, RouteTable};
 use hawthornwall_core::routing::{Choice, Ticket};
 use hawthornwall_wire::peer::{Exchange, Reply, Request, Run, RunReply};
 use serde::Serialize;
@@ -23,6 +24,9 @@
 /// What is known of the instance beside a target.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Member {
+    /// Name that the target must have to run a request, if it checks that.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub expect: Option<Rc<str>>,
     /// Its run, if it has announced itself.
     pub instance: Option<InstanceId>,
     /// Whether it takes no new work.
@@ -38,6 +42,10 @@
     pub config: Configuration,
     /// The members by target.
     pub members: BTreeMap<TargetId, Member>,
+    /// The target beside this daemon, if it is known.
+    pub own: Option<TargetId>,
+    /// Routes of requests; without them the configuration's services are found by host name or path.
+    pub routes: Option<Rc<RouteTable>>,
 }
 
 /// What an attempt showed.
@@ -102,12 +110,25 @@
 pub struct Opened {
     /// The target beside this daemon, if the configuration names it.
     pub own: Option<TargetId>,
+    /// The route that applies, where routes are published.
+    pub route: Option<Rc<Route>>,
     /// Sharing rules of the service.
     pub rules: Rules,
     /// The service that the request is for.
     pub service: ServiceId,
 }
 
+/// A picked target.
+#[derive(Debug)]
+pub struct Picked {
+    /// The choice.
+    pub choice: Choice,
+    /// Name that the target must have to run the request, if it checks that.
+    pub expect: Option<Rc<str>>,
+    /// The attempt's ticket.
+    pub ticket: OpenTicket,
+}
+
 /// To the `router` task.
 #[derive(Debug)]
 pub enum RouterMessage {
@@ -134,7 +155,7 @@
         /// Why.
         kind: PickKind,
         /// The choice, or why none was made.
-        reply: oneshot::Sender<Result<(Choice, OpenTicket), Refusal>>,
+        reply: oneshot::Sender<Result<Picked, Refusal>>,
         /// The service.
         service: ServiceId,
         /// Targets that the call has tried.
@@ -288,6 +309,8 @@
     Leaving,
     /// A read of the platform ended.
     Platform(ReadEnd),
+    /// Tell whether this daemon takes caller work.
+    Ready(oneshot::Sender<bool>),
     /// Report configuration and members.
     Status(oneshot::Sender<ControlStatus>),
 }
--- a/crates/node/src/platform/connection.rs
+++ b/crates/node/src/platform/connection.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hawthornwall_wire::document::DOCUMENT_LIMIT;
 use hawthornwall_wire::head::{Framing, HeadKind, check_head, head_length};
@@ -14,6 +15,13 @@
 const HEAD_LIMIT: usize = 8 << 10;
 /// Size of one read from the socket.
 const READ_SIZE: usize = 16 << 10;
+/// Idle time after which the kernel asks the other side for a sign of life. A pending watch is silent
+/// for long, so that only these probes find a connection that has gone silent for good.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Time between two such probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which the connection is given up.
+const KEEPALIVE_PROBES: u32 = 2;
 /// Longest line that announces a chunk: 16 digits, an extension and CRLF.
 const CHUNK_LINE_LIMIT: usize = 256;
 
@@ -41,6 +49,13 @@
     pub(super) async fn open(address: SocketAddr) -> Result<Self, ReadFault> {
         let stream = TcpStream::connect_addr(address).await.map_err(broken)?;
         stream.set_nodelay(true).map_err(broken)?;
+        stream
+            .set_tcp_keepalive(
+                Some(KEEPALIVE_IDLE),
+                Some(KEEPALIVE_INTERVAL),
+                Some(KEEPALIVE_PROBES),
+            )
+            .map_err(broken)?;
         let buffer = Vec::new();
         Ok(Self { buffer, stream })
     }
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -6,6 +6,7 @@
 //! - a connection on which anything went wrong or silent is closed, and the next read opens another.
 
 mod connection;
+pub mod store;
 
 use std::fmt;
 use std::net::SocketAddr;
--- a/crates/node/src/probe/task.rs
+++ b/crates/node/src/probe/task.rs
@@ -44,7 +44,6 @@
     endpoint: Endpoint,
     gate: GateSender,
     interval: Duration,
-    name: String,
     receiver: mpsc::UnboundedReceiver<Rc<World>>,
     telemetry: Telemetry,
 }
@@ -70,7 +69,6 @@
             endpoint: Endpoint::new(target.address, [&target.load, &target.health], read),
             gate: start.gate,
             interval: SPAN / probe.per_100s.max(1),
-            name: start.settings.name.clone(),
             receiver: start.receiver,
             telemetry: start.telemetry,
         }
@@ -92,8 +90,8 @@
     }
 
     fn configure(&mut self, world: &World) {
-        let target = world.config.target_named(&self.name);
-        let slots = target
+        let slots = world
+            .own
             .and_then(|id| world.config.targets.get(&id))
             .map(|t| t.slots);
         if let Some(slots) = slots {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -12,12 +12,13 @@
 use futures::channel::mpsc;
 use hawthornwall_core::calls::{PickKind, RetryBudget};
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::routes::{Route, Splitter};
 use hawthornwall_core::routing::{
     Balancer, Choice, MemberView, Observation, PickRequest, Policy, Ticket,
 };
 
 use crate::clock::Clock;
-use crate::messages::{OpenTicket, Opened, RouterMessage, RouterSender, Seen, World};
+use crate::messages::{OpenTicket, Opened, Picked, RouterMessage, RouterSender, Seen, World};
 
 /// What the task needs at its start.
 #[derive(Debug)]
@@ -26,8 +27,6 @@
     pub clock: Clock,
     /// Failure domain of this instance.
     pub domain: &'a str,
-    /// Name of the target beside this daemon.
-    pub name: &'a str,
     /// How targets are chosen.
     pub policy: Policy,
     /// Messages of other tasks.
@@ -48,9 +47,9 @@
     clock: Clock,
     inflight: BTreeMap<ServiceId, usize>,
     limit: usize,
-    name: String,
     receiver: mpsc::UnboundedReceiver<RouterMessage>,
     sender: RouterSender,
+    splitter: Splitter,
     world: Rc<World>,
 }
 
@@ -63,9 +62,9 @@
             clock: start.clock,
             inflight: BTreeMap::new(),
             limit: start.service_limit,
-            name: start.name.to_owned(),
             receiver: start.receiver,
             sender: start.sender,
+            splitter: Splitter::default(),
             world: Rc::default(),
         }
     }
@@ -90,8 +89,7 @@
                     tried,
                 } => {
                     let picked = self.pick(kind, service, &tried);
-                    let _ =
-                        reply.send(picked.map(|choice| (choice, self.open_ticket(choice.ticket))));
+                    let _ = reply.send(picked.map(|choice| self.picked(choice)));
                 }
                 RouterMessage::Pin { reply, target } => {
                     let ticket = self.balancer.pin(target, self.clock.now());
@@ -124,6 +122,9 @@
                 .or_insert_with(|| RetryBudget::new(percent));
             budget.set_percent(percent);
         }
+        if self.world.config.version != world.config.version {
+            self.splitter.reset();
+        }
         self.world = world;
     }
 
@@ -132,7 +133,8 @@
         if config.version == Version(0) {
             return Err(Refusal::NotReady);
         }
-        let service = config.route(host, path).ok_or(Refusal::UnknownService)?;
+        let (service, route) = self.find(host, path).ok_or(Refusal::UnknownService)?;
+        let config = &self.world.config;
         let inflight = self.inflight.entry(service).or_default();
         if *inflight >= self.limit {
             return Err(Refusal::Overload);
@@ -140,12 +142,24 @@
         *inflight += 1;
         let rules = config.services[&service].rules.clone();
         Ok(Opened {
-            own: config.target_named(&self.name),
+            own: self.world.own,
+            route,
             rules,
             service,
         })
     }
 
+    /// The service of a request and the route that leads there.
+    fn find(&mut self, host: &str, path: &str) -> Option<(ServiceId, Option<Rc<Route>>)> {
+        let config = &self.world.config;
+        let Some(routes) = &self.world.routes else {
+            return config.route(host, path).map(|service| (service, None));
+        };
+        let route = routes.find(host, path)?;
+        let service = config.service_named(self.splitter.pick(host, route))?;
+        Some((service, Some(Rc::clone(route))))
+    }
+
     fn close(&mut self, service: ServiceId) {
         if let Some(inflight) = self.inflight.get_mut(&service) {
             *inflight = inflight.saturating_sub(1);
@@ -175,6 +189,15 @@
             .pick(&PickRequest { service, tried }, self.clock.now())
     }
 
+    fn picked(&self, choice: Choice) -> Picked {
+        let member = self.world.members.get(&choice.target);
+        Picked {
+            choice,
+            expect: member.and_then(|m| m.expect.clone()),
+            ticket: self.open_ticket(choice.ticket),
+        }
+    }
+
     fn open_ticket(&self, ticket: Ticket) -> OpenTicket {
         OpenTicket::new(self.sender.clone(), ticket)
     }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -12,6 +12,8 @@
     Runtime,
     /// The fleet's secret is not 64 hexadecimal digits.
     Secret,
+    /// Neither the store nor both services of the platform are named.
+    Source,
 }
 
 impl fmt::Display for StartError {
@@ -20,6 +22,7 @@
             Self::Bind(address) => write!(f, "can't listen on {address}"),
             Self::Runtime => f.write_str("can't create the event loop"),
             Self::Secret => f.write_str("peer.secret must be 64 hexadecimal digits"),
+            Self::Source => f.write_str("the settings name no complete source of configuration"),
         }
     }
 }
--- a/crates/node/src/telemetry/log.rs
+++ b/crates/node/src/telemetry/log.rs
@@ -1,4 +1,4 @@
-//! Structured logs: one JSON object a line on standard error.
+//! Structured logs: one JSON object a line on standard output.
 //!
 //! Every task logs through the macros of this module:
 //!
@@ -21,7 +21,7 @@
 /// A logger of this name carries finished spans.
 const TRACE_LOGGER: &str = "trace";
 
-/// Makes the macros of this module write lines of `level` and above to standard error.
+/// Makes the macros of this module write lines of `level` and above to standard output.
 ///
 /// # Errors
 ///
@@ -29,7 +29,7 @@
 pub fn init(level: LogLevel) -> Result<(), spdlog::Error> {
     let logger = Logger::builder()
         .level_filter(level_filter(level))
-        .sink(stderr()?)
+        .sink(stdout()?)
         .build_arc()?;
     spdlog::set_default_logger(logger);
     Ok(())
@@ -41,10 +41,10 @@
 ///
 /// If the sink can't be built.
 pub fn span_logger() -> Result<Arc<Logger>, spdlog::Error> {
-    span_logger_to(stderr()?)
+    span_logger_to(stdout()?)
 }
 
-/// The logger for finished spans, with another sink than standard error.
+/// The logger for finished spans, with another sink than standard output.
 ///
 /// # Errors
 ///
@@ -57,9 +57,9 @@
         .build_arc()
 }
 
-fn stderr() -> Result<Arc<StdStreamSink>, spdlog::Error> {
+fn stdout() -> Result<Arc<StdStreamSink>, spdlog::Error> {
     StdStreamSink::builder()
-        .stderr()
+        .stdout()
         .formatter(JsonFormatter::new())
         .build_arc()
 }
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -65,6 +65,8 @@
     Rc::new(World {
         config,
         members: BTreeMap::new(),
+        own: None,
+        routes: None,
     })
 }
 
@@ -74,8 +76,10 @@
         match message {
             ControlMessage::Config(reply) => drop(reply.send(world(setup.version))),
             ControlMessage::Leaving => leaving = true,
+            ControlMessage::Ready(reply) => drop(reply.send(setup.ready)),
             ControlMessage::Status(reply) => {
                 let member = Member {
+                    expect: None,
                     instance: None,
                     leaving: false,
                     peer: ([127, 0, 0, 1], 9001).into(),
@@ -156,7 +160,7 @@
         telemetry,
     };
     let text = {
-        let server = run(listener, admin);
+        let server = run(listener, Rc::new(admin));
         let client = talk(address, requests);
         futures::pin_mut!(server, client);
         match futures::future::select(client, server).await {
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -18,7 +18,7 @@
     ControlMessage, ControlSender, ControlStatus, GateMessage, GateSender, PeerAddress, PeerFault,
     PeersMessage, RouterMessage,
 };
-use hawthornwall_settings::{ControlSettings, PlatformSettings};
+use hawthornwall_settings::ControlSettings;
 use hawthornwall_wire::peer::{Reply, Request};
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
@@ -44,6 +44,7 @@
         monoio::spawn(carry(peer(n), peers_receiver, Rc::clone(network)));
         monoio::spawn(run(ControlStart {
             clock: Clock::start(),
+            config: platform,
             gate: GateSender::new(gate),
             identity: Identity {
                 domain: format!("dk-{n}"),
@@ -51,11 +52,8 @@
                 peer: peer(n),
                 target: format!("t{n}"),
             },
+            instances: platform,
             peers,
-            platform: PlatformSettings {
-                config: platform,
-                instances: platform,
-            },
             receiver,
             router,
             seed: u64::from(n),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -56,6 +56,7 @@
         check.object("", &root);
         let values: Vec<_> = SETTINGS.iter().map(|s| check.setting(s, &root)).collect();
         check.listeners(&values);
+        check.source(&values);
         if check.faults.is_empty() {
             Ok(typed(values).expect("the table describes the typed settings"))
         } else {
@@ -230,13 +231,39 @@
         }
     }
 
+    /// Checks that either the store or both services are named.
+    fn source(&mut self, values: &[Value]) {
+        let named = |name: &str| {
+            let index = SETTINGS.iter().position(|s| s.name == name);
+            index.is_some_and(|i| !values[i].is_null())
+        };
+        let address = || Kind::Address.to_string();
+        for name in ["platform.config", "platform.instances"] {
+            match (named("platform.store"), named(name)) {
+                (true, true) => {
+                    let accepted = "either this or `platform.store`".to_owned();
+                    self.fault(name, FaultKind::Repeated, "both".to_owned(), accepted);
+                }
+                (false, false) => {
+                    self.fault(name, FaultKind::Missing, "nothing".to_owned(), address());
+                }
+                (true, false) | (false, true) => {}
+            }
+        }
+    }
+
     /// Checks addresses that must differ, and one that peers must be able to reach.
     fn listeners(&mut self, values: &[Value]) {
         let address = |name: &str| -> Option<SocketAddr> {
             let index = SETTINGS.iter().position(|s| s.name == name)?;
             values[index].as_str()?.parse().ok()
         };
-        let tcp = ["caller.listen", "admin.listen", "target.address"];
+        let tcp = [
+            "caller.listen",
+            "admin.listen",
+            "admin.ready",
+            "target.address",
+        ];
         for (index, name) in tcp.iter().enumerate() {
             for other in &tcp[..index] {
                 let pair = address(name).zip(address(other));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,7 +18,7 @@
 pub use model::{
     AdminSettings, CallerSettings, ControlSettings, KeySettings, LogLevel, LogSettings,
     MetricSettings, PeerSettings, PlatformSettings, ProbeSettings, RoutingSettings, Settings,
-    TargetSettings, TraceSettings,
+    Source, TargetSettings, TraceSettings,
 };
 pub use place::Place;
 pub use print::commented_defaults;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -49,6 +49,8 @@
 pub struct AdminSettings {
     /// TCP address of the operators' listener.
     pub listen: SocketAddr,
+    /// TCP address of a second listener, for readiness checks.
+    pub ready: Option<SocketAddr>,
 }
 
 /// Where callers reach the daemon, and what they may send.
@@ -56,6 +58,10 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallerSettings {
+    /// Time between announcing a planned stop and refusing connections.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "announce_ms")]
+    pub announce: Duration,
     /// Longest body of a request or answer, in bytes.
     pub body_limit: usize,
     /// Open caller connections.
@@ -159,9 +165,37 @@
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// TCP address of the configuration service.
-    pub config: SocketAddr,
+    pub config: Option<SocketAddr>,
     /// TCP address of the instance list.
-    pub instances: SocketAddr,
+    pub instances: Option<SocketAddr>,
+    /// TCP address of the metadata store, which replaces both.
+    pub store: Option<SocketAddr>,
+}
+
+/// Where configuration and targets are read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// From a configuration service and an instance list.
+    Services {
+        /// TCP address of the configuration service.
+        config: SocketAddr,
+        /// TCP address of the instance list.
+        instances: SocketAddr,
+    },
+    /// From a metadata store.
+    Store(SocketAddr),
+}
+
+impl PlatformSettings {
+    /// Where configuration and targets are read; `None` if the addresses are incomplete, which
+    /// checked settings never are.
+    pub fn source(&self) -> Option<Source> {
+        match (self.store, self.config, self.instances) {
+            (Some(store), None, None) => Some(Source::Store(store)),
+            (None, Some(config), Some(instances)) => Some(Source::Services { config, instances }),
+            (Some(_) | None, _, _) => None,
+        }
+    }
 }
 
 /// Budget for measuring the target.
@@ -197,6 +231,8 @@
     pub health: String,
     /// Path of the target's load endpoint.
     pub load: String,
+    /// Name of the service that the target belongs to, told to the targets of its own requests.
+    pub service: Option<String>,
 }
 
 /// Traces.
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -191,9 +191,14 @@
     number("caller.idle_ms", 60_000, Unit::Milliseconds, (100, 3_600_000),
         "Longest time between two requests of a connection, or between two parts of one request."),
 
+    number("caller.announce_ms", 1_000, Unit::Milliseconds, (0, 60_000),
+        "Time between announcing a planned stop and refusing connections; callers learn of the stop meanwhile."),
+
     required("target.address", Kind::Address, "TCP address of the target."),
     setting("target.health", Kind::Path, Preset::Text("/health"), "Path of the target's health endpoint."),
     setting("target.load", Kind::Path, Preset::Text("/load"), "Path of the target's load endpoint."),
+    setting("target.service", Kind::Name, Preset::Absent,
+        "Name of the service that the target belongs to, told to the targets of its own requests."),
     number("target.silence_ms", 10_000, Unit::Milliseconds, (10, 600_000),
         "Longest time without any byte from the target while a request runs."),
 
@@ -204,10 +209,15 @@
     number("peer.silence_ms", 1_000, Unit::Milliseconds, (10, 60_000),
         "A connection on which nothing arrives for this long while something is expected is replaced."),
 
-    required("platform.config", Kind::Address, "TCP address of the configuration service."),
-    required("platform.instances", Kind::Address, "TCP address of the instance list."),
+    setting("platform.config", Kind::Address, Preset::Absent,
+        "TCP address of the configuration service; needs platform.instances."),
+    setting("platform.instances", Kind::Address, Preset::Absent,
+        "TCP address of the instance list; needs platform.config."),
+    setting("platform.store", Kind::Address, Preset::Absent,
+        "TCP address of the metadata store, instead of platform.config and platform.instances."),
 
     required("admin.listen", Kind::Address, "TCP address of the operators' listener."),
+    setting("admin.ready", Kind::Address, Preset::Absent, "TCP address of a second listener, for readiness checks."),
 
     number("control.exchange_ms", 1_000, Unit::Milliseconds, (10, 60_000), "Time between two exchanges with a peer."),
     number("control.start_wait_ms", 2_000, Unit::Milliseconds, (0, 60_000),
--- a/crates/testkit/src/launcher/settings.rs
+++ b/crates/testkit/src/launcher/settings.rs
@@ -34,8 +34,10 @@
         Settings {
             admin: AdminSettings {
                 listen: place.admin,
+                ready: None,
             },
             caller: CallerSettings {
+                announce: Duration::from_secs(1),
                 body_limit: 1 << 20,
                 connections: 1_000,
                 head_limit: 16 << 10,
@@ -51,8 +53,9 @@
             name: node.plan.name.clone(),
             peer: self.peer_settings(index),
             platform: PlatformSettings {
-                config: self.platform_address(),
-                instances: self.platform_address(),
+                config: Some(self.platform_address()),
+                instances: Some(self.platform_address()),
+                store: None,
             },
             probe: ProbeSettings::default(),
             routing: RoutingSettings::default(),
@@ -60,6 +63,7 @@
                 address: self.options.shared_target.unwrap_or(place.target),
                 health: "/health".to_owned(),
                 load: "/load".to_owned(),
+                service: None,
                 silence: Duration::from_secs(10),
             },
             trace: TraceSettings::default(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod document;
 pub mod head;
 pub mod instances;
+pub mod names;
 pub mod peer;
 pub mod trace;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -54,6 +54,8 @@
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Run {
+    /// Name that the target must have, if it checks that.
+    pub expect: Option<String>,
     /// The caller's request.
     pub http: HttpRequest,
     /// Idempotency key.
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -45,10 +45,11 @@
         prop::option::of(key()),
         any::<(u32, u32, u16, u32)>(),
         any::<(bool, Option<u64>)>(),
-        prop::option::of(".{0,60}"),
+        (prop::option::of(".{0,60}"), prop::option::of(".{0,20}")),
     )
         .prop_map(
-            |(http, key, (left, patience, service, target), (once, repeat), trace)| Run {
+            |(http, key, (left, patience, service, target), (once, repeat), (trace, expect))| Run {
+                expect,
                 http,
                 key,
                 left: Duration::from_micros(left.into()),
--- a/crates/wire/tests/peer_units.rs
+++ b/crates/wire/tests/peer_units.rs
@@ -18,6 +18,7 @@
         path: "/".to_owned(),
     };
     let run = Run {
+        expect: None,
         http,
         key: None,
         left: Duration::from_millis(1),
