Ask the target for its load before work starts, and log how each request ended

Cause: work that starts while a target's machine is strained takes five times as long to its end (traced by probing each 20 ms: strained starts 0.74 to 1.2 s, calm ones 0.15 to 0.43 s at the same path), although strain lasts 150 ms. The gate started work at once. Change: the gate asks just before work starts, refuses what may go elsewhere and holds the rest for at most the time that starting at once would cost. Reports carry the slowdown. Ruled out: load of slots (an idle site had the same share of late requests). Logs go to standard output, one bounded line for each request that needed a decision.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -4,8 +4,9 @@
 use std::fmt;
 use std::time::Duration;
 
+use super::strain::{Strain, Verdict};
 use crate::ids::InstanceId;
-use crate::load::{LoadReport, TargetState};
+use crate::load::{LoadReport, TargetLoad, TargetState};
 use crate::outcome::Refusal;
 use crate::time::Time;
 
@@ -21,6 +22,11 @@
 /// Service time assumed for the expected wait while none has been seen.
 const ASSUMED_SERVICE: Duration = Duration::from_millis(5);
 
+/// Wait for a strained machine to recover that a sender must accept, or its request goes elsewhere.
+const STRAIN_WAIT: Duration = Duration::from_millis(75);
+/// Age at which a stated slowdown is no longer worth passing on.
+const STATED_LIFE: Duration = Duration::from_millis(100);
+
 /// One request held by the gate.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct WorkId(pub u64);
@@ -69,6 +75,8 @@
         /// The request.
         id: WorkId,
     },
+    /// The target has answered [`Effect::Ask`], or can't be asked.
+    Loaded(Option<TargetLoad>),
     /// The target became reachable or unreachable.
     Reachable(bool),
     /// The target says whether it takes new work. Unlike [`Event::Drain`] it may be taken back, since
@@ -83,6 +91,8 @@
 pub enum Effect {
     /// Cancel the request at the target; its `Finish` still follows.
     Abort(WorkId),
+    /// Ask the target for its load; [`Event::Loaded`] follows.
+    Ask,
     /// Nothing runs or waits any more after a drain.
     Drained,
     /// Tell the sender that the request was not run.
@@ -120,6 +130,7 @@
     running: BTreeMap<WorkId, Time>,
     seq: u64,
     service: Duration,
+    strain: Strain,
     target_drains: bool,
 }
 
@@ -136,6 +147,7 @@
             running: BTreeMap::new(),
             seq: 0,
             service: Duration::ZERO,
+            strain: Strain::default(),
             target_drains: false,
         }
     }
@@ -150,6 +162,7 @@
             Event::Configure(limits) => self.configure(limits, &mut effects),
             Event::Drain => self.draining = true,
             Event::Finish { failed, id } => self.finish(id, failed, now),
+            Event::Loaded(load) => self.strain.answered(load, now),
             Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
             Event::TargetDrains(drains) => self.target_drains = drains,
             Event::Tick => {}
@@ -161,6 +174,16 @@
         effects
     }
 
+    /// Begins to ask the target for its load before work starts.
+    pub fn check_strain(&mut self) {
+        self.strain.enable();
+    }
+
+    /// Takes in the load that the target stated on an answer.
+    pub fn note_load(&mut self, load: TargetLoad, now: Time) {
+        self.strain.note(load, now);
+    }
+
     /// The report that goes out with the next reply.
     pub fn report(&mut self, now: Time) -> LoadReport {
         self.seq += 1;
@@ -171,6 +194,7 @@
             running: self.running.len() as u32,
             seq: self.seq,
             service: self.service_estimate(now),
+            slowdown: self.stated_slowdown(now),
             slots: self.limits.slots,
             state: self.state(),
         }
@@ -202,7 +226,8 @@
                 faults.push(format!("{} runs and waits", waiting.id));
             }
         }
-        if !self.queue.is_empty() && self.running.len() < self.limits.slots as usize {
+        let free = self.running.len() < self.limits.slots as usize;
+        if !self.queue.is_empty() && free && !self.strain.holding {
             faults.push("a request waits while a slot is free".to_owned());
         }
         faults
@@ -226,7 +251,7 @@
         if arrival.deadline <= now {
             return Err(Refusal::Expired);
         }
-        if self.running.len() < self.limits.slots as usize {
+        if self.running.len() + self.queue.len() < self.limits.slots as usize {
             return Ok(());
         }
         let wait = self.expected_wait(now);
@@ -323,7 +348,11 @@
     }
 
     fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.strain.holding = false;
         while self.running.len() < self.limits.slots as usize {
+            if self.queue.is_empty() || !self.may_start(now, effects) {
+                break;
+            }
             let Some((waiting, _)) = self.queue.pop_front() else {
                 break;
             };
@@ -332,6 +361,52 @@
         }
     }
 
+    /// Whether the request that waits longest may start. While the machine is strained, requests that
+    /// may go elsewhere are refused, and others wait for it to recover.
+    fn may_start(&mut self, now: Time, effects: &mut Vec<Effect>) -> bool {
+        match self.strain.verdict(now) {
+            Verdict::Calm => return true,
+            Verdict::Strained(slowdown) => {
+                self.refuse_impatient(effects);
+                let limit = Strain::hold_limit(self.usual_service(), slowdown);
+                let held = self.queue.front().map(|(_, arrived)| now - *arrived);
+                if held.is_some_and(|held| held >= limit) {
+                    return true;
+                }
+            }
+            Verdict::Unknown => {
+                if self.strain.ask(now) {
+                    effects.push(Effect::Ask);
+                }
+            }
+        }
+        self.strain.holding = true;
+        false
+    }
+
+    fn refuse_impatient(&mut self, effects: &mut Vec<Effect>) {
+        self.queue.retain(|(waiting, _)| {
+            let patient = waiting.patience >= STRAIN_WAIT;
+            if !patient {
+                effects.push(Effect::Refuse(waiting.id, Refusal::Strained));
+            }
+            patient
+        });
+    }
+
+    fn usual_service(&self) -> Duration {
+        if self.service.is_zero() {
+            ASSUMED_SERVICE
+        } else {
+            self.service
+        }
+    }
+
+    fn stated_slowdown(&self, now: Time) -> Option<u32> {
+        let (slowdown, at) = self.strain.slowdown()?;
+        (now - at < STATED_LIFE).then_some(slowdown)
+    }
+
     /// The average service time, raised by the requests that already run longer. A target that
     /// stalls finishes nothing, so its average alone would stay low.
     fn service_estimate(&self, now: Time) -> Duration {
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -7,5 +7,6 @@
 //! - a refusal is created only for a request that has not been started.
 
 mod gate;
+mod strain;
 
 pub use gate::{Arrival, Effect, Event, Gate, Limits, WorkId};
--- a/crates/core/src/calls/refusal.rs
+++ b/crates/core/src/calls/refusal.rs
@@ -24,6 +24,7 @@
         | Refusal::KeyMismatch
         | Refusal::Malformed
         | Refusal::Shed
+        | Refusal::Strained
         | Refusal::TooLarge => Outcome::Refused(refusal),
     }
 }
@@ -38,6 +39,7 @@
         | Refusal::Full
         | Refusal::NotReady
         | Refusal::Shed
+        | Refusal::Strained
         | Refusal::Unreachable
         | Refusal::WrongTarget => true,
         Refusal::Budget
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -39,6 +39,9 @@
     /// Time that a request holds a slot, averaged over recent requests.
     #[serde_as(as = "Micros")]
     pub service: Duration,
+    /// How long work takes on the target's machine at this moment, in percent of the usual, if the
+    /// target states it.
+    pub slowdown: Option<u32>,
     /// Requests that the target may run at once.
     pub slots: u32,
     /// Whether the target takes new work.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -36,6 +36,8 @@
     Overload,
     /// The target shed the request.
     Shed,
+    /// The target's machine is slow at this moment.
+    Strained,
     /// The request's head or body exceeds its limit.
     TooLarge,
     /// The daemon beside the target could not be reached, so nothing was sent.
@@ -63,6 +65,7 @@
             Self::NotReady => "not-ready",
             Self::Overload => "overload",
             Self::Shed => "target-shed",
+            Self::Strained => "target-strained",
             Self::TooLarge => "too-large",
             Self::Unreachable => "daemon-unreachable",
             Self::UnknownService => "unknown-service",
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -369,6 +369,7 @@
         | Refusal::NoTarget
         | Refusal::Overload
         | Refusal::Shed
+        | Refusal::Strained
         | Refusal::TooLarge
         | Refusal::UnknownService => {}
     }
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -47,6 +47,11 @@
 /// occupancy at arrival is uncertain.
 const BUSY_COST: f64 = 0.5;
 
+/// The usual time that work takes, in percent.
+const USUAL: u32 = 100;
+/// A reported slowdown of a machine weighs less by a factor of e with each such time.
+const STRAIN_LIFE: Duration = Duration::from_millis(150);
+
 /// The parts of a cost estimate, for traces.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Estimate {
@@ -205,6 +210,7 @@
         let busy = BUSY_COST * (occupancy / slots).min(1.0).powi(2);
         let mut cost = service.mul_f64(1.0 + waiting + busy) + self.rtt;
         cost += self.overdue(service, now);
+        cost += self.strain_cost(service, now);
         cost += FAILING_COST.mul_f64(self.excess_failures(mean, now));
         cost += SUSPICION_COST.mul_f64(self.suspicion(now));
         cost = cost.mul_f64(self.ramp_factor(now));
@@ -262,6 +268,16 @@
         usual + (reported - usual) * weight + unseen as f64
     }
 
+    /// Extra time that work is expected to take if the machine is still as slow as reported.
+    fn strain_cost(&self, service: Duration, now: Time) -> Duration {
+        let Some((report, at)) = self.report else {
+            return Duration::ZERO;
+        };
+        let excess = report.slowdown.unwrap_or(USUAL).saturating_sub(USUAL);
+        let fading = (-(now - at).as_secs_f64() / STRAIN_LIFE.as_secs_f64()).exp();
+        service.mul_f64(f64::from(excess) / f64::from(USUAL) * fading)
+    }
+
     /// How much later the oldest outstanding request is than expected. A target that stalls sends no
     /// reports, so silence itself must raise its cost.
     fn overdue(&self, service: Duration, now: Time) -> Duration {
--- a/crates/core/tests/properties/balancer.rs
+++ b/crates/core/tests/properties/balancer.rs
@@ -41,6 +41,7 @@
             running,
             seq,
             service: Duration::from_micros(service),
+            slowdown: (seq % 2 == 0).then_some(service as u32 % 900),
             slots: running % 7,
             state,
         },
--- a/crates/core/tests/properties/gate.rs
+++ b/crates/core/tests/properties/gate.rs
@@ -29,6 +29,12 @@
         2 => id().prop_map(Event::Cancel),
         1 => limits().prop_map(Event::Configure),
         4 => (any::<bool>(), id()).prop_map(|(failed, id)| Event::Finish { failed, id }),
+        2 => prop::option::of(50..900u32).prop_map(|slowdown| {
+            Event::Loaded(slowdown.map(|slowdown| TargetLoad {
+                slowdown,
+                ..TargetLoad::default()
+            }))
+        }),
         1 => any::<bool>().prop_map(Event::Reachable),
         1 => any::<bool>().prop_map(Event::TargetDrains),
         1 => Just(Event::Tick),
@@ -73,6 +79,7 @@
             Event::Cancel(_)
             | Event::Configure(_)
             | Event::Drain
+            | Event::Loaded(_)
             | Event::Reachable(_)
             | Event::TargetDrains(_)
             | Event::Tick => event,
@@ -83,6 +90,7 @@
         for effect in effects {
             let (id, before, after) = match *effect {
                 Effect::Abort(id) => (id, Stage::Running, Stage::Running),
+                Effect::Ask => continue,
                 Effect::Drained => {
                     assert!(
                         self.stages.values().all(|s| *s == Stage::Ended),
@@ -105,10 +113,14 @@
     /// Guards against requests that are refused after their start, end twice or never end.
     #[test]
     fn each_arrival_ends_once(
+        checks in any::<bool>(),
         limits in limits(),
         events in prop::collection::vec((0..3_000u64, event()), 1..100),
     ) {
         let mut gate = Gate::new(InstanceId(1), limits);
+        if checks {
+            gate.check_strain();
+        }
         let mut owner = Owner::default();
         let mut now = Time::ZERO;
         for (pause, event) in events {
@@ -120,6 +132,7 @@
         owner.take(&gate.on(&Event::Drain, now), now);
         // Ids ascend in the order of starting, so one pass also ends what starts meanwhile.
         for id in (0..owner.stages.len() as u64).map(WorkId) {
+            owner.take(&gate.on(&Event::Loaded(None), now), now);
             let event = owner.prepare(Event::Finish { failed: false, id }, now);
             owner.take(&gate.on(&event, now), now);
         }
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -34,6 +34,15 @@
                 failed: line.flag("failed"),
                 id: id(),
             },
+            "check-strain" => {
+                self.gate.check_strain();
+                return Vec::new();
+            }
+            "loaded" => Event::Loaded(Some(TargetLoad {
+                slowdown: line.word(0),
+                ..TargetLoad::default()
+            })),
+            "unanswered" => Event::Loaded(None),
             "reachable" => Event::Reachable(line.word(0)),
             "report" => return vec![format!("{:?}", self.gate.report(line.now))],
             "tick" => Event::Tick,
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -110,6 +110,7 @@
             running: line.value("running", 0),
             seq: line.value("seq", 1),
             service: line.span("service", Duration::from_millis(5)),
+            slowdown: line.text("slowdown").map(|s| s.parse().unwrap()),
             slots: line.value("slots", 4),
             state: variant(line.text("state").unwrap_or("Serving")),
         };
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -27,7 +27,7 @@
 use crate::ingress::{Ingress, IngressStart};
 use crate::messages::{
     ControlMessage, ControlSender, GateMessage, GateSender, PeersMessage, PeersSender,
-    RouterMessage, RouterSender, World,
+    ProbeMessage, ProbeSender, RouterMessage, RouterSender,
 };
 use crate::peers::{Peers, PeersStart};
 use crate::probe::{Probe, ProbeStart};
@@ -66,7 +66,7 @@
     control: ControlSender,
     gate: GateSender,
     peers: PeersSender,
-    probe: mpsc::UnboundedSender<Rc<World>>,
+    probe: ProbeSender,
     router: RouterSender,
     telemetry: Telemetry,
 }
@@ -77,7 +77,7 @@
     control: mpsc::UnboundedReceiver<ControlMessage>,
     gate: mpsc::UnboundedReceiver<GateMessage>,
     peers: mpsc::UnboundedReceiver<PeersMessage>,
-    probe: mpsc::UnboundedReceiver<Rc<World>>,
+    probe: mpsc::UnboundedReceiver<ProbeMessage>,
     router: mpsc::UnboundedReceiver<RouterMessage>,
     telemetry: mpsc::UnboundedReceiver<TelemetryMessage>,
 }
@@ -172,9 +172,10 @@
         })
     }
 
-    fn probe(&self, receiver: mpsc::UnboundedReceiver<Rc<World>>) -> Probe {
+    fn probe(&self, receiver: mpsc::UnboundedReceiver<ProbeMessage>) -> Probe {
         Probe::new(ProbeStart {
             clock: self.clock,
+            dialect: self.dialect,
             gate: self.senders.gate.clone(),
             receiver,
             settings: self.settings,
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::http;
-use crate::messages::{GateMessage, GateStatus, ProbeResult, World};
+use crate::messages::{GateMessage, GateStatus, ProbeMessage, ProbeResult, ProbeSender, World};
 use crate::telemetry::trace::{Hop, HopSpan};
 use crate::telemetry::{Event as Count, Telemetry, log};
 
@@ -41,7 +41,7 @@
     /// This run.
     pub instance: InstanceId,
     /// The task that measures the target, which needs to know its slots.
-    pub probe: mpsc::UnboundedSender<Rc<World>>,
+    pub probe: ProbeSender,
     /// Messages of other tasks.
     pub receiver: mpsc::UnboundedReceiver<GateMessage>,
     /// The daemon's settings.
@@ -70,7 +70,7 @@
     idle: Vec<mpsc::UnboundedSender<Job>>,
     memory: Memory,
     pauses: PauseDetector,
-    probe: mpsc::UnboundedSender<Rc<World>>,
+    probe: ProbeSender,
     receiver: mpsc::UnboundedReceiver<GateMessage>,
     service: Option<ServiceId>,
     target: Option<TargetId>,
@@ -92,6 +92,11 @@
             queue_wait: Duration::ZERO,
             slots: INITIAL_SLOTS,
         };
+        let mut gate = Gate::new(start.instance, gate_limits);
+        match start.dialect {
+            Dialect::Own => {}
+            Dialect::Platform => gate.check_strain(),
+        }
         Self {
             address: TargetAddress {
                 address: settings.target.address,
@@ -104,7 +109,7 @@
             drained: Vec::new(),
             expired: Time::ZERO,
             conns,
-            gate: Gate::new(start.instance, gate_limits),
+            gate,
             idle: Vec::new(),
             memory: Memory::new(start.instance, &settings.keys),
             pauses: PauseDetector::new(TICK_IDLE, start.clock.now()),
@@ -166,6 +171,7 @@
                 let end = self.issue(service, target);
                 self.send_reply(reply, id, end, Duration::ZERO);
             }
+            GateMessage::Loaded(load) => self.apply(&Event::Loaded(load)),
             GateMessage::Probed(result) => self.note_probe(result),
             GateMessage::Run {
                 id,
@@ -192,7 +198,9 @@
     }
 
     fn configure(&mut self, world: &Rc<World>) {
-        let _ = self.probe.unbounded_send(Rc::clone(world));
+        let _ = self
+            .probe
+            .unbounded_send(ProbeMessage::World(Rc::clone(world)));
         let config = &world.config;
         let target = world
             .own
@@ -303,6 +311,9 @@
                         held.cancel = None;
                     }
                 }
+                Effect::Ask => {
+                    let _ = self.probe.unbounded_send(ProbeMessage::Ask);
+                }
                 Effect::Drained => {
                     for done in self.drained.drain(..) {
                         let _ = done.send(());
@@ -393,6 +404,7 @@
 
     /// Takes over the number of slots that the target states, in case no entry of it is known.
     fn note_load(&mut self, load: TargetLoad) {
+        self.gate.note_load(load, self.clock.now());
         if self.target.is_none() && load.slots > 0 {
             let limits = Limits {
                 queue_wait: Duration::ZERO,
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -142,6 +142,7 @@
             | Refusal::NoTarget
             | Refusal::NotReady
             | Refusal::Shed
+            | Refusal::Strained
             | Refusal::Unreachable
             | Refusal::WrongTarget,
         ) => 503,
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -23,7 +23,7 @@
 use crate::http::header_text;
 use crate::messages::{OpenTicket, Opened, Picked, RouterMessage};
 use crate::telemetry::trace::{Hop, HopSpan};
-use crate::telemetry::{Event as Count, Telemetry};
+use crate::telemetry::{AttemptRecord, Event as Count, RequestRecord, Telemetry};
 
 /// Serves one request. Dropping the future cancels it.
 pub(super) async fn serve(backend: &Backend, request: HttpRequest) -> Reply {
@@ -69,7 +69,23 @@
     let (host, path) = address(&request, &asked);
     let opened = match open(backend, host, path).await {
         Ok(opened) => opened,
-        Err(refusal) => return Reply::unanswered(refused(&asked, refusal)),
+        Err(refusal) => {
+            let outcome = refused(&asked, refusal);
+            backend.log_request(
+                &RequestRecord {
+                    attempts: &[],
+                    budget: Duration::ZERO,
+                    elapsed: Duration::ZERO,
+                    id: &request_id(backend, &request),
+                    outcome,
+                    route: path,
+                    service: host,
+                    version: Version::default(),
+                },
+                backend.clock.now(),
+            );
+            return Reply::unanswered(outcome);
+        }
     };
     let _inflight = InFlight {
         router: &backend.router,
@@ -80,8 +96,22 @@
     {
         return Reply::unanswered(Outcome::Refused(Refusal::KeyMismatch));
     }
+    let id = request_id(backend, &request);
     let mut serving = Serving::new(backend, &opened, asked, request, span);
-    serving.run().await
+    let reply = serving.run().await;
+    let now = backend.clock.now();
+    let record = RequestRecord {
+        attempts: &serving.records,
+        budget: serving.call.deadline() - serving.started,
+        elapsed: now - serving.started,
+        id: &id,
+        outcome: reply.outcome(),
+        route: opened.route.as_deref().map_or("", |r| &r.prefix),
+        service: &opened.name,
+        version: opened.version,
+    };
+    backend.log_request(&record, now);
+    reply
 }
 
 /// States the service that the request comes from, whatever the caller has stated.
@@ -98,6 +128,13 @@
         }));
 }
 
+/// The caller's id of a request, empty if it has none.
+fn request_id(backend: &Backend, request: &HttpRequest) -> String {
+    let name = backend.dialect.names().request;
+    let id = name.and_then(|n| header_text(&request.headers, n));
+    id.unwrap_or_default().to_owned()
+}
+
 fn refused(asked: &Asked, refusal: Refusal) -> Outcome {
     match asked {
         Asked::Keyed(_) => keyed_outcome(refusal),
@@ -138,6 +175,8 @@
     backend: &'a Backend,
     call: Call,
     effects: Vec<Effect>,
+    /// The attempts so far, for the log.
+    records: Vec<AttemptRecord>,
     /// Names that the targets tried must have.
     expects: BTreeMap<TargetId, Option<Rc<str>>>,
     local: Option<TargetId>,
@@ -150,6 +189,7 @@
     requests: Vec<RequestId>,
     service: ServiceId,
     span: &'a HopSpan,
+    started: Time,
     task: Task,
     /// The ticket of the choice that the next `Send` effect is for.
     ticket: Option<OpenTicket>,
@@ -192,6 +232,7 @@
             backend,
             call,
             effects,
+            records: Vec::new(),
             expects: BTreeMap::new(),
             local: opened.own,
             once: !spec.idempotent && pinned.is_none(),
@@ -200,6 +241,7 @@
             requests: Vec::new(),
             service: opened.service,
             span,
+            started: now,
             task: task_of(asked, request),
             ticket: None,
             yielded: None,
@@ -262,6 +304,10 @@
         match step {
             Step::Ended(attempt, target, result, yielded) => {
                 self.yielded = Some((target, yielded));
+                let at = self.backend.clock.now() - self.started;
+                if let Some(record) = self.records.get_mut(usize::from(attempt.0)) {
+                    record.ended = Some((at, result));
+                }
                 Event::Ended(attempt, result)
             }
             Step::Picked(kind, Ok(picked)) => {
@@ -293,6 +339,7 @@
     async fn send(&mut self, sending: Sending) {
         self.requests.push(sending.request);
         let target = sending.target;
+        self.note_sending(target);
         let picked = self.ticket.take();
         let ticket = match picked {
             Some(ticket) => Some(ticket),
@@ -329,6 +376,17 @@
         self.pending.push(step.boxed_local());
     }
 
+    fn note_sending(&mut self, target: TargetId) {
+        let expect = self.expects.get(&target).cloned().flatten();
+        let estimate = self.picked.as_ref().map(|(_, choice)| choice.estimate);
+        self.records.push(AttemptRecord {
+            ended: None,
+            report_age: estimate.and_then(|e| e.age),
+            sent: self.backend.clock.now() - self.started,
+            target: expect.map_or_else(|| target.to_string(), |name| name.to_string()),
+        });
+    }
+
     /// Registers an attempt at the target that the key names.
     async fn pin(&self, target: TargetId) -> Option<OpenTicket> {
         let (reply, receiver) = oneshot::channel();
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -108,6 +108,8 @@
 /// A request that the router has let in.
 #[derive(Clone, Debug)]
 pub struct Opened {
+    /// Name of the service.
+    pub name: String,
     /// The target beside this daemon, if the configuration names it.
     pub own: Option<TargetId>,
     /// The route that applies, where routes are published.
@@ -116,6 +118,8 @@
     pub rules: Rules,
     /// The service that the request is for.
     pub service: ServiceId,
+    /// Version of the configuration that decided.
+    pub version: Version,
 }
 
 /// A picked target.
@@ -177,10 +181,24 @@
 pub struct ProbeResult {
     /// Whether the target says that it is draining; `None` if it says nothing.
     pub draining: Option<bool>,
+    /// The load that it states.
+    pub load: Option<TargetLoad>,
     /// Whether it can be reached at all.
     pub reachable: bool,
 }
 
+/// To the `probe` task.
+#[derive(Debug)]
+pub enum ProbeMessage {
+    /// Ask the target for its load now.
+    Ask,
+    /// Configuration or members changed.
+    World(Rc<World>),
+}
+
+/// A sender to the `probe` task.
+pub type ProbeSender = mpsc::UnboundedSender<ProbeMessage>;
+
 /// To the `gate` task.
 #[derive(Debug)]
 pub enum GateMessage {
@@ -199,6 +217,8 @@
         /// The target that the sender chose.
         target: TargetId,
     },
+    /// The target was asked for its load; `None` if it has not told.
+    Loaded(Option<TargetLoad>),
     /// A probe ended.
     Probed(ProbeResult),
     /// Run a request.
--- a/crates/node/src/probe/endpoint.rs
+++ b/crates/node/src/probe/endpoint.rs
@@ -4,9 +4,11 @@
 
 use hawthornwall_wire::peer::HttpRequest;
 use http::StatusCode;
+use http::response::Parts as AnswerHead;
 use monoio::net::TcpStream;
 use serde::Deserialize;
 
+use crate::dialect::Dialect;
 use crate::http::{HttpStream, Limits, encode_request};
 use crate::messages::ProbeResult;
 
@@ -20,6 +22,7 @@
 #[derive(Debug)]
 pub(super) struct Endpoint {
     address: SocketAddr,
+    dialect: Dialect,
     limits: Limits,
     /// Read in turn: the next one after an answer other than 200.
     paths: [String; 2],
@@ -27,9 +30,10 @@
 }
 
 impl Endpoint {
-    pub fn new(address: SocketAddr, paths: [&str; 2], limits: Limits) -> Self {
+    pub fn new(address: SocketAddr, dialect: Dialect, paths: [&str; 2], limits: Limits) -> Self {
         Self {
             address,
+            dialect,
             limits,
             paths: paths.map(str::to_owned),
             stream: None,
@@ -45,12 +49,14 @@
                 Err(_) => {
                     return Some(ProbeResult {
                         draining: None,
+                        load: None,
                         reachable: false,
                     });
                 }
             },
         };
-        let (status, body) = self.exchange(&mut stream).await?;
+        let (head, body) = self.exchange(&mut stream).await?;
+        let status = head.status;
         self.stream = Some(stream);
         if status != StatusCode::OK {
             self.paths.swap(0, 1);
@@ -59,13 +65,16 @@
             .ok()
             .filter(|_| status == StatusCode::OK);
         let draining = state.map(|answer: LoadAnswer| answer.state == "draining");
+        let name = self.dialect.names().load;
+        let load = name.and_then(|n| head.headers.get(n)?.to_str().ok());
         Some(ProbeResult {
             draining,
+            load: load.and_then(|text| self.dialect.load(text)),
             reachable: true,
         })
     }
 
-    async fn exchange(&self, stream: &mut HttpStream) -> Option<(StatusCode, Vec<u8>)> {
+    async fn exchange(&self, stream: &mut HttpStream) -> Option<(AnswerHead, Vec<u8>)> {
         let request = HttpRequest {
             body: Vec::new(),
             headers: Vec::new(),
@@ -76,6 +85,6 @@
         stream.write(bytes).await.ok()?;
         let (head, framing) = stream.read_answer_head().await.ok()?;
         let body = stream.read_body(framing).await.ok()?;
-        Some((head.status, body))
+        Some((head, body))
     }
 }
--- a/crates/node/src/probe/task.rs
+++ b/crates/node/src/probe/task.rs
@@ -1,6 +1,5 @@
 //! The task that owns the probe budget and the connection to the target's endpoints.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use futures::channel::mpsc;
@@ -10,8 +9,9 @@
 
 use super::endpoint::Endpoint;
 use crate::clock::Clock;
+use crate::dialect::Dialect;
 use crate::http::Limits;
-use crate::messages::{GateMessage, GateSender, World};
+use crate::messages::{GateMessage, GateSender, ProbeMessage, ProbeResult, World};
 use crate::telemetry::{Event, Telemetry};
 
 /// A probe is cut off after this time, so that a stalled target can't use up the budget.
@@ -26,10 +26,12 @@
 pub struct ProbeStart<'a> {
     /// The process's clock.
     pub clock: Clock,
+    /// Conventions of the target.
+    pub dialect: Dialect,
     /// The gate that the results go to.
     pub gate: GateSender,
     /// Changes of the configuration.
-    pub receiver: mpsc::UnboundedReceiver<Rc<World>>,
+    pub receiver: mpsc::UnboundedReceiver<ProbeMessage>,
     /// The daemon's settings.
     pub settings: &'a Settings,
     /// Counters.
@@ -41,10 +43,11 @@
 pub struct Probe {
     budget: ProbeBudget,
     clock: Clock,
+    dialect: Dialect,
     endpoint: Endpoint,
     gate: GateSender,
     interval: Duration,
-    receiver: mpsc::UnboundedReceiver<Rc<World>>,
+    receiver: mpsc::UnboundedReceiver<ProbeMessage>,
     telemetry: Telemetry,
 }
 
@@ -63,10 +66,15 @@
             head: ANSWER_LIMIT,
             idle: LONGEST,
         };
+        let paths = match start.dialect {
+            Dialect::Own => [target.load.as_str(), target.health.as_str()],
+            Dialect::Platform => [target.health.as_str(); 2],
+        };
         Self {
             budget: ProbeBudget::new(limits, start.clock.now()),
             clock: start.clock,
-            endpoint: Endpoint::new(target.address, [&target.load, &target.health], read),
+            dialect: start.dialect,
+            endpoint: Endpoint::new(target.address, start.dialect, paths, read),
             gate: start.gate,
             interval: SPAN / probe.per_100s.max(1),
             receiver: start.receiver,
@@ -80,11 +88,12 @@
             let timer = monoio::time::sleep(self.interval).fuse();
             pin_mut!(timer);
             select_biased! {
-                world = self.receiver.next() => match world {
-                    Some(world) => self.configure(&world),
+                message = self.receiver.next() => match message {
+                    Some(ProbeMessage::Ask) => self.ask().await,
+                    Some(ProbeMessage::World(world)) => self.configure(&world),
                     None => return,
                 },
-                () = timer => self.probe().await,
+                () = timer => self.probe_unasked().await,
             }
         }
     }
@@ -99,7 +108,27 @@
         }
     }
 
-    async fn probe(&mut self) {
+    /// Where the gate asks for the load when it needs it, nothing is measured unasked.
+    async fn probe_unasked(&mut self) {
+        match self.dialect {
+            Dialect::Own => {
+                if let Some(Some(result)) = self.probe().await {
+                    self.gate.send(GateMessage::Probed(result));
+                }
+            }
+            Dialect::Platform => {}
+        }
+    }
+
+    /// Every question gets an end, so that the gate never waits for one.
+    async fn ask(&mut self) {
+        let result = self.probe().await.flatten();
+        let load = result.and_then(|r| r.load);
+        self.gate.send(GateMessage::Loaded(load));
+    }
+
+    /// Reads the endpoint if the budget allows it.
+    async fn probe(&mut self) -> Option<Option<ProbeResult>> {
         let started = self.clock.now();
         // A small budget allows only shorter probes.
         let longest = LONGEST.min(self.budget.longest());
@@ -107,14 +136,12 @@
             Permit::Granted => {}
             Permit::SkippedCount | Permit::SkippedTime => {
                 self.telemetry.record(Event::ProbeSkipped);
-                return;
+                return None;
             }
         }
         self.telemetry.record(Event::ProbeSpent);
         let result = monoio::time::timeout(longest, self.endpoint.read()).await;
         self.budget.end(longest, self.clock.now() - started);
-        if let Ok(Some(result)) = result {
-            self.gate.send(GateMessage::Probed(result));
-        }
+        result.ok()
     }
 }
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -140,12 +140,17 @@
             return Err(Refusal::Overload);
         }
         *inflight += 1;
-        let rules = config.services[&service].rules.clone();
+        let (name, rules) = {
+            let found = &config.services[&service];
+            (found.name.clone(), found.rules.clone())
+        };
         Ok(Opened {
+            name,
             own: self.world.own,
             route,
             rules,
             service,
+            version: config.version,
         })
     }
 
--- a/crates/node/src/telemetry/mod.rs
+++ b/crates/node/src/telemetry/mod.rs
@@ -10,10 +10,12 @@
 mod choice;
 mod counters;
 pub mod log;
+mod requests;
 mod statsd;
 mod task;
 pub mod trace;
 
 pub use counters::{Counters, Event};
+pub use requests::{AttemptRecord, RequestLog, RequestRecord};
 pub use statsd::Statsd;
 pub use task::{Telemetry, TelemetryMessage, run};
