--- a/crates/core/src/calls/budget.rs
+++ b/crates/core/src/calls/budget.rs
@@ -5,8 +5,11 @@
 
 /// Cost of one retry, in hundredths of a request.
 const RETRY_COST: u32 = 100;
-/// Most retries that can be saved up.
+/// Most retries that can be saved up by one daemon alone.
 const SAVED_RETRIES: u32 = 50;
+/// Most retries that can be saved up by all daemons together, where they share a bound. A burst of
+/// them stays within the slack of that bound.
+const FLEET_RETRIES: u32 = 30;
 /// Retries available at the start, so that the first failures after a start can be retried.
 const INITIAL_RETRIES: u32 = 10;
 
@@ -26,6 +29,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     balance: u32,
+    /// Most that can be saved up, in hundredths of a request.
+    limit: u32,
     percent: u32,
 }
 
@@ -39,10 +44,28 @@
         };
         Self {
             balance: initial,
+            limit: SAVED_RETRIES * RETRY_COST,
             percent,
         }
     }
 
+    /// Divides what can be saved up among `sharers` daemons. Each keeps enough for a share of one
+    /// retry, which its own requests then complete.
+    ///
+    /// ```
+    /// use hawthornwall_core::calls::RetryBudget;
+    ///
+    /// let mut budget = RetryBudget::new(10);
+    /// budget.share(15);
+    /// assert!(budget.withdraw() && budget.withdraw());
+    /// assert!(!budget.withdraw());
+    /// ```
+    pub fn share(&mut self, sharers: usize) {
+        let sharers = u32::try_from(sharers.max(1)).unwrap_or(u32::MAX);
+        self.limit = (FLEET_RETRIES * RETRY_COST / sharers).max(RETRY_COST);
+        self.balance = self.balance.min(FLEET_RETRIES * RETRY_COST / sharers);
+    }
+
     /// Changes the share; what is saved up stays.
     pub fn set_percent(&mut self, percent: u32) {
         self.percent = percent;
@@ -50,7 +73,7 @@
 
     /// Counts one request.
     pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.percent).min(SAVED_RETRIES * RETRY_COST);
+        self.balance = (self.balance + self.percent).min(self.limit);
     }
 
     /// Takes one retry from the budget; `false` if it is spent.
--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::refusal::{elsewhere, keyed_outcome};
+use super::refusal::{elsewhere, keyed_outcome, reroute_kind};
 use super::resend::Resend;
 use super::{AttemptId, Effect, Event, PickKind, Spec};
 use crate::ids::{InstanceId, TargetId};
@@ -205,14 +205,14 @@
     }
 
     /// A denied hedge must not end the call if its first attempt was refused meanwhile: a reroute
-    /// needs no budget.
+    /// may need no budget.
     fn not_picked(&mut self, refusal: Refusal, now: Time, effects: &mut Vec<Effect>) {
         let denied_hedge = self.picking == Some(PickKind::Hedge) && refusal == Refusal::Budget;
         let last = self.attempts.last().and_then(|a| a.result);
         match last {
             Some(AttemptResult::Refused(last)) if denied_hedge && elsewhere(last) => {
                 self.picking = None;
-                self.try_again(PickKind::Reroute, last, now, effects);
+                self.try_again(reroute_kind(last), last, now, effects);
             }
             Some(AttemptResult::Answered | AttemptResult::Lost(_) | AttemptResult::Refused(_))
             | None => self.miss(refusal, effects),
@@ -264,7 +264,7 @@
                 self.try_again(PickKind::Retry, Refusal::Budget, now, effects);
             }
             AttemptResult::Refused(refusal) if elsewhere(refusal) => {
-                self.try_again(PickKind::Reroute, refusal, now, effects);
+                self.try_again(reroute_kind(refusal), refusal, now, effects);
             }
             AttemptResult::Refused(refusal) => self.miss(refusal, effects),
         }
--- a/crates/core/src/calls/refusal.rs
+++ b/crates/core/src/calls/refusal.rs
@@ -1,5 +1,6 @@
 //! What a refusal means for the call that meets it.
 
+use super::PickKind;
 use crate::outcome::{Loss, Outcome, Refusal};
 
 /// What a caller is told of a refused request under a key.
@@ -53,3 +54,13 @@
         | Refusal::UnknownService => false,
     }
 }
+
+/// What sending a refused request elsewhere counts as. What a target itself has shed has cost it work,
+/// so that it takes from the retry budget; what its daemon has refused has not.
+pub(super) fn reroute_kind(refusal: Refusal) -> PickKind {
+    if refusal == Refusal::Shed {
+        PickKind::Retry
+    } else {
+        PickKind::Reroute
+    }
+}
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -121,6 +121,9 @@
                 .entry(*id)
                 .or_insert_with(|| RetryBudget::new(percent));
             budget.set_percent(percent);
+            if world.routes.is_some() {
+                budget.share(world.members.len());
+            }
         }
         if self.world.config.version != world.config.version {
             self.splitter.reset();
