Leave entries unused that a later start has replaced at their address

Cause: after a loss of power the entries of the dead targets stay in the store for seconds beside those of the new ones (log: wrong-target after up to 522 ms in the new target's queue, and half of all choices wasted). Only the target that started last at an address can run. Also: SIGHUP ended the process; it now reads and checks the settings again and tells what a restart would change.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -222,8 +222,10 @@
             left_at: leaving.then_some(left_at),
         };
         self.targets.insert(name.to_owned(), known);
-        (was_leaving != Some(leaving)).then(|| {
-            if leaving {
+        self.retire_replaced(name, now);
+        let leaves = self.targets[name].left_at.is_some();
+        (was_leaving != Some(leaves)).then(|| {
+            if leaves {
                 Belief::TargetLeaving(name.to_owned())
             } else {
                 Belief::TargetReady(name.to_owned())
@@ -231,6 +233,29 @@
         })
     }
 
+    /// Of the targets at one address only the one that started last can still run; entries of the
+    /// others lapse seconds later.
+    fn retire_replaced(&mut self, name: &str, now: Time) {
+        let Some(entry) = self.targets.get(name).map(|k| k.entry.clone()) else {
+            return;
+        };
+        let here = |k: &Known| k.entry.address == entry.address && k.entry.born.is_some();
+        let Some(last) = self
+            .targets
+            .values()
+            .filter(|k| here(k))
+            .map(|k| k.entry.born)
+            .max()
+        else {
+            return;
+        };
+        let replaced = |k: &&mut Known| here(k) && k.entry.born < last;
+        for known in self.targets.values_mut().filter(replaced) {
+            known.gone_at = None;
+            known.left_at.get_or_insert(now);
+        }
+    }
+
     /// Notes that an entry is gone: at once, or only after a while if the store has just come back.
     fn miss(&mut self, name: &str, outage: Option<Time>, now: Time) -> Option<Belief> {
         let awaited = outage.map(|at| at + RETURN_WAIT).filter(|at| *at > now);
--- /dev/null
+++ b/crates/core/tests/scenarios/catalog.rs
@@ -0,0 +1,92 @@
+//! Scenarios of the catalog.
+
+use std::time::Duration;
+
+use hawthornwall_core::catalog::{
+    Belief, Catalog, Change, PublishedRoutes, PublishedState, PublishedTarget, Snapshot,
+};
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::routes::RouteTable;
+
+use crate::line::Line;
+
+#[derive(Default)]
+pub struct Run {
+    pub catalog: Catalog,
+    snapshot: Snapshot,
+}
+
+impl Run {
+    pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
+        let outage = line
+            .text("outage")
+            .map(|_| Time::ZERO + line.span("outage", Duration::ZERO));
+        let beliefs: Vec<Belief> = match line.verb {
+            "entry" => {
+                let (name, target) = entry(line);
+                let change = Change::Target { name, target };
+                self.catalog
+                    .apply(change, outage, line.now)
+                    .into_iter()
+                    .collect()
+            }
+            "gone" => {
+                let change = Change::TargetGone { name: line.word(0) };
+                self.catalog
+                    .apply(change, outage, line.now)
+                    .into_iter()
+                    .collect()
+            }
+            "routes" => {
+                let routes = PublishedRoutes {
+                    routes: RouteTable::default(),
+                    version: line.word(0),
+                };
+                let change = Change::Routes(routes);
+                self.catalog
+                    .apply(change, outage, line.now)
+                    .into_iter()
+                    .collect()
+            }
+            "listed" => {
+                let (name, target) = entry(line);
+                self.snapshot.targets.insert(name, target);
+                Vec::new()
+            }
+            "replace" => {
+                let snapshot = std::mem::take(&mut self.snapshot);
+                self.catalog.replace(snapshot, outage, line.now)
+            }
+            "tick" => self.catalog.expire(line.now),
+            other => panic!("unknown event `{other}`"),
+        };
+        beliefs.iter().map(|b| format!("{b:?}")).collect()
+    }
+
+    pub fn state(&self) -> String {
+        let targets = self.catalog.targets();
+        let lines = targets.map(|(id, name, entry, leaving)| {
+            format!("{name} {id} {} leaving={leaving}", entry.address)
+        });
+        let lines: Vec<_> = lines.collect();
+        format!("{} {}", self.catalog.version(), lines.join(", "))
+    }
+}
+
+fn entry(line: &Line<'_>) -> (String, PublishedTarget) {
+    let state = if line.flag("draining") {
+        PublishedState::Draining
+    } else {
+        PublishedState::Ready
+    };
+    let target = PublishedTarget {
+        address: ([10, 0, 0, line.value("host", 1)], 8000).into(),
+        born: line.text("born").map(|b| b.parse().unwrap()),
+        cold: line.span("cold", Duration::ZERO),
+        domain: "a".to_owned(),
+        service: line.value("service", "calendar".to_owned()),
+        slots: 4,
+        state,
+    };
+    (line.word(0), target)
+}
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod calls;
+mod catalog;
 mod force;
 mod keys;
 mod line;
@@ -21,6 +22,7 @@
 enum Subject {
     Balancer(routing::Run),
     Call(calls::Run),
+    Catalog(catalog::Run),
     Force(force::Run),
     Gate(admission::Run),
     Ledger(keys::Run),
@@ -36,6 +38,7 @@
                 let (run, effects) = calls::Run::new(line);
                 (Self::Call(run), effects)
             }
+            "catalog" => (Self::Catalog(catalog::Run::default()), Vec::new()),
             "force" => (Self::Force(force::Run::default()), Vec::new()),
             "gate" => (Self::Gate(admission::Run::new(line)), Vec::new()),
             "ledger" => (Self::Ledger(keys::Run::new(line)), Vec::new()),
@@ -49,6 +52,7 @@
         match self {
             Self::Balancer(run) => run.apply(line),
             Self::Call(run) => run.apply(line),
+            Self::Catalog(run) => run.apply(line),
             Self::Gate(run) => run.apply(line),
             Self::Force(run) => run.apply(line),
             Self::Ledger(run) => run.apply(line),
@@ -61,6 +65,7 @@
         match self {
             Self::Balancer(run) => run.balancer.verify(),
             Self::Call(run) => run.call.verify(),
+            Self::Catalog(run) => run.catalog.verify(),
             Self::Gate(run) => run.gate.verify(),
             Self::Force(run) => run.force.verify(),
             Self::Ledger(run) => run.ledger.verify(),
@@ -73,6 +78,7 @@
         match self {
             Self::Balancer(run) => run.state(),
             Self::Call(run) => format!("{:?}", run.call),
+            Self::Catalog(run) => run.state(),
             Self::Gate(run) => format!("{:?}", run.gate),
             Self::Force(run) => run.state(),
             Self::Ledger(run) => format!("{:?}", run.ledger),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use hawthornwall_node::daemon;
+use hawthornwall_node::reload::Reload;
 use hawthornwall_node::telemetry::log;
 use hawthornwall_node::telemetry::trace::{self, SpanReporter};
 use hawthornwall_settings::Settings;
@@ -27,6 +28,7 @@
   --version        show the version
 
 Signals:
+  HUP              read the settings again and log what a restart would change
   TERM, INT        finish the requests in flight, then exit; a second signal exits at once
 
 Exit codes:
@@ -88,7 +90,11 @@
         eprintln!("hawthornwalld: logging can't be started: {e}");
         return ExitCode::from(EXIT_START);
     }
-    match daemon::run(&settings) {
+    let reload = Reload {
+        current: settings.clone(),
+        path: path.to_owned(),
+    };
+    match daemon::run(&settings, reload) {
         Ok(()) => {
             trace::flush();
             ExitCode::SUCCESS
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -31,8 +31,9 @@
 };
 use crate::peers::{Peers, PeersStart};
 use crate::probe::{Probe, ProbeStart};
+use crate::reload::Reload;
 use crate::router::{Router, RouterStart};
-use crate::signals::StopSignals;
+use crate::signals::{Signal, Signals};
 use crate::start::StartError;
 use crate::telemetry::trace::Tracer;
 use crate::telemetry::{self, Statsd, Telemetry, TelemetryMessage, log};
@@ -50,14 +51,14 @@
 /// # Errors
 ///
 /// If a listener can't be bound or the event loop can't be made.
-pub fn run(settings: &Settings) -> Result<(), Report<StartError>> {
+pub fn run(settings: &Settings, reload: Reload) -> Result<(), Report<StartError>> {
     // The default driver would be io_uring, which the instances don't allow.
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .with_entries(EVENTS)
         .enable_timer()
         .build()
         .change_context(StartError::Runtime)?;
-    runtime.block_on(async { Daemon::start(settings)?.run().await })
+    runtime.block_on(async { Daemon::start(settings, reload)?.run().await })
 }
 
 /// Senders to all tasks.
@@ -265,13 +266,14 @@
     announce: Duration,
     ingress: Ingress,
     senders: Senders,
-    signals: StopSignals,
+    reload: Reload,
+    signals: Signals,
     stop: oneshot::Sender<()>,
 }
 
 impl Daemon {
     /// Binds every socket, then starts the tasks.
-    fn start(settings: &Settings) -> Result<Self, Report<StartError>> {
+    fn start(settings: &Settings, reload: Reload) -> Result<Self, Report<StartError>> {
         let source = settings.platform.source().ok_or(StartError::Source)?;
         let (senders, receivers) = channels();
         let instance = InstanceId(rand::rng().random());
@@ -283,7 +285,7 @@
             settings,
         };
         let (stop, stopped) = oneshot::channel();
-        let signals = StopSignals::register().change_context(StartError::Runtime)?;
+        let signals = Signals::register().change_context(StartError::Runtime)?;
         let listener = bind(settings.admin.listen)?;
         let ready = settings.admin.ready.map(bind).transpose()?;
         let peers = parts.peers(receivers.peers)?;
@@ -306,6 +308,7 @@
             announce: settings.caller.announce,
             ingress,
             senders: parts.senders,
+            reload,
             signals,
             stop,
         })
@@ -316,10 +319,10 @@
         let ingress = self.ingress.run().fuse();
         pin_mut!(ingress);
         {
-            let signal = signals.next().fuse();
-            pin_mut!(signal);
+            let stop = wait_for_stop(&mut signals, &self.reload).fuse();
+            pin_mut!(stop);
             select_biased! {
-                () = signal => {}
+                () = stop => {}
                 () = ingress => return Ok(()),
             }
         }
@@ -335,7 +338,7 @@
         .fuse();
         let drain = async { futures::join!(stopping, ingress) };
         // A second signal stops at once.
-        let second = signals.next().fuse();
+        let second = signals.stop().fuse();
         let limited = monoio::time::timeout(DRAIN_LIMIT, drain).fuse();
         pin_mut!(second, limited);
         select_biased! {
@@ -353,6 +356,16 @@
     }
 }
 
+/// Reads the settings again each time the process is asked to, until it is asked to stop.
+async fn wait_for_stop(signals: &mut Signals, reload: &Reload) {
+    loop {
+        match signals.next().await {
+            Signal::Reload => reload.run(),
+            Signal::Stop => return,
+        }
+    }
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
     let options = ListenerOpts::new().reuse_port(false);
     TcpListener::bind_with_config(address, &options).change_context(StartError::Bind(address))
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod platform;
 pub mod probe;
+pub mod reload;
 pub mod router;
 pub mod signals;
 pub mod start;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -5,6 +5,7 @@
 
 use hawthornwall_core::routing::Policy;
 use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::check::section_defaults;
@@ -244,6 +245,19 @@
     pub share: u32,
 }
 
+impl Settings {
+    /// Names of the sections and settings at the top that differ.
+    pub fn changed_sections(&self, other: &Self) -> Vec<String> {
+        let object = |s: &Self| match serde_json::to_value(s) {
+            Ok(Value::Object(object)) => object,
+            Ok(_) | Err(_) => Map::new(),
+        };
+        let (ours, theirs) = (object(self), object(other));
+        let differs = |key: &&String| ours.get(*key) != theirs.get(*key);
+        theirs.keys().filter(differs).cloned().collect()
+    }
+}
+
 /// Sections whose settings all have defaults take them from the table.
 macro_rules! defaults_from_table {
     ($($name:ident: $section:literal),* $(,)?) => {
