Read the whole store after a failed call, and notice its return sooner

Calls after a failure now read everything. Attempts to connect now take 0.4 s instead of 1 s, pauses 0.4 s while nothing answers, and the wait is 2 s.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -13,7 +13,7 @@
 
 /// How long an entry that is missing after an outage of the store counts as present. Targets write
 /// their entries again within two seconds.
-pub const RETURN_WAIT: Duration = Duration::from_millis(2_200);
+pub const RETURN_WAIT: Duration = Duration::from_secs(2);
 
 /// How long a target that left is remembered, so that its last answers are still understood.
 const KEEP_LEFT: Duration = Duration::from_secs(30);
--- a/crates/core/src/catalog/follow.rs
+++ b/crates/core/src/catalog/follow.rs
@@ -1,7 +1,8 @@
 //! When the store is read, and how.
 //!
 //! Rules kept here:
-//! - the whole contents are read at the start and after the history is lost, changes otherwise;
+//! - the whole contents are read at the start, after any failure and after the history is lost, changes
+//!   otherwise: a store that has just cut a watch may take another one that never hears anything;
 //! - after failures the pauses double, and differ between daemons, so that a store that returns is
 //!   not met by all at once;
 //! - a failure is an outage of the store only once it has lasted [`OUTAGE`]: a single lost call says
@@ -16,8 +17,11 @@
 
 /// First pause after a failed call; doubles with each further one.
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
-/// Longest pause, so that a store that returns is noticed within a second.
-const PAUSE_LIMIT: Duration = Duration::from_millis(800);
+/// Longest pause while the store can't be reached. It must be noticed soon when it can: targets that
+/// left meanwhile still get work.
+const PAUSE_LIMIT: Duration = Duration::from_millis(400);
+/// Longest pause while the store turns calls away, which it counts like served ones.
+const REFUSED_LIMIT: Duration = Duration::from_millis(800);
 /// Time without a proper answer after which entries may have lapsed unseen. Entries lapse after
 /// three missed heartbeats, so a shorter failure removes none.
 const OUTAGE: Duration = Duration::from_secs(1);
@@ -37,7 +41,7 @@
 /// How a call ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallEnd {
-    /// No proper answer.
+    /// No answer.
     Failed,
     /// The history after the revision is no longer available.
     HistoryGone,
@@ -46,6 +50,8 @@
         /// The revision.
         revision: u64,
     },
+    /// The store has turned the call away.
+    Refused,
 }
 
 /// What the end of a call means for the entries that it showed as gone.
@@ -106,7 +112,8 @@
     /// Notes the end of a call.
     pub fn end(&mut self, end: CallEnd, now: Time) -> Outage {
         match end {
-            CallEnd::Failed => self.fail(now),
+            CallEnd::Failed => self.fail(PAUSE_LIMIT, now),
+            CallEnd::Refused => self.fail(REFUSED_LIMIT, now),
             CallEnd::HistoryGone => {
                 self.revision = None;
                 self.due = now;
@@ -120,9 +127,10 @@
         }
     }
 
-    fn fail(&mut self, now: Time) -> Outage {
+    fn fail(&mut self, limit: Duration, now: Time) -> Outage {
         self.failing.get_or_insert(now);
-        let pause = (PAUSE_FIRST * (1 << self.failures.min(8))).min(PAUSE_LIMIT);
+        self.revision = None;
+        let pause = (PAUSE_FIRST * (1 << self.failures.min(8))).min(limit);
         self.failures += 1;
         self.due = now + pause.mul_f64(self.rng.random_range(0.5..1.0));
         Outage::default()
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod calls;
 mod catalog;
+mod follower;
 mod force;
 mod keys;
 mod line;
@@ -23,6 +24,7 @@
     Balancer(routing::Run),
     Call(calls::Run),
     Catalog(catalog::Run),
+    Follower(follower::Run),
     Force(force::Run),
     Gate(admission::Run),
     Ledger(keys::Run),
@@ -39,6 +41,7 @@
                 (Self::Call(run), effects)
             }
             "catalog" => (Self::Catalog(catalog::Run::default()), Vec::new()),
+            "follower" => (Self::Follower(follower::Run::new(line)), Vec::new()),
             "force" => (Self::Force(force::Run::default()), Vec::new()),
             "gate" => (Self::Gate(admission::Run::new(line)), Vec::new()),
             "ledger" => (Self::Ledger(keys::Run::new(line)), Vec::new()),
@@ -54,6 +57,7 @@
             Self::Call(run) => run.apply(line),
             Self::Catalog(run) => run.apply(line),
             Self::Gate(run) => run.apply(line),
+            Self::Follower(run) => run.apply(line),
             Self::Force(run) => run.apply(line),
             Self::Ledger(run) => run.apply(line),
             Self::Members(run) => run.apply(line),
@@ -67,6 +71,7 @@
             Self::Call(run) => run.call.verify(),
             Self::Catalog(run) => run.catalog.verify(),
             Self::Gate(run) => run.gate.verify(),
+            Self::Follower(_) => Vec::new(),
             Self::Force(run) => run.force.verify(),
             Self::Ledger(run) => run.ledger.verify(),
             Self::Members(run) => run.members.verify(),
@@ -80,6 +85,7 @@
             Self::Call(run) => format!("{:?}", run.call),
             Self::Catalog(run) => run.state(),
             Self::Gate(run) => format!("{:?}", run.gate),
+            Self::Follower(run) => format!("{:?}", run.follower.next()),
             Self::Force(run) => run.state(),
             Self::Ledger(run) => format!("{:?}", run.ledger),
             Self::Members(run) => run.state(),
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -39,22 +39,22 @@
     log::warn!("entry can't be read and names no target or route", kv: { key, fault, revision });
 }
 
-/// Whether the store answers, logged at each change.
+/// Whether the store answers, logged at each change and at each new kind of failure.
 #[derive(Debug, Default)]
 pub(super) struct StoreReports {
-    failing: bool,
+    failing: Option<ReadFault>,
 }
 
 impl StoreReports {
     pub fn failed(&mut self, store: SocketAddr, fault: &ReadFault) {
-        if !self.failing {
+        if self.failing.as_ref() != Some(fault) {
             log::warn!("the store can't be read", kv: { store:, fault: });
         }
-        self.failing = true;
+        self.failing = Some(fault.clone());
     }
 
     pub fn passed(&mut self, store: SocketAddr, revision: u64, waited: Duration) {
-        if std::mem::take(&mut self.failing) {
+        if self.failing.take().is_some() {
             let ms = waited.as_millis() as u64;
             log::info!("the store can be read again", kv: { store:, revision, outage_ms = ms });
         }
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -21,6 +21,7 @@
     ControlMessage, ControlStatus, GateMessage, GateSender, Member, PeersMessage, PeersSender,
     RouterMessage, RouterSender, World,
 };
+use crate::platform::ReadFault;
 use crate::platform::store::{self, StoreEnd, StoreRead};
 use hawthornwall_wire::peer::Exchange;
 
@@ -179,7 +180,13 @@
             Err(fault) => {
                 self.failing_since.get_or_insert(now);
                 self.reports.failed(self.start.store, &fault);
-                self.follower.end(CallEnd::Failed, now);
+                let end = match fault {
+                    ReadFault::Status(_) => CallEnd::Refused,
+                    ReadFault::Broken(_) | ReadFault::Content(_) | ReadFault::Silent => {
+                        CallEnd::Failed
+                    }
+                };
+                self.follower.end(end, now);
             }
         }
     }
--- a/crates/node/src/platform/store.rs
+++ b/crates/node/src/platform/store.rs
@@ -16,14 +16,17 @@
     watch_path,
 };
 
+use super::ReadFault;
 use super::connection::{Connection, Response};
-use super::{CONNECT_LIMIT, ReadFault};
 
 /// How long the store may hold a watch open. Each watch is a priced call, and a connection that
 /// goes silent is found by keep-alive probes, so the longest wait that the store takes is best.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Time beyond the wait that a response may take. A slow store still answers within it.
 const RESPONSE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Longest time for a connection to open. The opening packet is sent again only after a second, so
+/// that a new attempt is faster.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Pages of one load, so that a store that always promises more doesn't hold the task.
 const PAGE_LIMIT: usize = 100;
 
