--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -30,7 +30,10 @@
     /// Whether the target may have seen the request.
     fn may_have_reached(&self) -> bool {
         match self.result {
-            None | Some(AttemptResult::Answered | AttemptResult::Lost(_)) => true,
+            None
+            | Some(AttemptResult::Answered | AttemptResult::Failed | AttemptResult::Lost(_)) => {
+                true
+            }
             Some(AttemptResult::Refused(refusal)) => refusal == Refusal::Shed,
         }
     }
@@ -214,7 +217,12 @@
                 self.picking = None;
                 self.try_again(reroute_kind(last), last, now, effects);
             }
-            Some(AttemptResult::Answered | AttemptResult::Lost(_) | AttemptResult::Refused(_))
+            Some(
+                AttemptResult::Answered
+                | AttemptResult::Failed
+                | AttemptResult::Lost(_)
+                | AttemptResult::Refused(_),
+            )
             | None => self.miss(refusal, effects),
         }
     }
@@ -248,6 +256,12 @@
         }
         match result {
             AttemptResult::Answered => self.finish(Outcome::Answered, Some(id), effects),
+            AttemptResult::Failed if !self.spec.idempotent || self.spec.pinned.is_some() => {
+                self.finish(Outcome::Answered, Some(id), effects);
+            }
+            AttemptResult::Failed => {
+                self.try_again(PickKind::Retry, Refusal::Budget, now, effects);
+            }
             AttemptResult::Lost(loss) if self.spec.pinned.is_some() => {
                 self.repeat(loss, now, effects);
             }
@@ -317,7 +331,8 @@
     fn outcome_without_answer(&self, refusal: Refusal) -> Outcome {
         let loss = self.attempts.iter().find_map(|a| match a.result {
             Some(AttemptResult::Lost(loss)) => Some(loss),
-            Some(AttemptResult::Answered | AttemptResult::Refused(_)) | None => None,
+            Some(AttemptResult::Answered | AttemptResult::Failed | AttemptResult::Refused(_))
+            | None => None,
         });
         match loss {
             Some(loss) if self.spec.idempotent => Outcome::Failed(loss),
@@ -326,12 +341,24 @@
         }
     }
 
+    /// The last attempt whose answer reports a failure.
+    fn last_failed(&self) -> Option<AttemptId> {
+        let failed = |a: &Attempt| a.result == Some(AttemptResult::Failed);
+        let position = self.attempts.iter().rposition(failed);
+        position.map(|index| AttemptId(index as u8))
+    }
+
     pub(super) fn finish(
         &mut self,
         outcome: Outcome,
         answer: Option<AttemptId>,
         effects: &mut Vec<Effect>,
     ) {
+        // A target's own failure tells the caller more than that nothing better came of trying again.
+        let failed = self.last_failed().filter(|_| answer.is_none());
+        if let Some(id) = failed {
+            return self.finish(Outcome::Answered, Some(id), effects);
+        }
         let outcome = match outcome {
             Outcome::Refused(refusal) if self.spec.pinned.is_some() => keyed_outcome(refusal),
             Outcome::Answered | Outcome::Failed(_) | Outcome::Refused(_) | Outcome::Unknown(_) => {
--- a/crates/core/src/calls/resend.rs
+++ b/crates/core/src/calls/resend.rs
@@ -100,7 +100,7 @@
     pub(super) fn settle(&mut self, first: AttemptId, result: AttemptResult) {
         let definite = match result {
             AttemptResult::Refused(refusal) => refusal != Refusal::Unreachable,
-            AttemptResult::Answered | AttemptResult::Lost(_) => false,
+            AttemptResult::Answered | AttemptResult::Failed | AttemptResult::Lost(_) => false,
         };
         if definite {
             self.attempts[usize::from(first.0)].result = Some(result);
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -120,8 +120,10 @@
 /// How one attempt ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum AttemptResult {
-    /// A whole answer arrived, whatever its status code.
+    /// A whole answer arrived.
     Answered,
+    /// A whole answer arrived by which the target reports a failure of its own.
+    Failed,
     /// The attempt may have run and has no whole answer.
     Lost(Loss),
     /// The attempt was not run.
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -22,6 +22,8 @@
 const RTT_NEAR: Duration = Duration::from_micros(300);
 /// Round trip assumed to a target of another failure domain before any sample.
 const RTT_FAR: Duration = Duration::from_millis(3);
+/// Share of the service time by which a target of another failure domain must be faster.
+const FAR_SHARE: f64 = 0.15;
 /// Share of requests that are answered before a hedge is sent.
 const HEDGE_QUANTILE: f64 = 0.95;
 /// Samples needed before the hedge delay follows the latency window.
@@ -99,6 +101,8 @@
     latency: BTreeMap<ServiceId, LatencyWindow>,
     next: u64,
     policy: Policy,
+    /// Whether targets of the own failure domain are preferred.
+    prefers_near: bool,
     rng: Pcg64Mcg,
     turn: usize,
     views: BTreeMap<TargetId, View>,
@@ -113,12 +117,18 @@
             latency: BTreeMap::new(),
             next: 0,
             policy,
+            prefers_near: false,
             rng: Pcg64Mcg::seed_from_u64(seed),
             turn: 0,
             views: BTreeMap::new(),
         }
     }
 
+    /// Prefers targets of the own failure domain, where traffic between domains has a price.
+    pub fn prefer_near(&mut self) {
+        self.prefers_near = true;
+    }
+
     /// Takes over the targets of a configuration; what is known of kept ones stays.
     pub fn configure(&mut self, config: &Configuration) {
         self.views.retain(|id, _| config.targets.contains_key(id));
@@ -207,6 +217,8 @@
                 let service = view.service;
                 self.latency.entry(service).or_default().add(seen.elapsed);
             }
+            // The share of failures in the report says whether to avoid the target.
+            AttemptResult::Failed => {}
             AttemptResult::Lost(loss) => note_loss(view, loss, sent, now),
             AttemptResult::Refused(refusal) => note_refusal(view, refusal, now),
         }
@@ -265,10 +277,22 @@
         match self.policy {
             Policy::Expected => {
                 let views = &self.views;
-                let cost = |id: &TargetId| views[id].estimate(mean, now).cost;
-                let some: Vec<_> = eligible
+                let home = &self.domain;
+                let cost = |id: &TargetId| {
+                    let estimate = views[id].estimate(mean, now);
+                    let far = self.prefers_near && views[id].domain != *home;
+                    estimate.cost + estimate.service.mul_f64(if far { FAR_SHARE } else { 0.0 })
+                };
+                let mut some: Vec<_> = eligible
                     .choose_multiple(&mut self.rng, CANDIDATES)
                     .collect();
+                if self.prefers_near {
+                    let near: Vec<_> = eligible
+                        .iter()
+                        .filter(|id| views[id].domain == *home)
+                        .collect();
+                    some.extend(near.choose(&mut self.rng));
+                }
                 some.into_iter().min_by_key(|id| cost(id)).copied()
             }
             Policy::LeastOutstanding => {
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -61,6 +61,8 @@
     pub cost: Duration,
     /// Requests expected at the target on arrival.
     pub occupancy: f64,
+    /// Time that a request is expected to hold a slot.
+    pub service: Duration,
 }
 
 /// Averages over the targets of one service, toward which old reports decay.
@@ -218,6 +220,7 @@
             age: self.report.map(|(_, at)| now - at),
             cost,
             occupancy,
+            service,
         }
     }
 
--- a/crates/core/tests/scenarios/line.rs
+++ b/crates/core/tests/scenarios/line.rs
@@ -82,6 +82,7 @@
     match text.split_once(':') {
         Some(("lost", loss)) => AttemptResult::Lost(variant(loss)),
         Some(("refused", refusal)) => AttemptResult::Refused(variant(refusal)),
+        None if text == "failed" => AttemptResult::Failed,
         Some(_) | None => {
             assert_eq!(text, "answered");
             AttemptResult::Answered
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -22,6 +22,9 @@
         let targets = line.value("targets", 2);
         let mut balancer = Balancer::new("a", policy, line.value("seed", 1));
         balancer.configure(&configuration(targets, line.value("slots", 4)));
+        if line.flag("prefer-near") {
+            balancer.prefer_near();
+        }
         Self {
             balancer,
             targets,
@@ -153,6 +156,7 @@
         age,
         cost,
         occupancy,
+        service: _,
     } = choice.estimate;
     let (target, cost) = (choice.target, cost.as_secs_f64() * 1e3);
     format!("{target} cost={cost:.2}ms occupancy={occupancy:.2} report age={age:?}")
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -152,6 +152,7 @@
     fn router(&self, receiver: mpsc::UnboundedReceiver<RouterMessage>) -> Router {
         Router::new(RouterStart {
             clock: self.clock,
+            dialect: self.dialect,
             domain: &self.settings.domain,
             policy: self.settings.routing.policy,
             receiver,
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -15,6 +15,9 @@
 use crate::telemetry::Event;
 use crate::telemetry::trace::HopSpan;
 
+/// Status from which a target reports a failure of its own.
+const FAILED: u16 = 500;
+
 /// What the targets of a call are asked to do.
 #[derive(Clone, Debug)]
 pub(super) enum Task {
@@ -187,6 +190,9 @@
 
 fn split(end: RunEnd) -> (AttemptResult, Yield) {
     match end {
+        RunEnd::Answered(answer) if answer.status >= FAILED => {
+            (AttemptResult::Failed, Yield::Answer(answer))
+        }
         RunEnd::Answered(answer) => (AttemptResult::Answered, Yield::Answer(answer)),
         RunEnd::Issued(key) => (AttemptResult::Answered, Yield::Key(key)),
         RunEnd::Lost(loss) => (AttemptResult::Lost(loss), Yield::Nothing),
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -193,8 +193,8 @@
     task: Task,
     /// The ticket of the choice that the next `Send` effect is for.
     ticket: Option<OpenTicket>,
-    /// The answer that the last ended attempt brought.
-    yielded: Option<(TargetId, Yield)>,
+    /// What ended attempts brought.
+    yielded: BTreeMap<AttemptId, (TargetId, Yield)>,
 }
 
 impl<'a> Serving<'a> {
@@ -244,7 +244,7 @@
             started: now,
             task: task_of(asked, request),
             ticket: None,
-            yielded: None,
+            yielded: BTreeMap::new(),
         }
     }
 
@@ -255,7 +255,7 @@
                 match effect {
                     // All attempts are dropped, and so cancelled, when the call finishes.
                     Effect::Cancel(_) => {}
-                    Effect::Finish(outcome, _) => return self.reply(outcome),
+                    Effect::Finish(outcome, answer) => return self.reply(outcome, answer),
                     Effect::Pick(kind) => self.pick(kind),
                     Effect::Repeat {
                         attempt,
@@ -303,7 +303,7 @@
         };
         match step {
             Step::Ended(attempt, target, result, yielded) => {
-                self.yielded = Some((target, yielded));
+                self.yielded.insert(attempt, (target, yielded));
                 let at = self.backend.clock.now() - self.started;
                 if let Some(record) = self.records.get_mut(usize::from(attempt.0)) {
                     record.ended = Some((at, result));
@@ -397,8 +397,8 @@
         receiver.await.ok()
     }
 
-    fn reply(&mut self, outcome: Outcome) -> Reply {
-        let yielded = self.yielded.take();
+    fn reply(&mut self, outcome: Outcome, answer: Option<AttemptId>) -> Reply {
+        let yielded = answer.and_then(|id| self.yielded.remove(&id));
         match (outcome, yielded) {
             (Outcome::Answered, Some((target, Yield::Answer(answer)))) => {
                 Reply::answered(answer, &target.to_string())
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::clock::Clock;
+use crate::dialect::Dialect;
 use crate::messages::{OpenTicket, Opened, Picked, RouterMessage, RouterSender, Seen, World};
 
 /// What the task needs at its start.
@@ -25,6 +26,8 @@
 pub struct RouterStart<'a> {
     /// The process's clock.
     pub clock: Clock,
+    /// Conventions of the platform.
+    pub dialect: Dialect,
     /// Failure domain of this instance.
     pub domain: &'a str,
     /// How targets are chosen.
@@ -56,8 +59,13 @@
 impl Router {
     /// A router without targets.
     pub fn new(start: RouterStart<'_>) -> Self {
+        let mut balancer = Balancer::new(start.domain, start.policy, start.seed);
+        match start.dialect {
+            Dialect::Own => {}
+            Dialect::Platform => balancer.prefer_near(),
+        }
         Self {
-            balancer: Balancer::new(start.domain, start.policy, start.seed),
+            balancer,
             budgets: BTreeMap::new(),
             clock: start.clock,
             inflight: BTreeMap::new(),
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -125,6 +125,7 @@
 pub(super) const fn attempt_name(result: AttemptResult) -> &'static str {
     match result {
         AttemptResult::Answered => "answered",
+        AttemptResult::Failed => "target-failed",
         AttemptResult::Lost(loss) => loss.name(),
         AttemptResult::Refused(refusal) => refusal.name(),
     }
