--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -259,9 +259,6 @@
             AttemptResult::Failed if !self.spec.idempotent || self.spec.pinned.is_some() => {
                 self.finish(Outcome::Answered, Some(id), effects);
             }
-            AttemptResult::Failed => {
-                self.try_again(PickKind::Retry, Refusal::Budget, now, effects);
-            }
             AttemptResult::Lost(loss) if self.spec.pinned.is_some() => {
                 self.repeat(loss, now, effects);
             }
@@ -274,7 +271,7 @@
             AttemptResult::Refused(Refusal::Unreachable) if repeats.is_some() => {
                 self.ask_again(id, Loss::Closed, now, effects);
             }
-            AttemptResult::Lost(_) => {
+            AttemptResult::Failed | AttemptResult::Lost(_) => {
                 self.try_again(PickKind::Retry, Refusal::Budget, now, effects);
             }
             AttemptResult::Refused(refusal) if elsewhere(refusal) => {
--- a/crates/core/src/catalog/follow.rs
+++ b/crates/core/src/catalog/follow.rs
@@ -22,6 +22,11 @@
 const PAUSE_LIMIT: Duration = Duration::from_millis(400);
 /// Longest pause while the store turns calls away, which it counts like served ones.
 const REFUSED_LIMIT: Duration = Duration::from_millis(800);
+/// Pause after a change before the next watch, for each target: every target changes its entry now and
+/// then, and all daemons hear of each change, so that calls would grow with the square of the fleet.
+const SETTLE_EACH: Duration = Duration::from_millis(10);
+/// Longest such pause. A target serves for some two seconds after it has begun to leave.
+const SETTLE_LIMIT: Duration = Duration::from_millis(800);
 /// Time without a proper answer after which entries may have lapsed unseen. Entries lapse after
 /// three missed heartbeats, so a shorter failure removes none.
 const OUTAGE: Duration = Duration::from_secs(1);
@@ -85,6 +90,7 @@
     outage_end: Option<Time>,
     revision: Option<u64>,
     rng: Pcg64Mcg,
+    settle: Duration,
 }
 
 impl Follower {
@@ -97,9 +103,16 @@
             outage_end: None,
             revision: None,
             rng: Pcg64Mcg::seed_from_u64(seed),
+            settle: Duration::ZERO,
         }
     }
 
+    /// Takes over how many targets are known.
+    pub fn set_targets(&mut self, targets: usize) {
+        let targets = u32::try_from(targets).unwrap_or(u32::MAX);
+        self.settle = SETTLE_EACH.saturating_mul(targets).min(SETTLE_LIMIT);
+    }
+
     /// The next call and when it is due.
     pub fn next(&self) -> (Time, Call) {
         let call = match self.revision {
@@ -120,8 +133,10 @@
                 Outage::default()
             }
             CallEnd::Read { revision } => {
+                // Changes since a load are asked for at once: none may be missed in between.
+                let changed = self.revision.is_some_and(|known| known != revision);
+                self.due = now + if changed { self.settle } else { Duration::ZERO };
                 self.revision = Some(revision);
-                self.due = now;
                 self.recover(now)
             }
         }
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -23,7 +23,7 @@
 /// Round trip assumed to a target of another failure domain before any sample.
 const RTT_FAR: Duration = Duration::from_millis(3);
 /// Share of the service time by which a target of another failure domain must be faster.
-const FAR_SHARE: f64 = 0.15;
+const FAR_SHARE: f64 = 0.5;
 /// Share of requests that are answered before a hedge is sent.
 const HEDGE_QUANTILE: f64 = 0.95;
 /// Samples needed before the hedge delay follows the latency window.
--- a/crates/core/tests/scenarios/follower.rs
+++ b/crates/core/tests/scenarios/follower.rs
@@ -17,6 +17,10 @@
 
     pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
         let end = match line.verb {
+            "targets" => {
+                self.follower.set_targets(line.word(0));
+                return Vec::new();
+            }
             "failed" => CallEnd::Failed,
             "history-gone" => CallEnd::HistoryGone,
             "read" => CallEnd::Read {
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -207,6 +207,7 @@
         for belief in beliefs {
             report::belief(belief, &self.catalog, revision);
         }
+        self.follower.set_targets(self.catalog.targets().count());
         debug_assert_eq!(self.catalog.verify(), Vec::<String>::new());
         self.world = Rc::new(World {
             config: self.catalog.configuration(&SHARING),
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,3 @@
+//! What several test programs share.
+
+pub mod script;
--- /dev/null
+++ b/crates/node/tests/common/script.rs
@@ -0,0 +1,87 @@
+//! A server that follows a script, one connection after another.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+/// How long connections that fall silent stay open.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// What the server does after a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Close the connection without an answer.
+    Close,
+    /// Send these bytes.
+    Reply(String),
+}
+
+/// What the server does with one connection.
+#[derive(Clone, Debug)]
+pub struct Connection {
+    silent: bool,
+    steps: Vec<Step>,
+}
+
+impl Connection {
+    /// Closes the connection after the last step.
+    pub fn closed_after(steps: Vec<Step>) -> Self {
+        Self {
+            silent: false,
+            steps,
+        }
+    }
+
+    /// Keeps the connection open in silence after the last step.
+    pub fn silent_after(steps: Vec<Step>) -> Self {
+        Self {
+            silent: true,
+            steps,
+        }
+    }
+}
+
+/// Serves the connections and passes on the requests' first lines.
+pub fn serve(connections: Vec<Connection>) -> (SocketAddr, mpsc::Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let (lines, received) = mpsc::channel();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for (number, connection) in connections.into_iter().enumerate() {
+            let (mut stream, _) = listener.accept().expect("a client connects");
+            follow(&mut stream, &connection.steps, number, &lines);
+            if connection.silent {
+                open.push(stream);
+            }
+        }
+        thread::sleep(SILENCE);
+    });
+    (address, received)
+}
+
+fn follow(stream: &mut TcpStream, steps: &[Step], number: usize, lines: &mpsc::Sender<String>) {
+    let mut buffer = [0; 4096];
+    for step in steps {
+        let length = stream.read(&mut buffer).unwrap_or(0);
+        let text = String::from_utf8_lossy(&buffer[..length]);
+        let line = text.lines().next().unwrap_or_default();
+        let _ = lines.send(format!("connection {number}: {line}"));
+        match step {
+            Step::Close => return,
+            Step::Reply(bytes) => {
+                let _ = stream.write_all(bytes.as_bytes());
+            }
+        }
+    }
+}
+
+/// Runs a future on the runtime that the daemon uses.
+pub fn block_on<F: Future>(future: F) -> F::Output {
+    let runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build();
+    runtime.expect("the runtime starts").block_on(future)
+}
