Start waiting requests by rank and objective, and none that can't be done in time

Change: the gate's queue is ordered by the route's rank, then its objective; what waits behind doesn't count for a request's expected wait; work whose deadline is nearer than a quarter of the usual service time is refused at once. A change of the store is followed by a pause of 16 ms for each target, at most 1.2 s. The gate's property test ended requests in the order of their ids, which is no longer the order of starting; it now ends whatever runs until nothing does.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -24,6 +24,8 @@
 
 /// Wait for a strained machine to recover that a sender must accept, or its request goes elsewhere.
 const STRAIN_WAIT: Duration = Duration::from_millis(75);
+/// Share of the usual service time that hardly any request needs less of.
+const LEAST_SHARE: f64 = 0.25;
 /// Age at which a stated slowdown is no longer worth passing on.
 const STATED_LIFE: Duration = Duration::from_millis(100);
 
@@ -46,6 +48,17 @@
     pub slots: u32,
 }
 
+/// Which of two waiting requests starts first: the one of the lower rank, then the one whose answer is
+/// wanted sooner. Calls made by running work are wanted soonest, and what turning one away would waste
+/// has already been worked on.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Urgency {
+    /// Rank of the request's route, 0 first.
+    pub rank: u8,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
+}
+
 /// A request that reached the gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Arrival {
@@ -55,6 +68,8 @@
     pub id: WorkId,
     /// Longest expected wait at which the sender prefers this target to another.
     pub patience: Duration,
+    /// Its place among others that wait.
+    pub urgency: Urgency,
 }
 
 /// What happens to a gate.
@@ -105,7 +120,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, WorkId};
+/// use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, Urgency, WorkId};
 /// use hawthornwall_core::prelude::*;
 ///
 /// let limits = Limits { queue_wait: Duration::from_millis(50), slots: 1 };
@@ -114,6 +129,7 @@
 ///     deadline: Time::from_micros(1_000_000),
 ///     id: WorkId(id),
 ///     patience: Duration::ZERO,
+///     urgency: Urgency::default(),
 /// });
 /// let now = Time::ZERO;
 /// assert_eq!(gate.on(&arrival(1), now), vec![Effect::Start(WorkId(1))]);
@@ -236,7 +252,9 @@
     fn admit(&mut self, arrival: &Arrival, now: Time) -> Option<Effect> {
         let refusal = self.check(arrival, now).err();
         if refusal.is_none() {
-            self.queue.push_back((*arrival, now));
+            let behind = |(waiting, _): &(Arrival, Time)| waiting.urgency <= arrival.urgency;
+            let place = self.queue.partition_point(behind);
+            self.queue.insert(place, (*arrival, now));
         }
         refusal.map(|refusal| Effect::Refuse(arrival.id, refusal))
     }
@@ -248,13 +266,13 @@
         if !self.reachable {
             return Err(Refusal::Down);
         }
-        if arrival.deadline <= now {
+        if arrival.deadline <= now || self.is_too_late(arrival, now) {
             return Err(Refusal::Expired);
         }
         if self.running.len() + self.queue.len() < self.limits.slots as usize {
             return Ok(());
         }
-        let wait = self.expected_wait(now);
+        let wait = self.expected_wait(arrival.urgency, now);
         let allowed = arrival
             .patience
             .min(self.limits.queue_wait)
@@ -265,8 +283,9 @@
         Ok(())
     }
 
-    fn expected_wait(&self, now: Time) -> Duration {
-        let ahead = self.queue.len() as u32 + 1;
+    fn expected_wait(&self, urgency: Urgency, now: Time) -> Duration {
+        let before = |(waiting, _): &&(Arrival, Time)| waiting.urgency <= urgency;
+        let ahead = self.queue.iter().filter(before).count() as u32 + 1;
         let seen = self.service_estimate(now);
         let service = if seen.is_zero() {
             ASSUMED_SERVICE
@@ -338,7 +357,8 @@
     /// Comes before every event: after a pause, expired work must neither start nor take up places
     /// that a new arrival needs.
     fn drop_expired(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let expired = |w: &Arrival| w.deadline <= now;
+        let needed = self.least_service();
+        let expired = |w: &Arrival| w.deadline <= now + needed;
         self.queue.retain(|(waiting, _)| {
             if expired(waiting) {
                 effects.push(Effect::Refuse(waiting.id, Refusal::Expired));
@@ -347,6 +367,21 @@
         });
     }
 
+    /// Whether the answer could not be ready before the deadline even if work began now.
+    fn is_too_late(&self, arrival: &Arrival, now: Time) -> bool {
+        arrival.deadline <= now + self.least_service()
+    }
+
+    /// Time that hardly any request needs less of. Nothing is known while the target states no load,
+    /// as its requests may differ by any factor.
+    fn least_service(&self) -> Duration {
+        if self.strain.is_enabled() {
+            self.service.mul_f64(LEAST_SHARE)
+        } else {
+            Duration::ZERO
+        }
+    }
+
     fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.strain.holding = false;
         while self.running.len() < self.limits.slots as usize {
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -9,4 +9,4 @@
 mod gate;
 mod strain;
 
-pub use gate::{Arrival, Effect, Event, Gate, Limits, WorkId};
+pub use gate::{Arrival, Effect, Event, Gate, Limits, Urgency, WorkId};
--- a/crates/core/src/catalog/follow.rs
+++ b/crates/core/src/catalog/follow.rs
@@ -24,9 +24,9 @@
 const REFUSED_LIMIT: Duration = Duration::from_millis(800);
 /// Pause after a change before the next watch, for each target: every target changes its entry now and
 /// then, and all daemons hear of each change, so that calls would grow with the square of the fleet.
-const SETTLE_EACH: Duration = Duration::from_millis(10);
+const SETTLE_EACH: Duration = Duration::from_millis(16);
 /// Longest such pause. A target serves for some two seconds after it has begun to leave.
-const SETTLE_LIMIT: Duration = Duration::from_millis(800);
+const SETTLE_LIMIT: Duration = Duration::from_millis(1_200);
 /// Time without a proper answer after which entries may have lapsed unseen. Entries lapse after
 /// three missed heartbeats, so a shorter failure removes none.
 const OUTAGE: Duration = Duration::from_secs(1);
--- a/crates/core/tests/properties/gate.rs
+++ b/crates/core/tests/properties/gate.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, WorkId};
+use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, Urgency, WorkId};
 use hawthornwall_core::prelude::*;
 use proptest::prelude::*;
 
@@ -22,6 +22,10 @@
             deadline: Time::from_micros(deadline * 1000),
             id: WorkId(0),
             patience: Duration::from_millis(patience),
+            urgency: Urgency {
+                objective: Duration::from_millis(patience % 3),
+                rank: (deadline % 3) as u8,
+            },
         })
     });
     prop_oneof![
@@ -130,9 +134,13 @@
             prop_assert_eq!(gate.verify(), Vec::<String>::new());
         }
         owner.take(&gate.on(&Event::Drain, now), now);
-        // Ids ascend in the order of starting, so one pass also ends what starts meanwhile.
-        for id in (0..owner.stages.len() as u64).map(WorkId) {
+        // Each request that ends may start another one, of any id.
+        for _ in 0..owner.stages.len() {
             owner.take(&gate.on(&Event::Loaded(None), now), now);
+            let running = owner.stages.iter().find(|(_, s)| **s == Stage::Running);
+            let Some(id) = running.map(|(id, _)| *id) else {
+                break;
+            };
             let event = owner.prepare(Event::Finish { failed: false, id }, now);
             owner.take(&gate.on(&event, now), now);
         }
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hawthornwall_core::admission::{Arrival, Event, Gate, Limits, WorkId};
+use hawthornwall_core::admission::{Arrival, Event, Gate, Limits, Urgency, WorkId};
 use hawthornwall_core::prelude::*;
 
 use crate::line::Line;
@@ -25,6 +25,10 @@
                 deadline: Time::ZERO + line.span("deadline", Duration::from_secs(100)),
                 id: id(),
                 patience: line.span("patience", Duration::MAX),
+                urgency: Urgency {
+                    objective: line.span("objective", Duration::ZERO),
+                    rank: line.value("rank", 0),
+                },
             }),
             "cancel" => Event::Cancel(id()),
             "configure" => Event::Configure(limits(line)),
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -5,7 +5,7 @@
 
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, select_biased};
-use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, WorkId};
+use hawthornwall_core::admission::{Arrival, Effect, Event, Gate, Limits, Urgency, WorkId};
 use hawthornwall_core::keys::Decision;
 use hawthornwall_core::pause::PauseDetector;
 use hawthornwall_core::prelude::*;
@@ -279,6 +279,10 @@
             deadline,
             id: work,
             patience: run.patience,
+            urgency: Urgency {
+                objective: run.objective,
+                rank: run.rank,
+            },
         };
         let span = HopSpan::remote(Hop::Gate, run.trace.as_deref());
         let held = Held {
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures::channel::oneshot;
+use hawthornwall_core::admission::Urgency;
 use hawthornwall_core::calls::AttemptId;
 use hawthornwall_core::keys::Key;
 use hawthornwall_core::prelude::*;
@@ -60,6 +61,7 @@
     pub sending: Sending,
     pub service: ServiceId,
     pub task: Task,
+    pub urgency: Urgency,
 }
 
 /// What an attempt yields for the caller.
@@ -132,14 +134,17 @@
                     patience, repeat, ..
                 } = self.sending;
                 let once = self.once;
+                let Urgency { objective, rank } = self.urgency;
                 let expect = self.expect.as_deref().map(str::to_owned);
                 let run = Run {
                     expect,
                     http,
                     key,
                     left,
+                    objective,
                     once,
                     patience,
+                    rank,
                     repeat,
                     service,
                     target,
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -8,6 +8,7 @@
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
+use hawthornwall_core::admission::Urgency;
 use hawthornwall_core::calls::{
     AttemptId, Call, Effect, Event, MAX_ATTEMPTS, PickKind, Spec, keyed_outcome,
 };
@@ -193,6 +194,7 @@
     task: Task,
     /// The ticket of the choice that the next `Send` effect is for.
     ticket: Option<OpenTicket>,
+    urgency: Urgency,
     /// What ended attempts brought.
     yielded: BTreeMap<AttemptId, (TargetId, Yield)>,
 }
@@ -244,6 +246,10 @@
             started: now,
             task: task_of(asked, request),
             ticket: None,
+            urgency: route.map_or(Urgency::default(), |r| Urgency {
+                objective: r.objective,
+                rank: r.rank,
+            }),
             yielded: BTreeMap::new(),
         }
     }
@@ -362,6 +368,7 @@
             sending,
             service: self.service,
             task: self.task.clone(),
+            urgency: self.urgency,
         };
         let run = Attempt {
             request,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -66,9 +66,14 @@
     /// Whether the request must not run twice although it has no key. The receiver then remembers
     /// its id.
     pub once: bool,
+    /// Time within which the answer is worth most.
+    #[serde_as(as = "Micros")]
+    pub objective: Duration,
     /// Longest wait for a slot that the sender prefers to another target.
     #[serde_as(as = "Micros")]
     pub patience: Duration,
+    /// Rank of the request's route, 0 first.
+    pub rank: u8,
     /// For a repeat after a lost connection: the run that the first sending may have reached. Any
     /// other run doesn't know whether the request has run.
     pub repeat: Option<InstanceId>,
