--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -124,9 +124,7 @@
 fn status_of(outcome: Outcome) -> u16 {
     match outcome {
         Outcome::Answered => 200,
-        Outcome::Failed(Loss::Expired)
-        | Outcome::Refused(Refusal::Expired)
-        | Outcome::Unknown(Loss::Expired) => 504,
+        Outcome::Failed(Loss::Expired) | Outcome::Unknown(Loss::Expired) => 504,
         Outcome::Failed(_) | Outcome::Unknown(_) => 502,
         Outcome::Refused(Refusal::UnknownService) => 404,
         Outcome::Refused(Refusal::KeyInvalid | Refusal::Malformed) => 400,
@@ -138,6 +136,7 @@
             | Refusal::Cancelled
             | Refusal::Down
             | Refusal::Draining
+            | Refusal::Expired
             | Refusal::Full
             | Refusal::NoTarget
             | Refusal::NotReady
