--- a/crates/node/src/admin/http.rs
+++ b/crates/node/src/admin/http.rs
@@ -68,11 +68,28 @@
     }
 }
 
-/// A response with a JSON body.
+/// What a body holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Content {
+    Json,
+    Metrics,
+}
+
+impl Content {
+    fn media_type(self) -> &'static str {
+        match self {
+            Self::Json => "application/json",
+            Self::Metrics => "application/openmetrics-text; version=1.0.0; charset=utf-8",
+        }
+    }
+}
+
+/// A response.
 #[derive(Debug)]
 pub(super) struct Response {
     pub allow: Option<Method>,
     pub body: String,
+    pub content: Content,
     pub status: StatusCode,
 }
 
@@ -84,8 +101,9 @@
         };
         let connection = if keep_alive { "keep-alive" } else { "close" };
         let (status, body) = (self.status, &self.body);
+        let content = self.content.media_type();
         format!(
-            "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\
+            "HTTP/1.1 {status}\r\nContent-Type: {content}\r\nContent-Length: {}\r\n\
              Connection: {connection}\r\n{allow}\r\n{body}",
             body.len()
         )
--- a/crates/node/src/admin/pages.rs
+++ b/crates/node/src/admin/pages.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use super::Admin;
-use super::http::{Request, RequestFault, Response};
+use super::http::{Content, Request, RequestFault, Response};
 use crate::messages::{
     ControlMessage, ControlStatus, GateMessage, GateStatus, PeersMessage, PeersStatus, World,
 };
@@ -24,6 +24,7 @@
 enum Page {
     Config,
     Drain,
+    Metrics,
     Ready,
     Status,
 }
@@ -33,6 +34,7 @@
         match path {
             "/config" => Some(Self::Config),
             "/drain" => Some(Self::Drain),
+            "/metrics" => Some(Self::Metrics),
             "/ready" => Some(Self::Ready),
             "/status" => Some(Self::Status),
             _ => None,
@@ -41,7 +43,7 @@
 
     fn method(self) -> Method {
         match self {
-            Self::Config | Self::Ready | Self::Status => Method::GET,
+            Self::Config | Self::Metrics | Self::Ready | Self::Status => Method::GET,
             Self::Drain => Method::POST,
         }
     }
@@ -101,7 +103,7 @@
     match Page::at(&request.path) {
         None => error(
             StatusCode::NOT_FOUND,
-            "the pages are /status, /config, /ready and /drain",
+            "the pages are /status, /config, /metrics, /ready and /drain",
         ),
         Some(page) if request.method != page.method() => {
             let method = page.method();
@@ -113,6 +115,7 @@
         }
         Some(Page::Config) => config(admin).await,
         Some(Page::Drain) => drain(admin),
+        Some(Page::Metrics) => metrics(admin).await,
         Some(Page::Ready) => ready(admin).await,
         Some(Page::Status) => status(admin).await,
     }
@@ -142,6 +145,21 @@
     }
 }
 
+async fn metrics(admin: &Admin) -> Response {
+    match timeout(QUERY, admin.telemetry.metrics()).await {
+        Ok(Some(body)) => Response {
+            allow: None,
+            body,
+            content: Content::Metrics,
+            status: StatusCode::OK,
+        },
+        Ok(None) | Err(_) => error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the telemetry task doesn't reply",
+        ),
+    }
+}
+
 /// Whether callers may be sent here.
 async fn ready(admin: &Admin) -> Response {
     let ready = ask(|reply| {
@@ -214,6 +232,7 @@
             Response {
                 allow: None,
                 body,
+                content: Content::Json,
                 status,
             }
         }
@@ -225,6 +244,7 @@
     Response {
         allow: None,
         body: format!("{}\n", json!({ "error": text })),
+        content: Content::Json,
         status,
     }
 }
--- a/crates/node/src/telemetry/mod.rs
+++ b/crates/node/src/telemetry/mod.rs
@@ -10,12 +10,14 @@
 mod choice;
 mod counters;
 pub mod log;
+mod metrics;
 mod requests;
 mod statsd;
 mod task;
 pub mod trace;
 
 pub use counters::{Counters, Event};
+pub use metrics::Metrics;
 pub use requests::{AttemptRecord, RequestLog, RequestRecord};
 pub use statsd::Statsd;
 pub use task::{Telemetry, TelemetryMessage, run};
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -6,7 +6,7 @@
 use futures::channel::{mpsc, oneshot};
 use monoio::time::{Instant, timeout_at};
 
-use super::{Counters, Event, Statsd};
+use super::{Counters, Event, Metrics, Statsd};
 
 /// Longest time that a metric stays in the buffer.
 const FLUSH: Duration = Duration::from_secs(1);
@@ -16,6 +16,8 @@
 pub enum TelemetryMessage {
     /// Count an event.
     Event(Event),
+    /// Encode all metrics as text.
+    Metrics(oneshot::Sender<String>),
     /// Report the counters.
     Status(oneshot::Sender<Counters>),
 }
@@ -38,6 +40,14 @@
         let _ = self.sender.unbounded_send(TelemetryMessage::Event(event));
     }
 
+    /// All metrics as text, or `None` if the task has ended.
+    pub async fn metrics(&self) -> Option<String> {
+        let (reply, receiver) = oneshot::channel();
+        let message = TelemetryMessage::Metrics(reply);
+        self.sender.unbounded_send(message).ok()?;
+        receiver.await.ok()
+    }
+
     /// The counters, or `None` if the task has ended.
     pub async fn counters(&self) -> Option<Counters> {
         let (reply, receiver) = oneshot::channel();
@@ -49,6 +59,7 @@
 
 /// Serves until all handles are dropped. Without traffic no timer runs.
 pub async fn run(mut receiver: mpsc::UnboundedReceiver<TelemetryMessage>, statsd: Option<Statsd>) {
+    let mut metrics = Metrics::default();
     let mut totals = Counters::default();
     let mut reported = Counters::default();
     let mut flush_at = None;
@@ -68,12 +79,16 @@
         match message {
             None => break,
             Some(TelemetryMessage::Event(event)) => {
+                metrics.record(&event);
                 totals.record(&event);
                 if let Some(statsd) = &statsd {
                     record_time(statsd, &event);
                     flush_at = flush_at.or_else(|| Some(Instant::now() + FLUSH));
                 }
             }
+            Some(TelemetryMessage::Metrics(reply)) => {
+                let _ = reply.send(metrics.encode());
+            }
             Some(TelemetryMessage::Status(reply)) => {
                 let _ = reply.send(totals.clone());
             }
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -240,7 +240,7 @@
 #[case::query("query", "GET /config?x=1 HTTP/1.0\r\n\r\n")]
 #[case::unknown_page(
     "unknown_page",
-    "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    "GET /pages HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 )]
 #[case::wrong_method(
     "wrong_method",
@@ -312,3 +312,22 @@
         .collect();
     assert_snapshot!(lines.join("\n"));
 }
+
+const METRICS: &str = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+const READY: &str = "GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+/// Guards against metrics that a collector can't read, or that miss what was counted.
+#[test]
+fn metrics() {
+    let (text, _) = in_runtime(exchange(SERVING, &[METRICS]));
+    assert_snapshot!(text.replace('\r', ""));
+}
+
+/// Guards against callers that are sent to a daemon which doesn't know where their requests go.
+#[rstest]
+#[case::ready("ready", SERVING)]
+#[case::not_ready("not_ready", Setup { ready: false, ..SERVING })]
+fn ready(#[case] name: &str, #[case] setup: Setup) {
+    let (text, _) = in_runtime(exchange(setup, &[READY]));
+    assert_snapshot!(name, readable(&text));
+}
