Tell kinds of requests apart in the gate, and let a stopping daemon's target work on

The gate now drains when callers are no longer accepted, and peers try again after 1 s; - requests waited up to 0.99 s in a queue that others entered ahead of them (log: deadline-expired 986 ms after the start). Service times are kept by urgency, the expected wait adds up what each request ahead needs, and one that has waited for its whole objective is refused at once; - requests waited up to 0.72 s for a connection to a daemon that was restarting (log: daemon-unreachable); they wait 0.15 s now.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -4,17 +4,13 @@
 use std::fmt;
 use std::time::Duration;
 
+use super::service::ServiceTimes;
 use super::strain::{Strain, Verdict};
 use crate::ids::InstanceId;
 use crate::load::{LoadReport, TargetLoad, TargetState};
 use crate::outcome::Refusal;
 use crate::time::Time;
 
-/// Weight of a new service time in the moving average.
-const SERVICE_WEIGHT: f64 = 0.05;
-/// A sample counts as at most this many times the average. A stall lengthens all running requests at
-/// once, which says nothing about later ones; a target that stays slow raises the average steadily.
-const SERVICE_SAMPLE_LIMIT: u32 = 2;
 /// Weight of a new answer in the moving share of failures.
 const FAILING_WEIGHT: f64 = 0.1;
 /// Queue places per slot.
@@ -24,8 +20,8 @@
 
 /// Wait for a strained machine to recover that a sender must accept, or its request goes elsewhere.
 const STRAIN_WAIT: Duration = Duration::from_millis(75);
-/// Share of the usual service time that hardly any request needs less of.
-const LEAST_SHARE: f64 = 0.25;
+/// Share of the usual service time of its kind that hardly any request needs less of.
+const LEAST_SHARE: f64 = 0.4;
 /// Age at which a stated slowdown is no longer worth passing on.
 const STATED_LIFE: Duration = Duration::from_millis(100);
 
@@ -72,6 +68,13 @@
     pub urgency: Urgency,
 }
 
+/// A request that holds a slot.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    started: Time,
+    urgency: Urgency,
+}
+
 /// What happens to a gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
@@ -143,9 +146,9 @@
     limits: Limits,
     queue: VecDeque<(Arrival, Time)>,
     reachable: bool,
-    running: BTreeMap<WorkId, Time>,
+    running: BTreeMap<WorkId, Running>,
     seq: u64,
-    service: Duration,
+    services: ServiceTimes,
     strain: Strain,
     target_drains: bool,
 }
@@ -162,7 +165,7 @@
             reachable: true,
             running: BTreeMap::new(),
             seq: 0,
-            service: Duration::ZERO,
+            services: ServiceTimes::default(),
             strain: Strain::default(),
             target_drains: false,
         }
@@ -266,7 +269,7 @@
         if !self.reachable {
             return Err(Refusal::Down);
         }
-        if arrival.deadline <= now || self.is_too_late(arrival, now) {
+        if self.is_too_late(arrival, now) {
             return Err(Refusal::Expired);
         }
         if self.running.len() + self.queue.len() < self.limits.slots as usize {
@@ -284,15 +287,16 @@
     }
 
     fn expected_wait(&self, urgency: Urgency, now: Time) -> Duration {
-        let before = |(waiting, _): &&(Arrival, Time)| waiting.urgency <= urgency;
-        let ahead = self.queue.iter().filter(before).count() as u32 + 1;
         let seen = self.service_estimate(now);
         let service = if seen.is_zero() {
             ASSUMED_SERVICE
         } else {
             seen
         };
-        service * ahead / self.limits.slots.max(1)
+        let ahead = self.queue.iter().map(|(waiting, _)| waiting.urgency);
+        let needed = |u: Urgency| self.kind_service(u).unwrap_or(service);
+        let total: Duration = ahead.filter(|u| *u <= urgency).map(needed).sum();
+        (total + service) / self.limits.slots.max(1)
     }
 
     fn queue_limit(&self) -> usize {
@@ -324,26 +328,15 @@
     }
 
     fn finish(&mut self, id: WorkId, failed: bool, now: Time) {
-        let Some(started) = self.running.remove(&id) else {
+        let Some(running) = self.running.remove(&id) else {
             return;
         };
         let sample = if failed { 1.0 } else { 0.0 };
         self.failing += FAILING_WEIGHT * (sample - self.failing);
         // A failure says nothing about how long an answer takes.
         if !failed {
-            self.learn_service(now - started);
-        }
-    }
-
-    fn learn_service(&mut self, sample: Duration) {
-        if self.service.is_zero() {
-            self.service = sample;
-            return;
+            self.services.learn(running.urgency, now - running.started);
         }
-        let sample = sample.min(self.service * SERVICE_SAMPLE_LIMIT);
-        let old = self.service.as_secs_f64();
-        let new = old + SERVICE_WEIGHT * (sample.as_secs_f64() - old);
-        self.service = Duration::from_secs_f64(new);
     }
 
     fn set_reachable(&mut self, reachable: bool, effects: &mut Vec<Effect>) {
@@ -357,29 +350,28 @@
     /// Comes before every event: after a pause, expired work must neither start nor take up places
     /// that a new arrival needs.
     fn drop_expired(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let needed = self.least_service();
-        let expired = |w: &Arrival| w.deadline <= now + needed;
-        self.queue.retain(|(waiting, _)| {
-            if expired(waiting) {
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.retain(|(waiting, arrived)| {
+            let late = self.is_too_late(waiting, now);
+            let given_up = late || waits_in_vain(waiting, *arrived, now);
+            if given_up {
                 effects.push(Effect::Refuse(waiting.id, Refusal::Expired));
             }
-            !expired(waiting)
+            !given_up
         });
+        self.queue = queue;
     }
 
     /// Whether the answer could not be ready before the deadline even if work began now.
     fn is_too_late(&self, arrival: &Arrival, now: Time) -> bool {
-        arrival.deadline <= now + self.least_service()
+        let usual = self.kind_service(arrival.urgency).unwrap_or_default();
+        arrival.deadline <= now + usual.mul_f64(LEAST_SHARE)
     }
 
-    /// Time that hardly any request needs less of. Nothing is known while the target states no load,
-    /// as its requests may differ by any factor.
-    fn least_service(&self) -> Duration {
-        if self.strain.is_enabled() {
-            self.service.mul_f64(LEAST_SHARE)
-        } else {
-            Duration::ZERO
-        }
+    /// Usual service time of a request's kind. Requests without an objective may differ by any factor,
+    /// so that nothing is known of one of them.
+    fn kind_service(&self, urgency: Urgency) -> Option<Duration> {
+        (!urgency.objective.is_zero()).then(|| self.services.of(urgency))
     }
 
     fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
@@ -391,7 +383,11 @@
             let Some((waiting, _)) = self.queue.pop_front() else {
                 break;
             };
-            self.running.insert(waiting.id, now);
+            let running = Running {
+                started: now,
+                urgency: waiting.urgency,
+            };
+            self.running.insert(waiting.id, running);
             effects.push(Effect::Start(waiting.id));
         }
     }
@@ -403,9 +399,14 @@
             Verdict::Calm => return true,
             Verdict::Strained(slowdown) => {
                 self.refuse_impatient(effects);
-                let limit = Strain::hold_limit(self.usual_service(), slowdown);
-                let held = self.queue.front().map(|(_, arrived)| now - *arrived);
-                if held.is_some_and(|held| held >= limit) {
+                let first = self.queue.front().copied();
+                let held_enough = first.is_some_and(|(waiting, arrived)| {
+                    let known = self.kind_service(waiting.urgency);
+                    let usual = known.filter(|s| !s.is_zero());
+                    let usual = usual.unwrap_or_else(|| self.usual_service());
+                    now - arrived >= Strain::hold_limit(usual, slowdown)
+                });
+                if held_enough {
                     return true;
                 }
             }
@@ -430,10 +431,11 @@
     }
 
     fn usual_service(&self) -> Duration {
-        if self.service.is_zero() {
+        let overall = self.services.overall();
+        if overall.is_zero() {
             ASSUMED_SERVICE
         } else {
-            self.service
+            overall
         }
     }
 
@@ -445,8 +447,15 @@
     /// The average service time, raised by the requests that already run longer. A target that
     /// stalls finishes nothing, so its average alone would stay low.
     fn service_estimate(&self, now: Time) -> Duration {
-        let ages = self.running.values().map(|started| now - *started);
+        let ages = self.running.values().map(|r| now - r.started);
         let mean_age = ages.sum::<Duration>() / (self.running.len().max(1) as u32);
-        self.service.max(mean_age)
+        self.services.overall().max(mean_age)
     }
 }
+
+/// Whether a request has waited for as long as its answer was wanted in. Another target would only let
+/// it wait longer; its caller has more of knowing than of an answer that is late for certain.
+fn waits_in_vain(waiting: &Arrival, arrived: Time, now: Time) -> bool {
+    let objective = waiting.urgency.objective;
+    !objective.is_zero() && now - arrived >= objective
+}
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -7,6 +7,7 @@
 //! - a refusal is created only for a request that has not been started.
 
 mod gate;
+mod service;
 mod strain;
 
 pub use gate::{Arrival, Effect, Event, Gate, Limits, Urgency, WorkId};
--- a/crates/core/src/admission/strain.rs
+++ b/crates/core/src/admission/strain.rs
@@ -50,11 +50,6 @@
         self.enabled = true;
     }
 
-    /// Whether the target is asked before work starts.
-    pub fn is_enabled(&self) -> bool {
-        self.enabled
-    }
-
     /// Takes in what the target said.
     pub fn note(&mut self, load: TargetLoad, now: Time) {
         self.seen = Some((load, now));
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -21,7 +21,7 @@
 const AVOID_LIMIT: Duration = Duration::from_secs(5);
 /// After this time without a newer report, a target that said it drains is tried again: it may have
 /// been wrong, and its daemon refuses definitely while it does drain.
-const DRAIN_RECHECK: Duration = Duration::from_secs(5);
+const DRAIN_RECHECK: Duration = Duration::from_secs(1);
 /// Service times after which an attempt that ran out of time counts as a failure of the target.
 const EXPIRED_SERVICES: u32 = 4;
 /// Extra cost of a target right after a failure: more than a round trip or a short queue elsewhere,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -330,9 +330,11 @@
         log::info!("stopping: no new work is taken");
         let (drained, done) = oneshot::channel();
         let _ = self.senders.control.unbounded_send(ControlMessage::Leaving);
-        self.senders.gate.send(GateMessage::Drain(drained));
+        let gate = self.senders.gate.clone();
         let stopping = async {
+            // The target still runs, so it takes work until callers have learnt of the stop.
             monoio::time::sleep(announce).await;
+            gate.send(GateMessage::Drain(drained));
             let _ = self.stop.send(());
             let _ = done.await;
         }
--- a/crates/node/src/peers/outbound.rs
+++ b/crates/node/src/peers/outbound.rs
@@ -21,6 +21,9 @@
 
 /// Code on connections that went silent.
 const SILENT: VarInt = VarInt::from_u32(2);
+/// Longest time that a request waits for a connection to open. A handshake takes some milliseconds; a
+/// daemon that is being restarted doesn't answer at all, and another target is faster.
+const CONNECT_WAIT: Duration = Duration::from_millis(150);
 /// Checks for a sign of life within the silence bound.
 const CHECKS: u32 = 3;
 
@@ -135,10 +138,11 @@
 
 impl Outbound {
     async fn run(self) -> Result<Reply, PeerFault> {
-        let connection = self
-            .connection
-            .clone()
+        let connection = monoio::time::timeout(CONNECT_WAIT, self.connection.clone());
+        let connection = connection
             .await
+            .ok()
+            .flatten()
             .ok_or(PeerFault::Unreachable)?;
         // Waiting for a free stream would hide the wait from admission control.
         let opened = connection.open_bi().now_or_never().ok_or(PeerFault::Busy)?;
