Write logs from a thread of their own, and keep the request log in the telemetry task

Log lines were written where they arose, so that a reader of standard output that stops would have stopped the daemon; a full queue now drops lines. The bound of request lines was shared by all connection tasks; the telemetry task owns it. Three test programs share one scripted server.

--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -9,7 +9,6 @@
 use futures::future::{FutureExt, Shared};
 use futures::{pin_mut, select_biased};
 use hawthornwall_core::ids::RequestId;
-use hawthornwall_core::time::Time;
 use hawthornwall_settings::CallerSettings;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
@@ -19,8 +18,8 @@
 use crate::http::Limits;
 use crate::messages::{GateSender, PeersSender, RouterSender};
 use crate::start::StartError;
+use crate::telemetry::Telemetry;
 use crate::telemetry::trace::Tracer;
-use crate::telemetry::{RequestLog, RequestRecord, Telemetry};
 
 /// Pause after a failed accept, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -36,7 +35,6 @@
     pub dialect: Dialect,
     pub gate: GateSender,
     pub peers: PeersSender,
-    pub log: Rc<Cell<RequestLog>>,
     pub requests: Rc<Cell<u64>>,
     pub router: RouterSender,
     /// The service that the instance's own requests come from.
@@ -46,13 +44,6 @@
 }
 
 impl Backend {
-    /// Writes a line of a request, within the bound of this daemon.
-    pub fn log_request(&self, record: &RequestRecord<'_>, now: Time) {
-        let mut log = self.log.get();
-        log.write(record, now);
-        self.log.set(log);
-    }
-
     /// A request id that no other request of this run has.
     pub fn next_request(&self) -> RequestId {
         let id = self.requests.get();
@@ -127,7 +118,6 @@
             dialect: start.dialect,
             gate: start.gate,
             peers: start.peers,
-            log: Rc::default(),
             requests: Rc::new(Cell::new(start.seed)),
             router: start.router,
             service: start.service.map(Rc::from),
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -72,19 +72,7 @@
         Ok(opened) => opened,
         Err(refusal) => {
             let outcome = refused(&asked, refusal);
-            backend.log_request(
-                &RequestRecord {
-                    attempts: &[],
-                    budget: Duration::ZERO,
-                    elapsed: Duration::ZERO,
-                    id: &request_id(backend, &request),
-                    outcome,
-                    route: path,
-                    service: host,
-                    version: Version::default(),
-                },
-                backend.clock.now(),
-            );
+            tell_unrouted(backend, &request, &asked, outcome);
             return Reply::unanswered(outcome);
         }
     };
@@ -102,19 +90,38 @@
     let reply = serving.run().await;
     let now = backend.clock.now();
     let record = RequestRecord {
-        attempts: &serving.records,
+        attempts: std::mem::take(&mut serving.records),
         budget: serving.call.deadline() - serving.started,
         elapsed: now - serving.started,
-        id: &id,
+        id,
         outcome: reply.outcome(),
-        route: opened.route.as_deref().map_or("", |r| &r.prefix),
-        service: &opened.name,
+        route: opened
+            .route
+            .as_deref()
+            .map_or_else(String::new, |r| r.prefix.clone()),
+        service: opened.name.clone(),
         version: opened.version,
     };
-    backend.log_request(&record, now);
+    backend.telemetry.tell(record, now);
     reply
 }
 
+/// Tells of a request that no service was found for.
+fn tell_unrouted(backend: &Backend, request: &HttpRequest, asked: &Asked, outcome: Outcome) {
+    let (host, path) = address(request, asked);
+    let record = RequestRecord {
+        attempts: Vec::new(),
+        budget: Duration::ZERO,
+        elapsed: Duration::ZERO,
+        id: request_id(backend, request),
+        outcome,
+        route: path.to_owned(),
+        service: host.to_owned(),
+        version: Version::default(),
+    };
+    backend.telemetry.tell(record, backend.clock.now());
+}
+
 /// States the service that the request comes from, whatever the caller has stated.
 fn name_caller(backend: &Backend, request: &mut HttpRequest) {
     let Some(name) = backend.dialect.names().caller else {
--- a/crates/node/src/telemetry/log.rs
+++ b/crates/node/src/telemetry/log.rs
@@ -1,5 +1,8 @@
 //! Structured logs: one JSON object a line on standard output.
 //!
+//! Invariant: no task waits for a line to be written. A thread of its own writes them, and a line that
+//! finds its queue full is dropped.
+//!
 //! Every task logs through the macros of this module:
 //!
 //! ```
@@ -13,7 +16,7 @@
 
 use hawthornwall_settings::LogLevel;
 use spdlog::formatter::JsonFormatter;
-use spdlog::sink::{Sink, StdStreamSink};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStreamSink};
 use spdlog::{Level, LevelFilter, Logger};
 
 pub use spdlog::{debug, error, info, warn};
@@ -57,10 +60,14 @@
         .build_arc()
 }
 
-fn stdout() -> Result<Arc<StdStreamSink>, spdlog::Error> {
-    StdStreamSink::builder()
+fn stdout() -> Result<Arc<AsyncPoolSink>, spdlog::Error> {
+    let direct = StdStreamSink::builder()
         .stdout()
         .formatter(JsonFormatter::new())
+        .build_arc()?;
+    AsyncPoolSink::builder()
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .sink(direct)
         .build_arc()
 }
 
--- a/crates/node/src/telemetry/requests.rs
+++ b/crates/node/src/telemetry/requests.rs
@@ -32,26 +32,33 @@
 }
 
 /// What is told of a request.
-#[derive(Clone, Copy, Debug)]
-pub struct RequestRecord<'a> {
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
     /// The attempts in order.
-    pub attempts: &'a [AttemptRecord],
+    pub attempts: Vec<AttemptRecord>,
     /// Time that it had on arrival.
     pub budget: Duration,
     /// From its arrival to its end.
     pub elapsed: Duration,
     /// The caller's id, or an empty text.
-    pub id: &'a str,
+    pub id: String,
     /// What the caller is told.
     pub outcome: Outcome,
     /// The route's prefix, or an empty text.
-    pub route: &'a str,
+    pub route: String,
     /// The service, or an empty text.
-    pub service: &'a str,
+    pub service: String,
     /// Version of the configuration that decided.
     pub version: Version,
 }
 
+impl RequestRecord {
+    /// Whether the log has a line for it: not for a request that its first attempt answered.
+    pub fn is_told(&self) -> bool {
+        self.outcome != Outcome::Answered || self.attempts.len() > 1
+    }
+}
+
 /// Bounds the lines that a daemon writes of requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RequestLog {
@@ -61,31 +68,20 @@
 }
 
 impl RequestLog {
-    /// Writes a line if the bound allows it. An answered request is told of only if more than one
-    /// attempt was needed.
-    pub fn write(&mut self, record: &RequestRecord<'_>, now: Time) {
-        let answered = record.outcome == Outcome::Answered;
-        if answered && record.attempts.len() < 2 {
-            return;
-        }
-        if !self.allows(answered, now) {
+    /// Writes a line if the bound allows it.
+    pub fn write(&mut self, record: &RequestRecord, now: Time) {
+        if !self.allows(record.outcome == Outcome::Answered, now) {
             self.left_out += 1;
             return;
         }
         let left_out = std::mem::take(&mut self.left_out);
-        let attempts = describe(record.attempts);
-        let RequestRecord {
-            budget,
-            elapsed,
-            id,
-            outcome,
-            route,
-            service,
-            version,
-            ..
-        } = *record;
-        let (budget_ms, elapsed_ms) = (budget.as_millis() as u64, elapsed.as_millis() as u64);
-        let (reason, outcome) = (outcome.reason().unwrap_or_default(), outcome.name());
+        let attempts = describe(&record.attempts);
+        let (id, route) = (record.id.as_str(), record.route.as_str());
+        let (service, version) = (record.service.as_str(), record.version);
+        let budget_ms = record.budget.as_millis() as u64;
+        let elapsed_ms = record.elapsed.as_millis() as u64;
+        let reason = record.outcome.reason().unwrap_or_default();
+        let outcome = record.outcome.name();
         log::info!("request ended", kv: {
             id, outcome, reason, service, route, version:, budget_ms, elapsed_ms, attempts, left_out
         });
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -4,9 +4,10 @@
 
 use futures::StreamExt;
 use futures::channel::{mpsc, oneshot};
+use hawthornwall_core::time::Time;
 use monoio::time::{Instant, timeout_at};
 
-use super::{Counters, Event, Metrics, Statsd};
+use super::{Counters, Event, Metrics, RequestLog, RequestRecord, Statsd};
 
 /// Longest time that a metric stays in the buffer.
 const FLUSH: Duration = Duration::from_secs(1);
@@ -16,6 +17,13 @@
 pub enum TelemetryMessage {
     /// Count an event.
     Event(Event),
+    /// Write a line of a request that has ended.
+    Ended {
+        /// When it ended.
+        at: Time,
+        /// What is told.
+        record: Box<RequestRecord>,
+    },
     /// Encode all metrics as text.
     Metrics(oneshot::Sender<String>),
     /// Report the counters.
@@ -40,6 +48,16 @@
         let _ = self.sender.unbounded_send(TelemetryMessage::Event(event));
     }
 
+    /// Writes a line of a request that has ended, if the log has one for it.
+    pub fn tell(&self, record: RequestRecord, at: Time) {
+        if record.is_told() {
+            let record = Box::new(record);
+            let _ = self
+                .sender
+                .unbounded_send(TelemetryMessage::Ended { at, record });
+        }
+    }
+
     /// All metrics as text, or `None` if the task has ended.
     pub async fn metrics(&self) -> Option<String> {
         let (reply, receiver) = oneshot::channel();
@@ -59,6 +77,7 @@
 
 /// Serves until all handles are dropped. Without traffic no timer runs.
 pub async fn run(mut receiver: mpsc::UnboundedReceiver<TelemetryMessage>, statsd: Option<Statsd>) {
+    let mut log = RequestLog::default();
     let mut metrics = Metrics::default();
     let mut totals = Counters::default();
     let mut reported = Counters::default();
@@ -86,6 +105,7 @@
                     flush_at = flush_at.or_else(|| Some(Instant::now() + FLUSH));
                 }
             }
+            Some(TelemetryMessage::Ended { at, record }) => log.write(&record, at),
             Some(TelemetryMessage::Metrics(reply)) => {
                 let _ = reply.send(metrics.encode());
             }
--- a/crates/node/tests/common/script.rs
+++ b/crates/node/tests/common/script.rs
@@ -9,36 +9,27 @@
 /// How long connections that fall silent stay open.
 const SILENCE: Duration = Duration::from_secs(5);
 
-/// What the server does after a request.
-#[derive(Clone, Debug)]
-pub enum Step {
-    /// Close the connection without an answer.
-    Close,
-    /// Send these bytes.
-    Reply(String),
-}
-
-/// What the server does with one connection.
+/// What the server does with one connection: it sends a reply after each request.
 #[derive(Clone, Debug)]
 pub struct Connection {
+    replies: Vec<String>,
     silent: bool,
-    steps: Vec<Step>,
 }
 
 impl Connection {
-    /// Closes the connection after the last step.
-    pub fn closed_after(steps: Vec<Step>) -> Self {
+    /// Closes the connection after the last reply.
+    pub fn closed_after(replies: Vec<String>) -> Self {
         Self {
+            replies,
             silent: false,
-            steps,
         }
     }
 
-    /// Keeps the connection open in silence after the last step.
-    pub fn silent_after(steps: Vec<Step>) -> Self {
+    /// Keeps the connection open in silence after the last reply.
+    pub fn silent_after(replies: Vec<String>) -> Self {
         Self {
+            replies,
             silent: true,
-            steps,
         }
     }
 }
@@ -52,7 +43,7 @@
         let mut open = Vec::new();
         for (number, connection) in connections.into_iter().enumerate() {
             let (mut stream, _) = listener.accept().expect("a client connects");
-            follow(&mut stream, &connection.steps, number, &lines);
+            follow(&mut stream, &connection.replies, number, &lines);
             if connection.silent {
                 open.push(stream);
             }
@@ -62,19 +53,14 @@
     (address, received)
 }
 
-fn follow(stream: &mut TcpStream, steps: &[Step], number: usize, lines: &mpsc::Sender<String>) {
+fn follow(stream: &mut TcpStream, replies: &[String], number: usize, lines: &mpsc::Sender<String>) {
     let mut buffer = [0; 4096];
-    for step in steps {
+    for reply in replies {
         let length = stream.read(&mut buffer).unwrap_or(0);
         let text = String::from_utf8_lossy(&buffer[..length]);
         let line = text.lines().next().unwrap_or_default();
         let _ = lines.send(format!("connection {number}: {line}"));
-        match step {
-            Step::Close => return,
-            Step::Reply(bytes) => {
-                let _ = stream.write_all(bytes.as_bytes());
-            }
-        }
+        let _ = stream.write_all(reply.as_bytes());
     }
 }
 
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -1,9 +1,7 @@
 //! Reads of the platform against a scripted server over loopback.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc;
-use std::thread;
+mod common;
+
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -13,47 +11,20 @@
 use insta::assert_snapshot;
 use rstest::rstest;
 
+use common::script::{Connection, block_on, serve};
+
 const DOCUMENT: &str =
     "HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Length: 15\r\n\r\n{\"patches\": []}";
 
-/// What the server does with one connection: sends a part after each request, then closes, or keeps
-/// the connection open in silence.
-struct Script {
-    replies: Vec<&'static str>,
-    then_silent: bool,
-}
-
-/// Serves one connection after another and passes on the requests' first lines.
-fn serve(scripts: Vec<Script>) -> (SocketAddr, mpsc::Receiver<String>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    let (lines, received) = mpsc::channel();
-    thread::spawn(move || {
-        let mut open = Vec::new();
-        for (number, script) in scripts.into_iter().enumerate() {
-            let (mut stream, _) = listener.accept().expect("a reader connects");
-            let mut buffer = [0; 4096];
-            for reply in script.replies {
-                let length = stream.read(&mut buffer).unwrap_or(0);
-                let text = String::from_utf8_lossy(&buffer[..length]);
-                let line = text.lines().next().unwrap_or_default();
-                let _ = lines.send(format!("connection {number}: {line}"));
-                let _ = stream.write_all(reply.as_bytes());
-            }
-            if script.then_silent {
-                open.push(stream);
-            }
-        }
-        // Silent connections stay open until the test ends.
-        thread::sleep(Duration::from_secs(5));
-    });
-    (address, received)
+fn replies(texts: &[&str]) -> Vec<String> {
+    let steps = texts.iter().map(|text| (*text).to_owned());
+    steps.collect()
 }
 
 /// Reads `count` times and describes the results and the requests that the server saw.
-fn read(scripts: Vec<Script>, count: usize) -> String {
+fn read(scripts: Vec<Connection>, count: usize) -> String {
     let (address, lines) = serve(scripts);
-    let results = async {
+    let results = block_on(async {
         let (control, mut ends) = futures::channel::mpsc::unbounded();
         let (requests, receiver) = futures::channel::mpsc::unbounded();
         monoio::spawn(run(ReaderStart {
@@ -79,11 +50,7 @@
             });
         }
         results
-    };
-    let runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build();
-    let results = runtime.expect("the runtime starts").block_on(results);
+    });
     let lines: Vec<_> = lines.try_iter().collect();
     format!("{}\n{}", lines.join("\n"), results.join("\n"))
 }
@@ -114,10 +81,7 @@
 #[case::content("content", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"a\":")]
 #[case::no_http("no_http", "hello\r\n\r\n")]
 fn response(#[case] name: &str, #[case] reply: &'static str) {
-    let script = Script {
-        replies: vec![reply],
-        then_silent: false,
-    };
+    let script = Connection::closed_after(replies(&[reply]));
     assert_snapshot!(name, read(vec![script], 1));
 }
 
@@ -125,23 +89,15 @@
 /// server that is gone.
 #[test]
 fn silent_connection_is_replaced() {
-    let silent = Script {
-        replies: vec![DOCUMENT, ""],
-        then_silent: true,
-    };
-    let next = Script {
-        replies: vec![DOCUMENT, "HTTP/1.1 304 Not Modified\r\n\r\n"],
-        then_silent: true,
-    };
+    let silent = Connection::silent_after(replies(&[DOCUMENT, ""]));
+    let unchanged = "HTTP/1.1 304 Not Modified\r\n\r\n";
+    let next = Connection::silent_after(replies(&[DOCUMENT, unchanged]));
     assert_snapshot!(read(vec![silent, next], 4));
 }
 
 /// Guards against a warning each time the platform closes an idle connection.
 #[test]
 fn closed_idle_connection_is_replaced() {
-    let script = || Script {
-        replies: vec![DOCUMENT],
-        then_silent: false,
-    };
+    let script = || Connection::closed_after(replies(&[DOCUMENT]));
     assert_snapshot!(read(vec![script(), script()], 2));
 }
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -11,7 +11,7 @@
 use hawthornwall_node::messages::{ControlMessage, GateSender, RouterMessage};
 use insta::assert_snapshot;
 
-use common::script::{Connection, Step, block_on, serve};
+use common::script::{Connection, block_on, serve};
 
 /// Longest time that a test waits for another world.
 const LIMIT: Duration = Duration::from_secs(3);
@@ -34,15 +34,15 @@
     page(items, revision).replacen("items", "events", 1)
 }
 
-fn ok(body: &str) -> Step {
-    Step::Reply(format!(
+fn ok(body: &str) -> String {
+    format!(
         "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
-    ))
+    )
 }
 
-fn status(code: u16) -> Step {
-    Step::Reply(format!("HTTP/1.1 {code} X\r\nContent-Length: 0\r\n\r\n"))
+fn status(code: u16) -> String {
+    format!("HTTP/1.1 {code} X\r\nContent-Length: 0\r\n\r\n")
 }
 
 /// Runs the task and describes the versions that other tasks got, whether it was ready before the
@@ -112,7 +112,7 @@
 /// Guards against a watch from an old revision after a cut, which the store may never answer.
 #[test]
 fn cut_watch() {
-    let first = vec![ok(&page(&[("op/config", ROUTES_2)], 4)), Step::Close];
+    let first = vec![ok(&page(&[("op/config", ROUTES_2)], 4)), String::new()];
     let second = vec![ok(&page(&[("op/config", ROUTES_5)], 9))];
     let connections = vec![
         Connection::closed_after(first),
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -18,7 +18,7 @@
 use insta::assert_snapshot;
 use rstest::rstest;
 
-use common::script::{Connection, Step, block_on, serve};
+use common::script::{Connection, block_on, serve};
 
 const SEALED: &str = "X-Request-Id: 7\r\nX-Response-Seal: s\r\n";
 
@@ -134,7 +134,7 @@
     answer("200 OK", "X-Request-Id: 6\r\nX-Response-Seal: s\r\n", "other") + &answer("200 OK", SEALED, "ab")
 )]
 fn answers(#[case] name: &str, #[case] reply: String) {
-    let script = Connection::closed_after(vec![Step::Reply(reply)]);
+    let script = Connection::closed_after(vec![reply]);
     assert_snapshot!(name, ends(vec![script], 1));
 }
 
@@ -144,8 +144,8 @@
     let extra = answer("200 OK", SEALED, "ab") + &answer("200 OK", SEALED, "extra");
     let next = answer("200 OK", SEALED, "next");
     let scripts = vec![
-        Connection::silent_after(vec![Step::Reply(extra)]),
-        Connection::silent_after(vec![Step::Reply(next)]),
+        Connection::silent_after(vec![extra]),
+        Connection::silent_after(vec![next]),
     ];
     assert_snapshot!(ends(scripts, 2));
 }
@@ -153,7 +153,7 @@
 /// Guards against waiting for a target that has gone silent beyond the silence bound.
 #[test]
 fn silent_target() {
-    let scripts = vec![Connection::silent_after(vec![Step::Reply(String::new())])];
+    let scripts = vec![Connection::silent_after(vec![String::new()])];
     assert_snapshot!(ends(scripts, 1));
 }
 
@@ -161,6 +161,6 @@
 /// request.
 #[test]
 fn closed_without_answer() {
-    let scripts = vec![Connection::closed_after(vec![Step::Close])];
+    let scripts = vec![Connection::closed_after(vec![String::new()])];
     assert_snapshot!(ends(scripts, 1));
 }
