--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -34,6 +34,9 @@
 };
 /// Wait for a message when nothing is due.
 const IDLE: Duration = Duration::from_mins(1);
+/// Least time that the task sleeps. Timers count whole milliseconds, so that the rest of one would be
+/// spent in turns without effect.
+const SLEEP: Duration = Duration::from_millis(1);
 
 /// What the task needs at its start.
 #[derive(Debug)]
@@ -130,7 +133,7 @@
         let next_read = (!self.reading).then_some(due);
         let next = [next_read, self.catalog.next_expiry()];
         let next = next.into_iter().flatten().min();
-        next.map_or(IDLE, |at| at - now)
+        next.map_or(IDLE, |at| (at - now).max(SLEEP))
     }
 
     fn answer(&mut self, message: ControlMessage) {
