--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -21,7 +21,8 @@
         let policy = line.value("policy", "expected".to_owned()).parse().unwrap();
         let targets = line.value("targets", 2);
         let mut balancer = Balancer::new("a", policy, line.value("seed", 1));
-        balancer.configure(&configuration(targets, line.value("slots", 4)));
+        let (slots, far) = (line.value("slots", 4), line.value("far", 0));
+        balancer.configure(&configuration(targets, slots, far));
         if line.flag("prefer-near") {
             balancer.prefer_near();
         }
@@ -171,9 +172,10 @@
 }
 
 /// One service with targets in domain `a`.
-fn configuration(targets: u32, slots: u32) -> Configuration {
+/// `far` targets, the first ones, are in another failure domain than the balancer.
+fn configuration(targets: u32, slots: u32, far: u32) -> Configuration {
     let target = |id| Target {
-        domain: "a".to_owned(),
+        domain: if id < far { "b" } else { "a" }.to_owned(),
         name: format!("work{id}"),
         service: ServiceId(0),
         slots,
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -193,15 +193,14 @@
     }
 
     async fn serve(&mut self, mut job: Job) -> Served {
-        let (_, unused) = oneshot::channel();
-        let cancel = std::mem::replace(&mut job.cancel, unused);
         let left = self.target.clock.until(job.deadline);
         let trace = job.span.traceparent();
-        let exchange = monoio::time::timeout(left, self.exchange(&job, left, trace.as_deref()));
+        let extra = self.extra_headers(left, job.expect.as_deref(), trace.as_deref());
+        let exchange = monoio::time::timeout(left, self.exchange(&job.request, &extra));
         let exchange = exchange.fuse();
         pin_mut!(exchange);
         // Unfused, the receiver counts as terminated once its sender is dropped and is never polled.
-        let mut cancel = cancel.fuse();
+        let mut cancel = (&mut job.cancel).fuse();
         select_biased! {
             result = exchange => match result {
                 Ok(served) => served,
@@ -211,11 +210,9 @@
         }
     }
 
-    async fn exchange(&mut self, job: &Job, left: Duration, trace: Option<&str>) -> Served {
-        let request = &job.request;
+    async fn exchange(&mut self, request: &HttpRequest, extra: &[Header]) -> Served {
         let host = self.target.address.to_string();
-        let extra = self.extra_headers(left, job.expect.as_deref(), trace);
-        let bytes = encode_request(request, &host, &extra);
+        let bytes = encode_request(request, &host, extra);
         if self.stream.write(bytes).await.is_err() {
             return Served::broken(JobEnd::Lost(Loss::Closed));
         }
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -52,8 +52,8 @@
     }
 
     /// Repeats the caller's id on an answer that doesn't carry it.
-    pub fn repeat_id(&mut self, name: Option<&str>, id: Option<&str>) {
-        let (Some(name), Some(id)) = (name, id) else {
+    pub fn repeat_id(&mut self, name: Option<&str>, id: &str) {
+        let Some(name) = name.filter(|_| !id.is_empty()) else {
             return;
         };
         if !self.answer.headers.iter().any(|h| h.name == name) {
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -37,12 +37,9 @@
         event: Count::Abandoned,
         telemetry: &backend.telemetry,
     };
-    let id_name = backend.dialect.names().request;
-    let id = id_name
-        .and_then(|n| header_text(&request.headers, n))
-        .map(str::to_owned);
+    let id = request_id(backend, &request);
     let mut reply = answer(backend, request, &span).await;
-    reply.repeat_id(id_name, id.as_deref());
+    reply.repeat_id(backend.dialect.names().request, &id);
     let outcome = reply.outcome();
     span.set_outcome(outcome);
     let elapsed = backend.clock.now() - started;
@@ -147,8 +144,6 @@
     backend: &'a Backend,
     call: Call,
     effects: Vec<Effect>,
-    /// The attempts so far, for the log.
-    records: Vec<AttemptRecord>,
     /// Names that the targets tried must have.
     expects: BTreeMap<TargetId, Option<Rc<str>>>,
     local: Option<TargetId>,
@@ -157,6 +152,8 @@
     pending: FuturesUnordered<LocalBoxFuture<'a, Step>>,
     /// The choice that the next `Send` effect is for; none for a target that a key names.
     picked: Option<(PickKind, Choice)>,
+    /// The attempts so far, for the log.
+    records: Vec<AttemptRecord>,
     /// Request ids by attempt.
     requests: Vec<RequestId>,
     service: ServiceId,
@@ -205,12 +202,12 @@
             backend,
             call,
             effects,
-            records: Vec::new(),
             expects: BTreeMap::new(),
             local: opened.own,
             once: !spec.idempotent && pinned.is_none(),
             pending: FuturesUnordered::new(),
             picked: None,
+            records: Vec::new(),
             requests: Vec::new(),
             service: opened.service,
             span,
