--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -47,6 +47,8 @@
 /// Which of two waiting requests starts first: the one of the lower rank, then the one whose answer is
 /// wanted sooner. Calls made by running work are wanted soonest, and what turning one away would waste
 /// has already been worked on.
+///
+/// Urgencies are compared by their fields in this order; a lower one goes first.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Urgency {
     /// Rank of the request's route, 0 first.
--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -3,6 +3,8 @@
 //! Rules kept here:
 //! - a non-idempotent request is sent again only after a definite refusal, or under the same request
 //!   id to the same run, which runs it at most once; so at most one attempt of it can have run;
+//! - an idempotent request that its target has failed is tried elsewhere; if nothing better comes, the
+//!   caller gets the target's own failure;
 //! - a call finishes exactly once, and every attempt still open is cancelled then;
 //! - a call never makes more than [`MAX_ATTEMPTS`] attempts;
 //! - "refused" is reported only if every attempt was refused or none was made, and for a keyed
