--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -233,9 +233,15 @@
         self.picking = None;
         if self.open().next().is_none() {
             let last = self.attempts.last().and_then(|a| a.result);
-            let refusal = match (refusal, last) {
-                (Refusal::NoTarget, Some(AttemptResult::Refused(last))) => last,
-                (refusal, _) => refusal,
+            let refusal = match last {
+                Some(AttemptResult::Refused(last)) if refusal == Refusal::NoTarget => last,
+                Some(
+                    AttemptResult::Answered
+                    | AttemptResult::Failed
+                    | AttemptResult::Lost(_)
+                    | AttemptResult::Refused(_),
+                )
+                | None => refusal,
             };
             let outcome = self.outcome_without_answer(refusal);
             self.finish(outcome, None, effects);
