Speak plain TCP between daemons where no secret is published

Ruled out: content. Change: peer.link, quic or tcp. Over TCP a connection carries one request at a time; closing it cancels the work, and a frame without content asks for a sign of life. Counts of exchanges now travel as messages.

--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -17,6 +17,7 @@
 use crate::dialect::Dialect;
 use crate::http::Limits;
 use crate::messages::{GateSender, PeersSender, RouterSender};
+use crate::open_count::OpenCount;
 use crate::start::StartError;
 use crate::telemetry::Telemetry;
 use crate::telemetry::trace::Tracer;
@@ -84,7 +85,7 @@
     backend: Backend,
     limit: usize,
     listener: TcpListener,
-    open: Rc<Cell<usize>>,
+    open: Rc<OpenCount>,
     stop: Stopping,
 }
 
@@ -124,7 +125,7 @@
             telemetry: start.telemetry,
             tracer: start.tracer,
         };
-        let open = Rc::new(Cell::new(0));
+        let open = Rc::new(OpenCount::default());
         let stop = start.stop.shared();
         Ok(Self {
             backend,
@@ -160,7 +161,7 @@
             // The caller sees a closed connection, for which no request was read.
             return;
         }
-        let count = OpenCount::new(&self.open);
+        let count = self.open.enter();
         let (backend, stop) = (self.backend.clone(), self.stop.clone());
         monoio::spawn(async move {
             connection::run(tcp, backend, stop).await;
@@ -168,18 +169,3 @@
         });
     }
 }
-
-struct OpenCount(Rc<Cell<usize>>);
-
-impl OpenCount {
-    fn new(open: &Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(Rc::clone(open))
-    }
-}
-
-impl Drop for OpenCount {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod ingress;
 pub mod messages;
+mod open_count;
 pub mod peers;
 pub mod platform;
 pub mod probe;
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -1,79 +1,24 @@
-//! Requests from peers: one task per connection, one per stream.
+//! What requests from peers ask of this daemon.
 
 use futures::channel::oneshot;
-use futures::{FutureExt, pin_mut, select_biased};
 use hawthornwall_core::admission::WorkId;
 use hawthornwall_core::ids::{ServiceId, TargetId};
-use hawthornwall_wire::peer::{
-    Reply, Request, RequestId, Run, RunReply, decode_request, encode_reply,
-};
-use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
+use hawthornwall_wire::peer::{Reply, Request, RequestId, Run, RunReply};
 
-use super::stream::{MessageWriter, read_message};
-use super::task::ControlTraffic;
 use crate::messages::{ControlMessage, ControlSender, GateMessage, GateSender};
-use std::cell::RefCell;
-use std::rc::Rc;
 
 /// Where requests from peers go.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(super) struct Inbound {
     pub control: ControlSender,
     pub gate: GateSender,
+    /// Longest message in bytes.
     pub limit: usize,
-    pub traffic: Rc<RefCell<ControlTraffic>>,
-}
-
-/// Accepts connections until the endpoint closes.
-pub(super) async fn accept(endpoint: Endpoint, inbound: Inbound) {
-    while let Some(incoming) = endpoint.accept().await {
-        monoio::spawn(serve_connection(incoming, inbound.clone()));
-    }
-}
-
-async fn serve_connection(incoming: Incoming, inbound: Inbound) {
-    // A peer without the fleet's key fails here.
-    let Ok(connection) = incoming.await else {
-        return;
-    };
-    serve_streams(&connection, &inbound).await;
-}
-
-async fn serve_streams(connection: &Connection, inbound: &Inbound) {
-    while let Ok((send, recv)) = connection.accept_bi().await {
-        monoio::spawn(serve_stream(send, recv, inbound.clone()));
-    }
-}
-
-async fn serve_stream(send: SendStream, mut recv: RecvStream, inbound: Inbound) {
-    let mut writer = MessageWriter::new(send);
-    let Some(bytes) = read_message(&mut recv, inbound.limit).await else {
-        return;
-    };
-    // A malformed request is answered by a reset, which the sender counts as lost.
-    let Ok(request) = decode_request(&bytes) else {
-        return;
-    };
-    let is_control = matches!(request, Request::Exchange(_));
-    let reply = {
-        let work = inbound.answer(request).fuse();
-        let refused = writer.refused().fuse();
-        pin_mut!(work, refused);
-        select_biased! {
-            reply = work => reply,
-            () = refused => None,
-        }
-    };
-    let Some(reply) = reply else { return };
-    let message = encode_reply(&reply);
-    if is_control {
-        inbound.traffic.borrow_mut().add(message.len(), bytes.len());
-    }
-    let _ = writer.write(&message).await;
 }
 
 impl Inbound {
-    async fn answer(&self, request: Request) -> Option<Reply> {
+    /// Has a request answered. Dropping the future cancels its work.
+    pub async fn answer(&self, request: Request) -> Option<Reply> {
         match request {
             Request::Exchange(exchange) => {
                 let (reply, receiver) = oneshot::channel();
--- a/crates/node/src/peers/dialer.rs
+++ b/crates/node/src/peers/quic/dialer.rs
@@ -11,7 +11,7 @@
 use quinn::{ClientConfig, Connection, Endpoint, EndpointConfig};
 
 use super::fleet_key::SERVER_NAME;
-use super::quic_runtime::{MonoioRuntime, Traffic};
+use super::runtime::{MonoioRuntime, Traffic};
 
 /// Which socket a connection uses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/node/src/peers/outbound.rs
+++ b/crates/node/src/peers/quic/outbound.rs
@@ -1,9 +1,7 @@
 //! Requests to peers: one task per request, one shared connection per peer.
 
-use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,9 +12,9 @@
 use hawthornwall_wire::peer::{Reply, Request, decode_reply, encode_request};
 use quinn::{Connection, ConnectionError, RecvStream, VarInt};
 
+use super::super::link::{ExchangeReports, Exchanged};
 use super::dialer::{Dialer, Path};
 use super::stream::{MessageWriter, read_message};
-use super::task::ControlTraffic;
 use crate::messages::PeerFault;
 
 /// Code on connections that went silent.
@@ -112,9 +110,9 @@
 pub(super) struct Outbound {
     pub connection: Connecting,
     pub limit: usize,
+    pub exchanges: ExchangeReports,
     pub request: Request,
     pub silence: Duration,
-    pub traffic: Rc<RefCell<ControlTraffic>>,
 }
 
 /// Sends one request and delivers its reply, unless the receiver is dropped first.
@@ -153,7 +151,10 @@
             .converse(&connection, MessageWriter::new(send), recv, &message)
             .await?;
         if is_control {
-            self.traffic.borrow_mut().add(message.len(), bytes.len());
+            let _ = self.exchanges.unbounded_send(Exchanged {
+                received: bytes.len(),
+                sent: message.len(),
+            });
         }
         decode_reply(&bytes).map_err(|_| PeerFault::Lost(Loss::Malformed))
     }
--- /dev/null
+++ b/crates/node/src/peers/tcp/link.rs
@@ -0,0 +1,81 @@
+//! The link over TCP: a listener for requests from peers and a pool of connections to them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use futures::channel::{mpsc, oneshot};
+use futures::future::FutureExt;
+use hawthornwall_settings::PeerSettings;
+use monoio::net::{ListenerOpts, TcpListener};
+
+use super::super::inbound::Inbound;
+use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
+use super::accept::Accept;
+use super::pool::{Pool, PoolMessage};
+use crate::open_count::OpenCount;
+use crate::start::StartError;
+
+/// Time at a planned stop in which replies in hand are written.
+const CLOSE_WAIT: Duration = Duration::from_millis(50);
+
+/// Handles of the tasks that carry requests.
+pub(in crate::peers) struct TcpLink {
+    accepted: Rc<OpenCount>,
+    pool: mpsc::UnboundedSender<PoolMessage>,
+    stop: Option<oneshot::Sender<()>>,
+}
+
+impl TcpLink {
+    /// Binds the listener and starts to accept connections.
+    ///
+    /// # Errors
+    ///
+    /// If the address is in use.
+    pub fn start(
+        settings: &PeerSettings,
+        inbound: Inbound,
+        exchanges: ExchangeReports,
+    ) -> Result<Self, Report<StartError>> {
+        let options = ListenerOpts::new().reuse_port(false);
+        let listener = TcpListener::bind_with_config(settings.listen, &options)
+            .change_context(StartError::Bind(settings.listen))?;
+        let (stop, stopped) = oneshot::channel();
+        let (pool, receiver) = mpsc::unbounded();
+        let accepted = Rc::new(OpenCount::default());
+        let (limit, silence) = (inbound.limit, settings.silence);
+        let accept = Accept {
+            exchanges: exchanges.clone(),
+            inbound,
+            open: Rc::clone(&accepted),
+            silence,
+        };
+        monoio::spawn(accept.run(listener, stopped.shared()));
+        monoio::spawn(Pool::new(receiver, exchanges, limit, silence).run());
+        Ok(Self {
+            accepted,
+            pool,
+            stop: Some(stop),
+        })
+    }
+
+    /// Sends a request and delivers its reply. The pool runs for as long as the link is there.
+    pub fn send(&mut self, delivery: Delivery) {
+        let _ = self.pool.unbounded_send(PoolMessage::Send(delivery));
+    }
+
+    /// Accepts no more connections, and waits until replies in hand are written.
+    pub async fn close(&mut self) {
+        drop(self.stop.take());
+        monoio::time::sleep(CLOSE_WAIT).await;
+    }
+
+    /// What closed connections have carried, and how many are open.
+    pub async fn traffic(&mut self) -> LinkTraffic {
+        let (reply, receiver) = oneshot::channel();
+        let _ = self.pool.unbounded_send(PoolMessage::Traffic(reply));
+        let mut traffic = receiver.await.unwrap_or_default();
+        traffic.connections += self.accepted.get();
+        traffic
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers/tcp/pool.rs
@@ -0,0 +1,142 @@
+//! The task that knows which connections to peers are open and idle.
+//!
+//! Invariant: a connection is idle in the pool only while it carries no request.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::channel::{mpsc, oneshot};
+use futures::{StreamExt, select_biased};
+
+use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
+use super::conn::{self, ConnEnd, ConnReport, ConnStart};
+use crate::messages::PeerFault;
+
+/// Connections to one peer. A target runs and queues far fewer requests of one daemon.
+const CONNECTION_LIMIT: usize = 256;
+
+/// To the pool, from the link.
+#[derive(Debug)]
+pub(super) enum PoolMessage {
+    /// Carry a request.
+    Send(Delivery),
+    /// Tell what was carried.
+    Traffic(oneshot::Sender<LinkTraffic>),
+}
+
+/// Connections to one peer.
+#[derive(Debug, Default)]
+struct Peer {
+    idle: Vec<mpsc::UnboundedSender<Delivery>>,
+    open: usize,
+}
+
+/// The task and its state.
+#[derive(Debug)]
+pub(super) struct Pool {
+    exchanges: ExchangeReports,
+    limit: usize,
+    peers: HashMap<SocketAddr, Peer>,
+    receiver: mpsc::UnboundedReceiver<PoolMessage>,
+    reports: mpsc::UnboundedReceiver<ConnReport>,
+    sender: mpsc::UnboundedSender<ConnReport>,
+    silence: Duration,
+    traffic: LinkTraffic,
+}
+
+impl Pool {
+    pub fn new(
+        receiver: mpsc::UnboundedReceiver<PoolMessage>,
+        exchanges: ExchangeReports,
+        limit: usize,
+        silence: Duration,
+    ) -> Self {
+        let (sender, reports) = mpsc::unbounded();
+        Self {
+            exchanges,
+            limit,
+            peers: HashMap::new(),
+            receiver,
+            reports,
+            sender,
+            silence,
+            traffic: LinkTraffic::default(),
+        }
+    }
+
+    /// Serves messages until the link is gone.
+    pub async fn run(mut self) {
+        loop {
+            select_biased! {
+                report = self.reports.next() => self.note(report),
+                message = self.receiver.next() => match message {
+                    Some(PoolMessage::Send(delivery)) => self.send(delivery),
+                    Some(PoolMessage::Traffic(reply)) => {
+                        let _ = reply.send(self.traffic());
+                    }
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn note(&mut self, report: Option<ConnReport>) {
+        match report {
+            Some(ConnReport::Closed(end)) => self.forget(&end),
+            Some(ConnReport::Idle { conn, peer }) => {
+                if let Some(known) = self.peers.get_mut(&peer) {
+                    known.idle.push(conn);
+                }
+            }
+            // The pool itself keeps a sender.
+            None => {}
+        }
+    }
+
+    fn forget(&mut self, end: &ConnEnd) {
+        self.traffic.received += end.received;
+        self.traffic.sent += end.sent;
+        let Some(peer) = self.peers.get_mut(&end.peer) else {
+            return;
+        };
+        peer.open = peer.open.saturating_sub(1);
+        peer.idle.retain(|conn| !conn.is_closed());
+        if peer.open == 0 {
+            self.peers.remove(&end.peer);
+        }
+    }
+
+    /// Hands a request to the idle connection used last, or opens one. A connection that has closed
+    /// meanwhile gives the request back unsent.
+    fn send(&mut self, mut delivery: Delivery) {
+        let address = delivery.to;
+        let peer = self.peers.entry(address).or_default();
+        while let Some(conn) = peer.idle.pop() {
+            match conn.unbounded_send(delivery) {
+                Ok(()) => return,
+                Err(unsent) => delivery = unsent.into_inner(),
+            }
+        }
+        if peer.open >= CONNECTION_LIMIT {
+            let _ = delivery.reply.send(Err(PeerFault::Busy));
+            return;
+        }
+        peer.open += 1;
+        let start = ConnStart {
+            exchanges: self.exchanges.clone(),
+            limit: self.limit,
+            peer: address,
+            reports: self.sender.clone(),
+            silence: self.silence,
+        };
+        monoio::spawn(conn::run(start, delivery));
+    }
+
+    fn traffic(&self) -> LinkTraffic {
+        LinkTraffic {
+            connections: self.peers.values().map(|p| p.open).sum(),
+            ..self.traffic
+        }
+    }
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,3 +1,4 @@
 //! What several test programs share.
 
+pub mod runtime;
 pub mod script;
--- a/crates/node/tests/common/script.rs
+++ b/crates/node/tests/common/script.rs
@@ -63,11 +63,3 @@
         let _ = stream.write_all(reply.as_bytes());
     }
 }
-
-/// Runs a future on the runtime that the daemon uses.
-pub fn block_on<F: Future>(future: F) -> F::Output {
-    let runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build();
-    runtime.expect("the runtime starts").block_on(future)
-}
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -11,7 +11,8 @@
 use insta::assert_snapshot;
 use rstest::rstest;
 
-use common::script::{Connection, block_on, serve};
+use common::runtime::block_on;
+use common::script::{Connection, serve};
 
 const DOCUMENT: &str =
     "HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Length: 15\r\n\r\n{\"patches\": []}";
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -11,7 +11,8 @@
 use hawthornwall_node::messages::{ControlMessage, GateSender, RouterMessage};
 use insta::assert_snapshot;
 
-use common::script::{Connection, block_on, serve};
+use common::runtime::block_on;
+use common::script::{Connection, serve};
 
 /// Longest time that a test waits for another world.
 const LIMIT: Duration = Duration::from_secs(3);
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -18,7 +18,8 @@
 use insta::assert_snapshot;
 use rstest::rstest;
 
-use common::script::{Connection, block_on, serve};
+use common::runtime::block_on;
+use common::script::{Connection, serve};
 
 const SEALED: &str = "X-Request-Id: 7\r\nX-Response-Seal: s\r\n";
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -57,6 +57,7 @@
         let values: Vec<_> = SETTINGS.iter().map(|s| check.setting(s, &root)).collect();
         check.listeners(&values);
         check.source(&values);
+        check.secret(&values);
         if check.faults.is_empty() {
             Ok(typed(values).expect("the table describes the typed settings"))
         } else {
@@ -111,6 +112,12 @@
     }
 }
 
+/// The value of a setting among those in force, `None` for one without a value.
+fn value_of<'a>(name: &str, values: &'a [Value]) -> Option<&'a Value> {
+    let index = SETTINGS.iter().position(|s| s.name == name)?;
+    values.get(index).filter(|value| !value.is_null())
+}
+
 /// A value for messages, shortened.
 fn show(value: &Value) -> String {
     let text = value.to_string();
@@ -231,12 +238,28 @@
         }
     }
 
+    /// Checks that QUIC has a secret, and that nobody takes plain TCP for protected by one.
+    fn secret(&mut self, values: &[Value]) {
+        let tcp = value_of("peer.link", values) == Some(&Value::from("tcp"));
+        let named = value_of("peer.secret", values).is_some();
+        match (tcp, named) {
+            (false, false) => {
+                let accepted = format!("{}, or `peer.link` as \"tcp\"", Kind::Secret);
+                let found = "nothing".to_owned();
+                self.fault("peer.secret", FaultKind::Missing, found, accepted);
+            }
+            (true, true) => {
+                let accepted = "none, as `peer.link` is \"tcp\", which nothing protects".to_owned();
+                let found = "a secret".to_owned();
+                self.fault("peer.secret", FaultKind::Secret, found, accepted);
+            }
+            (true, false) | (false, true) => {}
+        }
+    }
+
     /// Checks that either the store or both services are named.
     fn source(&mut self, values: &[Value]) {
-        let named = |name: &str| {
-            let index = SETTINGS.iter().position(|s| s.name == name);
-            index.is_some_and(|i| !values[i].is_null())
-        };
+        let named = |name: &str| value_of(name, values).is_some();
         let address = || format!("{}, or `platform.store` in place of both", Kind::Address);
         for name in ["platform.config", "platform.instances"] {
             match (named("platform.store"), named(name)) {
@@ -254,16 +277,17 @@
 
     /// Checks addresses that must differ, and one that peers must be able to reach.
     fn listeners(&mut self, values: &[Value]) {
-        let address = |name: &str| -> Option<SocketAddr> {
-            let index = SETTINGS.iter().position(|s| s.name == name)?;
-            values[index].as_str()?.parse().ok()
-        };
-        let tcp = [
+        let address =
+            |name: &str| -> Option<SocketAddr> { value_of(name, values)?.as_str()?.parse().ok() };
+        let mut tcp = vec![
             "caller.listen",
             "admin.listen",
             "admin.ready",
             "target.address",
         ];
+        if value_of("peer.link", values) == Some(&Value::from("tcp")) {
+            tcp.push("peer.listen");
+        }
         for (index, name) in tcp.iter().enumerate() {
             for other in &tcp[..index] {
                 let pair = address(name).zip(address(other));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use fault::{Fault, FaultKind, SettingsFaults};
 pub use model::{
-    AdminSettings, CallerSettings, ControlSettings, KeySettings, LogLevel, LogSettings,
+    AdminSettings, CallerSettings, ControlSettings, KeySettings, LinkKind, LogLevel, LogSettings,
     MetricSettings, PeerSettings, PlatformSettings, ProbeSettings, RoutingSettings, Settings,
     Source, TargetSettings, TraceSettings,
 };
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -142,6 +142,17 @@
     pub statsd: Option<SocketAddr>,
 }
 
+/// What carries requests between daemons.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LinkKind {
+    /// QUIC with TLS 1.3 between daemons that share a secret.
+    #[default]
+    Quic,
+    /// Plain TCP, where the network alone keeps others away.
+    Tcp,
+}
+
 /// Other daemons.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -149,10 +160,12 @@
 pub struct PeerSettings {
     /// Address that peers use, if it differs from `listen`.
     pub advertise: Option<SocketAddr>,
-    /// UDP address of the peers' listener.
+    /// What carries requests between daemons.
+    pub link: LinkKind,
+    /// Address of the peers' listener, UDP for QUIC.
     pub listen: SocketAddr,
-    /// 32 bytes in hexadecimal that all daemons of the fleet share.
-    pub secret: String,
+    /// 32 bytes in hexadecimal that all daemons of the fleet share; none for plain TCP.
+    pub secret: Option<String>,
     /// Peers asked at the start.
     pub seeds: Vec<SocketAddr>,
     /// A connection on which nothing arrives for this long while something is expected is replaced.
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -142,6 +142,7 @@
 ];
 
 const LEVELS: &[&str] = &["debug", "info", "warn", "error"];
+const LINKS: &[&str] = &["quic", "tcp"];
 const POLICIES: &[&str] = &[
     "expected",
     "least-outstanding",
@@ -202,8 +203,11 @@
     number("target.silence_ms", 10_000, Unit::Milliseconds, (10, 600_000),
         "Longest time without any byte from the target while a request runs."),
 
-    required("peer.listen", Kind::Address, "UDP address of the peers' listener."),
-    required("peer.secret", Kind::Secret, "Secret that all daemons of the fleet share."),
+    required("peer.listen", Kind::Address, "Address of the peers' listener, UDP for quic."),
+    setting("peer.link", Kind::Choice(LINKS), Preset::Text("quic"),
+        "What carries requests between daemons: quic encrypts, tcp relies on the network to keep others away."),
+    setting("peer.secret", Kind::Secret, Preset::Absent,
+        "Secret that all daemons of the fleet share; quic needs one, tcp takes none."),
     setting("peer.advertise", Kind::Address, Preset::Absent, "Address that peers use, if it differs from peer.listen."),
     setting("peer.seeds", Kind::Addresses, Preset::Empty, "Peers queried at the start."),
     number("peer.silence_ms", 1_000, Unit::Milliseconds, (10, 60_000),
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -43,6 +43,13 @@
 #[case::seeds_no_list("seeds_no_list", "peer: {", "peer: { seeds: '127.0.0.1:1',")]
 #[case::short_secret("short_secret", "0a0a", "0a")]
 #[case::secret_digits("secret_digits", "0a0a", "0g0a")]
+#[case::no_secret("no_secret", ", secret: \"SECRET\"", "")]
+#[case::tcp_and_secret("tcp_and_secret", "peer: {", "peer: { link: 'tcp',")]
+#[case::tcp_same_listen(
+    "tcp_same_listen",
+    "peer: { listen: \"127.0.0.1:8002\", secret: \"SECRET\"",
+    "peer: { link: 'tcp', listen: '127.0.0.1:8000'"
+)]
 #[case::same_listen("same_listen", "127.0.0.1:8005", "127.0.0.1:8000")]
 #[case::any_listen("any_listen", "127.0.0.1:8005", "0.0.0.0:8000")]
 #[case::own_target("own_target", "127.0.0.1:8001", "127.0.0.1:8000")]
@@ -65,7 +72,8 @@
 #[case::syntax("syntax", "domain:", "domain")]
 #[case::unicode_column("unicode_column", "name: \"calendar-1\",", "/* æøå */ name: 1,")]
 fn one_fault(#[case] name: &str, #[case] from: &str, #[case] to: &str) {
-    let text = valid().replacen(from, to, 1);
+    let secret = "0a".repeat(32);
+    let text = valid().replacen(&from.replace("SECRET", &secret), to, 1);
     assert_snapshot!(name, faults(&text));
 }
 
--- a/crates/testkit/src/launcher/settings.rs
+++ b/crates/testkit/src/launcher/settings.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use hawthornwall_settings::{
-    AdminSettings, CallerSettings, ControlSettings, KeySettings, LogSettings, MetricSettings,
-    PeerSettings, PlatformSettings, ProbeSettings, RoutingSettings, Settings, TargetSettings,
-    TraceSettings,
+    AdminSettings, CallerSettings, ControlSettings, KeySettings, LinkKind, LogSettings,
+    MetricSettings, PeerSettings, PlatformSettings, ProbeSettings, RoutingSettings, Settings,
+    TargetSettings, TraceSettings,
 };
 use serde_json::Value;
 
@@ -77,8 +77,9 @@
         let seeds = [1, count / 2].map(|step| &self.nodes[(index + step) % count]);
         PeerSettings {
             advertise: Some(self.peer_address(node)),
+            link: LinkKind::Quic,
             listen: node.place.peer,
-            secret: "5a".repeat(32),
+            secret: Some("5a".repeat(32)),
             seeds: seeds.map(|n| self.peer_address(n)).to_vec(),
             silence: Duration::from_secs(1),
         }
