Record spans without a library that calibrates a clock at the start

The clock of the trace library measures the processor's time stamp counter when the process starts, in a loop that ends only when two measurements agree to 0.001%. On a core shared with others that takes seconds of processor time. Ruled out: reading the store (daemon started was logged just as late), binding. Change: a span is a value that writes its log line when it is dropped. Tests: node/tests/telemetry.rs, as before.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,7 +6,7 @@
 use hawthornwall_node::daemon;
 use hawthornwall_node::reload::Reload;
 use hawthornwall_node::telemetry::log;
-use hawthornwall_node::telemetry::trace::{self, SpanReporter};
+use hawthornwall_node::telemetry::trace;
 use hawthornwall_settings::Settings;
 use lexopt::prelude::*;
 
@@ -113,6 +113,6 @@
 
 fn start_telemetry(settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
     log::init(settings.log.level)?;
-    trace::init(SpanReporter::new(log::span_logger()?));
+    trace::init(log::span_logger()?);
     Ok(())
 }
--- a/crates/node/src/telemetry/trace.rs
+++ b/crates/node/src/telemetry/trace.rs
@@ -4,11 +4,11 @@
 //! `traceparent` is passed on unchanged.
 
 use std::borrow::Cow;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use fastrace::Span;
-use fastrace::collector::{Config, Reporter, SpanContext, SpanId, SpanRecord, TraceId};
 use hawthornwall_core::calls::PickKind;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routing::Choice;
@@ -19,6 +19,8 @@
 use super::choice::choice_properties;
 use super::counters::attempt_name;
 
+/// Where finished spans go.
+static LOGGER: OnceLock<Arc<Logger>> = OnceLock::new();
 /// The whole, in the unit of the sampling share.
 const WHOLE: u32 = 10_000;
 
@@ -76,8 +78,8 @@
             Some(parent) if parent.sampled || self.draw() => HopSpan::sampled(Hop::Ingress, parent),
             Some(_) => HopSpan::unsampled(parent),
             None if self.draw() => {
-                let root = SpanContext::new(TraceId::random(), SpanId::default());
-                HopSpan::root(Hop::Ingress, root)
+                let trace = rand::rng().random_range(1..=u128::MAX);
+                HopSpan::root(Hop::Ingress, trace, 0)
             }
             None => HopSpan::unsampled(None),
         }
@@ -88,12 +90,26 @@
     }
 }
 
-/// The span of one hop, recorded when it is dropped. It does nothing unless it is sampled.
+type Property = (Cow<'static, str>, Cow<'static, str>);
+
+/// A span that is being recorded.
+#[derive(Debug)]
+struct Open {
+    begin: SystemTime,
+    hop: Hop,
+    id: u64,
+    parent: u64,
+    properties: RefCell<Vec<Property>>,
+    started: Instant,
+    trace: u128,
+}
+
+/// The span of one hop, written when it is dropped. It does nothing unless it is sampled.
 #[derive(Debug)]
 pub struct HopSpan {
+    open: Option<Box<Open>>,
     /// What the caller sent, passed on if the request isn't sampled.
     passed: Option<TraceParent>,
-    span: Span,
 }
 
 impl HopSpan {
@@ -111,24 +127,31 @@
     /// Opens a span below this one.
     #[must_use]
     pub fn child(&self, hop: Hop) -> Self {
-        let passed = self.passed;
-        let span = Span::enter_with_parent(hop.name(), &self.span);
-        Self { passed, span }
+        match &self.open {
+            Some(open) => Self::root(hop, open.trace, open.id),
+            None => Self::unsampled(self.passed),
+        }
     }
 
     /// Whether the span will be recorded.
     pub fn is_sampled(&self) -> bool {
-        SpanContext::from_span(&self.span).is_some()
+        self.open.is_some()
     }
 
     /// Adds a property. `value` only runs if the span is sampled.
     pub fn set<V: Into<Cow<'static, str>>>(&self, key: &'static str, value: impl FnOnce() -> V) {
-        self.span.add_property(|| (key, value()));
+        if let Some(open) = &self.open {
+            let property = (key.into(), value().into());
+            open.properties.borrow_mut().push(property);
+        }
     }
 
     /// Records which target was picked and why.
     pub fn set_choice(&self, kind: PickKind, choice: &Choice) {
-        self.span.add_properties(|| choice_properties(kind, choice));
+        if let Some(open) = &self.open {
+            let properties = choice_properties(kind, choice);
+            open.properties.borrow_mut().extend(properties);
+        }
     }
 
     /// Records how an attempt ended.
@@ -146,76 +169,73 @@
 
     /// The header to pass on, absent if there is neither a trace nor one from the caller.
     pub fn traceparent(&self) -> Option<String> {
-        match SpanContext::from_span(&self.span) {
-            Some(context) => Some(context.encode_w3c_traceparent()),
-            None => self.passed.map(|parent| parent.to_string()),
-        }
-    }
-
-    fn root(hop: Hop, context: SpanContext) -> Self {
+        let own = self.open.as_ref().map(|open| TraceParent {
+            sampled: true,
+            span: open.id,
+            trace: open.trace,
+        });
+        own.or(self.passed).map(|parent| parent.to_string())
+    }
+
+    fn root(hop: Hop, trace: u128, parent: u64) -> Self {
+        let open = Open {
+            begin: SystemTime::now(),
+            hop,
+            id: rand::rng().random_range(1..=u64::MAX),
+            parent,
+            properties: RefCell::default(),
+            started: Instant::now(),
+            trace,
+        };
         Self {
+            open: Some(Box::new(open)),
             passed: None,
-            span: Span::root(hop.name(), context),
         }
     }
 
     fn sampled(hop: Hop, parent: TraceParent) -> Self {
-        let context = SpanContext::new(TraceId(parent.trace), SpanId(parent.span));
-        Self::root(hop, context)
+        Self::root(hop, parent.trace, parent.span)
     }
 
     fn unsampled(passed: Option<TraceParent>) -> Self {
-        Self {
-            passed,
-            span: Span::noop(),
-        }
+        Self { open: None, passed }
     }
 }
 
-/// Starts the library's collector thread, which hands finished spans to `reporter`.
-pub fn init(reporter: SpanReporter) {
-    fastrace::set_reporter(reporter, Config::default());
-}
-
-/// Writes the spans that ended since the last report; for the end of the process.
-pub fn flush() {
-    fastrace::flush();
-}
-
-/// Writes finished spans as log lines.
-#[derive(Debug)]
-pub struct SpanReporter {
-    logger: Arc<Logger>,
+impl Drop for HopSpan {
+    fn drop(&mut self) {
+        if let (Some(open), Some(logger)) = (&self.open, LOGGER.get()) {
+            open.write(logger);
+        }
+    }
 }
 
-impl SpanReporter {
-    /// A reporter that writes to `logger`.
-    pub fn new(logger: Arc<Logger>) -> Self {
-        Self { logger }
-    }
-
-    fn write(&self, span: &SpanRecord) {
-        let properties: BTreeMap<&str, &str> = span
-            .properties
-            .iter()
-            .map(|(key, value)| (key.as_ref(), value.as_ref()))
-            .collect();
-        spdlog::info!(logger: self.logger, "span", kv: {
-            hop = span.name.as_ref(),
-            trace = format!("{:032x}", span.trace_id.0).as_str(),
-            span = format!("{:016x}", span.span_id.0).as_str(),
-            parent = format!("{:016x}", span.parent_id.0).as_str(),
-            begin_us = span.begin_time_unix_ns / 1_000,
-            duration_us = span.duration_ns / 1_000,
+impl Open {
+    fn write(&self, logger: &Arc<Logger>) {
+        let properties = self.properties.borrow();
+        let properties = properties.iter().map(|(k, v)| (k.as_ref(), v.as_ref()));
+        let properties: BTreeMap<&str, &str> = properties.collect();
+        let begin = self.begin.duration_since(UNIX_EPOCH).unwrap_or_default();
+        spdlog::info!(logger: logger, "span", kv: {
+            hop = self.hop.name(),
+            trace = format!("{:032x}", self.trace).as_str(),
+            span = format!("{:016x}", self.id).as_str(),
+            parent = format!("{:016x}", self.parent).as_str(),
+            begin_us = begin.as_micros() as u64,
+            duration_us = self.started.elapsed().as_micros() as u64,
             properties:serde = properties,
         });
     }
 }
 
-impl Reporter for SpanReporter {
-    fn report(&mut self, spans: Vec<SpanRecord>) {
-        for span in &spans {
-            self.write(span);
-        }
+/// Makes finished spans go to `logger`. Only the first logger of a process is used.
+pub fn init(logger: Arc<Logger>) {
+    let _ = LOGGER.set(logger);
+}
+
+/// Writes the lines that are still queued; for the end of the process.
+pub fn flush() {
+    if let Some(logger) = LOGGER.get() {
+        logger.flush();
     }
 }
--- a/crates/node/tests/telemetry.rs
+++ b/crates/node/tests/telemetry.rs
@@ -7,7 +7,7 @@
 use hawthornwall_core::calls::PickKind;
 use hawthornwall_core::prelude::*;
 use hawthornwall_node::telemetry::log::span_logger_to;
-use hawthornwall_node::telemetry::trace::{self, Hop, HopSpan, SpanReporter, Tracer};
+use hawthornwall_node::telemetry::trace::{self, Hop, HopSpan, Tracer};
 use hawthornwall_node::telemetry::{Counters, Event, Statsd, Telemetry, run};
 use insta::{assert_json_snapshot, assert_snapshot};
 use rstest::rstest;
@@ -154,7 +154,7 @@
         .expect("the sink is valid");
     let logger =
         span_logger_to(Arc::<WriteSink<Vec<u8>>>::clone(&sink)).expect("the logger is valid");
-    trace::init(SpanReporter::new(logger));
+    trace::init(logger);
     let ingress = Tracer::new(0).ingress(SAMPLED.parse().ok());
     let attempt = ingress.child(Hop::Attempt);
     attempt.set_result(AttemptResult::Refused(Refusal::Full));
