--- a/crates/core/src/catalog/entry.rs
+++ b/crates/core/src/catalog/entry.rs
@@ -3,11 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
 use crate::ids::Version;
 use crate::routes::RouteTable;
+use crate::units::Micros;
 
 /// Whether a target says that it takes new work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PublishedState {
     /// It finishes what it has and leaves.
     Draining,
@@ -16,13 +20,15 @@
 }
 
 /// A target's entry.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PublishedTarget {
     /// Where its daemon reaches it.
     pub address: SocketAddr,
     /// Start of this run of the target, in milliseconds of Unix time.
     pub born: Option<u64>,
     /// How much longer it is slow after its start.
+    #[serde_as(as = "Micros")]
     pub cold: Duration,
     /// Its failure domain.
     pub domain: String,
@@ -35,7 +41,7 @@
 }
 
 /// Routes at one version.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PublishedRoutes {
     /// The routes.
     pub routes: RouteTable,
@@ -44,7 +50,7 @@
 }
 
 /// One change of what is published.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Change {
     /// The newest routes.
     Routes(PublishedRoutes),
--- a/crates/core/src/catalog/follow.rs
+++ b/crates/core/src/catalog/follow.rs
@@ -1,85 +1,158 @@
-//! When the store is read, and how.
+//! When a daemon learns what the store holds, and from whom.
 //!
 //! Rules kept here:
-//! - the whole contents are read at the start, after any failure and after the history is lost, changes
-//!   otherwise: a store that has just cut a watch may take another one that never hears anything;
+//! - everything is read at the start and after the history is lost, changes otherwise;
+//! - what a stale read has shown counts only once something newer confirms it;
+//! - a daemon that asks another reads the store itself as soon as nothing newer has come for the longest
+//!   watch and the margin of its level: the other one may have lost the store without noticing it;
+//! - no watch is long, since one that the store takes right after it has cut all others may never hear
+//!   anything;
 //! - after failures the pauses double, and differ between daemons, so that a store that returns is
 //!   not met by all at once;
 //! - a failure is an outage of the store only once it has lasted [`OUTAGE`]: a single lost call says
 //!   nothing of what happened meanwhile.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
+use super::sources::{Level, Sources};
 use crate::time::Time;
+use crate::units::Micros;
 
+/// Longest time that the store holds a watch open. The end of each watch shows that the store is still
+/// heard, well within the two seconds in which a change must be in force.
+pub const WATCH_WAIT: Duration = Duration::from_millis(800);
 /// First pause after a failed call; doubles with each further one.
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
-/// Longest pause while the store can't be reached. It must be noticed soon when it can: targets that
-/// left meanwhile still get work.
+/// Longest pause of a daemon that others ask while the store can't be reached. It must be noticed soon
+/// when it can: targets that left meanwhile still get work.
 const PAUSE_LIMIT: Duration = Duration::from_millis(400);
-/// Longest pause while the store turns calls away, which it counts like served ones.
+/// The same while the store turns calls away, which it counts like served ones.
 const REFUSED_LIMIT: Duration = Duration::from_millis(800);
-/// Pause after a change before the next watch, for each target: every target changes its entry now and
-/// then, and all daemons hear of each change, so that calls would grow with the square of the fleet.
-const SETTLE_EACH: Duration = Duration::from_millis(16);
-/// Longest such pause. A target serves for some two seconds after it has begun to leave.
-const SETTLE_LIMIT: Duration = Duration::from_millis(1_200);
+/// Longest pause of a daemon that asks others, which notice the store's return for it.
+const MEMBER_LIMIT: Duration = Duration::from_secs(2);
+/// Pause after a change before the next watch, for each target: in a large fleet changes come in quick
+/// succession, and each news reaches every daemon.
+const SETTLE_EACH: Duration = Duration::from_millis(4);
+/// Longest such pause; what is left of [`WATCH_WAIT`] follows it.
+const SETTLE_LIMIT: Duration = Duration::from_millis(400);
 /// Time without a proper answer after which entries may have lapsed unseen. Entries lapse after
 /// three missed heartbeats, so a shorter failure removes none.
 const OUTAGE: Duration = Duration::from_secs(1);
+/// Wait for news that confirm a stale read, before the store is read once more.
+const CONFIRM_WAIT: Duration = Duration::from_millis(100);
+/// Least difference in age by which what is known here is newer. What a peer was told just now is older
+/// by the way there, which is no news to it.
+const NEWER: Duration = Duration::from_millis(50);
+/// Pause before another peer is asked after one that had no news.
+const ASK_PAUSE: Duration = Duration::from_millis(20);
+/// Time for which a peer without news isn't asked again; doubles each time.
+const REST_FIRST: Duration = Duration::from_millis(500);
+/// Longest such time.
+const REST_LIMIT: Duration = Duration::from_secs(4);
 
 /// The next call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Call {
-    /// Read everything.
-    Load,
-    /// Wait for changes after a revision.
+    /// Ask a peer for what it has learnt after a revision.
+    Ask {
+        /// The revision.
+        after: u64,
+        /// The peer.
+        peer: SocketAddr,
+        /// When the wait for its news is over.
+        until: Time,
+    },
+    /// Read everything from the store.
+    Load {
+        /// Whether the contents may be seconds old, which is cheaper.
+        stale: bool,
+    },
+    /// Have the store wait for changes after a revision.
     Watch {
         /// The revision.
         after: u64,
+        /// The longest wait.
+        wait: Duration,
     },
 }
 
 /// How a call ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallEnd {
-    /// No answer.
+    /// The store gave no answer.
     Failed,
     /// The history after the revision is no longer available.
     HistoryGone,
-    /// The contents or changes up to a revision were read.
+    /// A peer told what it knows.
+    News(SocketAddr, NewsHead),
+    /// A peer that was asked gave no answer.
+    NoNews(SocketAddr),
+    /// The contents or changes up to a revision were read from the store.
     Read {
         /// The revision.
         revision: u64,
     },
+    /// Contents that may be old were read from the store.
+    ReadStale {
+        /// The revision.
+        revision: u64,
+    },
     /// The store has turned the call away.
     Refused,
 }
 
-/// What the end of a call means for the entries that it showed as gone.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Outage {
-    /// When the store answered again after an outage.
-    pub ended: Option<Time>,
-    /// Whether the store has just answered again after failures.
-    pub returned: bool,
+/// What a daemon that asks another already knows of the store's contents.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Knowledge {
+    /// Time since the store confirmed it; `None` for what a stale read has shown.
+    #[serde_as(as = "Option<Micros>")]
+    pub age: Option<Duration>,
+    /// The revision.
+    pub revision: u64,
+}
+
+/// How fresh a peer's news are.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NewsHead {
+    /// Time since the store confirmed the revision.
+    #[serde_as(as = "Micros")]
+    pub age: Duration,
+    /// Whether the peer could tell all changes after the revision asked for. What it can't tell, only
+    /// the store can.
+    pub complete: bool,
+    /// Time since the store came back from its last outage.
+    #[serde_as(as = "Option<Micros>")]
+    pub outage: Option<Duration>,
+    /// The revision known to the peer.
+    pub revision: u64,
 }
 
 /// Follows the contents of the store.
 ///
 /// ```
+/// use std::time::Duration;
 /// use hawthornwall_core::catalog::{Call, CallEnd, Follower};
 /// use hawthornwall_core::time::Time;
 ///
 /// let mut follower = Follower::new(1);
-/// assert_eq!(follower.next(), (Time::ZERO, Call::Load));
-/// follower.end(CallEnd::Read { revision: 7 }, Time::ZERO);
-/// assert_eq!(follower.next(), (Time::ZERO, Call::Watch { after: 7 }));
+/// assert_eq!(follower.next(Time::ZERO), (Time::ZERO, Call::Load { stale: true }));
+/// follower.end(CallEnd::ReadStale { revision: 7 }, Time::ZERO);
+/// assert!(!follower.is_confirmed());
+/// let confirm = Call::Watch { after: 7, wait: Duration::ZERO };
+/// assert_eq!(follower.next(Time::ZERO), (Time::ZERO, confirm));
+/// follower.end(CallEnd::Read { revision: 8 }, Time::ZERO);
+/// assert!(follower.is_confirmed());
 /// follower.end(CallEnd::HistoryGone, Time::ZERO);
-/// assert_eq!(follower.next().1, Call::Load);
+/// assert_eq!(follower.next(Time::ZERO).1, Call::Load { stale: false });
 /// ```
 #[derive(Clone, Debug)]
 pub struct Follower {
@@ -87,10 +160,26 @@
     failures: u32,
     /// The first failure since the last proper answer.
     failing: Option<Time>,
+    /// When the contents were last read as a whole.
+    loaded: Time,
     outage_end: Option<Time>,
+    /// When the store last confirmed the revision.
+    proof: Option<Time>,
+    /// Peers that had no news: how often in a row, and until when they aren't asked.
+    resting: BTreeMap<SocketAddr, (u32, Time)>,
     revision: Option<u64>,
     rng: Pcg64Mcg,
+    /// Pause after a change.
     settle: Duration,
+    /// When the pause after the last change is over.
+    settled: Time,
+    sources: Sources,
+    /// Whether peers can't tell what is missing here.
+    store_first: bool,
+    /// When the store may be read next.
+    store_due: Time,
+    /// Whether anything has been read or has failed to be.
+    untried: bool,
 }
 
 impl Follower {
@@ -100,70 +189,203 @@
             due: Time::ZERO,
             failures: 0,
             failing: None,
+            loaded: Time::ZERO,
             outage_end: None,
+            proof: None,
+            resting: BTreeMap::new(),
             revision: None,
             rng: Pcg64Mcg::seed_from_u64(seed),
             settle: Duration::ZERO,
+            settled: Time::ZERO,
+            sources: Sources::default(),
+            store_due: Time::ZERO,
+            store_first: false,
+            untried: true,
         }
     }
 
-    /// Takes over how many targets are known.
-    pub fn set_targets(&mut self, targets: usize) {
+    /// Takes over how many targets are known, and whom to ask.
+    pub fn set_sources(&mut self, targets: usize, sources: Sources) {
         let targets = u32::try_from(targets).unwrap_or(u32::MAX);
         self.settle = SETTLE_EACH.saturating_mul(targets).min(SETTLE_LIMIT);
+        self.resting
+            .retain(|peer, _| sources.parents.contains(peer));
+        self.sources = sources;
+    }
+
+    /// Whether the store has confirmed what is known.
+    pub fn is_confirmed(&self) -> bool {
+        self.proof.is_some()
+    }
+
+    /// The revision known, 0 while there is none.
+    pub fn revision(&self) -> u64 {
+        self.revision.unwrap_or(0)
+    }
+
+    /// What is known here, for a peer that is asked.
+    pub fn knowledge(&self, now: Time) -> Knowledge {
+        Knowledge {
+            age: self.proof.map(|proof| now - proof),
+            revision: self.revision(),
+        }
+    }
+
+    /// The news for a peer that knows `theirs`; `None` while there are none for it.
+    pub fn news_for(&self, theirs: &Knowledge, now: Time) -> Option<NewsHead> {
+        let (proof, revision) = self.proof.zip(self.revision)?;
+        let age = now - proof;
+        let fresher = theirs.age.is_none_or(|known| age + NEWER <= known);
+        let newer = revision > theirs.revision;
+        (newer || fresher && revision == theirs.revision).then(|| NewsHead {
+            age,
+            complete: true,
+            outage: self.outage_end.map(|at| now - at),
+            revision,
+        })
+    }
+
+    /// Whether a peer's news say more than what is known here.
+    pub fn is_newer(&self, head: &NewsHead, now: Time) -> bool {
+        let fresher = self.proof.is_none_or(|known| now - head.age > known);
+        fresher && head.revision >= self.revision()
     }
 
     /// The next call and when it is due.
-    pub fn next(&self) -> (Time, Call) {
-        let call = match self.revision {
-            Some(after) => Call::Watch { after },
-            None => Call::Load,
+    pub fn next(&self, now: Time) -> (Time, Call) {
+        let at_store = self.due.max(self.store_due).max(self.settled);
+        let Some(after) = self.revision else {
+            let stale = self.untried;
+            return (at_store, Call::Load { stale });
         };
-        (self.due, call)
+        let pausing = self.store_due > now;
+        let asks = pausing || (!self.store_first && now < self.stale_at());
+        match self.peer(now, pausing) {
+            Some(peer) if asks => {
+                let until = self.stale_at().max(self.store_due);
+                (self.due, Call::Ask { after, peer, until })
+            }
+            Some(_) => (at_store, self.watch(after, Duration::ZERO)),
+            None => (at_store, self.watch(after, self.wait(at_store))),
+        }
     }
 
-    /// Notes the end of a call.
-    pub fn end(&mut self, end: CallEnd, now: Time) -> Outage {
+    /// Notes the end of a call, and returns when the store last came back from an outage.
+    pub fn end(&mut self, end: CallEnd, now: Time) -> Option<Time> {
+        self.untried = false;
         match end {
             CallEnd::Failed => self.fail(PAUSE_LIMIT, now),
-            CallEnd::Refused => self.fail(REFUSED_LIMIT, now),
             CallEnd::HistoryGone => {
                 self.revision = None;
                 self.due = now;
-                Outage::default()
             }
-            CallEnd::Read { revision } => {
-                // Changes since a load are asked for at once: none may be missed in between.
-                let changed = self.revision.is_some_and(|known| known != revision);
-                self.due = now + if changed { self.settle } else { Duration::ZERO };
+            CallEnd::News(peer, head) => self.take_news(peer, &head, now),
+            CallEnd::NoNews(peer) => self.rest(peer, now),
+            CallEnd::Read { revision } => self.take_read(revision, now),
+            CallEnd::ReadStale { revision } => {
                 self.revision = Some(revision);
-                self.recover(now)
+                self.loaded = now;
+                self.due = now;
             }
+            CallEnd::Refused => self.fail(REFUSED_LIMIT, now),
         }
+        self.outage_end
     }
 
-    fn fail(&mut self, limit: Duration, now: Time) -> Outage {
+    fn watch(&self, after: u64, wait: Duration) -> Call {
+        let wait = if self.proof.is_none() {
+            Duration::ZERO
+        } else {
+            wait
+        };
+        Call::Watch { after, wait }
+    }
+
+    /// What is left of the longest watch for one that begins at `at`, so that the pause after a change
+    /// delays no sign of life.
+    fn wait(&self, at: Time) -> Duration {
+        let passed = self.proof.map_or(Duration::ZERO, |proof| at - proof);
+        WATCH_WAIT.saturating_sub(passed).max(WATCH_WAIT / 2)
+    }
+
+    /// When the store must be read although a peer is asked.
+    fn stale_at(&self) -> Time {
+        match self.proof {
+            Some(proof) => proof + WATCH_WAIT + self.sources.level.margin(),
+            None => self.loaded + CONFIRM_WAIT,
+        }
+    }
+
+    /// The peer to ask: the first that isn't resting, or any while the store can't be read either.
+    fn peer(&self, now: Time, pausing: bool) -> Option<SocketAddr> {
+        let parents = &self.sources.parents;
+        let rests = |p: &&SocketAddr| self.resting.get(*p).is_some_and(|(_, until)| *until > now);
+        let awake = parents.iter().find(|p| !rests(p));
+        awake.or(parents.first().filter(|_| pausing)).copied()
+    }
+
+    fn take_read(&mut self, revision: u64, now: Time) {
+        // Changes since a load are asked for at once: none may be missed in between.
+        let changed = self.revision.is_some_and(|known| known != revision);
+        self.due = now;
+        self.settled = now + if changed { self.settle } else { Duration::ZERO };
+        let failing = self.failing.take();
+        let lasted = failing.map(|since| now - self.silent_since(since));
+        if lasted.is_some_and(|lasted| lasted >= OUTAGE) {
+            self.outage_end = Some(now);
+        }
+        self.revision = Some(revision);
+        self.proof = Some(now);
+        self.store_first = false;
+        self.recover(now);
+    }
+
+    /// When the store fell silent, given the first failed call. A call that gets no answer fails only
+    /// after its whole wait, in which entries may have lapsed already.
+    fn silent_since(&self, failed: Time) -> Time {
+        let expected = self.proof.map_or(failed, |proof| proof + WATCH_WAIT);
+        expected.min(failed)
+    }
+
+    fn take_news(&mut self, peer: SocketAddr, head: &NewsHead, now: Time) {
+        if !self.is_newer(head, now) {
+            return self.rest(peer, now);
+        }
+        self.resting.remove(&peer);
+        self.due = now;
+        self.store_first = !head.complete;
+        if head.complete {
+            self.revision = Some(head.revision);
+            self.proof = Some(now - head.age);
+            self.failing = None;
+            self.outage_end = head.outage.map(|age| now - age);
+            self.recover(now);
+        }
+    }
+
+    /// Asks others before a peer that had no news.
+    fn rest(&mut self, peer: SocketAddr, now: Time) {
+        self.due = now + ASK_PAUSE;
+        let (times, until) = self.resting.entry(peer).or_insert((0, now));
+        let rest = REST_FIRST * (1 << (*times).min(8));
+        *until = now + rest.min(REST_LIMIT);
+        *times += 1;
+    }
+
+    fn fail(&mut self, limit: Duration, now: Time) {
         self.failing.get_or_insert(now);
-        self.revision = None;
+        let limit = match self.sources.level {
+            Level::Head | Level::Root => limit,
+            Level::Member => MEMBER_LIMIT,
+        };
         let pause = (PAUSE_FIRST * (1 << self.failures.min(8))).min(limit);
         self.failures += 1;
-        self.due = now + pause.mul_f64(self.rng.random_range(0.5..1.0));
-        Outage::default()
+        self.due = now;
+        self.store_due = now + pause.mul_f64(self.rng.random_range(0.5..1.0));
     }
 
-    fn recover(&mut self, now: Time) -> Outage {
-        let returned = self.failing.is_some();
-        if self
-            .failing
-            .take()
-            .is_some_and(|since| now - since >= OUTAGE)
-        {
-            self.outage_end = Some(now);
-        }
+    fn recover(&mut self, now: Time) {
         self.failures = 0;
-        Outage {
-            ended: self.outage_end,
-            returned,
-        }
+        self.store_due = now;
     }
 }
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -11,7 +11,11 @@
 mod aggregate;
 mod entry;
 mod follow;
+mod history;
+mod sources;
 
 pub use aggregate::{Belief, Catalog, RETURN_WAIT, Snapshot};
 pub use entry::{Change, PublishedRoutes, PublishedState, PublishedTarget};
-pub use follow::{Call, CallEnd, Follower, Outage};
+pub use follow::{Call, CallEnd, Follower, Knowledge, NewsHead, WATCH_WAIT};
+pub use history::ChangeLog;
+pub use sources::{Level, Sources};
--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -4,8 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+use crate::units::Micros;
+
 /// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Repeatability {
     /// It may run any number of times.
     Idempotent,
@@ -14,7 +19,7 @@
 }
 
 /// A service that gets requests of a route.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Destination {
     /// Name of the service.
     pub service: String,
@@ -23,13 +28,15 @@
 }
 
 /// What operators allow for requests under one prefix.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Targets that one request may be sent to.
     pub attempts: usize,
     /// The services that share its requests; never empty.
     pub destinations: Vec<Destination>,
     /// Time within which an answer is worth most.
+    #[serde_as(as = "Micros")]
     pub objective: Duration,
     /// The start of the paths that it applies to.
     pub prefix: String,
@@ -38,6 +45,7 @@
     /// Whether its requests may run twice.
     pub repeats: Repeatability,
     /// Longest time that a request is kept waiting.
+    #[serde_as(as = "Micros")]
     pub timeout: Duration,
 }
 
@@ -64,7 +72,7 @@
 /// assert!(table.find("a.example", "/xy").is_none());
 /// assert!(table.find("b.example", "/x/").is_none());
 /// ```
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteTable {
     hosts: BTreeMap<String, BTreeMap<String, Rc<Route>>>,
 }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -54,6 +54,18 @@
     }
 }
 
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    /// The point `span` earlier, but no earlier than the start of the clock.
+    fn sub(self, span: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
 impl fmt::Display for Time {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}us", self.0)
--- a/crates/core/tests/scenarios/follower.rs
+++ b/crates/core/tests/scenarios/follower.rs
@@ -1,38 +1,89 @@
 //! Scenarios of the store's follower.
 
-use hawthornwall_core::catalog::{CallEnd, Follower};
+use std::net::SocketAddr;
+use std::time::Duration;
 
-use crate::line::Line;
+use hawthornwall_core::catalog::{CallEnd, Follower, Knowledge, Level, NewsHead, Sources};
+use hawthornwall_core::prelude::*;
+
+use crate::line::{Line, duration};
 
 pub struct Run {
     pub follower: Follower,
+    now: Time,
 }
 
 impl Run {
     pub fn new(line: &Line<'_>) -> Self {
         Self {
             follower: Follower::new(line.value("seed", 1)),
+            now: Time::ZERO,
         }
     }
 
     pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
+        self.now = line.now.max(self.now);
         let end = match line.verb {
-            "targets" => {
-                self.follower.set_targets(line.word(0));
-                return Vec::new();
+            "asked" => {
+                return vec![format!(
+                    "{:?}",
+                    self.follower.news_for(&knows(line), self.now)
+                )];
             }
-            "failed" => CallEnd::Failed,
-            "history-gone" => CallEnd::HistoryGone,
-            "read" => CallEnd::Read {
+            "failed" => Some(CallEnd::Failed),
+            "history-gone" => Some(CallEnd::HistoryGone),
+            "news" => Some(CallEnd::News(line.word(0), head(line))),
+            "no-news" => Some(CallEnd::NoNews(line.word(0))),
+            "read" => Some(CallEnd::Read {
+                revision: line.word(0),
+            }),
+            "read-stale" => Some(CallEnd::ReadStale {
                 revision: line.word(0),
-            },
-            "refused" => CallEnd::Refused,
+            }),
+            "refused" => Some(CallEnd::Refused),
+            "sources" => {
+                self.follower.set_sources(line.word(0), sources(line));
+                None
+            }
+            "tick" => None,
             other => panic!("unknown event `{other}`"),
         };
-        let outage = self.follower.end(end, line.now);
-        let (due, call) = self.follower.next();
-        let ended = outage.ended.map(|at| format!("outage ended at {at}"));
-        let next = format!("{call:?} at {due}");
-        ended.into_iter().chain([next]).collect()
+        let outage = end.and_then(|end| self.follower.end(end, self.now));
+        let ended = outage.map(|at| format!("outage ended at {at}"));
+        ended.into_iter().chain([self.state()]).collect()
+    }
+
+    pub fn state(&self) -> String {
+        let (due, call) = self.follower.next(self.now);
+        format!("{call:?} at {due}")
+    }
+}
+
+fn sources(line: &Line<'_>) -> Sources {
+    let parents = line.text("peers").unwrap_or_default();
+    let parents = parents.split(',').filter(|p| !p.is_empty());
+    Sources {
+        level: match line.text("level") {
+            Some("head") => Level::Head,
+            Some("member") => Level::Member,
+            Some(_) | None => Level::Root,
+        },
+        parents: parents.map(|p| p.parse::<SocketAddr>().unwrap()).collect(),
+    }
+}
+
+fn head(line: &Line<'_>) -> NewsHead {
+    NewsHead {
+        age: line.span("age", Duration::ZERO),
+        complete: !line.flag("incomplete"),
+        outage: line.text("outage").map(duration),
+        revision: line.value("revision", 0),
+    }
+}
+
+fn knows(line: &Line<'_>) -> Knowledge {
+    Knowledge {
+        age: line.text("age").map(duration),
+        revision: line.value("revision", 0),
     }
 }
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -85,7 +85,7 @@
             Self::Call(run) => format!("{:?}", run.call),
             Self::Catalog(run) => run.state(),
             Self::Gate(run) => format!("{:?}", run.gate),
-            Self::Follower(run) => format!("{:?}", run.follower.next()),
+            Self::Follower(run) => run.state(),
             Self::Force(run) => run.state(),
             Self::Ledger(run) => format!("{:?}", run.ledger),
             Self::Members(run) => run.state(),
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -5,25 +5,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::channel::mpsc;
+use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::catalog::{
-    Belief, Call, CallEnd, Catalog, Change, Follower, Outage, Snapshot,
+    Belief, Call, CallEnd, Catalog, Change, ChangeLog, Follower, Sources,
 };
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::ids::{TargetId, Version};
 use hawthornwall_core::time::Time;
-use hawthornwall_platform::{Event, Item, Key, decode_change};
+use hawthornwall_wire::peer::{Exchange, News, Reply, Request};
 
-use super::report::{self, StoreReports};
+use super::decode::{change, snapshot};
+use super::report::{self, Source, StoreReports};
+use super::waiting::{Asking, Waiting};
 use crate::clock::Clock;
 use crate::messages::{
-    ControlMessage, ControlStatus, GateMessage, GateSender, Member, PeersMessage, PeersSender,
-    RouterMessage, RouterSender, World,
+    ControlMessage, ControlStatus, GateMessage, GateSender, Member, PeerAddress, PeerFault,
+    PeersMessage, PeersSender, RouterMessage, RouterSender, World,
 };
 use crate::platform::ReadFault;
-use crate::platform::store::{self, StoreEnd, StoreRead};
-use hawthornwall_wire::peer::Exchange;
+use crate::platform::store::{self, StoreCall, StoreEnd, StoreRead};
 
 /// How the load of every service is shared; the platform publishes no such rules.
 const SHARING: Rules = Rules {
@@ -43,6 +44,8 @@
 pub struct CatalogStart {
     /// The process's clock.
     pub clock: Clock,
+    /// Failure domain of this instance.
+    pub domain: String,
     /// The `gate` task.
     pub gate: GateSender,
     /// Address of the target beside this daemon.
@@ -61,24 +64,60 @@
     pub store: SocketAddr,
 }
 
+/// The call under way.
+#[derive(Debug)]
+enum Pending {
+    Nothing,
+    Peer(Asked),
+    Store,
+}
+
+/// A peer that was asked for news.
+#[derive(Debug)]
+struct Asked {
+    peer: SocketAddr,
+    reply: oneshot::Receiver<Result<Reply, PeerFault>>,
+    until: Time,
+}
+
+impl Pending {
+    /// Waits for the reply of the peer that was asked.
+    async fn news(&mut self, clock: Clock) -> Option<News> {
+        let Self::Peer(asked) = self else {
+            return std::future::pending().await;
+        };
+        let limit = clock.until(asked.until).max(SLEEP);
+        match monoio::time::timeout(limit, &mut asked.reply).await {
+            Ok(Ok(Ok(Reply::News(news)))) => Some(*news),
+            Ok(Ok(Ok(Reply::Exchange(_) | Reply::Run(_)) | Err(_)) | Err(_)) | Err(_) => None,
+        }
+    }
+}
+
 /// What ends the task's wait.
 enum Input {
     Message(Option<ControlMessage>),
+    News(Option<News>),
     Read(Option<StoreEnd>),
     Timer,
 }
 
 struct CatalogTask {
-    calls: mpsc::UnboundedSender<Call>,
+    calls: mpsc::UnboundedSender<StoreCall>,
     catalog: Catalog,
     ends: mpsc::UnboundedReceiver<StoreEnd>,
     failing_since: Option<Time>,
     follower: Follower,
     leaving: bool,
-    reading: bool,
+    log: ChangeLog,
+    pending: Pending,
     reads: u64,
     reports: StoreReports,
+    sources: Sources,
     start: CatalogStart,
+    /// Whether the other tasks don't know yet all that is believed here.
+    unpublished: bool,
+    waiting: Waiting,
     world: Rc<World>,
 }
 
@@ -94,24 +133,22 @@
         failing_since: None,
         follower: Follower::new(start.seed),
         leaving: false,
-        reading: false,
+        log: ChangeLog::default(),
+        pending: Pending::Nothing,
         reads: 0,
-        reports: StoreReports::default(),
+        reports: StoreReports::new(start.store),
+        sources: Sources::default(),
         start,
+        unpublished: false,
+        waiting: Waiting::default(),
         world: Rc::default(),
     };
     loop {
         let wait = task.step();
-        let timer = monoio::time::sleep(wait).fuse();
-        pin_mut!(timer);
-        let input = select_biased! {
-            end = task.ends.next() => Input::Read(end),
-            message = task.start.receiver.next() => Input::Message(message),
-            () = timer => Input::Timer,
-        };
-        match input {
+        match task.next_input(wait).await {
             Input::Message(Some(message)) => task.answer(message),
             Input::Message(None) | Input::Read(None) => return,
+            Input::News(news) => task.asked(news),
             Input::Read(Some(end)) => task.read_ended(end),
             Input::Timer => {}
         }
@@ -119,25 +156,73 @@
 }
 
 impl CatalogTask {
+    async fn next_input(&mut self, wait: Duration) -> Input {
+        let timer = monoio::time::sleep(wait).fuse();
+        let news = self.pending.news(self.start.clock).fuse();
+        pin_mut!(timer, news);
+        select_biased! {
+            end = self.ends.next() => Input::Read(end),
+            news = news => Input::News(news),
+            message = self.start.receiver.next() => Input::Message(message),
+            () = timer => Input::Timer,
+        }
+    }
+
     /// Carries out what is due, and returns the time until something else is.
     fn step(&mut self) -> Duration {
         let now = self.start.clock.now();
         let expired = self.catalog.expire(now);
-        self.publish(&expired, 0);
-        let (due, call) = self.follower.next();
-        if !self.reading && due <= now {
-            self.reading = true;
-            self.reads += 1;
-            let _ = self.calls.unbounded_send(call);
+        self.take_in(&expired, Source::Expiry, now);
+        let (due, call) = self.follower.next(now);
+        let free = matches!(self.pending, Pending::Nothing);
+        if free && due <= now {
+            self.pending = self.call(call, now);
         }
-        let next_read = (!self.reading).then_some(due);
-        let next = [next_read, self.catalog.next_expiry()];
+        let next_call = matches!(self.pending, Pending::Nothing).then_some(due);
+        let next = [next_call, self.catalog.next_expiry()];
         let next = next.into_iter().flatten().min();
         next.map_or(IDLE, |at| (at - now).max(SLEEP))
     }
 
+    fn call(&mut self, call: Call, now: Time) -> Pending {
+        let call = match call {
+            Call::Ask { peer, until, .. } => {
+                return Pending::Peer(self.ask(peer, until, now));
+            }
+            Call::Load { stale } => StoreCall::Load { stale },
+            Call::Watch { after, wait } => StoreCall::Watch { after, wait },
+        };
+        self.reads += 1;
+        let _ = self.calls.unbounded_send(call);
+        Pending::Store
+    }
+
+    fn ask(&self, peer: SocketAddr, until: Time, now: Time) -> Asked {
+        let (reply, receiver) = oneshot::channel();
+        let message = PeersMessage::Send {
+            reply,
+            request: Request::Ask(self.follower.knowledge(now)),
+            to: PeerAddress::Socket(peer),
+        };
+        let _ = self.start.peers.unbounded_send(message);
+        Asked {
+            peer,
+            reply: receiver,
+            until,
+        }
+    }
+
     fn answer(&mut self, message: ControlMessage) {
         match message {
+            ControlMessage::Ask { knows, reply } => {
+                let asked = self.start.clock.now();
+                self.waiting.push(Asking {
+                    asked,
+                    knows,
+                    reply,
+                });
+                self.waiting.answer(&self.follower, &self.log, asked);
+            }
             ControlMessage::Config(reply) => {
                 let _ = reply.send(Rc::clone(&self.world));
             }
@@ -156,33 +241,69 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.leaving && self.catalog.version() > Version(0)
+        !self.leaving && self.world.config.version > Version(0)
+    }
+
+    /// Takes in what a peer told, or that it told nothing.
+    fn asked(&mut self, news: Option<News>) {
+        let Pending::Peer(Asked { peer, .. }) =
+            std::mem::replace(&mut self.pending, Pending::Nothing)
+        else {
+            return;
+        };
+        let now = self.start.clock.now();
+        let Some(news) = news else {
+            report::silent_peer(peer, self.follower.knowledge(now));
+            self.follower.end(CallEnd::NoNews(peer), now);
+            return;
+        };
+        let known = self.follower.revision();
+        let newer = news.head.complete && self.follower.is_newer(&news.head, now);
+        let outage = self.follower.end(CallEnd::News(peer, news.head), now);
+        if newer {
+            let fresh = news.changes.into_iter().filter(|(at, _)| *at > known);
+            self.passed(Source::Peer(peer), now);
+            self.apply(fresh.collect(), outage, Source::Peer(peer), now);
+        } else {
+            report::no_news(peer, &news.head, known);
+        }
     }
 
     fn read_ended(&mut self, end: StoreEnd) {
-        self.reading = false;
+        self.pending = Pending::Nothing;
         let now = self.start.clock.now();
         match end {
-            Ok(StoreRead::Contents { items, revision }) => {
-                let outage = self.passed(revision, now);
-                let snapshot = snapshot(&items);
-                let beliefs = self.catalog.replace(snapshot, outage.ended, now);
-                self.publish(&beliefs, revision);
+            Ok(StoreRead::Contents {
+                items,
+                revision,
+                stale,
+            }) => {
+                let end = if stale {
+                    CallEnd::ReadStale { revision }
+                } else {
+                    CallEnd::Read { revision }
+                };
+                let outage = self.follower.end(end, now);
+                self.passed(Source::Store, now);
+                self.log.restart(revision);
+                let beliefs = self.catalog.replace(snapshot(&items), outage, now);
+                self.take_in(&beliefs, Source::Store, now);
             }
             Ok(StoreRead::Changes { events, revision }) => {
-                let outage = self.passed(revision, now);
-                let changes = events.into_iter().filter_map(change);
-                let beliefs: Vec<_> = changes
-                    .filter_map(|c| self.catalog.apply(c, outage.ended, now))
-                    .collect();
-                self.publish(&beliefs, revision);
+                let outage = self.follower.end(CallEnd::Read { revision }, now);
+                self.passed(Source::Store, now);
+                let changes = events.into_iter().filter_map(|event| {
+                    let at = event.revision();
+                    Some((at, change(event)?))
+                });
+                self.apply(changes.collect(), outage, Source::Store, now);
             }
             Ok(StoreRead::HistoryGone) => {
                 self.follower.end(CallEnd::HistoryGone, now);
             }
             Err(fault) => {
                 self.failing_since.get_or_insert(now);
-                self.reports.failed(self.start.store, &fault);
+                self.reports.failed(&fault);
                 let end = match fault {
                     ReadFault::Status(_) => CallEnd::Refused,
                     ReadFault::Broken(_) | ReadFault::Content(_) | ReadFault::Silent => {
@@ -194,23 +315,64 @@
         }
     }
 
-    fn passed(&mut self, revision: u64, now: Time) -> Outage {
-        let waited = self
-            .failing_since
-            .take()
-            .map_or(Duration::ZERO, |at| now - at);
-        self.reports.passed(self.start.store, revision, waited);
-        self.follower.end(CallEnd::Read { revision }, now)
+    /// Applies changes in order, and keeps them for peers.
+    fn apply(
+        &mut self,
+        changes: Vec<(u64, Change)>,
+        outage: Option<Time>,
+        source: Source,
+        now: Time,
+    ) {
+        let mut beliefs = Vec::new();
+        for (at, change) in changes {
+            self.log.push(at, change.clone());
+            beliefs.extend(self.catalog.apply(change, outage, now));
+        }
+        self.take_in(&beliefs, source, now);
     }
 
-    fn publish(&mut self, beliefs: &[Belief], revision: u64) {
-        if beliefs.is_empty() {
-            return;
+    fn passed(&mut self, source: Source, now: Time) {
+        let failing = self.failing_since.take();
+        let waited = failing.map_or(Duration::ZERO, |at| now - at);
+        self.reports
+            .passed(source, self.follower.revision(), waited);
+    }
+
+    /// Logs what is newly believed. Other tasks and peers learn of it once the store has confirmed it.
+    fn take_in(&mut self, beliefs: &[Belief], source: Source, now: Time) {
+        let revision = self.follower.revision();
+        report::beliefs(beliefs, &self.catalog, revision, source);
+        if !beliefs.is_empty() {
+            self.unpublished = true;
+            self.choose_sources();
+        }
+        if self.follower.is_confirmed() {
+            self.publish();
+            self.waiting.answer(&self.follower, &self.log, now);
+        }
+    }
+
+    /// Decides anew whom to ask for news, as targets come and go.
+    fn choose_sources(&mut self) {
+        let port = self.start.peer_port;
+        let targets = self.catalog.targets().filter(|(.., leaving)| !leaving);
+        let daemons: Vec<_> = targets
+            .map(|(_, _, t, _)| (SocketAddr::new(t.address.ip(), port), t.domain.as_str()))
+            .collect();
+        let own = SocketAddr::new(self.start.own.ip(), port);
+        let sources = Sources::of(own, &self.start.domain, &daemons);
+        let count = daemons.len();
+        if self.sources != sources {
+            report::sources(&sources);
+            self.sources = sources.clone();
         }
-        for belief in beliefs {
-            report::belief(belief, &self.catalog, revision);
+        self.follower.set_sources(count, sources);
+    }
+
+    fn publish(&mut self) {
+        if !std::mem::take(&mut self.unpublished) {
+            return;
         }
-        self.follower.set_targets(self.catalog.targets().count());
         debug_assert_eq!(self.catalog.verify(), Vec::<String>::new());
         self.world = Rc::new(World {
             config: self.catalog.configuration(&SHARING),
@@ -259,48 +421,3 @@
         }
     }
 }
-
-/// What an event changes. An entry of a target that can't be read names no target any more; routes
-/// that can't be read change nothing.
-fn change(event: Event) -> Option<Change> {
-    match event {
-        Event::Deleted { key } => gone(&key),
-        Event::Written(item) => match decode_change(&item) {
-            Ok(change) => change,
-            Err(fault) => {
-                report::unreadable(&item.key, &fault.0, item.revision);
-                gone(&item.key)
-            }
-        },
-    }
-}
-
-fn gone(key: &str) -> Option<Change> {
-    match Key::of(key) {
-        Key::Target(name) => Some(Change::TargetGone {
-            name: name.to_owned(),
-        }),
-        Key::Other | Key::Routes => None,
-    }
-}
-
-fn read_item(item: &Item) -> Option<Change> {
-    decode_change(item).unwrap_or_else(|fault| {
-        report::unreadable(&item.key, &fault.0, item.revision);
-        None
-    })
-}
-
-fn snapshot(items: &[Item]) -> Snapshot {
-    let mut snapshot = Snapshot::default();
-    for change in items.iter().filter_map(read_item) {
-        match change {
-            Change::Routes(routes) => snapshot.routes = Some(routes),
-            Change::Target { name, target } => {
-                snapshot.targets.insert(name, target);
-            }
-            Change::TargetGone { .. } => {}
-        }
-    }
-    snapshot
-}
--- /dev/null
+++ b/crates/node/src/catalog/waiting.rs
@@ -0,0 +1,49 @@
+//! Peers that wait for news.
+
+use futures::channel::oneshot;
+use hawthornwall_core::catalog::{ChangeLog, Follower, Knowledge};
+use hawthornwall_core::time::Time;
+use hawthornwall_wire::peer::News;
+
+/// A peer that asks, and what it knows.
+#[derive(Debug)]
+pub(super) struct Asking {
+    pub asked: Time,
+    pub knows: Knowledge,
+    pub reply: oneshot::Sender<News>,
+}
+
+/// All peers that wait.
+#[derive(Debug, Default)]
+pub(super) struct Waiting(Vec<Asking>);
+
+impl Waiting {
+    /// Adds a peer, which is answered at the next [`Waiting::answer`] that has news for it.
+    pub fn push(&mut self, asking: Asking) {
+        self.0.push(asking);
+    }
+
+    /// Answers all peers for which there is something newer than they know.
+    pub fn answer(&mut self, follower: &Follower, log: &ChangeLog, now: Time) {
+        let waiting = std::mem::take(&mut self.0);
+        for asking in waiting {
+            if asking.reply.is_canceled() {
+                continue;
+            }
+            // What the peer knew has grown older while it waited.
+            let age = asking.knows.age.map(|age| age + (now - asking.asked));
+            let knows = Knowledge {
+                age,
+                ..asking.knows
+            };
+            let Some(mut head) = follower.news_for(&knows, now) else {
+                self.0.push(asking);
+                continue;
+            };
+            let changes = log.since(knows.revision);
+            head.complete = changes.is_some();
+            let changes = changes.unwrap_or_default();
+            let _ = asking.reply.send(News { changes, head });
+        }
+    }
+}
--- a/crates/node/src/control/conversation.rs
+++ b/crates/node/src/control/conversation.rs
@@ -152,7 +152,7 @@
                 Ok(Ok(Reply::Exchange(exchange))) => Ok(exchange),
                 Ok(Err(fault)) => Err(fault),
                 // The peers task has ended, or the peer gave another kind of reply.
-                Ok(Ok(Reply::Run(_))) | Err(_) => Err(PeerFault::Unreachable),
+                Ok(Ok(Reply::News(_) | Reply::Run(_))) | Err(_) => Err(PeerFault::Unreachable),
             };
             let _ = sender.unbounded_send(ControlMessage::Exchanged {
                 peer,
--- a/crates/node/src/control/task.rs
+++ b/crates/node/src/control/task.rs
@@ -117,6 +117,8 @@
 
     fn handle(&mut self, message: ControlMessage) {
         match message {
+            // Only daemons with a store ask; dropping the reply closes the stream.
+            ControlMessage::Ask { .. } => {}
             ControlMessage::Config(reply) => {
                 let _ = reply.send(Rc::clone(&self.world));
             }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -205,6 +205,7 @@
     ) -> CatalogStart {
         CatalogStart {
             clock: self.clock,
+            domain: self.settings.domain.clone(),
             gate: self.senders.gate.clone(),
             own: self.settings.target.address,
             peer_port: self.settings.peer.listen.port(),
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -164,7 +164,7 @@
             service,
             target,
         } => issue_at_gate(&backend.gate, id, service, target).await,
-        Request::Exchange(_) => None,
+        Request::Ask(_) | Request::Exchange(_) => None,
     };
     reply.ok_or(PeerFault::Lost(Loss::Closed))
 }
@@ -189,7 +189,7 @@
         .map_err(|_| PeerFault::Lost(Loss::Closed))??
     {
         Reply::Run(reply) => Ok(*reply),
-        Reply::Exchange(_) => Err(PeerFault::Lost(Loss::Malformed)),
+        Reply::Exchange(_) | Reply::News(_) => Err(PeerFault::Lost(Loss::Malformed)),
     }
 }
 
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -12,11 +12,12 @@
 use futures::channel::{mpsc, oneshot};
 use hawthornwall_core::admission::WorkId;
 use hawthornwall_core::calls::PickKind;
+use hawthornwall_core::catalog::Knowledge;
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::{Route, RouteTable};
 use hawthornwall_core::routing::{Choice, Ticket};
-use hawthornwall_wire::peer::{Exchange, Reply, Request, Run, RunReply};
+use hawthornwall_wire::peer::{Exchange, News, Reply, Request, Run, RunReply};
 use serde::Serialize;
 
 use crate::platform::ReadEnd;
@@ -307,6 +308,13 @@
 /// To the `control` task.
 #[derive(Debug)]
 pub enum ControlMessage {
+    /// A peer asks for news of the store's contents.
+    Ask {
+        /// What it knows.
+        knows: Knowledge,
+        /// The news, once there are any.
+        reply: oneshot::Sender<News>,
+    },
     /// Hand out the configuration in force.
     Config(oneshot::Sender<Rc<World>>),
     /// A peer compares versions.
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -20,6 +20,12 @@
     /// Has a request answered. Dropping the future cancels its work.
     pub async fn answer(&self, request: Request) -> Option<Reply> {
         match request {
+            Request::Ask(knows) => {
+                let (reply, receiver) = oneshot::channel();
+                let message = ControlMessage::Ask { knows, reply };
+                self.control.unbounded_send(message).ok()?;
+                receiver.await.ok().map(|n| Reply::News(Box::new(n)))
+            }
             Request::Exchange(exchange) => {
                 let (reply, receiver) = oneshot::channel();
                 let message = ControlMessage::Exchange { exchange, reply };
--- a/crates/node/src/peers/tcp/conn.rs
+++ b/crates/node/src/peers/tcp/conn.rs
@@ -156,7 +156,7 @@
         written.map_err(|_| lost)?;
         let bytes = self.await_reply().await.ok_or(lost)?;
         match request {
-            Request::Exchange(_) => {
+            Request::Ask(_) | Request::Exchange(_) => {
                 let _ = self.start.exchanges.unbounded_send(Exchanged {
                     received: bytes.len(),
                     sent: message.len(),
--- a/crates/node/src/platform/store.rs
+++ b/crates/node/src/platform/store.rs
@@ -10,7 +10,6 @@
 
 use futures::StreamExt;
 use futures::channel::mpsc;
-use hawthornwall_core::catalog::Call;
 use hawthornwall_platform::{
     DecodeFault, EVERYTHING, Event, Item, RangePage, decode_range, decode_watch, range_path,
     watch_path,
@@ -19,17 +18,33 @@
 use super::ReadFault;
 use super::connection::{Connection, Response};
 
-/// How long the store may hold a watch open. Each watch is a priced call, and a connection that
-/// goes silent is found by keep-alive probes, so the longest wait that the store takes is best.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
-/// Time beyond the wait that a response may take. A slow store still answers within it.
-const RESPONSE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time beyond the wait that the response to a watch may take. A slow store still answers within it.
+const WATCH_LIMIT: Duration = Duration::from_millis(1_200);
+/// Time that a page of the contents may take. It holds up to a megabyte.
+const PAGE_TIME: Duration = Duration::from_millis(2_500);
 /// Longest time for a connection to open. The opening packet is sent again only after a second, so
 /// that a new attempt is faster.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Pages of one load, so that a store that always promises more doesn't hold the task.
 const PAGE_LIMIT: usize = 100;
 
+/// A call of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreCall {
+    /// Read everything.
+    Load {
+        /// Whether the contents may be seconds old.
+        stale: bool,
+    },
+    /// Wait for changes after a revision.
+    Watch {
+        /// The revision.
+        after: u64,
+        /// The longest wait.
+        wait: Duration,
+    },
+}
+
 /// What a call found.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreRead {
@@ -46,6 +61,8 @@
         items: Vec<Item>,
         /// The revision from which changes are to be watched.
         revision: u64,
+        /// Whether the contents may be seconds old.
+        stale: bool,
     },
     /// The changes since the revision named are no longer known.
     HistoryGone,
@@ -57,7 +74,7 @@
 /// Makes each call asked for, until the asking task ends.
 pub async fn run(
     address: SocketAddr,
-    mut calls: mpsc::UnboundedReceiver<Call>,
+    mut calls: mpsc::UnboundedReceiver<StoreCall>,
     ends: mpsc::UnboundedSender<StoreEnd>,
 ) {
     let mut client = StoreClient {
@@ -78,50 +95,56 @@
 }
 
 impl StoreClient {
-    async fn call(&mut self, call: Call) -> StoreEnd {
+    async fn call(&mut self, call: StoreCall) -> StoreEnd {
         match call {
-            Call::Load => self.load().await,
-            Call::Watch { after } => self.watch(after).await,
+            StoreCall::Load { stale } => self.load(stale).await,
+            StoreCall::Watch { after, wait } => self.watch(after, wait).await,
         }
     }
 
-    /// Reads all pages. The first page's revision is the oldest that any page can show, so watching
+    /// Reads all pages. The lowest revision of a page is the oldest that any of them can show, so watching
     /// from it misses no change.
-    async fn load(&mut self) -> StoreEnd {
-        let first = self.page(None).await?;
-        let revision = first.revision;
+    async fn load(&mut self, stale: bool) -> StoreEnd {
+        let first = self.page(None, stale).await?;
+        let mut revision = first.revision;
         let (mut items, mut more) = (first.items, first.more);
         for _ in 0..PAGE_LIMIT {
             let Some(last) = items.last().filter(|_| more) else {
                 break;
             };
             let key = last.key.clone();
-            let page = self.page(Some(&key)).await?;
+            let page = self.page(Some(&key), stale).await?;
             more = page.more && !page.items.is_empty();
+            revision = revision.min(page.revision);
             items.extend(page.items);
         }
-        Ok(StoreRead::Contents { items, revision })
+        Ok(StoreRead::Contents {
+            items,
+            revision,
+            stale,
+        })
     }
 
-    async fn page(&mut self, after: Option<&str>) -> Result<RangePage, ReadFault> {
-        let path = range_path(EVERYTHING, after, false);
-        let response = self.get(&path, RESPONSE_LIMIT).await?;
+    async fn page(&mut self, after: Option<&str>, stale: bool) -> Result<RangePage, ReadFault> {
+        let path = range_path(EVERYTHING, after, stale);
+        let response = self.get(&path, PAGE_TIME).await?;
         expect_ok(&response)?;
         decode_range(&response.body).map_err(content)
     }
 
-    async fn watch(&mut self, after: u64) -> StoreEnd {
-        let path = watch_path(EVERYTHING, after, WATCH_WAIT);
-        let response = self.get(&path, WATCH_WAIT + RESPONSE_LIMIT).await?;
+    /// Waits for changes. The next watch goes on from the last change seen, not from the store's revision:
+    /// a watch that heard nothing of a change must not skip it.
+    async fn watch(&mut self, after: u64, wait: Duration) -> StoreEnd {
+        let path = watch_path(EVERYTHING, after, wait);
+        let response = self.get(&path, wait + WATCH_LIMIT).await?;
         if response.status == 410 {
             return Ok(StoreRead::HistoryGone);
         }
         expect_ok(&response)?;
-        let page = decode_watch(&response.body).map_err(content)?;
-        Ok(StoreRead::Changes {
-            events: page.events,
-            revision: page.revision.max(after),
-        })
+        let events = decode_watch(&response.body).map_err(content)?.events;
+        let last = events.iter().map(Event::revision).max();
+        let revision = last.unwrap_or(after).max(after);
+        Ok(StoreRead::Changes { events, revision })
     }
 
     async fn get(&mut self, path: &str, limit: Duration) -> Result<Response, ReadFault> {
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -97,7 +97,8 @@
                 };
                 let _ = reply.send(status);
             }
-            other @ (ControlMessage::Exchange { .. }
+            other @ (ControlMessage::Ask { .. }
+            | ControlMessage::Exchange { .. }
             | ControlMessage::Exchanged { .. }
             | ControlMessage::Platform(_)) => {
                 panic!("the admin task doesn't send {other:?}")
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -145,7 +145,7 @@
         Ok(Err(_)) => "dropped".to_owned(),
         Ok(Ok(Err(fault))) => format!("{fault:?}"),
         Ok(Ok(Ok(Reply::Run(reply)))) => format!("reply to {}: {:?}", reply.id, reply.end),
-        Ok(Ok(Ok(Reply::Exchange(_)))) => "reply to an exchange".to_owned(),
+        Ok(Ok(Ok(Reply::Exchange(_) | Reply::News(_)))) => "another reply".to_owned(),
     }
 }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hawthornwall_core::catalog::{Change, Knowledge, NewsHead};
 use hawthornwall_core::config::{Configuration, Patch};
 pub use hawthornwall_core::ids::RequestId;
 use hawthornwall_core::ids::{InstanceId, ServiceId, TargetId, Version};
@@ -124,9 +125,20 @@
     }
 }
 
+/// What a daemon knows of the store's contents beyond what the asking one does.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct News {
+    /// The changes after the revision asked for in order, each with its own revision.
+    pub changes: Vec<(u64, Change)>,
+    /// How fresh and complete they are.
+    pub head: NewsHead,
+}
+
 /// What one daemon asks of another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Request {
+    /// Tell what the store holds beyond this, as soon as anything newer is known.
+    Ask(Knowledge),
     /// Compare configuration and membership.
     Exchange(Box<Exchange>),
     /// Issue an idempotency key for the target beside you.
@@ -175,6 +187,8 @@
 pub enum Reply {
     /// To [`Request::Exchange`].
     Exchange(Box<Exchange>),
+    /// To [`Request::Ask`].
+    News(Box<News>),
     /// To [`Request::Run`] and [`Request::Issue`].
     Run(Box<RunReply>),
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
+use hawthornwall_core::catalog::{
+    self, Knowledge, NewsHead, PublishedRoutes, PublishedState, PublishedTarget,
+};
 use hawthornwall_core::config::{Change, Patch};
 use hawthornwall_core::keys::Key;
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::routes::{Destination, Repeatability, Route, RouteTable};
 use hawthornwall_wire::peer::{
-    Exchange, Header, HttpAnswer, HttpRequest, Reply, Request, RequestId, Run, RunEnd, RunReply,
-    decode_reply, decode_request, encode_reply, encode_request,
+    Exchange, Header, HttpAnswer, HttpRequest, News, Reply, Request, RequestId, Run, RunEnd,
+    RunReply, decode_reply, decode_request, encode_reply, encode_request,
 };
 use proptest::prelude::*;
 
@@ -88,8 +92,74 @@
         })
 }
 
+fn micros() -> impl Strategy<Value = Duration> {
+    any::<u32>().prop_map(|us| Duration::from_micros(us.into()))
+}
+
+fn routes() -> impl Strategy<Value = catalog::Change> {
+    let route = (".{0,9}", "[a-z]{0,9}", micros(), any::<u8>());
+    let route = route.prop_map(|(prefix, service, timeout, rank)| Route {
+        attempts: usize::from(rank),
+        destinations: vec![Destination { service, weight: 3 }],
+        objective: timeout,
+        prefix,
+        rank,
+        repeats: Repeatability::NonIdempotent,
+        timeout,
+    });
+    let all = prop::collection::vec((".{0,9}", route), 0..5);
+    (all, any::<u64>()).prop_map(|(all, version)| {
+        let mut routes = RouteTable::default();
+        for (host, route) in all {
+            routes.insert(&host, route);
+        }
+        catalog::Change::Routes(PublishedRoutes {
+            routes,
+            version: Version(version),
+        })
+    })
+}
+
+fn target() -> impl Strategy<Value = catalog::Change> {
+    let address = any::<([u8; 4], u16)>();
+    (address, any::<Option<u64>>(), micros(), ".{0,9}").prop_map(|(address, born, cold, name)| {
+        let target = PublishedTarget {
+            address: address.into(),
+            born,
+            cold,
+            domain: "a".to_owned(),
+            service: name.clone(),
+            slots: 4,
+            state: PublishedState::Draining,
+        };
+        catalog::Change::Target { name, target }
+    })
+}
+
+fn news() -> impl Strategy<Value = News> {
+    let gone = ".{0,9}".prop_map(|name| catalog::Change::TargetGone { name });
+    let change = prop_oneof![gone, routes(), target()];
+    let changes = prop::collection::vec((any::<u64>(), change), 0..4);
+    let head = (micros(), any::<bool>(), prop::option::of(micros()));
+    (changes, head, any::<u64>()).prop_map(|(changes, (age, complete, outage), revision)| News {
+        changes,
+        head: NewsHead {
+            age,
+            complete,
+            outage,
+            revision,
+        },
+    })
+}
+
+fn knowledge() -> impl Strategy<Value = Knowledge> {
+    let age = prop::option::of(micros());
+    (age, any::<u64>()).prop_map(|(age, revision)| Knowledge { age, revision })
+}
+
 fn request() -> impl Strategy<Value = Request> {
     prop_oneof![
+        knowledge().prop_map(Request::Ask),
         exchange().prop_map(|e| Request::Exchange(Box::new(e))),
         any::<(u64, u16, u32)>().prop_map(|(id, service, target)| Request::Issue {
             id: RequestId(id),
@@ -127,7 +197,11 @@
             report,
         }))
     });
-    prop_oneof![exchange().prop_map(|e| Reply::Exchange(Box::new(e))), run]
+    prop_oneof![
+        exchange().prop_map(|e| Reply::Exchange(Box::new(e))),
+        news().prop_map(|n| Reply::News(Box::new(n))),
+        run
+    ]
 }
 
 proptest! {
