Keep targets that are cut off with this daemon, and tell peers everything where changes don't reach

Cause: with news from peers, daemons cut off from the store learnt that the entries of the targets behind the cut had lapsed, and gave them up: 28 of 81 targets lived without work while the rest were overloaded. And a peer that could not tell the changes asked for was asked again at once while the store could not be read, up to 12,857 times a second. Ruled out: the TCP link (requests between daemons behind the cut were answered). Change: a peer's word that an entry is gone is taken only after a check of the store; who can't reach it keeps the target until it can. Who lacks more than the changes kept is told the whole contents. A cut is no longer taken for an outage of the store by peers that have heard from it all along.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::{Change, PublishedRoutes, PublishedState, PublishedTarget};
 use crate::config::{Configuration, Rules, Service, Target};
 use crate::ids::{ServiceId, TargetId, Version};
@@ -22,11 +24,32 @@
 #[derive(Clone, Debug)]
 struct Known {
     entry: PublishedTarget,
-    /// When a missing entry counts as gone.
-    gone_at: Option<Time>,
     id: TargetId,
     /// When the target began to leave; it takes no new work since.
     left_at: Option<Time>,
+    /// Set while its entry is missing although the target may live.
+    missing: Option<Missing>,
+}
+
+/// Until when a missing entry counts as present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Missing {
+    /// Until this daemon reaches the store again.
+    Doubted,
+    Until(Time),
+}
+
+/// What it means that an entry is gone.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Absence {
+    /// It may have lapsed during an outage of the store, which ended then.
+    Lapsed(Time),
+    /// The target has left.
+    #[default]
+    Left,
+    /// This daemon can't reach the store itself. Its peers tell that the entry is gone, but not whether
+    /// the target has left, or lives and is cut off from the store likewise.
+    Unsure,
 }
 
 /// A change of what this daemon believes, for logs.
@@ -45,7 +68,7 @@
 }
 
 /// The contents of the store at one revision.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Snapshot {
     /// The routes, if any are published and readable.
     pub routes: Option<PublishedRoutes>,
@@ -56,12 +79,12 @@
 /// Routes and targets as far as this daemon knows them.
 ///
 /// ```
-/// use hawthornwall_core::catalog::{Catalog, Snapshot};
+/// use hawthornwall_core::catalog::{Absence, Catalog, Snapshot};
 /// use hawthornwall_core::ids::Version;
 /// use hawthornwall_core::time::Time;
 ///
 /// let mut catalog = Catalog::default();
-/// assert!(catalog.replace(Snapshot::default(), None, Time::ZERO).is_empty());
+/// assert!(catalog.replace(Snapshot::default(), Absence::Left, Time::ZERO).is_empty());
 /// assert_eq!(catalog.version(), Version(0));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -74,18 +97,17 @@
 }
 
 impl Catalog {
-    /// Takes one change and returns what it changed here. `outage` is when the store last came back
-    /// from an outage.
-    pub fn apply(&mut self, change: Change, outage: Option<Time>, now: Time) -> Option<Belief> {
+    /// Takes one change and returns what it changed here.
+    pub fn apply(&mut self, change: Change, absence: Absence, now: Time) -> Option<Belief> {
         match change {
             Change::Routes(published) => self.adopt(published),
             Change::Target { name, target } => self.note(&name, target, now),
-            Change::TargetGone { name } => self.miss(&name, outage, now),
+            Change::TargetGone { name } => self.miss(&name, absence, now),
         }
     }
 
     /// Takes the whole contents.
-    pub fn replace(&mut self, snapshot: Snapshot, outage: Option<Time>, now: Time) -> Vec<Belief> {
+    pub fn replace(&mut self, snapshot: Snapshot, absence: Absence, now: Time) -> Vec<Belief> {
         let mut beliefs = Vec::new();
         let present: BTreeSet<String> = snapshot.targets.keys().cloned().collect();
         let missing: Vec<String> = self
@@ -95,7 +117,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in missing {
-            beliefs.extend(self.miss(&name, outage, now));
+            beliefs.extend(self.miss(&name, absence, now));
         }
         for (name, target) in snapshot.targets {
             beliefs.extend(self.note(&name, target, now));
@@ -108,7 +130,10 @@
     pub fn expire(&mut self, now: Time) -> Vec<Belief> {
         let old = |k: &Known| k.left_at.is_some_and(|at| now - at >= KEEP_LEFT);
         self.targets.retain(|_, k| !old(k));
-        let due = |k: &Known| k.gone_at.is_some_and(|at| at <= now);
+        let due = |k: &Known| match k.missing {
+            Some(Missing::Until(at)) => at <= now,
+            Some(Missing::Doubted) | None => false,
+        };
         let gone: Vec<String> = self
             .targets
             .iter()
@@ -122,7 +147,32 @@
 
     /// When [`Catalog::expire`] has something to do.
     pub fn next_expiry(&self) -> Option<Time> {
-        self.targets.values().filter_map(|k| k.gone_at).min()
+        let until = |k: &Known| match k.missing {
+            Some(Missing::Until(at)) => Some(at),
+            Some(Missing::Doubted) | None => None,
+        };
+        self.targets.values().filter_map(until).min()
+    }
+
+    /// Notes that this daemon reaches the store again: entries that it doubted are back within
+    /// [`RETURN_WAIT`], or their targets have left.
+    pub fn rejoin(&mut self, now: Time) {
+        let all = self.targets.values_mut();
+        for known in all.filter(|k| k.missing == Some(Missing::Doubted)) {
+            known.missing = Some(Missing::Until(now + RETURN_WAIT));
+        }
+    }
+
+    /// Whether a target takes work as far as is known.
+    pub fn is_used(&self, name: &str) -> bool {
+        self.targets.get(name).is_some_and(|k| k.left_at.is_none())
+    }
+
+    /// Names of the targets that take work.
+    pub fn used(&self) -> impl Iterator<Item = &str> {
+        let all = self.targets.iter();
+        all.filter(|(_, k)| k.left_at.is_none())
+            .map(|(name, _)| name.as_str())
     }
 
     /// Version of the routes in force, 0 while none are known.
@@ -184,7 +234,7 @@
             if !self.services.contains_key(&known.entry.service) {
                 faults.push(format!("{name} belongs to no service"));
             }
-            if known.left_at.is_some() && known.gone_at.is_some() {
+            if known.left_at.is_some() && known.missing.is_some() {
                 faults.push(format!("{name} leaves and is awaited"));
             }
         }
@@ -217,9 +267,9 @@
         self.next_target = self.next_target.max(id.0);
         let known = Known {
             entry,
-            gone_at: None,
             id,
             left_at: leaving.then_some(left_at),
+            missing: None,
         };
         self.targets.insert(name.to_owned(), known);
         self.retire_replaced(name, now);
@@ -251,28 +301,29 @@
         };
         let replaced = |k: &&mut Known| here(k) && k.entry.born < last;
         for known in self.targets.values_mut().filter(replaced) {
-            known.gone_at = None;
+            known.missing = None;
             known.left_at.get_or_insert(now);
         }
     }
 
-    /// Notes that an entry is gone: at once, or only after a while if the store has just come back.
-    fn miss(&mut self, name: &str, outage: Option<Time>, now: Time) -> Option<Belief> {
-        let awaited = outage.map(|at| at + RETURN_WAIT).filter(|at| *at > now);
-        let Some(until) = awaited else {
-            return self.leave(name, now);
+    /// Notes that an entry is gone: at once, or only later if its target may live.
+    fn miss(&mut self, name: &str, absence: Absence, now: Time) -> Option<Belief> {
+        let missing = match absence {
+            Absence::Lapsed(at) if at + RETURN_WAIT > now => Missing::Until(at + RETURN_WAIT),
+            Absence::Lapsed(_) | Absence::Left => return self.leave(name, now),
+            Absence::Unsure => Missing::Doubted,
         };
         let known = self.targets.get_mut(name)?;
-        let fresh = known.gone_at.is_none() && known.left_at.is_none();
+        let fresh = known.missing.is_none() && known.left_at.is_none();
         if fresh {
-            known.gone_at = Some(until);
+            known.missing = Some(missing);
         }
         fresh.then(|| Belief::TargetMissing(name.to_owned()))
     }
 
     fn leave(&mut self, name: &str, now: Time) -> Option<Belief> {
         let known = self.targets.get_mut(name)?;
-        known.gone_at = None;
+        known.missing = None;
         let changed = known.left_at.is_none();
         known.left_at.get_or_insert(now);
         changed.then(|| Belief::TargetLeaving(name.to_owned()))
--- a/crates/core/src/catalog/follow.rs
+++ b/crates/core/src/catalog/follow.rs
@@ -3,6 +3,7 @@
 //! Rules kept here:
 //! - everything is read at the start and after the history is lost, changes otherwise;
 //! - what a stale read has shown counts only once something newer confirms it;
+//! - before a peer's word is taken that an entry is gone, the store is reached, at least by a check;
 //! - a daemon that asks another reads the store itself as soon as nothing newer has come for the longest
 //!   watch and the margin of its level: the other one may have lost the store without noticing it;
 //! - no watch is long, since one that the store takes right after it has cut all others may never hear
@@ -21,6 +22,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
+use super::Absence;
 use super::sources::{Level, Sources};
 use crate::time::Time;
 use crate::units::Micros;
@@ -50,6 +52,8 @@
 /// Least difference in age by which what is known here is newer. What a peer was told just now is older
 /// by the way there, which is no news to it.
 const NEWER: Duration = Duration::from_millis(50);
+/// Time after an answer of the store in which it counts as reachable.
+const HEARD_LIFE: Duration = Duration::from_millis(500);
 /// Pause before another peer is asked after one that had no news.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which a peer without news isn't asked again; doubles each time.
@@ -69,6 +73,8 @@
         /// When the wait for its news is over.
         until: Time,
     },
+    /// Find out whether the store can be reached, as cheaply as can be.
+    Check,
     /// Read everything from the store.
     Load {
         /// Whether the contents may be seconds old, which is cheaper.
@@ -88,6 +94,8 @@
 pub enum CallEnd {
     /// The store gave no answer.
     Failed,
+    /// A peer knows more than it can tell.
+    Gap(SocketAddr),
     /// The history after the revision is no longer available.
     HistoryGone,
     /// A peer told what it knows.
@@ -99,6 +107,8 @@
         /// The revision.
         revision: u64,
     },
+    /// The store was reached, and nothing else learnt.
+    Reached,
     /// Contents that may be old were read from the store.
     ReadStale {
         /// The revision.
@@ -126,9 +136,6 @@
     /// Time since the store confirmed the revision.
     #[serde_as(as = "Micros")]
     pub age: Duration,
-    /// Whether the peer could tell all changes after the revision asked for. What it can't tell, only
-    /// the store can.
-    pub complete: bool,
     /// Time since the store came back from its last outage.
     #[serde_as(as = "Option<Micros>")]
     pub outage: Option<Duration>,
@@ -158,8 +165,10 @@
 pub struct Follower {
     due: Time,
     failures: u32,
-    /// The first failure since the last proper answer.
+    /// The first failure since the store's last proper answer.
     failing: Option<Time>,
+    /// The store's last proper answer.
+    heard: Option<Time>,
     /// When the contents were last read as a whole.
     loaded: Time,
     outage_end: Option<Time>,
@@ -189,6 +198,7 @@
             due: Time::ZERO,
             failures: 0,
             failing: None,
+            heard: None,
             loaded: Time::ZERO,
             outage_end: None,
             proof: None,
@@ -239,7 +249,6 @@
         let newer = revision > theirs.revision;
         (newer || fresher && revision == theirs.revision).then(|| NewsHead {
             age,
-            complete: true,
             outage: self.outage_end.map(|at| now - at),
             revision,
         })
@@ -251,6 +260,22 @@
         fresher && head.revision >= self.revision()
     }
 
+    /// Whether the store must be reached before a peer's word is taken that an entry is gone: who is cut
+    /// off from the store must not give up the targets that are cut off with it.
+    pub fn must_check(&self, now: Time) -> bool {
+        let heard = self.heard.is_some_and(|at| now - at < HEARD_LIFE);
+        self.failing.is_none() && !heard
+    }
+
+    /// What it means that an entry is gone.
+    pub fn absence(&self) -> Absence {
+        match (self.failing, self.outage_end) {
+            (Some(_), _) => Absence::Unsure,
+            (None, Some(ended)) => Absence::Lapsed(ended),
+            (None, None) => Absence::Left,
+        }
+    }
+
     /// The next call and when it is due.
     pub fn next(&self, now: Time) -> (Time, Call) {
         let at_store = self.due.max(self.store_due).max(self.settled);
@@ -259,8 +284,10 @@
             return (at_store, Call::Load { stale });
         };
         let pausing = self.store_due > now;
-        let asks = pausing || (!self.store_first && now < self.stale_at());
+        let fresh = now < self.stale_at();
+        let asks = !self.store_first && (pausing || fresh);
         match self.peer(now, pausing) {
+            Some(_) if asks && !pausing && self.failing.is_some() => (at_store, Call::Check),
             Some(peer) if asks => {
                 let until = self.stale_at().max(self.store_due);
                 (self.due, Call::Ask { after, peer, until })
@@ -270,26 +297,35 @@
         }
     }
 
-    /// Notes the end of a call, and returns when the store last came back from an outage.
-    pub fn end(&mut self, end: CallEnd, now: Time) -> Option<Time> {
+    /// Notes the end of a call.
+    pub fn end(&mut self, end: CallEnd, now: Time) {
         self.untried = false;
         match end {
             CallEnd::Failed => self.fail(PAUSE_LIMIT, now),
+            CallEnd::Gap(peer) => {
+                self.resting.remove(&peer);
+                self.due = now;
+                self.store_first = true;
+            }
             CallEnd::HistoryGone => {
                 self.revision = None;
                 self.due = now;
             }
             CallEnd::News(peer, head) => self.take_news(peer, &head, now),
             CallEnd::NoNews(peer) => self.rest(peer, now),
+            CallEnd::Reached => {
+                self.due = now;
+                self.recover(now);
+            }
             CallEnd::Read { revision } => self.take_read(revision, now),
             CallEnd::ReadStale { revision } => {
+                self.heard = Some(now);
                 self.revision = Some(revision);
                 self.loaded = now;
                 self.due = now;
             }
             CallEnd::Refused => self.fail(REFUSED_LIMIT, now),
         }
-        self.outage_end
     }
 
     fn watch(&self, after: u64, wait: Duration) -> Call {
@@ -329,9 +365,9 @@
         let changed = self.revision.is_some_and(|known| known != revision);
         self.due = now;
         self.settled = now + if changed { self.settle } else { Duration::ZERO };
-        let failing = self.failing.take();
-        let lasted = failing.map(|since| now - self.silent_since(since));
-        if lasted.is_some_and(|lasted| lasted >= OUTAGE) {
+        if let Some(failed) = self.failing
+            && now - self.silent_since(failed) >= OUTAGE
+        {
             self.outage_end = Some(now);
         }
         self.revision = Some(revision);
@@ -341,10 +377,14 @@
     }
 
     /// When the store fell silent, given the first failed call. A call that gets no answer fails only
-    /// after its whole wait, in which entries may have lapsed already.
+    /// after its whole wait, in which entries may have lapsed already; what peers have heard meanwhile
+    /// was no silence.
     fn silent_since(&self, failed: Time) -> Time {
-        let expected = self.proof.map_or(failed, |proof| proof + WATCH_WAIT);
-        expected.min(failed)
+        match self.proof {
+            Some(proof) if proof > failed => proof,
+            Some(proof) => failed.min(proof + WATCH_WAIT),
+            None => failed,
+        }
     }
 
     fn take_news(&mut self, peer: SocketAddr, head: &NewsHead, now: Time) {
@@ -353,14 +393,16 @@
         }
         self.resting.remove(&peer);
         self.due = now;
-        self.store_first = !head.complete;
-        if head.complete {
-            self.revision = Some(head.revision);
-            self.proof = Some(now - head.age);
-            self.failing = None;
-            self.outage_end = head.outage.map(|age| now - age);
-            self.recover(now);
+        // Who has heard all along knows better than a peer that was cut off whether there was an outage.
+        let gap = self
+            .proof
+            .is_none_or(|known| now - known >= OUTAGE + WATCH_WAIT);
+        if let Some(ended) = head.outage.filter(|_| gap) {
+            self.outage_end = Some(now - ended);
         }
+        self.revision = Some(head.revision);
+        self.proof = Some(now - head.age);
+        self.store_first = false;
     }
 
     /// Asks others before a peer that had no news.
@@ -385,7 +427,9 @@
     }
 
     fn recover(&mut self, now: Time) {
+        self.failing = None;
         self.failures = 0;
+        self.heard = Some(now);
         self.store_due = now;
     }
 }
--- a/crates/core/tests/scenarios/catalog.rs
+++ b/crates/core/tests/scenarios/catalog.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{
-    Belief, Catalog, Change, PublishedRoutes, PublishedState, PublishedTarget, Snapshot,
+    Absence, Belief, Catalog, Change, PublishedRoutes, PublishedState, PublishedTarget, Snapshot,
 };
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::RouteTable;
@@ -18,22 +18,26 @@
 
 impl Run {
     pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
-        let outage = line
-            .text("outage")
-            .map(|_| Time::ZERO + line.span("outage", Duration::ZERO));
+        let absence = if line.flag("unsure") {
+            Absence::Unsure
+        } else if line.text("outage").is_some() {
+            Absence::Lapsed(Time::ZERO + line.span("outage", Duration::ZERO))
+        } else {
+            Absence::Left
+        };
         let beliefs: Vec<Belief> = match line.verb {
             "entry" => {
                 let (name, target) = entry(line);
                 let change = Change::Target { name, target };
                 self.catalog
-                    .apply(change, outage, line.now)
+                    .apply(change, absence, line.now)
                     .into_iter()
                     .collect()
             }
             "gone" => {
                 let change = Change::TargetGone { name: line.word(0) };
                 self.catalog
-                    .apply(change, outage, line.now)
+                    .apply(change, absence, line.now)
                     .into_iter()
                     .collect()
             }
@@ -44,7 +48,7 @@
                 };
                 let change = Change::Routes(routes);
                 self.catalog
-                    .apply(change, outage, line.now)
+                    .apply(change, absence, line.now)
                     .into_iter()
                     .collect()
             }
@@ -55,7 +59,11 @@
             }
             "replace" => {
                 let snapshot = std::mem::take(&mut self.snapshot);
-                self.catalog.replace(snapshot, outage, line.now)
+                self.catalog.replace(snapshot, absence, line.now)
+            }
+            "rejoin" => {
+                self.catalog.rejoin(line.now);
+                Vec::new()
             }
             "tick" => self.catalog.expire(line.now),
             other => panic!("unknown event `{other}`"),
--- a/crates/core/tests/scenarios/follower.rs
+++ b/crates/core/tests/scenarios/follower.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hawthornwall_core::catalog::{CallEnd, Follower, Knowledge, Level, NewsHead, Sources};
+use hawthornwall_core::catalog::{Absence, CallEnd, Follower, Knowledge, Level, NewsHead, Sources};
 use hawthornwall_core::prelude::*;
 
 use crate::line::{Line, duration};
@@ -31,12 +31,14 @@
                 )];
             }
             "failed" => Some(CallEnd::Failed),
+            "gap" => Some(CallEnd::Gap(line.word(0))),
             "history-gone" => Some(CallEnd::HistoryGone),
             "news" => Some(CallEnd::News(line.word(0), head(line))),
             "no-news" => Some(CallEnd::NoNews(line.word(0))),
             "read" => Some(CallEnd::Read {
                 revision: line.word(0),
             }),
+            "reached" => Some(CallEnd::Reached),
             "read-stale" => Some(CallEnd::ReadStale {
                 revision: line.word(0),
             }),
@@ -48,9 +50,15 @@
             "tick" => None,
             other => panic!("unknown event `{other}`"),
         };
-        let outage = end.and_then(|end| self.follower.end(end, self.now));
-        let ended = outage.map(|at| format!("outage ended at {at}"));
-        ended.into_iter().chain([self.state()]).collect()
+        if let Some(end) = end {
+            self.follower.end(end, self.now);
+        }
+        let absence = self.follower.absence();
+        let absence = (absence != Absence::Left).then(|| format!("absence: {absence:?}"));
+        let check = self.follower.must_check(self.now);
+        let check = check.then(|| "absence needs a check".to_owned());
+        let told = absence.into_iter().chain(check);
+        told.chain([self.state()]).collect()
     }
 
     pub fn state(&self) -> String {
@@ -75,7 +83,6 @@
 fn head(line: &Line<'_>) -> NewsHead {
     NewsHead {
         age: line.span("age", Duration::ZERO),
-        complete: !line.flag("incomplete"),
         outage: line.text("outage").map(duration),
         revision: line.value("revision", 0),
     }
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -66,7 +66,7 @@
     }
     if !missing.0.is_empty() {
         let targets = missing.text();
-        log::warn!("targets are missing after an outage, and are awaited", kv: { targets, revision, source: });
+        log::warn!("targets are missing, and are awaited", kv: { targets, revision, source: });
     }
     if !leaving.0.is_empty() {
         let targets = leaving.text();
@@ -96,8 +96,8 @@
 
 /// Logs that a peer knows no more than this daemon, or can't tell all of it.
 pub(super) fn no_news(peer: SocketAddr, head: &NewsHead, known: u64) {
-    let (age_ms, offered, complete) = (head.age.as_millis() as u64, head.revision, head.complete);
-    log::info!("peer's news are of no use", kv: { peer:, known, offered, complete, age_ms });
+    let (age_ms, offered) = (head.age.as_millis() as u64, head.revision);
+    log::info!("peer's news are of no use", kv: { peer:, known, offered, age_ms });
 }
 
 /// Whether the store can be read, logged at each change and at each new kind of failure.
@@ -123,10 +123,10 @@
         self.failing = Some(fault.clone());
     }
 
-    pub fn passed(&mut self, source: Source, revision: u64, waited: Duration) {
+    pub fn passed(&mut self, revision: u64, waited: Duration) {
         if self.failing.take().is_some() {
             let (store, ms) = (self.store, waited.as_millis() as u64);
-            log::info!("the store can be read again", kv: { store:, source:, revision, outage_ms = ms });
+            log::info!("the store can be read again", kv: { store:, revision, outage_ms = ms });
         }
     }
 }
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -8,7 +8,7 @@
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::catalog::{
-    Belief, Call, CallEnd, Catalog, Change, ChangeLog, Follower, Sources,
+    Belief, Call, CallEnd, Catalog, Change, ChangeLog, Follower, Lacking, Snapshot, Sources,
 };
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::ids::{TargetId, Version};
@@ -67,11 +67,21 @@
 /// The call under way.
 #[derive(Debug)]
 enum Pending {
+    /// The store is checked before these news are taken in.
+    Check(Received),
     Nothing,
     Peer(Asked),
     Store,
 }
 
+/// News of a peer.
+#[derive(Debug)]
+struct Received {
+    at: Time,
+    news: News,
+    peer: SocketAddr,
+}
+
 /// A peer that was asked for news.
 #[derive(Debug)]
 struct Asked {
@@ -189,12 +199,17 @@
             Call::Ask { peer, until, .. } => {
                 return Pending::Peer(self.ask(peer, until, now));
             }
+            Call::Check => StoreCall::Check,
             Call::Load { stale } => StoreCall::Load { stale },
             Call::Watch { after, wait } => StoreCall::Watch { after, wait },
         };
+        self.call_store(call);
+        Pending::Store
+    }
+
+    fn call_store(&mut self, call: StoreCall) {
         self.reads += 1;
         let _ = self.calls.unbounded_send(call);
-        Pending::Store
     }
 
     fn ask(&self, peer: SocketAddr, until: Time, now: Time) -> Asked {
@@ -251,93 +266,144 @@
         else {
             return;
         };
-        let now = self.start.clock.now();
+        let at = self.start.clock.now();
         let Some(news) = news else {
-            report::silent_peer(peer, self.follower.knowledge(now));
-            self.follower.end(CallEnd::NoNews(peer), now);
+            report::silent_peer(peer, self.follower.knowledge(at));
+            self.follower.end(CallEnd::NoNews(peer), at);
             return;
         };
-        let known = self.follower.revision();
-        let newer = news.head.complete && self.follower.is_newer(&news.head, now);
-        let outage = self.follower.end(CallEnd::News(peer, news.head), now);
-        if newer {
-            let fresh = news.changes.into_iter().filter(|(at, _)| *at > known);
-            self.passed(Source::Peer(peer), now);
-            self.apply(fresh.collect(), outage, Source::Peer(peer), now);
+        let received = Received { at, news, peer };
+        if self.removes_target(&received.news.lacking) && self.follower.must_check(at) {
+            self.call_store(StoreCall::Check);
+            self.pending = Pending::Check(received);
         } else {
-            report::no_news(peer, &news.head, known);
+            self.take_news(received, at);
+        }
+    }
+
+    /// Whether the news say that a target is gone which takes work here.
+    fn removes_target(&self, lacking: &Lacking) -> bool {
+        match lacking {
+            Lacking::Changes(changes) => changes.iter().any(|(_, change)| match change {
+                Change::TargetGone { name } => self.catalog.is_used(name),
+                Change::Routes(_) | Change::Target { .. } => false,
+            }),
+            Lacking::Contents(contents) => {
+                let mut used = self.catalog.used();
+                used.any(|name| !contents.targets.contains_key(name))
+            }
+            Lacking::TooMuch => false,
+        }
+    }
+
+    fn take_news(&mut self, received: Received, now: Time) {
+        let Received { at, news, peer } = received;
+        let News { mut head, lacking } = news;
+        head.age += now - at;
+        if !self.follower.is_newer(&head, now) {
+            report::no_news(peer, &head, self.follower.revision());
+            self.follower.end(CallEnd::News(peer, head), now);
+            return;
+        }
+        let known = self.follower.revision();
+        let source = Source::Peer(peer);
+        match lacking {
+            Lacking::Changes(changes) => {
+                self.follower.end(CallEnd::News(peer, head), now);
+                let fresh = changes.into_iter().filter(|(at, _)| *at > known);
+                self.apply(fresh.collect(), source, now);
+            }
+            Lacking::Contents(contents) => {
+                self.follower.end(CallEnd::News(peer, head), now);
+                self.replace(contents, source, now);
+            }
+            Lacking::TooMuch => {
+                report::no_news(peer, &head, known);
+                self.follower.end(CallEnd::Gap(peer), now);
+            }
         }
     }
 
     fn read_ended(&mut self, end: StoreEnd) {
-        self.pending = Pending::Nothing;
+        let pending = std::mem::replace(&mut self.pending, Pending::Nothing);
         let now = self.start.clock.now();
         match end {
-            Ok(StoreRead::Contents {
+            Ok(read) => self.read(read, now),
+            Err(fault) => self.failed(&fault, now),
+        }
+        match pending {
+            Pending::Check(received) => self.take_news(received, now),
+            Pending::Nothing | Pending::Peer(_) | Pending::Store => {}
+        }
+    }
+
+    fn read(&mut self, read: StoreRead, now: Time) {
+        match read {
+            StoreRead::Contents {
                 items,
                 revision,
                 stale,
-            }) => {
+            } => {
                 let end = if stale {
                     CallEnd::ReadStale { revision }
                 } else {
                     CallEnd::Read { revision }
                 };
-                let outage = self.follower.end(end, now);
-                self.passed(Source::Store, now);
-                self.log.restart(revision);
-                let beliefs = self.catalog.replace(snapshot(&items), outage, now);
-                self.take_in(&beliefs, Source::Store, now);
+                self.passed(end, now);
+                self.replace(snapshot(&items), Source::Store, now);
             }
-            Ok(StoreRead::Changes { events, revision }) => {
-                let outage = self.follower.end(CallEnd::Read { revision }, now);
-                self.passed(Source::Store, now);
+            StoreRead::Changes { events, revision } => {
+                self.passed(CallEnd::Read { revision }, now);
                 let changes = events.into_iter().filter_map(|event| {
                     let at = event.revision();
                     Some((at, change(event)?))
                 });
-                self.apply(changes.collect(), outage, Source::Store, now);
-            }
-            Ok(StoreRead::HistoryGone) => {
-                self.follower.end(CallEnd::HistoryGone, now);
-            }
-            Err(fault) => {
-                self.failing_since.get_or_insert(now);
-                self.reports.failed(&fault);
-                let end = match fault {
-                    ReadFault::Status(_) => CallEnd::Refused,
-                    ReadFault::Broken(_) | ReadFault::Content(_) | ReadFault::Silent => {
-                        CallEnd::Failed
-                    }
-                };
-                self.follower.end(end, now);
+                self.apply(changes.collect(), Source::Store, now);
             }
+            StoreRead::HistoryGone => self.follower.end(CallEnd::HistoryGone, now),
+            StoreRead::Reached => self.passed(CallEnd::Reached, now),
         }
     }
 
+    fn failed(&mut self, fault: &ReadFault, now: Time) {
+        self.failing_since.get_or_insert(now);
+        self.reports.failed(fault);
+        let end = match fault {
+            ReadFault::Status(_) => CallEnd::Refused,
+            ReadFault::Broken(_) | ReadFault::Content(_) | ReadFault::Silent => CallEnd::Failed,
+        };
+        self.follower.end(end, now);
+    }
+
+    /// Notes that the store has answered.
+    fn passed(&mut self, end: CallEnd, now: Time) {
+        self.follower.end(end, now);
+        if let Some(since) = self.failing_since.take() {
+            self.catalog.rejoin(now);
+            self.reports.passed(self.follower.revision(), now - since);
+        }
+    }
+
+    /// Takes over everything that the store holds at the revision known.
+    fn replace(&mut self, contents: Snapshot, source: Source, now: Time) {
+        let revision = self.follower.revision();
+        self.log.restart(revision, contents.clone());
+        let absence = self.follower.absence();
+        let beliefs = self.catalog.replace(contents, absence, now);
+        self.take_in(&beliefs, source, now);
+    }
+
     /// Applies changes in order, and keeps them for peers.
-    fn apply(
-        &mut self,
-        changes: Vec<(u64, Change)>,
-        outage: Option<Time>,
-        source: Source,
-        now: Time,
-    ) {
+    fn apply(&mut self, changes: Vec<(u64, Change)>, source: Source, now: Time) {
+        let absence = self.follower.absence();
         let mut beliefs = Vec::new();
         for (at, change) in changes {
-            self.log.push(at, change.clone());
-            beliefs.extend(self.catalog.apply(change, outage, now));
+            self.log.push(at, &change);
+            beliefs.extend(self.catalog.apply(change, absence, now));
         }
         self.take_in(&beliefs, source, now);
     }
 
-    fn passed(&mut self, source: Source, now: Time) {
-        let failing = self.failing_since.take();
-        let waited = failing.map_or(Duration::ZERO, |at| now - at);
-        self.reports
-            .passed(source, self.follower.revision(), waited);
-    }
-
     /// Logs what is newly believed. Other tasks and peers learn of it once the store has confirmed it.
     fn take_in(&mut self, beliefs: &[Belief], source: Source, now: Time) {
         let revision = self.follower.revision();
--- a/crates/node/src/catalog/waiting.rs
+++ b/crates/node/src/catalog/waiting.rs
@@ -36,14 +36,12 @@
                 age,
                 ..asking.knows
             };
-            let Some(mut head) = follower.news_for(&knows, now) else {
+            let Some(head) = follower.news_for(&knows, now) else {
                 self.0.push(asking);
                 continue;
             };
-            let changes = log.since(knows.revision);
-            head.complete = changes.is_some();
-            let changes = changes.unwrap_or_default();
-            let _ = asking.reply.send(News { changes, head });
+            let lacking = log.since(knows.revision);
+            let _ = asking.reply.send(News { head, lacking });
         }
     }
 }
--- a/crates/node/src/platform/store.rs
+++ b/crates/node/src/platform/store.rs
@@ -11,8 +11,8 @@
 use futures::StreamExt;
 use futures::channel::mpsc;
 use hawthornwall_platform::{
-    DecodeFault, EVERYTHING, Event, Item, RangePage, decode_range, decode_watch, range_path,
-    watch_path,
+    DecodeFault, EVERYTHING, Event, Item, NOTHING, RangePage, decode_range, decode_watch,
+    range_path, watch_path,
 };
 
 use super::ReadFault;
@@ -22,6 +22,8 @@
 const WATCH_LIMIT: Duration = Duration::from_millis(1_200);
 /// Time that a page of the contents may take. It holds up to a megabyte.
 const PAGE_TIME: Duration = Duration::from_millis(2_500);
+/// Longest time for a check. A target that has left may get work meanwhile.
+const CHECK_LIMIT: Duration = Duration::from_millis(600);
 /// Longest time for a connection to open. The opening packet is sent again only after a second, so
 /// that a new attempt is faster.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
@@ -31,6 +33,8 @@
 /// A call of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreCall {
+    /// Find out whether the store answers.
+    Check,
     /// Read everything.
     Load {
         /// Whether the contents may be seconds old.
@@ -66,6 +70,8 @@
     },
     /// The changes since the revision named are no longer known.
     HistoryGone,
+    /// The store answers.
+    Reached,
 }
 
 /// The end of a call.
@@ -97,11 +103,20 @@
 impl StoreClient {
     async fn call(&mut self, call: StoreCall) -> StoreEnd {
         match call {
+            StoreCall::Check => self.check().await,
             StoreCall::Load { stale } => self.load(stale).await,
             StoreCall::Watch { after, wait } => self.watch(after, wait).await,
         }
     }
 
+    /// Reads nothing, and that from any replica of the store, which costs least.
+    async fn check(&mut self) -> StoreEnd {
+        let path = range_path(NOTHING, None, true);
+        let answered = monoio::time::timeout(CHECK_LIMIT, self.get(&path, CHECK_LIMIT)).await;
+        expect_ok(&answered.map_err(|_| ReadFault::Silent)??)?;
+        Ok(StoreRead::Reached)
+    }
+
     /// Reads all pages. The lowest revision of a page is the oldest that any of them can show, so watching
     /// from it misses no change.
     async fn load(&mut self, stale: bool) -> StoreEnd {
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use futures::StreamExt;
 use futures::channel::{mpsc, oneshot};
-use hawthornwall_core::catalog::{Change, Knowledge, NewsHead, Sources};
+use hawthornwall_core::catalog::{Change, Knowledge, Lacking, NewsHead, Sources};
 use hawthornwall_node::catalog::{CatalogStart, run};
 use hawthornwall_node::clock::Clock;
 use hawthornwall_node::messages::{
@@ -17,6 +17,7 @@
 };
 use hawthornwall_wire::peer::{News, Reply, Request};
 use insta::assert_snapshot;
+use rstest::rstest;
 
 use common::runtime::block_on;
 use common::script::{Connection, serve};
@@ -111,7 +112,9 @@
         match monoio::time::timeout(LIMIT, self.router.next()).await {
             Ok(Some(RouterMessage::World(world))) => {
                 let targets = world.members.len();
-                format!("world {}, {targets} targets", world.config.version)
+                let used = world.members.values().filter(|m| !m.leaving).count();
+                let version = world.config.version;
+                format!("world {version}, {targets} targets, {used} used")
             }
             Ok(Some(_) | None) | Err(_) => "no other world".to_owned(),
         }
@@ -180,11 +183,11 @@
 fn news(revision: u64, changes: Vec<(u64, Change)>) -> Reply {
     let head = NewsHead {
         age: Duration::from_millis(1),
-        complete: true,
         outage: None,
         revision,
     };
-    Reply::News(Box::new(News { changes, head }))
+    let lacking = Lacking::Changes(changes);
+    Reply::News(Box::new(News { head, lacking }))
 }
 
 /// Guards against a daemon that is ready by contents that may be old, and against missed changes.
@@ -300,14 +303,49 @@
             };
             let message = ControlMessage::Ask { knows, reply };
             daemon.control.unbounded_send(message).expect("it runs");
-            let News { changes, head } = news.await.expect("there are news");
-            let revisions: Vec<_> = changes.iter().map(|(at, _)| *at).collect();
-            let (complete, newest) = (head.complete, head.revision);
-            seen.push(format!(
-                "after {revision}: {newest}, complete {complete}, {revisions:?}"
-            ));
+            let News { head, lacking } = news.await.expect("there are news");
+            let lacking = match lacking {
+                Lacking::Changes(changes) => {
+                    let revisions: Vec<_> = changes.iter().map(|(at, _)| *at).collect();
+                    format!("changes {revisions:?}")
+                }
+                Lacking::Contents(contents) => format!("{} targets", contents.targets.len()),
+                Lacking::TooMuch => "too much".to_owned(),
+            };
+            seen.push(format!("after {revision}: {}, {lacking}", head.revision));
         }
         seen.join("\n")
     });
     assert_snapshot!(seen);
 }
+
+/// Guards against targets that a daemon gives up because its peers can't see them, although it is cut off
+/// from the store with them; and against a target that gets work after it has left.
+#[rstest]
+#[case::reached(events(&[], 4), "world v2, 1 targets, 0 used")]
+#[case::cut_off(status(503), "world v2, 1 targets, 1 used")]
+fn peer_says_a_target_is_gone(#[case] check: String, #[case] expected: &str) {
+    let peer = parent();
+    let first = vec![
+        page(&[("op/config", ROUTES_2), ("servers/i-1", &entry(peer))], 4),
+        check,
+    ];
+    let (address, calls) = serve(vec![Connection::silent_after(first)]);
+    let seen = block_on(async {
+        let mut daemon = daemon(address);
+        let (_, reply) = daemon.asked().await;
+        let _ = reply.send(Ok(news(4, Vec::new())));
+        assert_eq!(daemon.world().await, "world v2, 1 targets, 1 used");
+        // By now the store has not been heard of for long enough that it is checked.
+        monoio::time::sleep(Duration::from_millis(600)).await;
+        let (_, reply) = daemon.asked().await;
+        let gone = Change::TargetGone {
+            name: "i-1".to_owned(),
+        };
+        let _ = reply.send(Ok(news(5, vec![(5, gone)])));
+        daemon.world().await
+    });
+    assert_eq!(seen, expected);
+    let last = calls.try_iter().last();
+    assert!(last.is_some_and(|call| call.contains("allowStale=1")));
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hawthornwall_core::catalog::{Change, Knowledge, NewsHead};
+use hawthornwall_core::catalog::{Knowledge, Lacking, NewsHead};
 use hawthornwall_core::config::{Configuration, Patch};
 pub use hawthornwall_core::ids::RequestId;
 use hawthornwall_core::ids::{InstanceId, ServiceId, TargetId, Version};
@@ -126,12 +126,12 @@
 }
 
 /// What a daemon knows of the store's contents beyond what the asking one does.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct News {
-    /// The changes after the revision asked for in order, each with its own revision.
-    pub changes: Vec<(u64, Change)>,
-    /// How fresh and complete they are.
+    /// How fresh they are.
     pub head: NewsHead,
+    /// What the asking daemon lacks.
+    pub lacking: Lacking,
 }
 
 /// What one daemon asks of another.
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{
-    self, Knowledge, NewsHead, PublishedRoutes, PublishedState, PublishedTarget,
+    self, Knowledge, Lacking, NewsHead, PublishedRoutes, PublishedState, PublishedTarget, Snapshot,
 };
 use hawthornwall_core::config::{Change, Patch};
 use hawthornwall_core::keys::Key;
@@ -136,19 +136,40 @@
     })
 }
 
-fn news() -> impl Strategy<Value = News> {
+fn lacking() -> impl Strategy<Value = Lacking> {
     let gone = ".{0,9}".prop_map(|name| catalog::Change::TargetGone { name });
     let change = prop_oneof![gone, routes(), target()];
     let changes = prop::collection::vec((any::<u64>(), change), 0..4);
-    let head = (micros(), any::<bool>(), prop::option::of(micros()));
-    (changes, head, any::<u64>()).prop_map(|(changes, (age, complete, outage), revision)| News {
-        changes,
+    let contents = prop::collection::vec(prop_oneof![routes(), target()], 0..4);
+    let contents = contents.prop_map(|changes| {
+        let mut contents = Snapshot::default();
+        for change in changes {
+            match change {
+                catalog::Change::Routes(routes) => contents.routes = Some(routes),
+                catalog::Change::Target { name, target } => {
+                    contents.targets.insert(name, target);
+                }
+                catalog::Change::TargetGone { .. } => {}
+            }
+        }
+        contents
+    });
+    prop_oneof![
+        changes.prop_map(Lacking::Changes),
+        contents.prop_map(Lacking::Contents),
+        Just(Lacking::TooMuch),
+    ]
+}
+
+fn news() -> impl Strategy<Value = News> {
+    let head = (micros(), prop::option::of(micros()), any::<u64>());
+    (lacking(), head).prop_map(|(lacking, (age, outage, revision))| News {
         head: NewsHead {
             age,
-            complete,
             outage,
             revision,
         },
+        lacking,
     })
 }
 
