Start requests that can be answered in time first, and keep those that start next

Cause: after a loss of power the targets are cold and have a backlog for three seconds.

Change: the queue of a gate is an aggregate of its own. Within a kind, requests that can still be answered in time go first. The time that a caller has spent before is what its budget lacks to the next usual budget of the route. A request that is among the next to start is no longer refused for having waited.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -1,9 +1,10 @@
 //! The gate in front of one target.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
+use super::queue::{Queue, Waiting};
 use super::service::ServiceTimes;
 use super::strain::{Strain, Verdict};
 use crate::ids::InstanceId;
@@ -68,6 +69,8 @@
     pub patience: Duration,
     /// Its place among others that wait.
     pub urgency: Urgency,
+    /// Until when its answer is in time; `None` if no time is known.
+    pub wanted: Option<Time>,
 }
 
 /// A request that holds a slot.
@@ -135,6 +138,7 @@
 ///     id: WorkId(id),
 ///     patience: Duration::ZERO,
 ///     urgency: Urgency::default(),
+///     wanted: None,
 /// });
 /// let now = Time::ZERO;
 /// assert_eq!(gate.on(&arrival(1), now), vec![Effect::Start(WorkId(1))]);
@@ -146,7 +150,7 @@
     failing: f64,
     instance: InstanceId,
     limits: Limits,
-    queue: VecDeque<(Arrival, Time)>,
+    queue: Queue,
     reachable: bool,
     running: BTreeMap<WorkId, Running>,
     seq: u64,
@@ -163,7 +167,7 @@
             failing: 0.0,
             instance,
             limits,
-            queue: VecDeque::new(),
+            queue: Queue::default(),
             reachable: true,
             running: BTreeMap::new(),
             seq: 0,
@@ -242,9 +246,10 @@
         if self.queue.len() > limit {
             faults.push(format!("{} requests wait, {limit} may", self.queue.len()));
         }
-        for (waiting, _) in &self.queue {
-            if self.running.contains_key(&waiting.id) {
-                faults.push(format!("{} runs and waits", waiting.id));
+        for waiting in self.queue.iter() {
+            let id = waiting.arrival.id;
+            if self.running.contains_key(&id) {
+                faults.push(format!("{id} runs and waits"));
             }
         }
         let free = self.running.len() < self.limits.slots as usize;
@@ -257,9 +262,8 @@
     fn admit(&mut self, arrival: &Arrival, now: Time) -> Option<Effect> {
         let refusal = self.check(arrival, now).err();
         if refusal.is_none() {
-            let behind = |(waiting, _): &(Arrival, Time)| waiting.urgency <= arrival.urgency;
-            let place = self.queue.partition_point(behind);
-            self.queue.insert(place, (*arrival, now));
+            let services = &self.services;
+            self.queue.push(*arrival, |u| services.usual(u), now);
         }
         refusal.map(|refusal| Effect::Refuse(arrival.id, refusal))
     }
@@ -277,7 +281,7 @@
         if self.running.len() + self.queue.len() < self.limits.slots as usize {
             return Ok(());
         }
-        let wait = self.expected_wait(arrival.urgency, now);
+        let wait = self.expected_wait(arrival, now);
         let allowed = arrival
             .patience
             .min(self.limits.queue_wait)
@@ -288,16 +292,18 @@
         Ok(())
     }
 
-    fn expected_wait(&self, urgency: Urgency, now: Time) -> Duration {
+    fn expected_wait(&self, arrival: &Arrival, now: Time) -> Duration {
         let seen = self.service_estimate(now);
         let service = if seen.is_zero() {
             ASSUMED_SERVICE
         } else {
             seen
         };
-        let ahead = self.queue.iter().map(|(waiting, _)| waiting.urgency);
+        let ahead = self
+            .queue
+            .ahead_of(arrival, |u| self.services.usual(u), now);
         let needed = |u: Urgency| self.kind_service(u).unwrap_or(service);
-        let total: Duration = ahead.filter(|u| *u <= urgency).map(needed).sum();
+        let total: Duration = ahead.iter().map(|w| needed(w.arrival.urgency)).sum();
         (total + service) / self.limits.slots.max(1)
     }
 
@@ -305,16 +311,12 @@
         self.limits.slots as usize * QUEUE_PER_SLOT
     }
 
-    /// Fewer slots mean a shorter queue; the requests that came last leave it.
+    /// Fewer slots mean a shorter queue; the requests that would start last leave it.
     fn configure(&mut self, limits: Limits, effects: &mut Vec<Effect>) {
         self.limits = limits;
-        let kept = self.queue.len().min(self.queue_limit());
-        let excess = self.queue.split_off(kept);
-        effects.extend(
-            excess
-                .iter()
-                .map(|(w, _)| Effect::Refuse(w.id, Refusal::Full)),
-        );
+        let limit = self.queue_limit();
+        let excess = |at: usize, _: &Waiting| (at >= limit).then_some(Refusal::Full);
+        refuse(self.queue.remove(excess), effects);
     }
 
     fn cancel(&mut self, id: WorkId, effects: &mut Vec<Effect>) {
@@ -322,11 +324,9 @@
             effects.push(Effect::Abort(id));
             return;
         }
-        let before = self.queue.len();
-        self.queue.retain(|(waiting, _)| waiting.id != id);
-        if self.queue.len() < before {
-            effects.push(Effect::Refuse(id, Refusal::Cancelled));
-        }
+        let cancelled =
+            |_: usize, waiting: &Waiting| (waiting.arrival.id == id).then_some(Refusal::Cancelled);
+        refuse(self.queue.remove(cancelled), effects);
     }
 
     fn finish(&mut self, id: WorkId, failed: bool, now: Time) {
@@ -344,8 +344,7 @@
     fn set_reachable(&mut self, reachable: bool, effects: &mut Vec<Effect>) {
         self.reachable = reachable;
         if !reachable {
-            let waiting = self.queue.drain(..);
-            effects.extend(waiting.map(|(w, _)| Effect::Refuse(w.id, Refusal::Down)));
+            refuse(self.queue.remove(|_, _| Some(Refusal::Down)), effects);
         }
     }
 
@@ -353,14 +352,13 @@
     /// that a new arrival needs.
     fn drop_expired(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let mut queue = std::mem::take(&mut self.queue);
-        queue.retain(|(waiting, arrived)| {
-            let late = self.is_too_late(waiting, now);
-            let given_up = late || waits_in_vain(waiting, *arrived, now);
-            if given_up {
-                effects.push(Effect::Refuse(waiting.id, Refusal::Expired));
-            }
-            !given_up
+        queue.sort(|u| self.services.usual(u), now);
+        let slots = self.limits.slots as usize;
+        let expired = queue.remove(|at, waiting| {
+            let given_up = at >= slots && waits_in_vain(waiting, now);
+            (given_up || self.is_too_late(&waiting.arrival, now)).then_some(Refusal::Expired)
         });
+        refuse(expired, effects);
         self.queue = queue;
     }
 
@@ -373,7 +371,7 @@
     /// Usual service time of a request's kind. Requests without an objective may differ by any factor,
     /// so that nothing is known of one of them.
     fn kind_service(&self, urgency: Urgency) -> Option<Duration> {
-        (!urgency.objective.is_zero()).then(|| self.services.of(urgency))
+        (!urgency.objective.is_zero()).then(|| self.services.usual(urgency))
     }
 
     fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
@@ -382,15 +380,16 @@
             if self.queue.is_empty() || !self.may_start(now, effects) {
                 break;
             }
-            let Some((waiting, _)) = self.queue.pop_front() else {
+            let Some(waiting) = self.queue.pop() else {
                 break;
             };
+            let Arrival { id, urgency, .. } = waiting.arrival;
             let running = Running {
                 started: now,
-                urgency: waiting.urgency,
+                urgency,
             };
-            self.running.insert(waiting.id, running);
-            effects.push(Effect::Start(waiting.id));
+            self.running.insert(id, running);
+            effects.push(Effect::Start(id));
         }
     }
 
@@ -401,12 +400,12 @@
             Verdict::Calm => return true,
             Verdict::Strained(slowdown) => {
                 self.refuse_impatient(effects);
-                let first = self.queue.front().copied();
-                let held_enough = first.is_some_and(|(waiting, arrived)| {
-                    let known = self.kind_service(waiting.urgency);
+                let first = self.queue.first();
+                let held_enough = first.is_some_and(|waiting| {
+                    let known = self.kind_service(waiting.arrival.urgency);
                     let usual = known.filter(|s| !s.is_zero());
                     let usual = usual.unwrap_or_else(|| self.usual_service());
-                    now - arrived >= Strain::hold_limit(usual, slowdown)
+                    now - waiting.arrived >= Strain::hold_limit(usual, slowdown)
                 });
                 if held_enough {
                     return true;
@@ -423,13 +422,10 @@
     }
 
     fn refuse_impatient(&mut self, effects: &mut Vec<Effect>) {
-        self.queue.retain(|(waiting, _)| {
-            let patient = waiting.patience >= STRAIN_WAIT;
-            if !patient {
-                effects.push(Effect::Refuse(waiting.id, Refusal::Strained));
-            }
-            patient
-        });
+        let impatient = |_: usize, waiting: &Waiting| {
+            (waiting.arrival.patience < STRAIN_WAIT).then_some(Refusal::Strained)
+        };
+        refuse(self.queue.remove(impatient), effects);
     }
 
     fn usual_service(&self) -> Duration {
@@ -455,9 +451,15 @@
     }
 }
 
-/// Whether a request has waited for as long as its answer was wanted in. Another target would only let
-/// it wait longer; its caller has more of knowing than of an answer that is late for certain.
-fn waits_in_vain(waiting: &Arrival, arrived: Time, now: Time) -> bool {
-    let objective = waiting.urgency.objective;
-    !objective.is_zero() && now - arrived >= objective
+fn refuse(removed: Vec<(WorkId, Refusal)>, effects: &mut Vec<Effect>) {
+    let refused = removed.into_iter();
+    effects.extend(refused.map(|(id, refusal)| Effect::Refuse(id, refusal)));
+}
+
+/// Whether a request that won't start soon has waited for as long as its answer was wanted in. Another
+/// target would only let it wait longer; its caller has more of knowing than of an answer that is late for
+/// certain. One that is among the next to start is kept: a call of running work would fail that work too.
+fn waits_in_vain(waiting: &Waiting, now: Time) -> bool {
+    let objective = waiting.arrival.urgency.objective;
+    !objective.is_zero() && now - waiting.arrived >= objective
 }
--- a/crates/core/src/admission/service.rs
+++ b/crates/core/src/admission/service.rs
@@ -41,7 +41,7 @@
     }
 
     /// The average of one kind, or over all where that kind is not known.
-    pub fn of(&self, urgency: Urgency) -> Duration {
+    pub fn usual(&self, urgency: Urgency) -> Duration {
         let known = self.by_urgency.get(&urgency).copied();
         known.unwrap_or(self.overall)
     }
--- a/crates/core/src/routes/mod.rs
+++ b/crates/core/src/routes/mod.rs
@@ -5,8 +5,10 @@
 //! - the time of a look-up depends on the depth of the path, not on the number of routes;
 //! - requests of a split route are shared among its services by weight, whatever their load.
 
+mod budgets;
 mod split;
 mod table;
 
+pub use budgets::UsualBudgets;
 pub use split::Splitter;
 pub use table::{Destination, Repeatability, Route, RouteTable};
--- a/crates/core/tests/properties/gate.rs
+++ b/crates/core/tests/properties/gate.rs
@@ -26,6 +26,7 @@
                 objective: Duration::from_millis(patience % 3),
                 rank: (deadline % 3) as u8,
             },
+            wanted: (patience % 2 == 0).then(|| Time::from_micros(patience * 1000)),
         })
     });
     prop_oneof![
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -29,6 +29,9 @@
                     objective: line.span("objective", Duration::ZERO),
                     rank: line.value("rank", 0),
                 },
+                wanted: line
+                    .text("wanted")
+                    .map(|_| Time::ZERO + line.span("wanted", Duration::ZERO)),
             }),
             "cancel" => Event::Cancel(id()),
             "configure" => Event::Configure(limits(line)),
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -274,7 +274,8 @@
     }
 
     fn enter(&mut self, run: Box<Run>, waiter: Waiter, memo: Option<Memo>) {
-        let (work, deadline) = (waiter.work, self.clock.now() + run.left);
+        let now = self.clock.now();
+        let (work, deadline) = (waiter.work, now + run.left);
         let arrival = Arrival {
             deadline,
             id: work,
@@ -283,6 +284,7 @@
                 objective: run.objective,
                 rank: run.rank,
             },
+            wanted: run.wanted.map(|left| now + left),
         };
         let span = HopSpan::remote(Hop::Gate, run.trace.as_deref());
         let held = Held {
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -62,6 +62,8 @@
     pub service: ServiceId,
     pub task: Task,
     pub urgency: Urgency,
+    /// Until when an answer is in time.
+    pub wanted: Option<Time>,
 }
 
 /// What an attempt yields for the caller.
@@ -149,6 +151,7 @@
                     service,
                     target,
                     trace,
+                    wanted: self.wanted.map(|at| backend.clock.until(at)),
                 };
                 Request::Run(id, Box::new(run))
             }
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -68,11 +68,11 @@
     )
 }
 
-/// The time that the caller gives its request, or the service's default.
-pub(super) fn time_left(request: &HttpRequest, name: &str, default: Duration) -> Duration {
+/// The time that the caller gives its request, if it states one.
+pub(super) fn time_left(request: &HttpRequest, name: &str) -> Option<Duration> {
     let text = header_text(&request.headers, name);
     let asked = text
         .and_then(|t| t.trim().parse().ok())
         .map(Duration::from_millis);
-    asked.unwrap_or(default).min(DEADLINE_LIMIT)
+    asked.map(|left| left.min(DEADLINE_LIMIT))
 }
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -66,7 +66,8 @@
         Err(refusal) => return Reply::unanswered(Outcome::Refused(refusal)),
     };
     let (host, path) = address(&request, &asked);
-    let opened = match open(backend, host, path).await {
+    let budget = time_left(&request, backend.dialect.names().deadline);
+    let opened = match open(backend, host, path, budget).await {
         Ok(opened) => opened,
         Err(refusal) => {
             let outcome = refused(&asked, refusal);
@@ -111,12 +112,20 @@
     }
 }
 
-async fn open(backend: &Backend, host: &str, path: &str) -> Result<Opened, Refusal> {
+async fn open(
+    backend: &Backend,
+    host: &str,
+    path: &str,
+    budget: Option<Duration>,
+) -> Result<Opened, Refusal> {
     let (reply, receiver) = oneshot::channel();
-    let (host, path) = (host.to_owned(), path.to_owned());
-    let _ = backend
-        .router
-        .unbounded_send(RouterMessage::Open { host, path, reply });
+    let message = RouterMessage::Open {
+        budget,
+        host: host.to_owned(),
+        path: path.to_owned(),
+        reply,
+    };
+    let _ = backend.router.unbounded_send(message);
     receiver.await.unwrap_or(Err(Refusal::NotReady))
 }
 
@@ -163,6 +172,8 @@
     /// The ticket of the choice that the next `Send` effect is for.
     ticket: Option<OpenTicket>,
     urgency: Urgency,
+    /// Until when an answer is in time, if the route says so.
+    wanted: Option<Time>,
     /// What ended attempts brought.
     yielded: BTreeMap<AttemptId, (TargetId, Yield)>,
 }
@@ -182,8 +193,6 @@
             Asked::Key | Asked::Plain => None,
         };
         let route = opened.route.as_deref();
-        let deadline_name = backend.dialect.names().deadline;
-        let left = time_left(&request, deadline_name, rules.deadline);
         let repeatable = match route.map(|r| r.repeats) {
             Some(Repeatability::Idempotent) => true,
             Some(Repeatability::NonIdempotent) => false,
@@ -191,7 +200,7 @@
         };
         let spec = Spec {
             attempts: route.map_or(MAX_ATTEMPTS, |r| r.attempts),
-            deadline: now + left.min(route.map_or(left, |r| r.timeout)),
+            deadline: now + opened.left.min(route.map_or(Duration::MAX, |r| r.timeout)),
             hedge: rules.hedge && asked == Asked::Plain,
             // An unused key does no harm, so asking for one may be repeated.
             idempotent: asked == Asked::Key || repeatable,
@@ -218,6 +227,7 @@
                 objective: r.objective,
                 rank: r.rank,
             }),
+            wanted: route.map(|r| now + r.objective.saturating_sub(opened.spent)),
             yielded: BTreeMap::new(),
         }
     }
@@ -337,6 +347,7 @@
             service: self.service,
             task: self.task.clone(),
             urgency: self.urgency,
+            wanted: self.wanted,
         };
         let run = Attempt {
             request,
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -109,6 +109,8 @@
 /// A request that the router has let in.
 #[derive(Clone, Debug)]
 pub struct Opened {
+    /// Time that the caller gives the request, or the service's default.
+    pub left: Duration,
     /// Name of the service.
     pub name: String,
     /// The target beside this daemon, if the configuration names it.
@@ -119,6 +121,8 @@
     pub rules: Rules,
     /// The service that the request is for.
     pub service: ServiceId,
+    /// How much of the caller's time was over when the request arrived.
+    pub spent: Duration,
     /// Version of the configuration that decided.
     pub version: Version,
 }
@@ -148,6 +152,8 @@
     },
     /// Find the service of a request and count the request as in flight.
     Open {
+        /// Time that the caller gives the request, if it states one.
+        budget: Option<Duration>,
         /// Host name without port.
         host: String,
         /// Path and query.
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -7,12 +7,13 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::channel::mpsc;
 use hawthornwall_core::calls::{PickKind, RetryBudget};
 use hawthornwall_core::prelude::*;
-use hawthornwall_core::routes::{Route, Splitter};
+use hawthornwall_core::routes::{Route, Splitter, UsualBudgets};
 use hawthornwall_core::routing::{
     Balancer, Choice, MemberView, Observation, PickRequest, Policy, Ticket,
 };
@@ -47,6 +48,8 @@
 pub struct Router {
     balancer: Balancer,
     budgets: BTreeMap<ServiceId, RetryBudget>,
+    /// Time that callers give their requests.
+    caller_budgets: UsualBudgets,
     clock: Clock,
     inflight: BTreeMap<ServiceId, usize>,
     limit: usize,
@@ -67,6 +70,7 @@
         Self {
             balancer,
             budgets: BTreeMap::new(),
+            caller_budgets: UsualBudgets::default(),
             clock: start.clock,
             inflight: BTreeMap::new(),
             limit: start.service_limit,
@@ -83,8 +87,13 @@
             match message {
                 RouterMessage::Close(service) => self.close(service),
                 RouterMessage::Observe { seen, ticket } => self.observe(&seen, ticket),
-                RouterMessage::Open { host, path, reply } => {
-                    let opened = self.open(&host, &path);
+                RouterMessage::Open {
+                    budget,
+                    host,
+                    path,
+                    reply,
+                } => {
+                    let opened = self.open(&host, &path, budget);
                     // A requester that is gone closes nothing, so the count is taken back here.
                     if let Err(Ok(opened)) = reply.send(opened) {
                         self.close(opened.service);
@@ -139,7 +148,12 @@
         self.world = world;
     }
 
-    fn open(&mut self, host: &str, path: &str) -> Result<Opened, Refusal> {
+    fn open(
+        &mut self,
+        host: &str,
+        path: &str,
+        budget: Option<Duration>,
+    ) -> Result<Opened, Refusal> {
         let config = &self.world.config;
         if config.version == Version(0) {
             return Err(Refusal::NotReady);
@@ -151,16 +165,22 @@
             return Err(Refusal::Overload);
         }
         *inflight += 1;
+        let spent = match (&route, budget) {
+            (Some(route), Some(budget)) => self.caller_budgets.spent(host, &route.prefix, budget),
+            (Some(_) | None, _) => Duration::ZERO,
+        };
         let (name, rules) = {
             let found = &config.services[&service];
             (found.name.clone(), found.rules.clone())
         };
         Ok(Opened {
+            left: budget.unwrap_or(rules.deadline),
             name,
             own: self.world.own,
             route,
             rules,
             service,
+            spent,
             version: config.version,
         })
     }
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -127,6 +127,7 @@
         service: ServiceId(0),
         target: TargetId(1),
         trace: None,
+        wanted: None,
     }
 }
 
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -56,6 +56,7 @@
         service: ServiceId(0),
         target: TargetId(1),
         trace: None,
+        wanted: None,
     }
 }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -84,6 +84,9 @@
     pub target: TargetId,
     /// `traceparent` of the sender's span, if the request is traced.
     pub trace: Option<String>,
+    /// How much longer its answer is in time; zero for one that is late already.
+    #[serde_as(as = "Option<Micros>")]
+    pub wanted: Option<Duration>,
 }
 
 /// One side's versions, and what the other side lacks as far as it is known.
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -65,6 +65,7 @@
                 service: ServiceId(service),
                 target: TargetId(target),
                 trace,
+                wanted: Some(Duration::from_micros(left.into())),
             },
         )
 }
--- a/crates/wire/tests/peer_units.rs
+++ b/crates/wire/tests/peer_units.rs
@@ -30,6 +30,7 @@
         service: ServiceId(1),
         target: TargetId(2),
         trace: None,
+        wanted: None,
     };
     let bytes = encode_request(&Request::Run(RequestId(3), Box::new(run)));
     let Ok(Request::Run(_, run)) = decode_request(&bytes) else {
