Compare several near targets, and ask up to seven daemons before a request is refused

Cause: in a grown fleet a domain has four to nine targets of a service, of which one was looked at beside three of all domains; in a strained service each finds no room with a chance of about a half, so that four attempts were not enough for one request in twenty although slots were free. Change: three near candidates; seven attempts. A request that may have reached a target is still sent again to that run at most four times, and the pause before counts its sendings alone. Where no route says how many targets may see a request, four may, as before.

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -10,8 +10,11 @@
 use crate::routing::Choice;
 use crate::time::Time;
 
-/// Attempts of one call, the first included.
-pub const MAX_ATTEMPTS: usize = 4;
+/// Attempts of one call, the first included. Asking one more daemon takes some milliseconds, and in a
+/// strained service each finds room with a chance of about a half.
+pub const MAX_ATTEMPTS: usize = 7;
+/// Targets that may see one request where no route says how many, and sendings of one to the same run.
+pub const MAX_SENDINGS: usize = 4;
 /// Wait past the deadline for the reply of a daemon that refuses the expired request, since a
 /// definite refusal is worth more to the caller than an unknown outcome.
 const REPLY_GRACE: Duration = Duration::from_millis(20);
--- a/crates/core/src/calls/resend.rs
+++ b/crates/core/src/calls/resend.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::call::{Attempt, Call, MAX_ATTEMPTS};
+use super::call::{Attempt, Call, MAX_ATTEMPTS, MAX_SENDINGS};
 use super::{AttemptId, Effect};
 use crate::ids::TargetId;
 use crate::outcome::{AttemptResult, Loss, Outcome, Refusal};
@@ -34,8 +34,8 @@
             Loss::Cancelled | Loss::Expired | Loss::KeyForgotten | Loss::Malformed => false,
         });
         match target {
-            Some(target) if self.may_resend(now) => {
-                self.resend = Some((self.resend_time(now), Resend::Keyed(target)));
+            Some(target) if self.may_resend(target, now) => {
+                self.resend = Some((self.resend_time(target, now), Resend::Keyed(target)));
             }
             Some(_) | None => self.finish(Outcome::Unknown(loss), None, effects),
         }
@@ -50,22 +50,30 @@
         now: Time,
         effects: &mut Vec<Effect>,
     ) {
-        let known = self.attempts[usize::from(id.0)].instance.is_some();
-        if loss == Loss::Closed && known && self.may_resend(now) {
-            self.resend = Some((self.resend_time(now), Resend::Repeat(id)));
+        let Attempt {
+            instance, target, ..
+        } = self.attempts[usize::from(id.0)];
+        if loss == Loss::Closed && instance.is_some() && self.may_resend(target, now) {
+            self.resend = Some((self.resend_time(target, now), Resend::Repeat(id)));
         } else {
             self.finish(Outcome::Unknown(loss), None, effects);
         }
     }
 
-    fn may_resend(&self, now: Time) -> bool {
-        self.attempts.len() < MAX_ATTEMPTS && now < self.spec.deadline
+    /// Sendings to one target so far; a target is picked once at most.
+    fn sendings(&self, target: TargetId) -> usize {
+        self.attempts.iter().filter(|a| a.target == target).count()
+    }
+
+    fn may_resend(&self, target: TargetId, now: Time) -> bool {
+        let room = self.attempts.len() < MAX_ATTEMPTS && self.sendings(target) < MAX_SENDINGS;
+        room && now < self.spec.deadline
     }
 
-    /// The pause doubles with each attempt, since a peer that has just started can't be reached for
-    /// some milliseconds and four attempts at once would all fail.
-    fn resend_time(&self, now: Time) -> Time {
-        now + RESEND_PAUSE * (1 << (self.attempts.len() - 1).min(8))
+    /// The pause doubles with each sending, since a peer that has just started can't be reached for
+    /// some milliseconds and all sendings at once would fail.
+    fn resend_time(&self, target: TargetId, now: Time) -> Time {
+        now + RESEND_PAUSE * (1 << (self.sendings(target) - 1).min(8))
     }
 
     pub(super) fn resend(&mut self, resend: Resend, effects: &mut Vec<Effect>) {
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -18,6 +18,8 @@
 /// Random candidates compared by [`Policy::Expected`]. More would let all daemons that hold the
 /// same reports choose the same target.
 const CANDIDATES: usize = 3;
+/// Random candidates of the own failure domain that are compared besides, where they are preferred.
+const NEAR_CANDIDATES: usize = 3;
 /// Round trip assumed to a target of the own failure domain before any sample.
 const RTT_NEAR: Duration = Duration::from_micros(300);
 /// Round trip assumed to a target of another failure domain before any sample.
@@ -291,7 +293,7 @@
                         .iter()
                         .filter(|id| views[id].domain == *home)
                         .collect();
-                    some.extend(near.choose(&mut self.rng));
+                    some.extend(near.choose_multiple(&mut self.rng, NEAR_CANDIDATES));
                 }
                 some.into_iter().min_by_key(|id| cost(id)).copied()
             }
