Add a randomized fault soak of the real daemons

The soak runs daemons as child processes with the settings that the platform's template renders, between stand-ins for the store, the workers and the callers, and a proxy in front of each daemon's port for peers. Each soak has addresses of its own now.

--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,307 @@
+//! The daemons as child processes, and the stand-ins around them.
+
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::channel::mpsc;
+use hawthornwall_testkit::http1::Connection;
+use hawthornwall_testkit::launcher::{Child, Folder, LaunchError, Signal};
+use hawthornwall_testkit::store::{Entry, StoreHandle};
+use hawthornwall_testkit::worker::{Worker, WorkerPlan, WorkerRun};
+use hawthornwall_testkit::{store, worker};
+use http::Request;
+
+use crate::proxy::Proxy;
+
+/// The settings that daemons have on the users' platform.
+const TEMPLATE: &str = include_str!("../../../platform/settings.json.template");
+/// Port of all daemons for callers.
+const CALLER_PORT: u16 = 8_000;
+/// Ports of all daemons for operators and for peers.
+const ADMIN_PORT: u16 = 8_001;
+const PEER_PORT: u16 = 8_002;
+const READY_PORT: u16 = 8_003;
+/// Port of all workers.
+const WORKER_PORT: u16 = 8_004;
+/// Port of the store.
+const STORE_PORT: u16 = 8_005;
+/// Requests that a worker runs at once.
+const SLOTS: u32 = 4;
+/// Pause before an ended daemon is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+/// Time that a daemon has to stop, after which it is killed.
+const GRACE: Duration = Duration::from_secs(6);
+/// Time between two looks at whether a daemon has ended.
+const POLL: Duration = Duration::from_millis(50);
+/// Time between two questions whether a daemon is ready, and for one answer.
+const READY_POLL: Duration = Duration::from_millis(250);
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const SERVICES: [&str; 2] = ["views", "orders"];
+
+/// One instance: a daemon, and the worker beside it.
+pub(crate) struct Node {
+    child: RefCell<Option<Child>>,
+    /// Whether somebody has told the daemon to end, and when.
+    ending: Cell<Option<Instant>>,
+    pub proxy: Proxy,
+    pub ready: Cell<bool>,
+    pub starts: Cell<u32>,
+    pub worker: RefCell<Option<Worker>>,
+    worker_starts: Cell<u32>,
+}
+
+/// All instances and the store.
+pub(crate) struct Fleet {
+    folder: Folder,
+    network: u8,
+    pub nodes: Vec<Node>,
+    seed: u64,
+    pub store: StoreHandle,
+    witness: mpsc::UnboundedSender<WorkerRun>,
+}
+
+/// Name of the service beside a daemon.
+pub(crate) fn service(number: usize) -> &'static str {
+    SERVICES[number % SERVICES.len()]
+}
+
+impl Fleet {
+    /// Starts stand-ins and daemons inside the runtime.
+    pub fn start(
+        daemons: usize,
+        seed: u64,
+        network: u8,
+        keep: bool,
+        witness: mpsc::UnboundedSender<WorkerRun>,
+    ) -> Result<Self, LaunchError> {
+        let io = LaunchError::io;
+        let folder = Folder::create(keep).map_err(io("folder"))?;
+        let address = |part, number, port| address(network, part, number, port);
+        let readers: Vec<_> = (0..daemons).map(|n| address(3, n, STORE_PORT)).collect();
+        let store = store::serve(&readers).map_err(io("store"))?;
+        // What another writer has left there names no worker and must do no harm.
+        store.put_bytes("servers/garbage", b"%%".to_vec());
+        store.put_bytes("servers/", b"{}".to_vec());
+        let node = |n: usize| {
+            let proxy = Proxy::start(address(2, n, PEER_PORT), address(1, n, PEER_PORT));
+            Ok(Node {
+                child: RefCell::new(None),
+                ending: Cell::new(None),
+                proxy: proxy.map_err(LaunchError::io("proxy"))?,
+                ready: Cell::new(false),
+                starts: Cell::new(0),
+                worker: RefCell::new(None),
+                worker_starts: Cell::new(0),
+            })
+        };
+        let fleet = Self {
+            folder,
+            network,
+            nodes: (0..daemons).map(node).collect::<Result<_, LaunchError>>()?,
+            seed,
+            store,
+            witness,
+        };
+        for number in 0..daemons {
+            fleet
+                .start_worker(number)
+                .map_err(LaunchError::io("worker"))?;
+            fleet.start_daemon(number)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Where settings and logs lie.
+    pub fn folder(&self) -> String {
+        self.folder.path().display().to_string()
+    }
+
+    /// Where a daemon takes callers.
+    pub fn caller_address(&self, number: usize) -> SocketAddr {
+        address(self.network, 1, number, CALLER_PORT)
+    }
+
+    /// Starts another worker beside a daemon, and writes its entry.
+    pub fn start_worker(&self, number: usize) -> std::io::Result<()> {
+        let node = &self.nodes[number];
+        node.worker_starts.set(node.worker_starts.get() + 1);
+        let plan = WorkerPlan {
+            address: self.worker_address(number),
+            name: self.worker_name(number),
+            seed: self.seed + number as u64,
+            service: service(number).to_owned(),
+            slots: SLOTS,
+        };
+        *node.worker.borrow_mut() = Some(worker::serve(plan, self.witness.clone())?);
+        self.write_entry(number, false);
+        Ok(())
+    }
+
+    /// Name of the worker that was started last beside a daemon.
+    pub fn worker_name(&self, number: usize) -> String {
+        format!("w{number}-{}", self.nodes[number].worker_starts.get())
+    }
+
+    /// Writes the worker's entry.
+    pub fn write_entry(&self, number: usize, draining: bool) {
+        let entry = Entry {
+            address: self.worker_address(number),
+            born: 1_000_000 + u64::from(self.nodes[number].worker_starts.get()),
+            draining,
+            service: service(number),
+            slots: SLOTS,
+            zone: ZONES[number % ZONES.len()],
+        };
+        let key = format!("servers/{}", self.worker_name(number));
+        self.store.put(&key, &entry.json());
+    }
+
+    /// Deletes the entry of a worker.
+    pub fn delete_entry(&self, name: &str) {
+        self.store.delete(&format!("servers/{name}"));
+    }
+
+    /// Sends a signal to a daemon, if it runs.
+    pub fn signal(&self, number: usize, signal: Signal) {
+        let node = &self.nodes[number];
+        if signal == Signal::Terminate {
+            node.ending.set(Some(Instant::now()));
+        }
+        if let Some(child) = &*node.child.borrow() {
+            // A daemon that has ended meanwhile can't be signalled, which is no fault.
+            let _ = child.signal(signal);
+        }
+    }
+
+    /// Kills a daemon.
+    pub fn kill(&self, number: usize) {
+        let node = &self.nodes[number];
+        node.ending.set(Some(Instant::now()));
+        if let Some(child) = &mut *node.child.borrow_mut() {
+            let _ = child.kill();
+        }
+    }
+
+    /// Starts a daemon again whenever it has ended, and tells of each end that nobody asked for.
+    pub async fn supervise(self: Rc<Self>, number: usize, died: impl Fn(usize, String)) {
+        let node = &self.nodes[number];
+        loop {
+            monoio::time::sleep(POLL).await;
+            let ended = node
+                .child
+                .borrow_mut()
+                .as_mut()
+                .map(|c| c.wait(Duration::ZERO));
+            let status = match ended {
+                Some(Ok(Some(status))) => status.to_string(),
+                Some(Err(e)) => e.to_string(),
+                Some(Ok(None)) => {
+                    let overdue = node.ending.get().is_some_and(|at| at.elapsed() >= GRACE);
+                    if overdue {
+                        self.kill(number);
+                    }
+                    continue;
+                }
+                None => return,
+            };
+            node.ready.set(false);
+            if node.ending.take().is_none() {
+                died(number, status);
+            }
+            monoio::time::sleep(RESTART_PAUSE).await;
+            if let Err(e) = self.start_daemon(number) {
+                died(number, e.to_string());
+                return;
+            }
+        }
+    }
+
+    /// Asks a daemon again and again whether it is ready.
+    pub async fn watch_ready(self: Rc<Self>, number: usize) {
+        let address = address(self.network, 1, number, READY_PORT);
+        loop {
+            let ask = async {
+                let request = Request::get("/ready").header("host", "ready");
+                let request = request.body(bytes::Bytes::new()).ok()?;
+                let mut connection = Connection::open(address).await.ok()?;
+                connection.exchange(&request).await.ok()
+            };
+            let answer = monoio::time::timeout(READY_POLL, ask).await.ok().flatten();
+            let ready = answer.is_some_and(|answer| answer.status().is_success());
+            self.nodes[number].ready.set(ready);
+            monoio::time::sleep(READY_POLL).await;
+        }
+    }
+
+    /// Tells all daemons to stop, and kills those that don't in time. None is left behind.
+    pub async fn stop(&self) {
+        for number in 0..self.nodes.len() {
+            self.signal(number, Signal::Continue);
+            self.signal(number, Signal::Terminate);
+        }
+        let end = Instant::now() + GRACE;
+        let runs = |node: &Node| {
+            let mut child = node.child.borrow_mut();
+            let ended = child.as_mut().map(|c| c.wait(Duration::ZERO));
+            matches!(ended, Some(Ok(None)))
+        };
+        while Instant::now() < end && self.nodes.iter().any(runs) {
+            monoio::time::sleep(POLL).await;
+        }
+        for node in &self.nodes {
+            // Dropping a child kills it.
+            drop(node.child.borrow_mut().take());
+        }
+    }
+
+    fn start_daemon(&self, number: usize) -> Result<(), LaunchError> {
+        let name = format!("daemon-{number}");
+        let settings = self.folder.file(&format!("{name}.json"));
+        let text = self.settings(number);
+        std::fs::write(&settings, text).map_err(LaunchError::io("settings"))?;
+        let arguments = ["--settings".to_owned(), settings.display().to_string()];
+        let log = self.folder.file(&format!("{name}.log"));
+        let child = Child::start(&name, "hawthornwalld", &arguments, &log)?;
+        let node = &self.nodes[number];
+        node.starts.set(node.starts.get() + 1);
+        *node.child.borrow_mut() = Some(child);
+        Ok(())
+    }
+
+    fn settings(&self, number: usize) -> String {
+        let at = |part, port| address(self.network, part, number, port).to_string();
+        let values = [
+            ("nodeName", format!("daemon-{number}")),
+            ("zone", ZONES[number % ZONES.len()].to_owned()),
+            ("service", service(number).to_owned()),
+            ("appAddr", self.worker_address(number).to_string()),
+            ("ip", address(self.network, 1, number, 0).ip().to_string()),
+            ("internalPorts.0", ADMIN_PORT.to_string()),
+            ("internalPorts.1", PEER_PORT.to_string()),
+            ("listen.outbound", at(1, CALLER_PORT)),
+            ("listen.ready", at(1, READY_PORT)),
+            ("platform.address", at(3, STORE_PORT)),
+        ];
+        values
+            .iter()
+            .fold(TEMPLATE.to_owned(), |text, (key, value)| {
+                text.replace(&format!("{{{{{key}}}}}"), value)
+            })
+    }
+
+    /// Peers reach the daemon at the worker's address, where the proxy takes them.
+    fn worker_address(&self, number: usize) -> SocketAddr {
+        address(self.network, 2, number, WORKER_PORT)
+    }
+}
+
+/// Loopback addresses of one soak: block 1 for daemons, 2 for workers and proxies, 3 for the store.
+fn address(network: u8, block: u8, number: usize, port: u16) -> SocketAddr {
+    let number = u8::try_from(number + 1).unwrap_or(u8::MAX);
+    SocketAddr::new(
+        IpAddr::from(Ipv4Addr::new(127, network, block, number)),
+        port,
+    )
+}
--- a/crates/testkit/src/http1/codec.rs
+++ b/crates/testkit/src/http1/codec.rs
@@ -60,6 +60,8 @@
     /// `Content-Length`.
     #[default]
     Fixed,
+    /// None: the body ends with the connection.
+    Unframed,
 }
 
 /// The request at the start of `buf` and its length, `None` if its end hasn't arrived.
@@ -216,6 +218,11 @@
             out.extend_from_slice(b"0\r\n\r\n");
             out
         }
+        Coding::Unframed => {
+            let mut out = with_headers(head, answer.headers());
+            out.extend_from_slice(body);
+            out
+        }
     }
 }
 
--- a/crates/testkit/src/http1/connection.rs
+++ b/crates/testkit/src/http1/connection.rs
@@ -95,6 +95,17 @@
         self.write(encode_answer(answer, coding)).await
     }
 
+    /// Sends all of an answer but the end of its body.
+    ///
+    /// # Errors
+    ///
+    /// The connection breaks.
+    pub async fn reply_part(&mut self, answer: &Response<Bytes>) -> Result<(), Fault> {
+        let mut bytes = encode_answer(answer, Coding::Fixed);
+        bytes.truncate(bytes.len() - answer.body().len() / 2);
+        self.write(bytes).await
+    }
+
     /// Completes when the peer closes; bytes that arrive before are kept for the next message.
     pub async fn closed(&mut self) {
         while matches!(self.fill().await, Ok(n) if n > 0) {}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod procfs;
 pub mod random;
 pub mod relay;
+pub mod store;
 pub mod target;
 pub mod timer;
+pub mod worker;
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
--- /dev/null
+++ b/crates/testkit/src/store/serve.rs
@@ -0,0 +1,346 @@
+//! Tasks of the store: one that owns the contents, one for each connection.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use futures::channel::{mpsc, oneshot};
+use futures::{FutureExt, StreamExt, select_biased};
+use http::{Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
+use serde_json::{Value, json};
+
+use super::contents::{Change, Contents, Item};
+use crate::http1::{Coding, Connection, answer, listen};
+
+/// Items of one page.
+const PAGE: usize = 50;
+/// Time between two looks at watches whose time is over, and between two states that stale reads show.
+const TICK: Duration = Duration::from_millis(10);
+/// Age up to which stale reads are behind.
+const STALE_AGE: Duration = Duration::from_secs(1);
+
+/// How the store fails a reader.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// Calls are answered 503.
+    Busy,
+    /// Watches hear nothing.
+    Deaf,
+    /// Calls are answered 429.
+    Limited,
+    /// Calls are answered.
+    #[default]
+    None,
+    /// Connections are closed unanswered.
+    Reset,
+    /// Calls get no answer.
+    Silent,
+    /// Answers take this much longer.
+    Slow(Duration),
+}
+
+/// A call of a reader.
+#[derive(Debug)]
+struct Call {
+    arrived: Instant,
+    reader: usize,
+    reply: oneshot::Sender<Option<Response<Bytes>>>,
+    request: Request<Bytes>,
+}
+
+#[derive(Debug)]
+enum Message {
+    Call(Box<Call>),
+    Compact,
+    Delete(String),
+    Fault(Option<usize>, Fault),
+    Put(String, Vec<u8>),
+}
+
+/// Changes the store from outside.
+#[derive(Clone, Debug)]
+pub struct StoreHandle(mpsc::UnboundedSender<Message>);
+
+impl StoreHandle {
+    /// Writes a value.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().into_bytes());
+    }
+
+    /// Writes any bytes.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
+        let _ = self.0.unbounded_send(Message::Put(key.to_owned(), value));
+    }
+
+    /// Deletes a key.
+    pub fn delete(&self, key: &str) {
+        let _ = self.0.unbounded_send(Message::Delete(key.to_owned()));
+    }
+
+    /// Forgets the history, and cuts all watches.
+    pub fn compact(&self) {
+        let _ = self.0.unbounded_send(Message::Compact);
+    }
+
+    /// Sets how calls of one reader fail, or of all.
+    pub fn fail(&self, reader: Option<usize>, fault: Fault) {
+        let _ = self.0.unbounded_send(Message::Fault(reader, fault));
+    }
+}
+
+struct Store {
+    contents: Contents,
+    faults: BTreeMap<usize, Fault>,
+    receiver: mpsc::UnboundedReceiver<Message>,
+    shared_fault: Fault,
+    stale: Contents,
+    stale_at: Instant,
+    watches: Vec<Call>,
+}
+
+/// Starts the store inside the runtime, with an address for each reader.
+///
+/// # Errors
+///
+/// An address can't be bound.
+pub fn serve(addresses: &[SocketAddr]) -> std::io::Result<StoreHandle> {
+    let (sender, receiver) = mpsc::unbounded();
+    for (reader, address) in addresses.iter().enumerate() {
+        let calls = sender.clone();
+        listen(*address, move |connection| {
+            serve_connection(connection, reader, calls.clone())
+        })?;
+    }
+    let store = Store {
+        contents: Contents::default(),
+        faults: BTreeMap::new(),
+        receiver,
+        shared_fault: Fault::None,
+        stale: Contents::default(),
+        stale_at: Instant::now(),
+        watches: Vec::new(),
+    };
+    monoio::spawn(store.run());
+    Ok(StoreHandle(sender))
+}
+
+async fn serve_connection(
+    mut connection: Connection,
+    reader: usize,
+    calls: mpsc::UnboundedSender<Message>,
+) {
+    while let Ok(Some(request)) = connection.read_request().await {
+        let (reply, receiver) = oneshot::channel();
+        let call = Call {
+            arrived: Instant::now(),
+            reader,
+            reply,
+            request,
+        };
+        let _ = calls.unbounded_send(Message::Call(Box::new(call)));
+        let Ok(Some(response)) = receiver.await else {
+            return;
+        };
+        if connection.reply(&response, Coding::Fixed).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Store {
+    async fn run(mut self) {
+        loop {
+            let tick = monoio::time::sleep(TICK).fuse();
+            futures::pin_mut!(tick);
+            let message = select_biased! {
+                message = self.receiver.next() => message,
+                () = tick => {
+                    self.tick();
+                    continue;
+                }
+            };
+            match message {
+                Some(Message::Call(call)) => self.call(*call),
+                Some(Message::Compact) => {
+                    self.contents.compact();
+                    self.watches.clear();
+                }
+                Some(Message::Delete(key)) => {
+                    self.contents.delete(&key);
+                    self.answer_watches();
+                }
+                Some(Message::Fault(reader, fault)) => self.set_fault(reader, fault),
+                Some(Message::Put(key, value)) => {
+                    self.contents.put(&key, value);
+                    self.answer_watches();
+                }
+                None => return,
+            }
+        }
+    }
+
+    fn set_fault(&mut self, reader: Option<usize>, fault: Fault) {
+        match reader {
+            Some(reader) => {
+                self.faults.insert(reader, fault);
+            }
+            None => self.shared_fault = fault,
+        }
+        // Watches that wait are cut by a store that begins to close connections.
+        let watches = std::mem::take(&mut self.watches);
+        let cut = |call: &Call| self.fault_of(call.reader) == Fault::Reset;
+        self.watches = watches.into_iter().filter(|call| !cut(call)).collect();
+    }
+
+    fn fault_of(&self, reader: usize) -> Fault {
+        let own = self.faults.get(&reader).copied().unwrap_or_default();
+        if self.shared_fault == Fault::None {
+            own
+        } else {
+            self.shared_fault
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.stale_at.elapsed() >= STALE_AGE {
+            self.stale = self.contents.clone();
+            self.stale_at = Instant::now();
+        }
+        self.answer_watches();
+    }
+
+    fn call(&mut self, call: Call) {
+        match self.fault_of(call.reader) {
+            Fault::Busy => respond(call, answer(StatusCode::SERVICE_UNAVAILABLE, "")),
+            Fault::Limited => respond(call, answer(StatusCode::TOO_MANY_REQUESTS, "")),
+            Fault::Reset => drop(call),
+            // The reader's connection stays open without an answer.
+            Fault::Silent => std::mem::forget(call.reply),
+            Fault::Deaf | Fault::None | Fault::Slow(_) => {
+                match read(&self.contents, &self.stale, &call.request) {
+                    Some(response) => self.respond(call, response),
+                    None => self.watches.push(call),
+                }
+                self.answer_watches();
+            }
+        }
+    }
+
+    /// Answers a call, later where the store is slow for its reader.
+    fn respond(&self, call: Call, response: Response<Bytes>) {
+        let delay = match self.fault_of(call.reader) {
+            Fault::Slow(delay) => delay,
+            Fault::Busy
+            | Fault::Deaf
+            | Fault::Limited
+            | Fault::None
+            | Fault::Reset
+            | Fault::Silent => return respond(call, response),
+        };
+        monoio::spawn(async move {
+            monoio::time::sleep(delay).await;
+            respond(call, response);
+        });
+    }
+
+    fn answer_watches(&mut self) {
+        for call in std::mem::take(&mut self.watches) {
+            let deaf = self.fault_of(call.reader) == Fault::Deaf;
+            let over = call.arrived.elapsed() >= wait_of(&call.request);
+            match watch(&self.contents, &call.request) {
+                Some(response) if !deaf => self.respond(call, response),
+                Some(_) | None if over => {
+                    let nothing =
+                        json!({ "events": [], "storeRevision": self.contents.revision() });
+                    self.respond(call, ok(&nothing));
+                }
+                Some(_) | None => self.watches.push(call),
+            }
+        }
+    }
+}
+
+/// Answers a call.
+fn respond(call: Call, response: Response<Bytes>) {
+    let _ = call.reply.send(Some(response));
+}
+
+fn ok(body: &Value) -> Response<Bytes> {
+    answer(StatusCode::OK, body.to_string())
+}
+
+/// The answer to a call that needn't wait; `None` for a watch.
+fn read(
+    contents: &Contents,
+    stale: &Contents,
+    request: &Request<Bytes>,
+) -> Option<Response<Bytes>> {
+    let shown = if parameter(request, "allowStale") == "1" {
+        stale
+    } else {
+        contents
+    };
+    match request.uri().path() {
+        "/api/kv-range" => Some(ok(&page(shown, request))),
+        "/api/kv-watch" => None,
+        "/api/kv-key" => {
+            let key = parameter(request, "key");
+            let item = shown.get(&key).map(|item| ok(&item_json(&key, item)));
+            Some(item.unwrap_or_else(|| answer(StatusCode::NOT_FOUND, "")))
+        }
+        _ => Some(answer(StatusCode::NOT_FOUND, "")),
+    }
+}
+
+fn page(contents: &Contents, request: &Request<Bytes>) -> Value {
+    let (prefix, after) = (parameter(request, "prefix"), parameter(request, "after"));
+    let all: Vec<_> = contents.range(&prefix, &after).take(PAGE + 1).collect();
+    let shown = all.iter().take(PAGE);
+    let items: Vec<_> = shown.map(|(key, item)| item_json(key, item)).collect();
+    json!({
+        "items": items,
+        "hasMore": all.len() > PAGE,
+        "storeRevision": contents.revision(),
+    })
+}
+
+/// The answer to a watch, `None` while it has to wait.
+fn watch(contents: &Contents, request: &Request<Bytes>) -> Option<Response<Bytes>> {
+    let after = parameter(request, "after").parse().unwrap_or(0);
+    let Ok(changes) = contents.changes(&parameter(request, "prefix"), after) else {
+        return Some(answer(StatusCode::GONE, ""));
+    };
+    let event = |change: &Change| match &change.item {
+        Some(item) => item_json(&change.key, item),
+        None => json!({ "key": change.key, "revision": change.at, "deleted": true }),
+    };
+    let events: Vec<_> = changes.into_iter().map(event).collect();
+    (!events.is_empty())
+        .then(|| ok(&json!({ "events": events, "storeRevision": contents.revision() })))
+}
+
+fn item_json(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key,
+        "value": STANDARD.encode(&item.value),
+        "revision": item.revision,
+        "created": item.created,
+        "lease": 0,
+    })
+}
+
+fn wait_of(request: &Request<Bytes>) -> Duration {
+    Duration::from_millis(parameter(request, "waitMs").parse().unwrap_or(0))
+}
+
+fn parameter(request: &Request<Bytes>, name: &str) -> String {
+    let query = request.uri().query().unwrap_or_default();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut values = pairs.filter(|(key, _)| *key == name);
+    let value = values.next().map_or("", |(_, value)| value);
+    percent_decode_str(value).decode_utf8_lossy().into_owned()
+}
--- /dev/null
+++ b/crates/testkit/tests/store.rs
@@ -0,0 +1,112 @@
+//! Contract of the store's fake: what the users' platform says of ranges, watches and failures.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornwall_testkit::http1::Connection;
+use hawthornwall_testkit::store::{Fault, StoreHandle, serve};
+use hawthornwall_testkit::{launcher, run};
+use http::Request;
+use insta::assert_snapshot;
+use serde_json::{Value, json};
+
+/// Longest wait for an answer.
+const LIMIT: Duration = Duration::from_millis(400);
+
+async fn get(store: SocketAddr, path: &str) -> String {
+    let ask = async {
+        let mut connection = Connection::open(store).await.ok()?;
+        let request = Request::get(path).header("host", "store");
+        let request = request.body(Bytes::new()).expect("the request is valid");
+        connection.exchange(&request).await.ok()
+    };
+    match monoio::time::timeout(LIMIT, ask).await {
+        Err(_) => "no answer".to_owned(),
+        Ok(None) => "closed".to_owned(),
+        Ok(Some(answer)) => {
+            let status = answer.status().as_u16();
+            let body: Value = serde_json::from_slice(answer.body()).unwrap_or(Value::Null);
+            let listed = |list: &str| {
+                let all = body[list].as_array().cloned().unwrap_or_default();
+                let line = |item: &Value| format!("{}@{}", item["key"], item["revision"]);
+                all.iter().map(line).collect::<Vec<_>>().join(" ")
+            };
+            let (items, events) = (listed("items"), listed("events"));
+            let (more, revision) = (&body["hasMore"], &body["storeRevision"]);
+            format!("{status} items [{items}] events [{events}] more {more} revision {revision}")
+        }
+    }
+}
+
+/// Starts a store with two readers and tells what a story of calls and changes shows.
+fn story(tell: impl AsyncFn(StoreHandle, [SocketAddr; 2]) -> Vec<String>) -> String {
+    let lines = run(async {
+        let address = || launcher::shared_address().expect("a port is free");
+        let readers = [address(), address()];
+        let store = serve(&readers).expect("the store starts");
+        tell(store, readers).await
+    });
+    lines.expect("the runtime starts").join("\n")
+}
+
+/// Guards against a fake that shows other contents or changes than the store would.
+#[test]
+fn ranges_and_watches() {
+    let seen = story(async |store, [reader, _]| {
+        store.put("servers/a", &json!(1));
+        store.put("servers/b", &json!(2));
+        store.put("op/config", &json!(3));
+        store.delete("servers/a");
+        let paths = [
+            "/api/kv-range?prefix=servers%2F",
+            "/api/kv-range?prefix=&after=op%2Fconfig",
+            "/api/kv-watch?prefix=servers%2F&after=1&waitMs=100",
+            "/api/kv-watch?prefix=&after=4&waitMs=100",
+            "/api/kv-key?key=servers%2Fa",
+        ];
+        let mut seen = Vec::new();
+        for path in paths {
+            seen.push(format!("{path}\n  {}", get(reader, path).await));
+        }
+        store.compact();
+        let path = "/api/kv-watch?prefix=&after=2&waitMs=100";
+        seen.push(format!("forgotten\n  {}", get(reader, path).await));
+        for n in 0..60 {
+            store.put(&format!("x/{n:02}"), &json!(n));
+        }
+        let page = get(reader, "/api/kv-range?prefix=x").await;
+        let (_, last) = page.rsplit_once("x/").expect("the page has items");
+        seen.push(format!("a full page ends with {last}"));
+        seen
+    });
+    assert_snapshot!(seen);
+}
+
+/// Guards against a failure that the fake shows to others than meant, or not at all.
+#[test]
+fn failures() {
+    let seen = story(async |store, [one, other]| {
+        store.put("a", &json!(1));
+        let faults = [
+            Fault::Busy,
+            Fault::Limited,
+            Fault::Reset,
+            Fault::Silent,
+            Fault::Slow(Duration::from_millis(100)),
+            Fault::Deaf,
+            Fault::None,
+        ];
+        let mut seen = Vec::new();
+        for fault in faults {
+            store.fail(Some(0), fault);
+            let path = "/api/kv-watch?prefix=&after=0&waitMs=100";
+            let (first, second) = (get(one, path).await, get(other, path).await);
+            seen.push(format!("{fault:?}\n  {first}\n  {second}"));
+        }
+        store.fail(None, Fault::Busy);
+        seen.push(get(other, "/api/kv-range?prefix=").await);
+        seen
+    });
+    assert_snapshot!(seen);
+}
