Take the median of the last service times of a kind as its usual time

Cause: the usual service time of a kind is a moving average whose samples count as at most twice the average. Where the first request of a kind was answered without work, as one in five look-ups of certificates are, it grows from 1 ms by 5% a request, so that for about a hundred requests the gate takes late requests for timely ones and refuses too few. Ruled out: a faster start of the average (one stall among the first samples would then count in full). Change: Recent keeps the last 32 service times of a kind and their median. Test: scenario admission/quick_first fails with the average.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -12,6 +12,7 @@
 
 mod gate;
 mod queue;
+mod recent;
 mod service;
 mod strain;
 
--- a/crates/core/src/admission/service.rs
+++ b/crates/core/src/admission/service.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::Urgency;
+use super::recent::Recent;
 
 /// Weight of a new service time in the moving average.
 const SERVICE_WEIGHT: f64 = 0.05;
@@ -17,10 +18,11 @@
 /// Kinds that are told apart.
 const KIND_LIMIT: usize = 32;
 
-/// Moving averages of service times.
+/// Usual service times.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServiceTimes {
-    by_urgency: BTreeMap<Urgency, Duration>,
+    by_urgency: BTreeMap<Urgency, Recent>,
+    /// A moving average.
     overall: Duration,
 }
 
@@ -30,8 +32,7 @@
         self.overall = average(self.overall, sample);
         let known = self.by_urgency.contains_key(&urgency);
         if known || self.by_urgency.len() < KIND_LIMIT {
-            let old = self.by_urgency.entry(urgency).or_default();
-            *old = average(*old, sample);
+            self.by_urgency.entry(urgency).or_default().push(sample);
         }
     }
 
@@ -40,10 +41,10 @@
         self.overall
     }
 
-    /// The average of one kind, or over all where that kind is not known.
+    /// The median of one kind, or the average over all where that kind is not known.
     pub fn usual(&self, urgency: Urgency) -> Duration {
-        let known = self.by_urgency.get(&urgency).copied();
-        known.unwrap_or(self.overall)
+        let known = self.by_urgency.get(&urgency);
+        known.map_or(self.overall, Recent::median)
     }
 }
 
