--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::queue::{Queue, Waiting};
+use super::saturation::{Occupancy, Saturation};
 use super::service::ServiceTimes;
 use super::strain::{Strain, Verdict};
 use crate::ids::InstanceId;
@@ -76,6 +77,8 @@
 /// A request that holds a slot.
 #[derive(Clone, Copy, Debug)]
 struct Running {
+    /// Slots taken at the start, if the machine worked as usual then.
+    start: Option<Occupancy>,
     started: Time,
     urgency: Urgency,
 }
@@ -153,10 +156,13 @@
     queue: Queue,
     reachable: bool,
     running: BTreeMap<WorkId, Running>,
+    saturation: Saturation,
     seq: u64,
     services: ServiceTimes,
     strain: Strain,
     target_drains: bool,
+    /// Slots out of all that are in use.
+    usable: u32,
 }
 
 impl Gate {
@@ -170,10 +176,12 @@
             queue: Queue::default(),
             reachable: true,
             running: BTreeMap::new(),
+            saturation: Saturation::default(),
             seq: 0,
             services: ServiceTimes::default(),
             strain: Strain::default(),
             target_drains: false,
+            usable: limits.slots,
         }
     }
 
@@ -220,7 +228,7 @@
             seq: self.seq,
             service: self.service_estimate(now),
             slowdown: self.stated_slowdown(now),
-            slots: self.limits.slots,
+            slots: self.usable,
             state: self.state(),
         }
     }
@@ -234,6 +242,11 @@
         }
     }
 
+    /// Slots in use out of all, fewer than all where the target does more work with fewer.
+    pub fn usable_slots(&self) -> u32 {
+        self.usable
+    }
+
     /// Requests that wait for a slot.
     pub fn waiting(&self) -> usize {
         self.queue.len()
@@ -252,7 +265,7 @@
                 faults.push(format!("{id} runs and waits"));
             }
         }
-        let free = self.running.len() < self.limits.slots as usize;
+        let free = self.running.len() < self.usable as usize;
         if !self.queue.is_empty() && free && !self.strain.holding {
             faults.push("a request waits while a slot is free".to_owned());
         }
@@ -278,7 +291,7 @@
         if self.is_too_late(arrival, now) {
             return Err(Refusal::Expired);
         }
-        if self.running.len() + self.queue.len() < self.limits.slots as usize {
+        if self.running.len() + self.queue.len() < self.usable as usize {
             return Ok(());
         }
         let wait = self.expected_wait(arrival, now);
@@ -304,7 +317,7 @@
             .ahead_of(arrival, |u| self.services.usual(u), now);
         let needed = |u: Urgency| self.kind_service(u).unwrap_or(service);
         let total: Duration = ahead.iter().map(|w| needed(w.arrival.urgency)).sum();
-        (total + service) / self.limits.slots.max(1)
+        (total + service) / self.usable.max(1)
     }
 
     fn queue_limit(&self) -> usize {
@@ -313,6 +326,10 @@
 
     /// Fewer slots mean a shorter queue; the requests that would start last leave it.
     fn configure(&mut self, limits: Limits, effects: &mut Vec<Effect>) {
+        if limits.slots != self.limits.slots {
+            self.saturation = Saturation::default();
+            self.usable = limits.slots;
+        }
         self.limits = limits;
         let limit = self.queue_limit();
         let excess = |at: usize, _: &Waiting| (at >= limit).then_some(Refusal::Full);
@@ -337,7 +354,21 @@
         self.failing += FAILING_WEIGHT * (sample - self.failing);
         // A failure says nothing about how long an answer takes.
         if !failed {
-            self.services.learn(running.urgency, now - running.started);
+            self.learn(&running, now);
+        }
+    }
+
+    fn learn(&mut self, running: &Running, now: Time) {
+        let Running {
+            start,
+            started,
+            urgency,
+        } = *running;
+        self.services.learn(urgency, now - started);
+        // Requests without an objective may differ by any factor.
+        if let Some(start) = start.filter(|_| !urgency.objective.is_zero()) {
+            self.saturation.learn(start, urgency, now - started, now);
+            self.usable = self.saturation.useful_slots(self.limits.slots, now);
         }
     }
 
@@ -353,9 +384,9 @@
     fn drop_expired(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort(|u| self.services.usual(u), now);
-        let slots = self.limits.slots as usize;
+        let next = self.usable as usize;
         let expired = queue.remove(|at, waiting| {
-            let given_up = at >= slots && waits_in_vain(waiting, now);
+            let given_up = at >= next && waits_in_vain(waiting, now);
             (given_up || self.is_too_late(&waiting.arrival, now)).then_some(Refusal::Expired)
         });
         refuse(expired, effects);
@@ -376,7 +407,7 @@
 
     fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.strain.holding = false;
-        while self.running.len() < self.limits.slots as usize {
+        while self.running.len() < self.usable as usize {
             if self.queue.is_empty() || !self.may_start(now, effects) {
                 break;
             }
@@ -384,7 +415,12 @@
                 break;
             };
             let Arrival { id, urgency, .. } = waiting.arrival;
+            let taken = Occupancy {
+                slots: self.limits.slots,
+                taken: self.running.len() as u32 + 1,
+            };
             let running = Running {
+                start: (!self.strain.is_strained()).then_some(taken),
                 started: now,
                 urgency,
             };
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,7 +1,7 @@
 //! The admission aggregate: slots, queue and state of the one local target.
 //!
 //! Rules kept here:
-//! - at most `slots` requests run at once;
+//! - at most `slots` requests run at once, and fewer where the target does more work with fewer;
 //! - a request whose deadline has passed is never started;
 //! - waiting requests start in the order of their urgency, those of one kind that can still be answered in
 //!   time before those that can't;
@@ -13,6 +13,7 @@
 mod gate;
 mod queue;
 mod recent;
+mod saturation;
 mod service;
 mod strain;
 
--- a/crates/core/src/admission/recent.rs
+++ b/crates/core/src/admission/recent.rs
@@ -27,6 +27,10 @@
         self.median = sorted[sorted.len() / 2];
     }
 
+    /// How many service times are known.
+    pub fn len(&self) -> usize {
+        self.samples.len()
+    }
 
     /// The median, zero while none is known.
     pub fn median(&self) -> Duration {
--- a/crates/core/src/admission/strain.rs
+++ b/crates/core/src/admission/strain.rs
@@ -91,6 +91,11 @@
         ask
     }
 
+    /// Whether the target last said that work takes longer than usual.
+    pub fn is_strained(&self) -> bool {
+        self.seen.is_some_and(|(load, _)| load.slowdown >= STRAINED)
+    }
+
     /// The last statement and when it was made, in percent of the usual time.
     pub fn slowdown(&self) -> Option<(u32, Time)> {
         self.seen.map(|(load, at)| (load.slowdown, at))
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -42,7 +42,7 @@
     /// How long work takes on the target's machine at this moment, in percent of the usual, if the
     /// target states it.
     pub slowdown: Option<u32>,
-    /// Requests that the target may run at once.
+    /// Requests that its daemon lets it run at once.
     pub slots: u32,
     /// Whether the target takes new work.
     pub state: TargetState,
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -399,9 +399,14 @@
         };
         let finish = Event::Finish { failed, id: work };
         let effects_first = unreachable.then_some(Event::Reachable(false));
+        let usable = self.gate.usable_slots();
         for event in effects_first.iter().chain([&finish]) {
             self.apply(event);
         }
+        if self.gate.usable_slots() != usable {
+            let usable = self.gate.usable_slots();
+            log::info!("slots that the target uses well", kv: { usable });
+        }
         self.end_work(work, &run_end);
         if draining {
             self.apply(&Event::TargetDrains(true));
