Tell a target's own 421 from a refusal by its daemon, and log why each attempt was made

The log line of a request showed `wrong-target` both for a 421 of the target, which is an arrival there, and for a refusal by the daemon beside it, which sends nothing. It didn't show either which attempts took from the retry budget. The hypotheses on the repeats after a power loss couldn't be told apart.

A 421 of the target now has the reason `target-misdirected`, and each attempt after the first begins with `reroute`, `retry`, `hedge` or `repeat`. Routing is unchanged: a call handles the new refusal as it handles `wrong-target`. Daemons of earlier builds can't decode the new refusal in a reply and count the attempt as lost.

--- a/crates/core/src/calls/refusal.rs
+++ b/crates/core/src/calls/refusal.rs
@@ -10,6 +10,7 @@
 pub fn keyed_outcome(refusal: Refusal) -> Outcome {
     match refusal {
         Refusal::Budget
+        | Refusal::Misdirected
         | Refusal::NoTarget
         | Refusal::NotReady
         | Refusal::Overload
@@ -39,6 +40,7 @@
         | Refusal::Down
         | Refusal::Draining
         | Refusal::Full
+        | Refusal::Misdirected
         | Refusal::NotReady
         | Refusal::Shed
         | Refusal::Strained
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -47,6 +47,8 @@
     UnknownService,
     /// The daemon that received the request serves another target than the chosen one.
     WrongTarget,
+    /// The target rejected the request because the request names another target.
+    Misdirected,
 }
 
 impl Refusal {
@@ -62,6 +64,7 @@
             Self::KeyInvalid => "key-invalid",
             Self::KeyMismatch => "key-mismatch",
             Self::Malformed => "malformed-request",
+            Self::Misdirected => "target-misdirected",
             Self::NoTarget => "no-target",
             Self::NotReady => "not-ready",
             Self::Overload => "overload",
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -393,7 +393,11 @@
 
 fn record_refusal(view: &mut View, refusal: Refusal, now: Time) {
     match refusal {
-        Refusal::Down | Refusal::NotReady | Refusal::Unreachable | Refusal::WrongTarget => {
+        Refusal::Down
+        | Refusal::Misdirected
+        | Refusal::NotReady
+        | Refusal::Unreachable
+        | Refusal::WrongTarget => {
             view.record_failure(now);
         }
         Refusal::Budget
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -318,7 +318,7 @@
     let status = head.status.as_u16();
     let not_run = header_is(head, names.not_run, "1") && matches!(status, 400 | 429 | 503);
     if status == 421 {
-        return JobEnd::Refused(Refusal::WrongTarget);
+        return JobEnd::Refused(Refusal::Misdirected);
     }
     if not_run {
         let draining = header_is(head, STATE_HEADER, "draining");
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -142,6 +142,7 @@
             | Refusal::Draining
             | Refusal::Expired
             | Refusal::Full
+            | Refusal::Misdirected
             | Refusal::NoTarget
             | Refusal::NotReady
             | Refusal::Shed
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -369,8 +369,11 @@
     fn record_send(&mut self, target: TargetId) {
         let expect = self.expects.get(&target).cloned().flatten();
         let estimate = self.picked.as_ref().map(|(_, choice)| choice.estimate);
+        // The first attempt of a keyed request is sent without a pick.
+        let first = self.records.is_empty().then_some(PickKind::First);
         self.records.push(AttemptRecord {
             ended: None,
+            kind: self.picked.as_ref().map(|(kind, _)| *kind).or(first),
             report_age: estimate.and_then(|e| e.age),
             sent: self.backend.clock.now() - self.started,
             target: expect.map_or_else(|| target.to_string(), |name| name.to_string()),
--- a/crates/node/src/telemetry/requests.rs
+++ b/crates/node/src/telemetry/requests.rs
@@ -5,12 +5,13 @@
 //! - part of the bound is reserved for requests without an answer, so that answered ones can't displace
 //!   them.
 
-use std::fmt::Write as _;
+use std::fmt;
 use std::time::Duration;
 
+use hawthornwall_core::calls::PickKind;
 use hawthornwall_core::prelude::*;
 
-use super::counters::attempt_name;
+use super::counters::{attempt_name, pick_name};
 use super::log;
 
 /// Lines per second, and the most lines in a burst.
@@ -18,11 +19,31 @@
 /// Lines of a burst that only requests without an answer may use.
 const UNANSWERED_RESERVE: f64 = 20.0;
 
-/// One attempt of a request.
+/// One attempt of a request. Its text form has times in milliseconds; the kind of a first attempt is left
+/// out.
+///
+/// ```
+/// use std::time::Duration;
+/// use hawthornwall_core::calls::PickKind;
+/// use hawthornwall_core::prelude::*;
+/// use hawthornwall_node::telemetry::AttemptRecord;
+///
+/// let ms = Duration::from_millis;
+/// let attempt = AttemptRecord {
+///     ended: Some((ms(9), AttemptResult::Refused(Refusal::Shed))),
+///     kind: Some(PickKind::Reroute),
+///     report_age: Some(ms(20)),
+///     sent: ms(4),
+///     target: "i-1".to_owned(),
+/// };
+/// assert_eq!(attempt.to_string(), "reroute i-1 4..9 target-shed report=20");
+/// ```
 #[derive(Clone, Debug)]
 pub struct AttemptRecord {
     /// Time from the request's arrival to the attempt's end, and its result; `None` while it is in flight.
     pub ended: Option<(Duration, AttemptResult)>,
+    /// Why the target was picked; `None` for a repeat at the target of an earlier attempt.
+    pub kind: Option<PickKind>,
     /// Age of the load report that the choice was based on; `None` if there was no report.
     pub report_age: Option<Duration>,
     /// Time from the request's arrival to the attempt's start.
@@ -31,6 +52,27 @@
     pub target: String,
 }
 
+impl fmt::Display for AttemptRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.kind {
+            Some(PickKind::First) => {}
+            Some(kind @ (PickKind::Hedge | PickKind::Reroute | PickKind::Retry)) => {
+                write!(f, "{} ", pick_name(kind))?;
+            }
+            None => f.write_str("repeat ")?,
+        }
+        write!(f, "{} {}..", self.target, self.sent.as_millis())?;
+        match self.ended {
+            Some((at, result)) => write!(f, "{} {}", at.as_millis(), attempt_name(result))?,
+            None => f.write_str(" open")?,
+        }
+        match self.report_age {
+            Some(age) => write!(f, " report={}", age.as_millis()),
+            None => Ok(()),
+        }
+    }
+}
+
 /// The logged data of one request.
 #[derive(Clone, Debug)]
 pub struct RequestRecord {
@@ -78,7 +120,8 @@
             return;
         }
         let left_out = std::mem::take(&mut self.left_out);
-        let attempts = format_attempts(&record.attempts);
+        let attempts: Vec<_> = record.attempts.iter().map(ToString::to_string).collect();
+        let attempts = attempts.join("; ");
         let (id, route) = (record.id.as_str(), record.route.as_str());
         let (service, version) = (record.service.as_str(), record.version);
         let budget_ms = record.budget.as_millis() as u64;
@@ -109,24 +152,3 @@
         allowed
     }
 }
-
-/// Formats each attempt as `target sent..ended result report=age`, with times in milliseconds.
-fn format_attempts(attempts: &[AttemptRecord]) -> String {
-    let mut text = String::new();
-    for attempt in attempts {
-        if !text.is_empty() {
-            text.push_str("; ");
-        }
-        let _ = write!(text, "{} {}..", attempt.target, attempt.sent.as_millis());
-        match attempt.ended {
-            Some((at, result)) => {
-                let _ = write!(text, "{} {}", at.as_millis(), attempt_name(result));
-            }
-            None => text.push_str(" open"),
-        }
-        if let Some(age) = attempt.report_age {
-            let _ = write!(text, " report={}", age.as_millis());
-        }
-    }
-    text
-}
