Add failing tests of requests that every target answers with 421

While daemons know only the old names of targets that were restarted, each request visits all targets of its service, and each of them answers 421.

--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -168,3 +168,12 @@
     let scripts = vec![Connection::closed_after(vec![String::new()])];
     assert_snapshot!(results(scripts, 1));
 }
+
+/// Guards against passing on requests for another target to a target that has just stated its name: each
+/// of them is an arrival that the target only turns away.
+#[test]
+fn requests_for_another_name_reach_the_target() {
+    let refusal = answer("421 X", "X-Request-Id: 7\r\nX-Instance-Id: i-2\r\n", "");
+    let scripts = vec![Connection::silent_after(vec![refusal])];
+    assert_snapshot!(results(scripts, 2));
+}
