Take attempts after a target's 421 from the retry budget, and count them as sent

Cause: a call took a 421 for a refusal by the daemon beside the target, which costs nothing: the further attempt was a free `reroute`, and the target didn't count against the attempts of the route. But the target has received the request, as with one that it sheds. The class of fault: whether a refusal is free was decided by one reason's name, not by who refused. Refusal::is_by_target now states it for every reason, and both rules ask it.

Looked at elsewhere: retries, hedges and shed requests take from the budget; repeats under the same request id end at the daemon and reach a target once; the own dialect's refusal of a draining target stays free, since its daemon refuses all further work from that answer on.

repeats_after_421_exceed_the_budget and targets_that_answer_421_exceed_the_attempts_of_the_route failed before (500 attempts for 100 requests; 5 for a route that allows 2) and pass now (112; 2).

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -39,7 +39,7 @@
             | Some(AttemptResult::Answered | AttemptResult::Failed | AttemptResult::Lost(_)) => {
                 true
             }
-            Some(AttemptResult::Refused(refusal)) => refusal == Refusal::Shed,
+            Some(AttemptResult::Refused(refusal)) => refusal.is_by_target(),
         }
     }
 }
--- a/crates/core/src/calls/event.rs
+++ b/crates/core/src/calls/event.rs
@@ -44,7 +44,7 @@
     Hedge,
     /// An attempt after a definite refusal that has cost no target any work.
     Reroute,
-    /// An attempt after a lost or failed one, or one shed by its target; uses the retry budget.
+    /// An attempt after a lost or failed one, or one rejected by its target; uses the retry budget.
     Retry,
 }
 
--- a/crates/core/src/calls/refusal.rs
+++ b/crates/core/src/calls/refusal.rs
@@ -58,11 +58,11 @@
     }
 }
 
-/// The kind of pick that follows a refusal. A request shed by the target has cost the target
-/// work, so sending the request to another target uses the retry budget. A refusal by the target's
-/// daemon has cost no work.
+/// The kind of pick that follows a refusal. A request that the target has rejected itself has cost
+/// the target work, so sending the request to another target uses the retry budget. A refusal by the
+/// target's daemon has cost no work.
 pub(super) fn reroute_kind(refusal: Refusal) -> PickKind {
-    if refusal == Refusal::Shed {
+    if refusal.is_by_target() {
         PickKind::Retry
     } else {
         PickKind::Reroute
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -52,6 +52,38 @@
 }
 
 impl Refusal {
+    /// Whether the target itself has received and rejected the request. The other refusals come from
+    /// daemons, before anything is sent to the target.
+    ///
+    /// ```
+    /// use hawthornwall_core::outcome::Refusal;
+    ///
+    /// assert!(Refusal::Misdirected.is_by_target());
+    /// assert!(!Refusal::WrongTarget.is_by_target());
+    /// ```
+    pub const fn is_by_target(self) -> bool {
+        match self {
+            Self::Misdirected | Self::Shed => true,
+            Self::Budget
+            | Self::Cancelled
+            | Self::Down
+            | Self::Draining
+            | Self::Expired
+            | Self::Full
+            | Self::KeyInvalid
+            | Self::KeyMismatch
+            | Self::Malformed
+            | Self::NoTarget
+            | Self::NotReady
+            | Self::Overload
+            | Self::Strained
+            | Self::TooLarge
+            | Self::Unreachable
+            | Self::UnknownService
+            | Self::WrongTarget => false,
+        }
+    }
+
     /// Name in headers, logs and metrics.
     pub const fn name(self) -> &'static str {
         match self {
