Refuse requests at the daemon while its target states another name

Cause: the daemon beside the target passed each of these requests on, although the target's answers, to the load check just before each start and with each 421, state its name. A request for another name is refused as wrong-target at once, or at its start if the name came with the load check; nothing is sent, and the sender tries another target without taking from the budget. What an answer states about its target is read in one place, SelfReport.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use super::name::StatedName;
 use super::queue::{Queue, Waiting};
 use super::saturation::{Occupancy, Saturation};
 use super::service::ServiceTimes;
@@ -174,6 +175,7 @@
     saturation: Saturation,
     seq: u64,
     service_times: ServiceTimes,
+    stated_name: StatedName,
     strain: Strain,
     target_drains: bool,
     /// Number of requests that may run at once, at most `limits.slots`.
@@ -194,6 +196,7 @@
             saturation: Saturation::default(),
             seq: 0,
             service_times: ServiceTimes::default(),
+            stated_name: StatedName::default(),
             strain: Strain::default(),
             target_drains: false,
             usable: limits.slots,
@@ -233,6 +236,18 @@
         self.strain.observe(load, now);
     }
 
+    /// Records the name that the target stated in an answer; returns whether it differs from the last
+    /// one.
+    pub fn observe_name(&mut self, name: &str, now: Time) -> bool {
+        self.stated_name.record(name, now)
+    }
+
+    /// Whether the target would reject a request that names `expected`, since it recently stated
+    /// another name.
+    pub fn is_misdirected(&self, expected: &str, now: Time) -> bool {
+        self.stated_name.differs_from(expected, now)
+    }
+
     /// Creates the load report for the next reply and advances the sequence number.
     pub fn report(&mut self, now: Time) -> LoadReport {
         self.seq += 1;
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -12,6 +12,7 @@
 //! - only a request that has not been started is refused.
 
 mod gate;
+mod name;
 mod queue;
 mod recent;
 mod saturation;
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -6,7 +6,6 @@
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::admission::WorkId;
-use hawthornwall_core::load::TargetLoad;
 use hawthornwall_core::outcome::{Loss, Refusal};
 use hawthornwall_core::time::Time;
 use hawthornwall_wire::head::Framing;
@@ -18,12 +17,11 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::http::{HttpStream, Limits, ReadFault, encode_request, from_answer_head, header_text};
+use crate::self_report::SelfReport;
 use crate::telemetry::trace::HopSpan;
 
 /// Timeout for connecting to the local target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Answer header that a target sets to `draining` before it stops.
-const STATE_HEADER: &str = "hawthornwall-state";
 
 /// A request for the target.
 #[derive(Debug)]
@@ -50,16 +48,26 @@
 /// A completed job, with what the target stated along with its answer.
 #[derive(Debug)]
 pub(super) struct Finished {
-    /// Whether the target reported that it is draining.
-    pub draining: bool,
     pub end: JobEnd,
     /// Sender for the next job on this connection; `None` if the connection can't be reused.
     pub idle: Option<mpsc::UnboundedSender<Job>>,
-    /// Load that the target reported; `None` if the answer carries no load.
-    pub load: Option<TargetLoad>,
+    /// What the answer states about the target; nothing without an answer.
+    pub report: SelfReport,
     pub work: WorkId,
 }
 
+impl Finished {
+    /// A job that was not sent to the target.
+    pub fn unsent(work: WorkId, refusal: Refusal) -> Self {
+        Self {
+            end: JobEnd::Refused(refusal),
+            idle: None,
+            report: SelfReport::default(),
+            work,
+        }
+    }
+}
+
 /// Message from a connection task to the gate task.
 #[derive(Debug)]
 pub(super) enum ConnEvent {
@@ -86,14 +94,7 @@
 ) {
     let work = first.work;
     let Some(conn) = connect(target).await else {
-        let end = JobEnd::Refused(Refusal::Down);
-        let finished = Finished {
-            draining: false,
-            end,
-            idle: None,
-            load: None,
-            work,
-        };
+        let finished = Finished::unsent(work, Refusal::Down);
         let _ = events.unbounded_send(ConnEvent::Finished(finished));
         return;
     };
@@ -144,18 +145,16 @@
     async fn finish(&mut self, job: Job, sender: &mpsc::UnboundedSender<Job>) -> (Finished, bool) {
         let work = job.work;
         let Served {
-            draining,
             end,
-            load,
+            report,
             reusable,
         } = self.serve(job).await;
         let idle = reusable.then(|| sender.clone());
         (
             Finished {
-                draining,
                 end,
                 idle,
-                load,
+                report,
                 work,
             },
             reusable,
@@ -169,18 +168,16 @@
 }
 
 struct Served {
-    draining: bool,
     end: JobEnd,
-    load: Option<TargetLoad>,
+    report: SelfReport,
     reusable: bool,
 }
 
 impl Served {
     fn failed(end: JobEnd) -> Self {
         Self {
-            draining: false,
             end,
-            load: None,
+            report: SelfReport::default(),
             reusable: false,
         }
     }
@@ -255,11 +252,10 @@
                 && !header_is(&head, "connection", "close")
                 && head.version == http::Version::HTTP_11
                 && !self.stream.has_buffered();
-            let load = names.load.and_then(|n| head.headers.get(n)?.to_str().ok());
+            let report = SelfReport::from_headers(self.target.dialect, &head.headers);
             return Ok(Served {
-                draining: header_is(&head, STATE_HEADER, "draining"),
-                end: job_end(names, &head, body, request),
-                load: load.and_then(|text| self.target.dialect.load(text)),
+                end: job_end(names, &head, body, request, &report),
+                report,
                 reusable,
             });
         }
@@ -314,15 +310,20 @@
 }
 
 /// Interprets a complete answer.
-fn job_end(names: &HeaderNames, head: &AnswerHead, body: Vec<u8>, request: &HttpRequest) -> JobEnd {
+fn job_end(
+    names: &HeaderNames,
+    head: &AnswerHead,
+    body: Vec<u8>,
+    request: &HttpRequest,
+    report: &SelfReport,
+) -> JobEnd {
     let status = head.status.as_u16();
     let not_run = header_is(head, names.not_run, "1") && matches!(status, 400 | 429 | 503);
     if status == 421 {
         return JobEnd::Refused(Refusal::Misdirected);
     }
     if not_run {
-        let draining = header_is(head, STATE_HEADER, "draining");
-        return JobEnd::Refused(if draining {
+        return JobEnd::Refused(if report.draining {
             Refusal::Draining
         } else {
             Refusal::Shed
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -23,6 +23,7 @@
 use crate::messages::{
     GateMessage, GateStatus, ProbeMessage, ProbeResult, ProbeSender, RoutingState,
 };
+use crate::self_report::SelfReport;
 use crate::telemetry::trace::{Hop, HopSpan};
 use crate::telemetry::{Event as Count, Telemetry, log};
 
@@ -177,8 +178,11 @@
                 let result = self.issue(service, target);
                 self.send_reply(reply, id, result, Duration::ZERO);
             }
-            GateMessage::LoadAnswer(load) => self.apply(&Event::LoadAnswer(load)),
-            GateMessage::Probed(result) => self.record_probe(result),
+            GateMessage::LoadAnswer(report) => {
+                self.record_name(&report);
+                self.apply(&Event::LoadAnswer(report.load));
+            }
+            GateMessage::Probed(result) => self.record_probe(&result),
             GateMessage::Run {
                 id,
                 reply,
@@ -235,7 +239,7 @@
         }
     }
 
-    fn record_probe(&mut self, result: ProbeResult) {
+    fn record_probe(&mut self, result: &ProbeResult) {
         self.apply(&Event::Reachable(result.reachable));
         if let Some(draining) = result.draining {
             self.apply(&Event::TargetDrains(draining));
@@ -302,8 +306,20 @@
             span,
             waiters: vec![waiter],
         };
+        let misdirected = self.is_misdirected(&inflight);
         self.work.insert(work, inflight);
-        self.apply(&Event::Arrive(arrival));
+        if misdirected {
+            self.finish_work(work, &RunResult::Refused(Refusal::WrongTarget));
+        } else {
+            self.apply(&Event::Arrive(arrival));
+        }
+    }
+
+    /// Whether the target has recently stated another name than the request.
+    fn is_misdirected(&self, inflight: &InFlight) -> bool {
+        let run = inflight.run.as_ref();
+        let expected = run.and_then(|run| run.expected_target.as_deref());
+        expected.is_some_and(|name| self.gate.is_misdirected(name, self.clock.now()))
     }
 
     fn tick(&mut self) {
@@ -341,6 +357,12 @@
     }
 
     fn start(&mut self, work: WorkId) {
+        // The target may have stated its name while the request waited for a slot or a load check.
+        if self.work.get(work).is_some_and(|w| self.is_misdirected(w)) {
+            let unsent = Finished::unsent(work, Refusal::WrongTarget);
+            let _ = self.conn_sender.unbounded_send(ConnEvent::Finished(unsent));
+            return;
+        }
         let Some(inflight) = self.work.get_mut(work) else {
             return;
         };
@@ -383,13 +405,13 @@
 
     fn finish(&mut self, finished: Finished) {
         let Finished {
-            draining,
             end,
             idle,
-            load,
+            report,
             work,
         } = finished;
-        if let Some(load) = load {
+        self.record_name(&report);
+        if let Some(load) = report.load {
             self.record_load(load);
         }
         self.idle.extend(idle);
@@ -421,11 +443,20 @@
             log::info!("number of usable slots changed", kv: { usable });
         }
         self.finish_work(work, &run_result);
-        if draining {
+        if report.draining {
             self.apply(&Event::TargetDrains(true));
         }
     }
 
+    fn record_name(&mut self, report: &SelfReport) {
+        let Some(name) = report.name.as_deref() else {
+            return;
+        };
+        if self.gate.observe_name(name, self.clock.now()) {
+            log::info!("the target stated its name", kv: { name });
+        }
+    }
+
     /// Passes the reported load to the gate. Without a configured target, the reported number of
     /// slots becomes the limit.
     fn record_load(&mut self, load: TargetLoad) {
--- a/crates/node/src/gate/work.rs
+++ b/crates/node/src/gate/work.rs
@@ -55,6 +55,10 @@
         self.inflight.insert(work, inflight);
     }
 
+    pub fn get(&self, work: WorkId) -> Option<&InFlight> {
+        self.inflight.get(&work)
+    }
+
     pub fn get_mut(&mut self, work: WorkId) -> Option<&mut InFlight> {
         self.inflight.get_mut(&work)
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod probe;
 pub mod reload;
 pub mod router;
+pub mod self_report;
 pub mod signals;
 pub mod start;
 pub mod telemetry;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -21,6 +21,7 @@
 use serde::Serialize;
 
 use crate::platform::ReadEnd;
+use crate::self_report::SelfReport;
 
 /// The instance that serves a target.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
@@ -188,14 +189,14 @@
 }
 
 /// Result of a probe of the local target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProbeResult {
     /// Whether the target reports that it is draining; `None` if the response does not state it.
     pub draining: Option<bool>,
-    /// The load that the response states, if any.
-    pub load: Option<TargetLoad>,
     /// Whether the target accepts connections.
     pub reachable: bool,
+    /// What the head of the response states; nothing without a response.
+    pub report: SelfReport,
 }
 
 /// A message to the `probe` task.
@@ -228,8 +229,9 @@
         /// The target that the sender picked; the gate refuses if it is not the local one.
         target: TargetId,
     },
-    /// Result of [`ProbeMessage::CheckLoad`]; `None` if the query failed or the budget denied it.
-    LoadAnswer(Option<TargetLoad>),
+    /// Result of [`ProbeMessage::CheckLoad`]; states nothing if the query failed or the budget denied
+    /// it.
+    LoadAnswer(SelfReport),
     /// A periodic probe ended.
     Probed(ProbeResult),
     /// Run a request.
--- a/crates/node/src/probe/endpoint.rs
+++ b/crates/node/src/probe/endpoint.rs
@@ -11,6 +11,7 @@
 use crate::dialect::Dialect;
 use crate::http::{HttpStream, Limits, encode_request};
 use crate::messages::ProbeResult;
+use crate::self_report::SelfReport;
 
 /// The used part of a load endpoint's response. Its occupancy is ignored: the gate counts that itself.
 #[derive(Debug, Deserialize)]
@@ -50,8 +51,8 @@
                 Err(_) => {
                     return Some(ProbeResult {
                         draining: None,
-                        load: None,
                         reachable: false,
+                        report: SelfReport::default(),
                     });
                 }
             },
@@ -66,12 +67,10 @@
             .ok()
             .filter(|_| status == StatusCode::OK);
         let draining = state.map(|answer: LoadAnswer| answer.state == "draining");
-        let name = self.dialect.names().load;
-        let load = name.and_then(|n| head.headers.get(n)?.to_str().ok());
         Some(ProbeResult {
             draining,
-            load: load.and_then(|text| self.dialect.load(text)),
             reachable: true,
+            report: SelfReport::from_headers(self.dialect, &head.headers),
         })
     }
 
--- a/crates/node/src/probe/task.rs
+++ b/crates/node/src/probe/task.rs
@@ -125,8 +125,8 @@
     /// request of the gate stays open.
     async fn check_load(&mut self) {
         let result = self.probe().await.flatten();
-        let load = result.and_then(|r| r.load);
-        self.gate.send(GateMessage::LoadAnswer(load));
+        let report = result.map(|r| r.report).unwrap_or_default();
+        self.gate.send(GateMessage::LoadAnswer(report));
     }
 
     /// Reads the endpoint if the budget allows it. The outer `None` means that the probe was
--- /dev/null
+++ b/crates/node/src/self_report.rs
@@ -0,0 +1,46 @@
+//! What a target states about itself in the head of an answer.
+
+use hawthornwall_core::load::TargetLoad;
+use http::HeaderMap;
+
+use crate::dialect::Dialect;
+
+/// Answer header that a target sets to `draining` before it stops.
+const STATE_HEADER: &str = "hawthornwall-state";
+
+/// What a target states about itself in the head of an answer. Headers that are missing or malformed state
+/// nothing.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SelfReport {
+    /// Whether the target is draining.
+    pub draining: bool,
+    /// The target's load.
+    pub load: Option<TargetLoad>,
+    /// Name of the target, with which it compares the name that a request states.
+    pub name: Option<String>,
+}
+
+impl SelfReport {
+    /// Reads the headers of an answer.
+    ///
+    /// ```
+    /// use hawthornwall_node::dialect::Dialect;
+    /// use hawthornwall_node::self_report::SelfReport;
+    /// use http::{HeaderMap, HeaderValue};
+    ///
+    /// let mut headers = HeaderMap::new();
+    /// headers.insert("x-instance-id", HeaderValue::from_static("i-1"));
+    /// let report = SelfReport::from_headers(Dialect::Platform, &headers);
+    /// assert_eq!(report.name.as_deref(), Some("i-1"));
+    /// ```
+    pub fn from_headers(dialect: Dialect, headers: &HeaderMap) -> Self {
+        let names = dialect.names();
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let load = names.load.and_then(text);
+        Self {
+            draining: text(STATE_HEADER).is_some_and(|s| s.eq_ignore_ascii_case("draining")),
+            load: load.and_then(|load| dialect.load(load)),
+            name: names.target_name.and_then(text).map(str::to_owned),
+        }
+    }
+}
--- a/crates/wire/src/names.rs
+++ b/crates/wire/src/names.rs
@@ -18,6 +18,8 @@
     pub request_id: Option<&'static str>,
     /// Set on every successful answer of a target. A successful answer without it is incomplete.
     pub seal: Option<&'static str>,
+    /// Set on some of a target's answers: the name of the target.
+    pub target_name: Option<&'static str>,
 }
 
 /// Names used on platforms that don't define their own headers.
@@ -29,4 +31,5 @@
     not_run: "hawthornwall-not-run",
     request_id: None,
     seal: None,
+    target_name: None,
 };
