--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -178,3 +178,19 @@
     let scripts = vec![Connection::silent_after(vec![refusal])];
     assert_snapshot!(results(scripts, 2));
 }
+
+/// Guards against sending a target more requests than the limit per second that its answers state.
+#[test]
+fn requests_beyond_the_stated_limit_reach_the_target() {
+    let headers = format!("{SEALED}Server-Limit: 2\r\n");
+    let replies = vec![answer("200 OK", &headers, "ab"); 6];
+    assert_snapshot!(results(vec![Connection::silent_after(replies)], 6));
+}
+
+/// Guards against sending requests to a target whose answer states that it leaves.
+#[test]
+fn requests_reach_a_target_that_leaves() {
+    let headers = format!("{SEALED}Server-Leaving: 1\r\n");
+    let replies = vec![answer("200 OK", &headers, "ab"); 2];
+    assert_snapshot!(results(vec![Connection::silent_after(replies)], 2));
+}
