Keep the limit on requests per second that a target states

A target in need states in its answers how many requests a second it takes from all machines together.

The gate beside the target keeps the limit with a token bucket, for all daemons alone, since all requests pass through it. Requests beyond it wait for as long as their sender and the queue allow, or are refused as target-full and go elsewhere. The report shows slots that the limit keeps free as taken: otherwise the target would look idle and be picked first. An answer without the limit lifts it; one request every two seconds is let through even at a limit of zero, so that there is such an answer.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -6,11 +6,12 @@
 
 use super::name::StatedName;
 use super::queue::{Queue, Waiting};
+use super::rate::Rate;
 use super::saturation::{Occupancy, Saturation};
 use super::service::ServiceTimes;
 use super::strain::{Strain, Verdict};
 use crate::ids::InstanceId;
-use crate::load::{LoadReport, TargetLoad, TargetState};
+use crate::load::{LoadReport, RateLimit, TargetLoad, TargetState};
 use crate::outcome::Refusal;
 use crate::time::Time;
 
@@ -170,6 +171,7 @@
     instance: InstanceId,
     limits: Limits,
     queue: Queue,
+    rate: Rate,
     reachable: bool,
     running: BTreeMap<WorkId, Running>,
     saturation: Saturation,
@@ -191,6 +193,7 @@
             instance,
             limits,
             queue: Queue::default(),
+            rate: Rate::default(),
             reachable: true,
             running: BTreeMap::new(),
             saturation: Saturation::default(),
@@ -236,6 +239,12 @@
         self.strain.observe(load, now);
     }
 
+    /// Sets or lifts the limit on requests per second that the target stated in an answer; returns
+    /// whether it has changed.
+    pub fn limit_rate(&mut self, limit: Option<RateLimit>, now: Time) -> bool {
+        self.rate.set(limit, now)
+    }
+
     /// Records the name that the target stated in an answer; returns whether it differs from the last
     /// one.
     pub fn observe_name(&mut self, name: &str, now: Time) -> bool {
@@ -248,14 +257,17 @@
         self.stated_name.differs_from(expected, now)
     }
 
-    /// Creates the load report for the next reply and advances the sequence number.
+    /// Creates the load report for the next reply and advances the sequence number. Slots that the
+    /// rate limit keeps free now count as taken.
     pub fn report(&mut self, now: Time) -> LoadReport {
         self.seq += 1;
+        let limited = !self.rate.wait(self.queue.len(), now).is_zero();
+        let withheld = if limited { self.usable } else { 0 };
         LoadReport {
             failing: (self.failure_share * 100.0).round() as u8,
             instance: self.instance,
             queued: self.queue.len() as u32,
-            running: self.running.len() as u32,
+            running: withheld.max(self.running.len() as u32),
             seq: self.seq,
             service: self.service_estimate(now),
             slowdown: self.recent_slowdown(now),
@@ -301,7 +313,8 @@
             }
         }
         let free = self.running.len() < self.usable as usize;
-        if !self.queue.is_empty() && free && !self.strain.holding {
+        let holding = self.strain.holding || self.rate.holding;
+        if !self.queue.is_empty() && free && !holding {
             faults.push("a request is queued while a slot is free".to_owned());
         }
         faults
@@ -326,10 +339,10 @@
         if self.is_too_late(arrival, now) {
             return Err(Refusal::Expired);
         }
-        if self.running.len() + self.queue.len() < self.usable as usize {
+        let wait = self.expected_wait(arrival, now);
+        if wait.is_zero() {
             return Ok(());
         }
-        let wait = self.expected_wait(arrival, now);
         let allowed = arrival
             .max_wait
             .min(self.limits.queue_wait)
@@ -340,16 +353,27 @@
         Ok(())
     }
 
+    /// Expected time until a request starts that arrives now; zero if it can start at once.
     fn expected_wait(&self, arrival: &Arrival, now: Time) -> Duration {
+        let ahead = self
+            .queue
+            .ahead_of(arrival, |p| self.service_times.usual(p), now);
+        // Later requests of higher priority may start earlier, so the whole queue counts.
+        let rate_wait = self.rate.wait(self.queue.len(), now);
+        if self.running.len() + self.queue.len() < self.usable as usize {
+            return rate_wait;
+        }
+        rate_wait.max(self.slot_wait(ahead, now))
+    }
+
+    /// Expected time until a slot is free for a request that starts after those `ahead`.
+    fn slot_wait(&self, ahead: &[Waiting], now: Time) -> Duration {
         let estimate = self.service_estimate(now);
         let service_time = if estimate.is_zero() {
             DEFAULT_SERVICE_TIME
         } else {
             estimate
         };
-        let ahead = self
-            .queue
-            .ahead_of(arrival, |p| self.service_times.usual(p), now);
         let time_of = |p: Priority| self.kind_service_time(p).unwrap_or(service_time);
         let total: Duration = ahead.iter().map(|w| time_of(w.arrival.priority)).sum();
         (total + service_time) / self.usable.max(1)
@@ -453,8 +477,10 @@
 
     fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.strain.holding = false;
-        while self.running.len() < self.usable as usize {
-            if self.queue.is_empty() || !self.may_start(now, effects) {
+        self.rate.holding = false;
+        while self.running.len() < self.usable as usize && !self.queue.is_empty() {
+            self.rate.holding = !self.rate.wait(0, now).is_zero();
+            if self.rate.holding || !self.may_start(now, effects) {
                 break;
             }
             let Some(waiting) = self.queue.pop() else {
@@ -471,6 +497,7 @@
                 priority,
             };
             self.running.insert(id, running);
+            self.rate.take(now);
             effects.push(Effect::Start(id));
         }
     }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -3,6 +3,7 @@
 //! Invariants:
 //! - at most `slots` requests run at once, and fewer while the target completes more work with
 //!   fewer;
+//! - while the target states a limit on requests per second, no more start than it allows;
 //! - a request whose deadline has passed is never started;
 //! - waiting requests start in order of priority; within a kind, those that can still meet their
 //!   objective start before those that can't;
@@ -14,6 +15,7 @@
 mod gate;
 mod name;
 mod queue;
+mod rate;
 mod recent;
 mod saturation;
 mod service;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -50,6 +50,13 @@
     pub state: TargetState,
 }
 
+/// Number of requests per second that a target accepts from all daemons together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RateLimit {
+    /// Requests per second; finite and not negative.
+    pub per_second: f64,
+}
+
 /// Load that a target reports for itself.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TargetLoad {
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -2,6 +2,6 @@
 
 pub use crate::config::{Configuration, Service, Target};
 pub use crate::ids::{InstanceId, RequestId, ServiceId, TargetId, Version};
-pub use crate::load::{LoadReport, TargetLoad, TargetState};
+pub use crate::load::{LoadReport, RateLimit, TargetLoad, TargetState};
 pub use crate::outcome::{AttemptResult, Loss, Outcome, Refusal};
 pub use crate::time::Time;
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -55,6 +55,12 @@
             })),
             "load-unanswered" => Event::LoadAnswer(None),
             "reachable" => Event::Reachable(line.word(0)),
+            "rate-limit" => {
+                let limit = line.word::<String>(0).parse().ok();
+                let limit = limit.map(|per_second| RateLimit { per_second });
+                self.gate.limit_rate(limit, line.now);
+                return Vec::new();
+            }
             "report" => return vec![format!("{:?}", self.gate.report(line.now))],
             "tick" => Event::Tick,
             other => panic!("unknown event `{other}`"),
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -1,6 +1,6 @@
 //! The two sets of HTTP conventions between a daemon and its callers and targets.
 
-use hawthornwall_core::load::TargetLoad;
+use hawthornwall_core::load::{RateLimit, TargetLoad};
 use hawthornwall_settings::Source;
 use hawthornwall_wire::names::{self, HeaderNames};
 
@@ -38,4 +38,13 @@
             Self::Platform => hawthornwall_platform::decode_load(text),
         }
     }
+
+    /// Decodes the limit on requests per second that a target states in a header; `None` if it is malformed
+    /// or the conventions have no such header.
+    pub fn rate_limit(self, text: &str) -> Option<RateLimit> {
+        match self {
+            Self::Own => None,
+            Self::Platform => hawthornwall_platform::decode_rate_limit(text),
+        }
+    }
 }
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -51,8 +51,8 @@
     pub end: JobEnd,
     /// Sender for the next job on this connection; `None` if the connection can't be reused.
     pub idle: Option<mpsc::UnboundedSender<Job>>,
-    /// What the answer states about the target; nothing without an answer.
-    pub report: SelfReport,
+    /// What the answer states about the target; `None` without an answer.
+    pub report: Option<SelfReport>,
     pub work: WorkId,
 }
 
@@ -62,7 +62,7 @@
         Self {
             end: JobEnd::Refused(refusal),
             idle: None,
-            report: SelfReport::default(),
+            report: None,
             work,
         }
     }
@@ -169,7 +169,7 @@
 
 struct Served {
     end: JobEnd,
-    report: SelfReport,
+    report: Option<SelfReport>,
     reusable: bool,
 }
 
@@ -177,7 +177,7 @@
     fn failed(end: JobEnd) -> Self {
         Self {
             end,
-            report: SelfReport::default(),
+            report: None,
             reusable: false,
         }
     }
@@ -255,7 +255,7 @@
             let report = SelfReport::from_headers(self.target.dialect, &head.headers);
             return Ok(Served {
                 end: job_end(names, &head, body, request, &report),
-                report,
+                report: Some(report),
                 reusable,
             });
         }
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -179,8 +179,10 @@
                 self.send_reply(reply, id, result, Duration::ZERO);
             }
             GateMessage::LoadAnswer(report) => {
-                self.record_name(&report);
-                self.apply(&Event::LoadAnswer(report.load));
+                if let Some(report) = &report {
+                    self.record_report(report);
+                }
+                self.apply(&Event::LoadAnswer(report.and_then(|r| r.load)));
             }
             GateMessage::Probed(result) => self.record_probe(&result),
             GateMessage::Run {
@@ -410,8 +412,10 @@
             report,
             work,
         } = finished;
-        self.record_name(&report);
-        if let Some(load) = report.load {
+        if let Some(report) = &report {
+            self.record_report(report);
+        }
+        if let Some(load) = report.as_ref().and_then(|r| r.load) {
             self.record_load(load);
         }
         self.idle.extend(idle);
@@ -443,18 +447,24 @@
             log::info!("number of usable slots changed", kv: { usable });
         }
         self.finish_work(work, &run_result);
-        if report.draining {
+        if report.is_some_and(|r| r.draining) {
             self.apply(&Event::TargetDrains(true));
         }
     }
 
-    fn record_name(&mut self, report: &SelfReport) {
-        let Some(name) = report.name.as_deref() else {
-            return;
-        };
-        if self.gate.observe_name(name, self.clock.now()) {
+    /// Passes what an answer states about the target to the gate, except for its load.
+    fn record_report(&mut self, report: &SelfReport) {
+        let now = self.clock.now();
+        if let Some(name) = report.name.as_deref()
+            && self.gate.observe_name(name, now)
+        {
             log::info!("the target stated its name", kv: { name });
         }
+        if self.gate.limit_rate(report.rate_limit, now) {
+            let per_second = report.rate_limit.map(|limit| limit.per_second.to_string());
+            let per_second = per_second.as_deref().unwrap_or("none");
+            log::info!("the target's limit on requests changed", kv: { per_second });
+        }
     }
 
     /// Passes the reported load to the gate. Without a configured target, the reported number of
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -189,14 +189,14 @@
 }
 
 /// Result of a probe of the local target.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ProbeResult {
     /// Whether the target reports that it is draining; `None` if the response does not state it.
     pub draining: Option<bool>,
     /// Whether the target accepts connections.
     pub reachable: bool,
-    /// What the head of the response states; nothing without a response.
-    pub report: SelfReport,
+    /// What the head of the response states; `None` without a response.
+    pub report: Option<SelfReport>,
 }
 
 /// A message to the `probe` task.
@@ -229,9 +229,8 @@
         /// The target that the sender picked; the gate refuses if it is not the local one.
         target: TargetId,
     },
-    /// Result of [`ProbeMessage::CheckLoad`]; states nothing if the query failed or the budget denied
-    /// it.
-    LoadAnswer(SelfReport),
+    /// Result of [`ProbeMessage::CheckLoad`]; `None` if the query failed or the budget denied it.
+    LoadAnswer(Option<SelfReport>),
     /// A periodic probe ended.
     Probed(ProbeResult),
     /// Run a request.
--- a/crates/node/src/probe/endpoint.rs
+++ b/crates/node/src/probe/endpoint.rs
@@ -52,7 +52,7 @@
                     return Some(ProbeResult {
                         draining: None,
                         reachable: false,
-                        report: SelfReport::default(),
+                        report: None,
                     });
                 }
             },
@@ -70,7 +70,7 @@
         Some(ProbeResult {
             draining,
             reachable: true,
-            report: SelfReport::from_headers(self.dialect, &head.headers),
+            report: Some(SelfReport::from_headers(self.dialect, &head.headers)),
         })
     }
 
--- a/crates/node/src/probe/task.rs
+++ b/crates/node/src/probe/task.rs
@@ -125,7 +125,7 @@
     /// request of the gate stays open.
     async fn check_load(&mut self) {
         let result = self.probe().await.flatten();
-        let report = result.map(|r| r.report).unwrap_or_default();
+        let report = result.and_then(|r| r.report);
         self.gate.send(GateMessage::LoadAnswer(report));
     }
 
--- a/crates/node/src/self_report.rs
+++ b/crates/node/src/self_report.rs
@@ -1,6 +1,6 @@
 //! What a target states about itself in the head of an answer.
 
-use hawthornwall_core::load::TargetLoad;
+use hawthornwall_core::load::{RateLimit, TargetLoad};
 use http::HeaderMap;
 
 use crate::dialect::Dialect;
@@ -10,7 +10,7 @@
 
 /// What a target states about itself in the head of an answer. Headers that are missing or malformed state
 /// nothing.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct SelfReport {
     /// Whether the target is draining.
     pub draining: bool,
@@ -18,6 +18,8 @@
     pub load: Option<TargetLoad>,
     /// Name of the target, with which it compares the name that a request states.
     pub name: Option<String>,
+    /// Number of requests per second that the target accepts from all daemons together.
+    pub rate_limit: Option<RateLimit>,
 }
 
 impl SelfReport {
@@ -37,10 +39,12 @@
         let names = dialect.names();
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let load = names.load.and_then(text);
+        let rate_limit = names.rate_limit.and_then(text);
         Self {
             draining: text(STATE_HEADER).is_some_and(|s| s.eq_ignore_ascii_case("draining")),
             load: load.and_then(|load| dialect.load(load)),
             name: names.target_name.and_then(text).map(str::to_owned),
+            rate_limit: rate_limit.and_then(|limit| dialect.rate_limit(limit)),
         }
     }
 }
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -12,7 +12,6 @@
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::gate::{GateStart, GateTask};
 use hawthornwall_node::messages::{GateMessage, ProbeMessage};
-use hawthornwall_node::self_report::SelfReport;
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{Header, HttpRequest, RequestId, RunReply, RunRequest, RunResult};
@@ -92,7 +91,7 @@
                 work: WorkId(id),
             });
             // The scripted target has no load endpoint, so the load query is answered as failed.
-            let _ = gate.unbounded_send(GateMessage::LoadAnswer(SelfReport::default()));
+            let _ = gate.unbounded_send(GateMessage::LoadAnswer(None));
             results.push(describe_end(end.await.map(|r| r.result)));
             monoio::time::sleep(Duration::from_millis(50)).await;
         }
--- a/crates/wire/src/names.rs
+++ b/crates/wire/src/names.rs
@@ -13,6 +13,9 @@
     pub load: Option<&'static str>,
     /// Set to `1` on a target's answer if the request was not run.
     pub not_run: &'static str,
+    /// Set on a target's answers while it limits the requests per second that it accepts from all
+    /// daemons together: their number.
+    pub rate_limit: Option<&'static str>,
     /// Set on requests and answers: the caller's id of the request, which the target copies to its
     /// answer.
     pub request_id: Option<&'static str>,
@@ -29,6 +32,7 @@
     expected_target: None,
     load: None,
     not_run: "hawthornwall-not-run",
+    rate_limit: None,
     request_id: None,
     seal: None,
     target_name: None,
