Send no more requests to a target that states that it leaves

A target that leaves says so in all its answers, often before its entry in the store shows it. The header wasn't read: requests went on until the entry changed or the target ended, and then were lost or refused (DRAIN).

The gate beside the target starts nothing once an answer or a load check states it, and refuses what waits, so that the senders go elsewhere. Each daemon that has passed on such an answer also remembers it by itself: the target's daemon may restart and know nothing. Both forget it after a minute, when another run of the target is known, or when its entry is no longer published as draining.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -11,7 +11,7 @@
 use super::service::ServiceTimes;
 use super::strain::{Strain, Verdict};
 use crate::ids::InstanceId;
-use crate::load::{LoadReport, RateLimit, TargetLoad, TargetState};
+use crate::load::{LEAVING_MAX_AGE, LoadReport, RateLimit, TargetLoad, TargetState};
 use crate::outcome::Refusal;
 use crate::time::Time;
 
@@ -125,6 +125,10 @@
     /// The target reported whether it is draining. Unlike [`Event::Drain`] this can be undone,
     /// since such a report can be wrong.
     TargetDrains(bool),
+    /// The target stated that it leaves; it gets no more requests.
+    TargetLeaves,
+    /// Another run of the target serves the address. What the earlier run stated doesn't apply to it.
+    TargetReplaced,
     /// Time has passed: expired requests are refused, and requests held back for strain may start.
     Tick,
 }
@@ -169,6 +173,8 @@
     draining: bool,
     failure_share: f64,
     instance: InstanceId,
+    /// When the target last stated that it leaves; `None` if it has not.
+    leaving: Option<Time>,
     limits: Limits,
     queue: Queue,
     rate: Rate,
@@ -191,6 +197,7 @@
             draining: false,
             failure_share: 0.0,
             instance,
+            leaving: None,
             limits,
             queue: Queue::default(),
             rate: Rate::default(),
@@ -219,7 +226,18 @@
             Event::Finish { end, id } => self.finish(id, end, now),
             Event::LoadAnswer(load) => self.strain.finish_check(load, now),
             Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
-            Event::TargetDrains(drains) => self.target_drains = drains,
+            Event::TargetDrains(drains) => self.set_target_drains(drains),
+            Event::TargetLeaves => {
+                self.leaving = Some(now);
+                refuse(
+                    self.queue.remove_if(|_, _| Some(Refusal::Draining)),
+                    &mut effects,
+                );
+            }
+            Event::TargetReplaced => {
+                self.leaving = None;
+                self.rate.set(None, now);
+            }
             Event::Tick => {}
         }
         self.start_waiting(now, &mut effects);
@@ -272,13 +290,18 @@
             service: self.service_estimate(now),
             slowdown: self.recent_slowdown(now),
             slots: self.usable,
-            state: self.state(),
+            state: self.state(now),
         }
     }
 
+    /// Whether the target has stated that it leaves.
+    pub fn target_leaves(&self, now: Time) -> bool {
+        self.leaving.is_some_and(|at| now - at < LEAVING_MAX_AGE)
+    }
+
     /// State of the target as stated in load reports.
-    pub fn state(&self) -> TargetState {
-        match (self.draining || self.target_drains, self.reachable) {
+    pub fn state(&self, now: Time) -> TargetState {
+        match (self.accepts_none(now), self.reachable) {
             (true, _) => TargetState::Draining,
             (false, true) => TargetState::Serving,
             (false, false) => TargetState::Down,
@@ -329,8 +352,13 @@
         refusal.map(|refusal| Effect::Refuse(arrival.id, refusal))
     }
 
+    /// Whether the daemon or the target takes no new requests.
+    fn accepts_none(&self, now: Time) -> bool {
+        self.draining || self.target_drains || self.target_leaves(now)
+    }
+
     fn check(&self, arrival: &Arrival, now: Time) -> Result<(), Refusal> {
-        if self.draining || self.target_drains {
+        if self.accepts_none(now) {
             return Err(Refusal::Draining);
         }
         if !self.reachable {
@@ -441,6 +469,14 @@
         }
     }
 
+    /// A target that is no longer published as draining has restarted, so that it doesn't leave.
+    fn set_target_drains(&mut self, drains: bool) {
+        if self.target_drains && !drains {
+            self.leaving = None;
+        }
+        self.target_drains = drains;
+    }
+
     fn set_reachable(&mut self, reachable: bool, effects: &mut Vec<Effect>) {
         self.reachable = reachable;
         if !reachable {
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -10,6 +10,7 @@
 //! - while the target reports a strained machine, no request starts until waiting has cost as much
 //!   as an immediate start would;
 //! - after a drain begins, no request is admitted and every admitted request is finished;
+//! - after the target has stated that it leaves, no request is started;
 //! - only a request that has not been started is refused.
 
 mod gate;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -50,6 +50,10 @@
     pub state: TargetState,
 }
 
+/// Age from which a target's statement that it leaves is ignored. The target has ended long before, and
+/// another run of it may have the same name.
+pub const LEAVING_MAX_AGE: Duration = Duration::from_mins(1);
+
 /// Number of requests per second that a target accepts from all daemons together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateLimit {
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -76,6 +76,8 @@
     pub elapsed: Duration,
     /// Part of `elapsed` that the request spent at the target's daemon, as stated in the reply.
     pub held: Duration,
+    /// Whether the answer states that the target leaves.
+    pub leaving: bool,
     /// The load report in the reply; `None` without a reply.
     pub report: Option<&'a LoadReport>,
     /// How the attempt ended.
@@ -158,7 +160,7 @@
             if member.instance.is_some() && member.instance == view.former {
                 continue;
             }
-            view.leaving = member.leaving;
+            view.set_leaving(member.leaving);
             match member.instance {
                 Some(instance) if view.instance != Some(instance) => {
                     view.replace_instance(instance, now);
@@ -210,6 +212,9 @@
             return;
         };
         let sent = view.sent.remove(&observation.ticket.0).unwrap_or(now);
+        if observation.leaving {
+            view.announced_leaving = Some(now);
+        }
         if let Some(report) = observation.report {
             view.record_report(report, now);
             view.record_rtt(observation.elapsed.saturating_sub(observation.held));
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{InstanceId, ServiceId};
-use crate::load::{LoadReport, TargetState};
+use crate::load::{LEAVING_MAX_AGE, LoadReport, TargetState};
 use crate::time::Time;
 
 /// Service time assumed while no report of the service contains one.
@@ -84,6 +84,9 @@
 /// The recorded state of one target.
 #[derive(Clone, Debug)]
 pub(super) struct View {
+    /// When an answer of the target last stated that it leaves. The restart of its daemon doesn't
+    /// change that.
+    pub announced_leaving: Option<Time>,
     pub backoff_until: Time,
     pub domain: String,
     /// Time of the last failure; `None` after a success.
@@ -109,6 +112,7 @@
 impl View {
     pub fn new(service: ServiceId, domain: &str, slots: u32, rtt: Duration) -> Self {
         Self {
+            announced_leaving: None,
             backoff_until: Time::ZERO,
             domain: domain.to_owned(),
             failed_at: None,
@@ -130,7 +134,18 @@
         let draining = |(r, at): &(LoadReport, Time)| {
             r.state == TargetState::Draining && now - *at < DRAINING_MAX_AGE
         };
-        !self.leaving && !self.report.as_ref().is_some_and(draining)
+        let announced = |at: Time| now - at < LEAVING_MAX_AGE;
+        let leaving = self.leaving || self.announced_leaving.is_some_and(announced);
+        !leaving && !self.report.as_ref().is_some_and(draining)
+    }
+
+    /// Sets whether the member list shows the target as leaving. A target that is no longer shown so
+    /// has restarted, and what the earlier run announced doesn't apply to it.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        if self.leaving && !leaving {
+            self.announced_leaving = None;
+        }
+        self.leaving = leaving;
     }
 
     /// Stores a report unless it is from a replaced instance or older than the stored one.
--- a/crates/core/tests/properties/balancer.rs
+++ b/crates/core/tests/properties/balancer.rs
@@ -92,6 +92,7 @@
     let observation = Observation {
         elapsed: Duration::from_millis(3),
         held: Duration::from_millis(4),
+        leaving: false,
         report,
         result: AttemptResult::Answered,
         ticket,
@@ -137,6 +138,7 @@
                         let observation = Observation {
                             elapsed: Duration::from_millis(3),
                             held: Duration::ZERO,
+                            leaving: false,
                             report: report.as_ref(),
                             result,
                             ticket,
--- a/crates/core/tests/properties/gate.rs
+++ b/crates/core/tests/properties/gate.rs
@@ -52,6 +52,8 @@
         }),
         1 => any::<bool>().prop_map(Event::Reachable),
         1 => any::<bool>().prop_map(Event::TargetDrains),
+        1 => Just(Event::TargetLeaves),
+        2 => Just(Event::TargetReplaced),
         1 => Just(Event::Tick),
         1 => Just(Event::Drain),
     ]
@@ -97,6 +99,8 @@
             | Event::LoadAnswer(_)
             | Event::Reachable(_)
             | Event::TargetDrains(_)
+            | Event::TargetLeaves
+            | Event::TargetReplaced
             | Event::Tick => event,
         }
     }
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -36,6 +36,8 @@
             "cancel" => Event::Cancel(id()),
             "configure" => Event::Configure(limits(line)),
             "drain" => Event::Drain,
+            "target-leaves" => Event::TargetLeaves,
+            "target-replaced" => Event::TargetReplaced,
             "target-drains" => Event::TargetDrains(line.word(0)),
             "finish" => Event::Finish {
                 end: match (line.flag("failed"), line.flag("not-run")) {
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -99,6 +99,7 @@
         let observation = Observation {
             elapsed: line.span("elapsed", Duration::from_millis(5)),
             held: Duration::ZERO,
+            leaving: line.flag("leaving"),
             report: None,
             result: attempt_result(line.text("result").unwrap()),
             ticket,
@@ -121,6 +122,7 @@
         let observation = Observation {
             elapsed: Duration::from_millis(6),
             held: Duration::from_millis(5),
+            leaving: false,
             report: Some(&report),
             result: attempt_result(line.text("result").unwrap_or("answered")),
             ticket,
@@ -141,6 +143,7 @@
             let observation = Observation {
                 elapsed: Duration::ZERO,
                 held: Duration::ZERO,
+                leaving: false,
                 report: None,
                 result: AttemptResult::Lost(Loss::Cancelled),
                 ticket: choice.ticket,
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -47,4 +47,10 @@
             Self::Platform => hawthornwall_platform::decode_rate_limit(text),
         }
     }
+
+    /// Whether the headers of an answer, as returned by `text`, state that the target leaves.
+    pub fn states_leaving<'a>(self, text: impl FnOnce(&str) -> Option<&'a str>) -> bool {
+        let value = self.names().leaving.and_then(text);
+        value.is_some_and(|value| value.trim() == "1")
+    }
 }
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -225,6 +225,9 @@
             return;
         };
         if self.target != Some(id) {
+            if self.target.is_some() {
+                self.apply(&Event::TargetReplaced);
+            }
             self.records.set_target(id);
             self.preconnect(target.slots);
         }
@@ -252,7 +255,7 @@
         if self.target != Some(target) || self.service != Some(service) {
             return RunResult::Refused(Refusal::WrongTarget);
         }
-        match self.gate.state() {
+        match self.gate.state(self.clock.now()) {
             TargetState::Draining => RunResult::Refused(Refusal::Draining),
             TargetState::Down => RunResult::Refused(Refusal::Down),
             TargetState::Serving => self.records.issue(service, self.clock.now()),
@@ -459,6 +462,13 @@
             && self.gate.observe_name(name, now)
         {
             log::info!("the target stated its name", kv: { name });
+            self.apply(&Event::TargetReplaced);
+        }
+        if report.leaving {
+            if !self.gate.target_leaves(now) {
+                log::info!("the target stated that it leaves");
+            }
+            self.apply(&Event::TargetLeaves);
         }
         if self.gate.limit_rate(report.rate_limit, now) {
             let per_second = report.rate_limit.map(|limit| limit.per_second.to_string());
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -13,6 +13,8 @@
 };
 
 use super::listener::Backend;
+use crate::dialect::Dialect;
+use crate::http::header_text;
 use crate::messages::{Observed, OpenTicket, PeerAddress, PeerFault, PeersMessage};
 use crate::peers::{issue_at_gate, run_at_gate};
 use crate::telemetry::Event;
@@ -95,6 +97,9 @@
         } = self;
         let reply = request.send(&backend, span.traceparent()).await;
         let elapsed = backend.clock.now() - started;
+        let leaving = reply
+            .as_ref()
+            .is_ok_and(|reply| states_leaving(backend.dialect, &reply.result));
         let (result, report, held, output) = match reply {
             Ok(reply) => {
                 let (result, output) = result_and_output(reply.result);
@@ -112,6 +117,7 @@
         ticket.close(Observed {
             elapsed,
             held,
+            leaving,
             report,
             result,
         });
@@ -210,6 +216,16 @@
     }
 }
 
+/// Whether an answer of the target states that the target leaves.
+fn states_leaving(dialect: Dialect, result: &RunResult) -> bool {
+    match result {
+        RunResult::Answered(answer) => {
+            dialect.states_leaving(|name| header_text(&answer.headers, name))
+        }
+        RunResult::KeyIssued(_) | RunResult::Lost(_) | RunResult::Refused(_) => false,
+    }
+}
+
 fn result_and_output(end: RunResult) -> (AttemptResult, AttemptOutput) {
     match end {
         RunResult::Answered(answer) if answer.status >= MIN_FAILURE_STATUS => {
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -59,6 +59,8 @@
     pub elapsed: Duration,
     /// Part of `elapsed` that the request spent at the target's daemon; zero without a reply.
     pub held: Duration,
+    /// Whether the answer states that the target leaves.
+    pub leaving: bool,
     /// The load report in the reply; `None` without a reply.
     pub report: Option<LoadReport>,
     /// How the attempt ended.
@@ -104,6 +106,7 @@
         self.report(Observed {
             elapsed: Duration::ZERO,
             held: Duration::ZERO,
+            leaving: false,
             report: None,
             result,
         });
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -244,6 +244,7 @@
         let observation = Observation {
             elapsed: observed.elapsed,
             held: observed.held,
+            leaving: observed.leaving,
             report: observed.report.as_ref(),
             result: observed.result,
             ticket,
--- a/crates/node/src/self_report.rs
+++ b/crates/node/src/self_report.rs
@@ -14,6 +14,8 @@
 pub struct SelfReport {
     /// Whether the target is draining.
     pub draining: bool,
+    /// Whether the target leaves: it ends soon and takes no more requests.
+    pub leaving: bool,
     /// The target's load.
     pub load: Option<TargetLoad>,
     /// Name of the target, with which it compares the name that a request states.
@@ -42,6 +44,7 @@
         let rate_limit = names.rate_limit.and_then(text);
         Self {
             draining: text(STATE_HEADER).is_some_and(|s| s.eq_ignore_ascii_case("draining")),
+            leaving: dialect.states_leaving(text),
             load: load.and_then(|load| dialect.load(load)),
             name: names.target_name.and_then(text).map(str::to_owned),
             rate_limit: rate_limit.and_then(|limit| dialect.rate_limit(limit)),
--- a/crates/wire/src/names.rs
+++ b/crates/wire/src/names.rs
@@ -9,6 +9,8 @@
     pub deadline: &'static str,
     /// Set on requests to a target: name of the only target that may run the request.
     pub expected_target: Option<&'static str>,
+    /// Set to `1` on all answers of a target that ends soon and takes no more requests.
+    pub leaving: Option<&'static str>,
     /// Set on a target's answers: the target's load.
     pub load: Option<&'static str>,
     /// Set to `1` on a target's answer if the request was not run.
@@ -30,6 +32,7 @@
     caller: None,
     deadline: "hawthornwall-deadline",
     expected_target: None,
+    leaving: None,
     load: None,
     not_run: "hawthornwall-not-run",
     rate_limit: None,
