Give each daemon of the peer tests a loopback address of its own

stopped_peer_is_unreachable_at_once failed once with "Address already in use". free_address() gives its port back before the daemon binds it, and all tests, of this program and of others that run at once, took their ports from 127.0.0.1, so that another of them could get it in between.

Each daemon under test now has one, from the process id and a counter.

--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -5,7 +5,9 @@
 mod runtime;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering::Relaxed;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -32,10 +34,25 @@
 /// Maximum message size in bytes.
 const MESSAGE_LIMIT: usize = 1 << 16;
 
+/// Lowest second octet of the loopback addresses of the daemons under test.
+const FIRST_NETWORK: u8 = 128;
+/// Number of second octets; the process id selects one, so that two runs at once use different addresses.
+const NETWORKS: u8 = 64;
+
 type PendingReply = oneshot::Receiver<Result<Reply, PeerFault>>;
 
+/// Returns an address whose port stays free until a daemon binds it: no other socket of this machine uses
+/// the IP address, neither to listen nor as the source of a connection.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(
+        127,
+        FIRST_NETWORK + high % NETWORKS,
+        low,
+        NEXT.fetch_add(1, Relaxed),
+    );
+    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
     listener.local_addr().expect("the listener is bound")
 }
 
