--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -28,7 +28,8 @@
 const NOTE_LIMIT: usize = 1_024;
 /// Longest time as text, in bytes.
 const TIME_LIMIT: usize = 64;
-const SLOTS: RangeInclusive<u32> = 1..=10_000;
+/// Number of requests that a target may run at once.
+pub const SLOTS: RangeInclusive<u32> = 1..=10_000;
 const DEADLINE_MS: RangeInclusive<u128> = 1..=600_000;
 const QUEUE_WAIT_MS: RangeInclusive<u128> = 0..=60_000;
 const RETRY_PERCENT: RangeInclusive<u32> = 0..=100;
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -23,6 +23,7 @@
 mod warning;
 
 pub use active::ActiveConfig;
+pub use check::SLOTS;
 pub use diff::{Difference, Values};
 pub use document::{Document, Replayed, Skipped};
 pub use fields::Field;
