Accept responses of the store that hold the largest entries it allows

One entry of another writer of 1 MiB, the most that the store takes, is 1.4 MB in base64. Responses over 1 MiB were taken for broken: a daemon could never read the store again while the entry was there, and one that had read it before stopped following it.

Responses of up to 8 MiB are read; the limit of the own configuration service stays at 1 MiB. large_entry_of_another_writer failed before ("the response is too long", no routes at all) and passes.

--- a/crates/node/src/platform/connection.rs
+++ b/crates/node/src/platform/connection.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hawthornwall_wire::document::DOCUMENT_LIMIT;
 use hawthornwall_wire::head::{Framing, HeadKind, check_head, head_length};
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
@@ -42,12 +41,14 @@
 /// An open connection and the bytes received on it that are not parsed yet.
 #[derive(Debug)]
 pub(super) struct Connection {
+    /// Longest response body, in bytes.
+    body_limit: usize,
     buffer: Vec<u8>,
     stream: TcpStream,
 }
 
 impl Connection {
-    pub(super) async fn open(address: SocketAddr) -> Result<Self, ReadFault> {
+    pub(super) async fn open(address: SocketAddr, body_limit: usize) -> Result<Self, ReadFault> {
         let stream = TcpStream::connect_addr(address).await.map_err(broken)?;
         stream.set_nodelay(true).map_err(broken)?;
         stream
@@ -58,7 +59,11 @@
             )
             .map_err(broken)?;
         let buffer = Vec::new();
-        Ok(Self { buffer, stream })
+        Ok(Self {
+            body_limit,
+            buffer,
+            stream,
+        })
     }
 
     /// Sends one request and reads the whole response.
@@ -89,7 +94,7 @@
     }
 
     async fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, ReadFault> {
-        if length > DOCUMENT_LIMIT {
+        if length > self.body_limit {
             return Err(broken("the response is too long"));
         }
         while self.buffer.len() < length {
@@ -106,7 +111,7 @@
                 self.read_trailers().await?;
                 return Ok(body);
             }
-            if body.len() + size > DOCUMENT_LIMIT {
+            if body.len() + size > self.body_limit {
                 return Err(broken("the response is too long"));
             }
             body.extend(self.read_exact(size).await?);
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -16,7 +16,7 @@
 use futures::channel::mpsc;
 use hawthornwall_core::config::Document;
 use hawthornwall_core::gossip::Endpoint;
-use hawthornwall_wire::document::{DocumentError, parse_document};
+use hawthornwall_wire::document::{DOCUMENT_LIMIT, DocumentError, parse_document};
 use hawthornwall_wire::instances::{InstanceList, parse_instances};
 
 use self::connection::{Connection, Response};
@@ -160,7 +160,11 @@
     }
 
     async fn connect(&self) -> Result<Connection, ReadFault> {
-        let opened = monoio::time::timeout(CONNECT_TIMEOUT, Connection::open(self.address)).await;
+        let opened = monoio::time::timeout(
+            CONNECT_TIMEOUT,
+            Connection::open(self.address, DOCUMENT_LIMIT),
+        )
+        .await;
         opened.map_err(|_| ReadFault::Silent)?
     }
 
--- a/crates/node/src/platform/store.rs
+++ b/crates/node/src/platform/store.rs
@@ -29,6 +29,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Most further pages that one load reads. It ends the load of a store that always reports more.
 const PAGE_LIMIT: usize = 100;
+/// Longest response body, in bytes. The store limits a page to about 1 MB, but one value alone takes 1.4 MB in
+/// base64, and a watch returns all changes at once.
+const RESPONSE_LIMIT: usize = 8 << 20;
 
 /// A call to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -176,7 +179,11 @@
     }
 
     async fn connect(&self) -> Result<Connection, ReadFault> {
-        let opened = monoio::time::timeout(CONNECT_TIMEOUT, Connection::open(self.address)).await;
+        let opened = monoio::time::timeout(
+            CONNECT_TIMEOUT,
+            Connection::open(self.address, RESPONSE_LIMIT),
+        )
+        .await;
         opened.map_err(|_| ReadFault::Silent)?
     }
 }
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -201,6 +201,19 @@
     assert_snapshot!(run_script(vec![Connection::silent_after(first)], 2));
 }
 
+/// Guards against never reading the store again because one entry of another writer is as large as the
+/// store allows: a value of 1 MiB, encoded in base64.
+#[test]
+fn large_entry_of_another_writer() {
+    let large = STANDARD.encode("[".repeat(1 << 20));
+    let first = vec![
+        page(&[("op/config", ROUTES_2), ("servers/i-1", &large)], 4),
+        events(&[("servers/i-1", &large)], 5),
+        events(&[("op/config", ROUTES_5)], 9),
+    ];
+    assert_snapshot!(run_script(vec![Connection::silent_after(first)], 2));
+}
+
 /// Guards against missing the changes that the store dropped from its history.
 #[test]
 fn history_gone() {
