Don't take an earlier refusal that a target repeats for the answer to the next request

A faulty target may write an earlier refusal once more on a kept connection. If the copy had no request id, the gate took it for the answer to the next request: the sender was told "not run" for a request that the target was running, and sent it to a second target or told its caller to come again (REFUSED, TWICE). Copies with the earlier id were skipped already.

On a connection that has carried an answer before, an answer without the id of the request is now skipped as well. A 421 that states another name than the request counts all the same: it is true of every request for that name.

earlier_refusal_once_more: three of its four cases failed before ("refused target-shed", "refused target-misdirected") and pass.

--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -11,6 +11,7 @@
 use hawthornwall_wire::head::Framing;
 use hawthornwall_wire::names::HeaderNames;
 use hawthornwall_wire::peer::{Header, HttpAnswer, HttpRequest};
+use http::StatusCode;
 use http::response::Parts as AnswerHead;
 use monoio::net::TcpStream;
 
@@ -115,6 +116,7 @@
         .ok()?
         .ok()?;
     Some(Conn {
+        reused: false,
         stream: HttpStream::new(tcp, target.limits),
         target,
     })
@@ -163,6 +165,8 @@
 }
 
 struct Conn {
+    /// Whether the target has answered a request on this connection.
+    reused: bool,
     stream: HttpStream,
     target: TargetAddress,
 }
@@ -201,7 +205,8 @@
         let left = self.target.clock.until(job.deadline);
         let trace = job.span.traceparent();
         let extra = self.extra_headers(left, job.expect.as_deref(), trace.as_deref());
-        let exchange = monoio::time::timeout(left, self.exchange(&job.request, &extra));
+        let exchange = self.exchange(&job.request, &extra, job.expect.as_deref());
+        let exchange = monoio::time::timeout(left, exchange);
         let exchange = exchange.fuse();
         pin_mut!(exchange);
         // `select_biased!` skips terminated futures. Without `fuse`, the receiver counts as terminated
@@ -217,33 +222,40 @@
         }
     }
 
-    async fn exchange(&mut self, request: &HttpRequest, extra: &[Header]) -> Served {
+    async fn exchange(
+        &mut self,
+        request: &HttpRequest,
+        extra: &[Header],
+        expect: Option<&str>,
+    ) -> Served {
         let host = self.target.address.to_string();
         let bytes = encode_request(request, &host, extra);
         if self.stream.write(bytes).await.is_err() {
             return Served::failed(JobEnd::Lost(Loss::Closed));
         }
-        match self.read_answer(request).await {
-            Ok(served) => served,
+        match self.read_answer(request, expect).await {
+            Ok(served) => {
+                self.reused = true;
+                served
+            }
             Err(fault) => Served::failed(JobEnd::Lost(loss_of(&fault))),
         }
     }
 
-    /// Reads the answer to a request. An answer with the id of another request, which the target
-    /// may send late, is skipped; the connection is not reused after one.
-    async fn read_answer(&mut self, request: &HttpRequest) -> Result<Served, ReadFault> {
+    /// Reads the answer to a request. An answer to another request, which the target may send late or
+    /// once more, is skipped; the connection is not reused after one.
+    async fn read_answer(
+        &mut self,
+        request: &HttpRequest,
+        expect: Option<&str>,
+    ) -> Result<Served, ReadFault> {
         let names = self.target.dialect.names();
-        let request_id = names
-            .request_id
-            .and_then(|n| header_text(&request.headers, n));
         let mut in_sync = true;
         loop {
             let (head, framing) = self.read_final_head().await?;
             let (body, delimited) = self.read_answer_body(request, &head, framing).await?;
-            let id = names.request_id.and_then(|n| head.headers.get(n));
-            let for_other_request =
-                id.is_some_and(|id| request_id.is_some_and(|a| a.as_bytes() != id.as_bytes()));
-            if for_other_request {
+            let report = SelfReport::from_headers(self.target.dialect, &head.headers);
+            if !self.is_own_answer(request, expect, &head, &report) {
                 in_sync = false;
                 continue;
             }
@@ -252,7 +264,6 @@
                 && !header_is(&head, "connection", "close")
                 && head.version == http::Version::HTTP_11
                 && !self.stream.has_buffered();
-            let report = SelfReport::from_headers(self.target.dialect, &head.headers);
             return Ok(Served {
                 end: job_end(names, &head, body, request, &report),
                 report: Some(report),
@@ -261,6 +272,30 @@
         }
     }
 
+    /// Whether an answer belongs to the request. Targets copy the id of the request; an answer without
+    /// one counts only on a new connection, where there is no earlier answer to be sent once more. A 421
+    /// counts also if it states another name than the request, since it is then true for any request.
+    fn is_own_answer(
+        &self,
+        request: &HttpRequest,
+        expect: Option<&str>,
+        head: &AnswerHead,
+        report: &SelfReport,
+    ) -> bool {
+        let Some(name) = self.target.dialect.names().request_id else {
+            return true;
+        };
+        let id = head.headers.get(name).map(http::HeaderValue::as_bytes);
+        match (id, header_text(&request.headers, name)) {
+            (Some(id), Some(own)) => id == own.as_bytes(),
+            (Some(_) | None, None) => true,
+            (None, Some(_)) => {
+                let other_name = report.name.is_some() && report.name.as_deref() != expect;
+                !self.reused || head.status == StatusCode::MISDIRECTED_REQUEST && other_name
+            }
+        }
+    }
+
     async fn read_final_head(&mut self) -> Result<(AnswerHead, Framing), ReadFault> {
         loop {
             let (head, framing) = self.stream.read_answer_head().await?;
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -193,3 +193,19 @@
     let replies = vec![answer("200 OK", &headers, "ab"); 2];
     assert_snapshot!(results(vec![Connection::silent_after(replies)], 2));
 }
+
+/// Guards against taking an earlier refusal, which a faulty target sends once more on a kept connection, for
+/// the answer to the next request: the request may run, and must not be refused or sent elsewhere.
+#[rstest]
+#[case::with_id("503 X", "X-Request-Id: 6\r\nX-Not-Executed: 1\r\n")]
+#[case::without_id("503 X", "X-Not-Executed: 1\r\n")]
+#[case::own_name("421 X", "X-Instance-Id: i-1\r\n")]
+#[case::no_name("421 X", "")]
+fn earlier_refusal_once_more(#[case] status: &str, #[case] headers: &str) {
+    let stale = answer(status, headers, "") + &answer("200 OK", SEALED, "next");
+    let replies = vec![answer("200 OK", SEALED, "ab"), stale];
+    assert_snapshot!(
+        "earlier_refusal_once_more",
+        results(vec![Connection::silent_after(replies)], 2)
+    );
+}
