Limit the bytes that are discarded before a connection is closed

Before the daemon closes a connection, it reads what still arrives for up to half a second, so that a reset doesn't overtake the last answer. A remote side on the same machine that sends without end kept that loop from ever yielding: the timeout couldn't fire, and the whole daemon stood still. Callers and targets are on the same machine.

At most 4 MiB are discarded now. closing_a_connection_reads_without_end failed before (not closed after 1 s) and passes. Found while looking for the cause of bytes_without_end elsewhere; the remaining loops over input are bounded by a limit in bytes or wait for another task.

--- a/crates/node/src/http/stream.rs
+++ b/crates/node/src/http/stream.rs
@@ -19,6 +19,9 @@
 const READ_SIZE: usize = 8 << 10;
 /// Maximum time for which incoming bytes are read and discarded before a connection is closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that are read and discarded before a connection is closed. The time alone is no
+/// limit: if the next bytes are always there, the task doesn't yield and no timer fires.
+const LINGER_BYTES: usize = 4 << 20;
 /// Bytes allowed for chunk sizes and line ends in addition to the limit of the body.
 const CHUNK_OVERHEAD: usize = 16 << 10;
 
@@ -184,8 +187,13 @@
             return;
         }
         let discard = async {
-            while matches!(self.fill().await, Ok(n) if n > 0) {
+            let mut discarded = 0;
+            while let Ok(count @ 1..) = self.fill().await {
                 self.buf.clear();
+                discarded += count;
+                if discarded >= LINGER_BYTES {
+                    return;
+                }
             }
         };
         let _ = monoio::time::timeout(LINGER_TIMEOUT, discard).await;
