--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -13,6 +13,7 @@
 //! - after the target has stated that it leaves, no request is started;
 //! - only a request that has not been started is refused.
 
+mod event;
 mod gate;
 mod name;
 mod queue;
@@ -22,4 +23,5 @@
 mod service;
 mod strain;
 
-pub use gate::{Arrival, Effect, Event, Gate, Limits, Priority, RunEnd, WorkId};
+pub use event::{Arrival, Effect, Event, Limits, Priority, RunEnd, WorkId};
+pub use gate::Gate;
