Let the gate itself forget what an earlier run of the target stated

The gate task had to send TargetReplaced after each new name that the gate recorded. The gate now does both at once.

--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -96,7 +96,8 @@
     TargetLeaves,
     /// Another run of the target serves the address. What the earlier run stated doesn't apply to it.
     TargetReplaced,
-    /// Time has passed: expired requests are refused, and requests held back for strain may start.
+    /// Time has passed: expired requests are refused, and requests held back for strain or for the rate
+    /// limit may start.
     Tick,
 }
 
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -126,10 +126,7 @@
                     &mut effects,
                 );
             }
-            Event::TargetReplaced => {
-                self.leaving = None;
-                self.rate.set(None, now);
-            }
+            Event::TargetReplaced => self.replace_target(now),
             Event::Tick => {}
         }
         self.start_waiting(now, &mut effects);
@@ -156,9 +153,13 @@
     }
 
     /// Records the name that the target stated in an answer; returns whether it differs from the last
-    /// one.
+    /// one. Another name is that of another run, to which nothing applies that the earlier run stated.
     pub fn observe_name(&mut self, name: &str, now: Time) -> bool {
-        self.stated_name.record(name, now)
+        let changed = self.stated_name.record(name, now);
+        if changed {
+            self.replace_target(now);
+        }
+        changed
     }
 
     /// Whether the target would reject a request that names `expected`, since it recently stated
@@ -361,6 +362,11 @@
         }
     }
 
+    fn replace_target(&mut self, now: Time) {
+        self.leaving = None;
+        self.rate.set(None, now);
+    }
+
     /// A target that is no longer published as draining has restarted, so that it doesn't leave.
     fn set_target_drains(&mut self, drains: bool) {
         if self.target_drains && !drains {
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -57,6 +57,10 @@
             })),
             "load-unanswered" => Event::LoadAnswer(None),
             "reachable" => Event::Reachable(line.word(0)),
+            "name" => {
+                self.gate.observe_name(&line.word::<String>(0), line.now);
+                return Vec::new();
+            }
             "rate-limit" => {
                 let limit = line.word::<String>(0).parse().ok();
                 let limit = limit.map(|per_second| RateLimit { per_second });
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -462,7 +462,6 @@
             && self.gate.observe_name(name, now)
         {
             log::info!("the target stated its name", kv: { name });
-            self.apply(&Event::TargetReplaced);
         }
         if report.leaving {
             if !self.gate.target_leaves(now) {
