--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -8,7 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Reason why a request was certainly not run.
+/// Reason why a request was certainly not run. The order of the variants is part of the protocol between
+/// daemons, so that new ones go last.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Refusal {
     /// The retry budget is spent.
