Correct two comments on refusals by targets and on low limits

The comment on Refusal::is_by_target said that all other refusals come before anything is sent; a draining target of the own dialect is the exception, and stays free on purpose. The invariant of the rate limit left out that a limit below one request in two seconds counts as that.

--- a/crates/core/src/admission/rate.rs
+++ b/crates/core/src/admission/rate.rs
@@ -5,7 +5,8 @@
 //!
 //! Invariants:
 //! - in any period, at most [`BURST`] requests more than the limit allows start;
-//! - a request starts at least every [`MAX_INTERVAL`], since only answers show that the limit has ended.
+//! - a limit below one request per [`MAX_INTERVAL`] counts as that rate, since only answers show that the
+//!   limit has ended.
 
 use std::time::Duration;
 
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -53,8 +53,9 @@
 }
 
 impl Refusal {
-    /// Whether the target itself has received and rejected the request. The other refusals come from
-    /// daemons, before anything is sent to the target.
+    /// Whether the target itself has received and rejected the request, rather than a daemon before
+    /// anything was sent. [`Self::Draining`] doesn't count: a target may answer so too, but its daemon
+    /// refuses all further requests from then on.
     ///
     /// ```
     /// use hawthornwall_core::outcome::Refusal;
