Pass pipelined idempotent requests on side by side

Cause: a connection's task read and served one request at a time, so a request that a caller sent before the first answer waited for the one before it while targets were idle. The close of a caller wasn't noticed behind more buffered bytes than a head may have, and the part of a request that had been read at a planned stop was thrown away.

Change: the aggregate Pipeline decides which requests of a connection are passed on, in which order answers are written, which answer closes the connection and when the next request is read. Requests that aren't idempotent are passed on alone. Time counts from the arrival of a request's last byte. HttpStream is divided into a reader and a writer, whose tasks exchange messages with the connection's decisions. Settings caller.pipeline_requests and caller.pipeline_bytes bound what is in flight. The idle time of a connection counts from its last answer.

Result: scenarios and a model test of Pipeline, and tests of a connection with a scripted gate.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod members;
 pub mod outcome;
 pub mod pause;
+pub mod pipeline;
 pub mod prelude;
 pub mod probing;
 pub mod routes;
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -7,4 +7,5 @@
 mod gate;
 mod ledger;
 mod members;
+mod pipeline;
 mod probing;
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod line;
 mod members;
+mod pipeline;
 mod routing;
 mod store_sync;
 
@@ -32,6 +33,7 @@
     Ledger(keys::Run),
     Members(members::Run),
     Gossip(gossip::Run),
+    Pipeline(pipeline::Run),
 }
 
 impl Aggregate {
@@ -49,6 +51,10 @@
             "ledger" => (Self::Ledger(keys::Run::new(line)), Vec::new()),
             "members" => (Self::Members(members::Run::new(line)), Vec::new()),
             "gossip" => (Self::Gossip(gossip::Run::new(line)), Vec::new()),
+            "pipeline" => {
+                let (run, effects) = pipeline::Run::new(line);
+                (Self::Pipeline(run), effects)
+            }
             other => panic!("unknown aggregate `{other}`"),
         }
     }
@@ -64,6 +70,7 @@
             Self::Ledger(run) => run.apply(line),
             Self::Members(run) => run.apply(line),
             Self::Gossip(run) => run.apply(line),
+            Self::Pipeline(run) => run.apply(line),
         }
     }
 
@@ -78,6 +85,7 @@
             Self::Ledger(run) => run.ledger.verify(),
             Self::Members(run) => run.members.verify(),
             Self::Gossip(run) => run.gossip.verify(),
+            Self::Pipeline(run) => run.pipeline.verify(),
         }
     }
 
@@ -92,6 +100,7 @@
             Self::Ledger(run) => format!("{:?}", run.ledger),
             Self::Members(run) => run.state(),
             Self::Gossip(run) => run.state(),
+            Self::Pipeline(run) => format!("{:?}", run.pipeline),
         }
     }
 }
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -24,6 +24,11 @@
         Time::ZERO + self.start.elapsed()
     }
 
+    /// The time of an instant; that of the start if the instant is earlier.
+    pub fn at(&self, instant: Instant) -> Time {
+        Time::ZERO + instant.saturating_duration_since(self.start)
+    }
+
     /// Time that remains until `time`; zero if it has passed.
     pub fn until(&self, time: Time) -> Duration {
         time - self.now()
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -197,7 +197,7 @@
     /// monitored: a job sent on a connection that the target has closed would count as lost, and
     /// unsolicited bytes could be taken for the next answer.
     async fn next_job(&mut self, jobs: &mut mpsc::UnboundedReceiver<Job>) -> Option<Job> {
-        let closed = self.stream.readable_or_closed().fuse();
+        let closed = self.stream.reader.readable_or_closed().fuse();
         let next = jobs.next().fuse();
         pin_mut!(closed, next);
         select_biased! {
@@ -235,7 +235,7 @@
     ) -> Served {
         let host = self.target.address.to_string();
         let bytes = encode_request(request, &host, extra);
-        if self.stream.write(bytes).await.is_err() {
+        if self.stream.writer.write(bytes).await.is_err() {
             return Served::failed(JobEnd::Lost(Loss::Closed));
         }
         match self.read_answer(request, expect).await {
@@ -257,7 +257,7 @@
         let names = self.target.dialect.names();
         let mut in_sync = true;
         for _ in 0..=MAX_SKIPPED {
-            let (head, framing) = self.stream.read_answer_head().await?;
+            let (head, framing) = self.stream.reader.read_answer_head().await?;
             if head.status.is_informational() {
                 continue;
             }
@@ -271,7 +271,7 @@
                 && delimited
                 && !header_is(&head, "connection", "close")
                 && head.version == http::Version::HTTP_11
-                && !self.stream.has_buffered();
+                && !self.stream.reader.has_buffered();
             return Ok(Served {
                 end: job_end(names, &head, body, request, &report),
                 report: Some(report),
@@ -320,10 +320,10 @@
             (false, Framing::None) => match self.target.dialect {
                 // A body that ends with the connection can't be distinguished from a truncated one.
                 Dialect::Own => Err(ReadFault::Malformed("no length".to_owned())),
-                Dialect::Platform => Ok((self.stream.read_to_end().await?, false)),
+                Dialect::Platform => Ok((self.stream.reader.read_to_end().await?, false)),
             },
             (false, Framing::Chunked | Framing::Length(_)) => {
-                Ok((self.stream.read_body(framing).await?, true))
+                Ok((self.stream.reader.read_body(framing).await?, true))
             }
         }
     }
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -6,9 +6,15 @@
 //! - hop-by-hop headers are never forwarded from one connection to another.
 
 mod convert;
+mod limits;
+mod reader;
 mod stream;
+mod writer;
 
 pub use convert::{
     encode_answer, encode_request, from_answer_head, from_request_head, header_text,
 };
-pub use stream::{HttpStream, Limits, ReadFault};
+pub use limits::{Limits, ReadFault};
+pub use reader::HttpReader;
+pub use stream::HttpStream;
+pub use writer::HttpWriter;
--- /dev/null
+++ b/crates/node/src/http/reader.rs
@@ -0,0 +1,234 @@
+//! Buffered reading of HTTP/1.1 messages from a TCP connection.
+
+use std::fmt;
+use std::io;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use hawthornwall_wire::head::{Framing, HeadFault, HeadKind, check_head, head_length};
+use http::request::Parts as RequestHead;
+use http::response::Parts as AnswerHead;
+use monoio::io::{AsyncReadRent, OwnedReadHalf};
+use monoio::net::TcpStream;
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::{
+    ChunkedBodyDecoder, RequestHeadDecoder, ResponseHeadDecoder,
+};
+
+use super::{Limits, ReadFault};
+
+/// Size of one read from the socket, in bytes.
+const READ_SIZE: usize = 8 << 10;
+/// Maximum time for which incoming bytes are read and discarded before a connection is closed.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that are read and discarded before a connection is closed. The time alone is no
+/// limit: if the next bytes are always there, the task doesn't yield and no timer fires.
+const LINGER_BYTES: usize = 4 << 20;
+/// Bytes allowed for chunk sizes and line ends in addition to the limit of the body.
+const CHUNK_OVERHEAD: usize = 16 << 10;
+
+/// The receiving side of a TCP connection.
+pub struct HttpReader {
+    buf: BytesMut,
+    /// When bytes last arrived.
+    filled: Option<Instant>,
+    limits: Limits,
+    scratch: Vec<u8>,
+    tcp: OwnedReadHalf<TcpStream>,
+}
+
+impl fmt::Debug for HttpReader {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpReader")
+            .field("buffered", &self.buf.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl HttpReader {
+    pub(super) fn new(tcp: OwnedReadHalf<TcpStream>, limits: Limits) -> Self {
+        Self {
+            buf: BytesMut::new(),
+            filled: None,
+            limits,
+            scratch: Vec::new(),
+            tcp,
+        }
+    }
+
+    /// Reads the head of a request and returns it with the framing of the body.
+    ///
+    /// # Errors
+    ///
+    /// [`ReadFault::Closed`] if the connection ends before the first byte.
+    pub async fn read_request_head(&mut self) -> Result<(RequestHead, Framing), ReadFault> {
+        let framing = self.read_head(HeadKind::Request).await?;
+        let decoded = RequestHeadDecoder.decode(&mut self.buf);
+        complete_head(decoded.map_err(|e| e.to_string())).map(|head| (head, framing))
+    }
+
+    /// Reads the head of an answer and returns it with the framing of the body.
+    ///
+    /// # Errors
+    ///
+    /// [`ReadFault::Closed`] if the connection ends before the first byte.
+    pub async fn read_answer_head(&mut self) -> Result<(AnswerHead, Framing), ReadFault> {
+        let framing = self.read_head(HeadKind::Answer).await?;
+        let decoded = ResponseHeadDecoder.decode(&mut self.buf);
+        complete_head(decoded.map_err(|e| e.to_string())).map(|head| (head, framing))
+    }
+
+    /// Reads a complete body. Without framing, the body is empty.
+    ///
+    /// # Errors
+    ///
+    /// If no complete body was read. The connection can't be used afterwards.
+    pub async fn read_body(&mut self, framing: Framing) -> Result<Vec<u8>, ReadFault> {
+        match framing {
+            Framing::None => Ok(Vec::new()),
+            Framing::Length(length) => self.read_fixed(length).await,
+            Framing::Chunked => self.read_chunked().await,
+        }
+    }
+
+    /// Completes when the peer closes the connection. Bytes that arrive earlier, such as further requests,
+    /// are buffered up to `limit`; after that nothing more is read, and a close isn't noticed.
+    pub async fn closed(&mut self, limit: usize) {
+        while self.buf.len() < limit {
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Completes when the peer closes the connection, or when bytes are available.
+    pub async fn readable_or_closed(&mut self) {
+        if self.buf.is_empty() {
+            let _ = self.fill().await;
+        }
+    }
+
+    /// When bytes last arrived; `None` if none have.
+    pub fn last_arrival(&self) -> Option<Instant> {
+        self.filled
+    }
+
+    /// Reads a body that is delimited by the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// If the connection fails, no bytes arrive within [`Limits::idle`], or the body is too large.
+    pub async fn read_to_end(&mut self) -> Result<Vec<u8>, ReadFault> {
+        loop {
+            match self.fill_timed().await {
+                Ok(()) if self.buf.len() > self.limits.body => return Err(ReadFault::TooLarge),
+                Ok(()) => {}
+                Err(ReadFault::Incomplete) => return Ok(self.buf.split().to_vec()),
+                Err(fault) => return Err(fault),
+            }
+        }
+    }
+
+    /// Reads and discards bytes until the peer closes the connection, for a limited time.
+    pub(super) async fn discard(&mut self) {
+        let discard = async {
+            let mut discarded = 0;
+            while let Ok(count @ 1..) = self.fill().await {
+                self.buf.clear();
+                discarded += count;
+                if discarded >= LINGER_BYTES {
+                    return;
+                }
+            }
+        };
+        let _ = monoio::time::timeout(LINGER_TIMEOUT, discard).await;
+    }
+
+    /// Maximum size of a body, in bytes.
+    pub fn body_limit(&self) -> usize {
+        self.limits.body
+    }
+
+    /// Whether the buffer holds bytes that are not part of a message read so far.
+    pub fn has_buffered(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    async fn read_head(&mut self, kind: HeadKind) -> Result<Framing, ReadFault> {
+        loop {
+            let limit = self.limits.head;
+            if let Some(length) = head_length(&self.buf, limit).map_err(ReadFault::Head)? {
+                return check_head(&self.buf[..length], kind).map_err(ReadFault::Head);
+            }
+            let at_start = self.buf.is_empty();
+            self.fill_timed().await.map_err(|fault| match fault {
+                ReadFault::Incomplete if at_start => ReadFault::Closed,
+                other => other,
+            })?;
+        }
+    }
+
+    async fn read_fixed(&mut self, length: usize) -> Result<Vec<u8>, ReadFault> {
+        if length > self.limits.body {
+            return Err(ReadFault::TooLarge);
+        }
+        while self.buf.len() < length {
+            self.fill_timed().await?;
+        }
+        Ok(self.buf.split_to(length).to_vec())
+    }
+
+    async fn read_chunked(&mut self) -> Result<Vec<u8>, ReadFault> {
+        let mut body = Vec::new();
+        let mut chunks = ChunkedBodyDecoder::default();
+        loop {
+            let decoded = chunks.decode(&mut self.buf);
+            match decoded.map_err(|e| ReadFault::Malformed(e.to_string()))? {
+                Decoded::Some(Some(chunk)) => body.extend_from_slice(&chunk),
+                Decoded::Some(None) => return Ok(body),
+                Decoded::Insufficient | Decoded::InsufficientAtLeast(_) => {
+                    self.fill_timed().await?;
+                }
+            }
+            // The decoder leaves a chunk in the buffer until the chunk is complete.
+            if body.len() + self.buf.len() > self.limits.body + CHUNK_OVERHEAD
+                || body.len() > self.limits.body
+            {
+                return Err(ReadFault::TooLarge);
+            }
+        }
+    }
+
+    async fn fill_timed(&mut self) -> Result<(), ReadFault> {
+        let idle = self.limits.idle;
+        match monoio::time::timeout(idle, self.fill()).await {
+            Err(_) => Err(ReadFault::Idle),
+            Ok(Err(e)) => Err(ReadFault::Io(e)),
+            Ok(Ok(0)) => Err(ReadFault::Incomplete),
+            Ok(Ok(_)) => Ok(()),
+        }
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        scratch.clear();
+        scratch.reserve(READ_SIZE);
+        let (result, scratch) = self.tcp.read(scratch).await;
+        self.buf.extend_from_slice(&scratch);
+        self.scratch = scratch;
+        self.filled = Some(Instant::now());
+        result
+    }
+}
+
+fn complete_head<T>(decoded: Result<Decoded<T>, String>) -> Result<T, ReadFault> {
+    let malformed = |reason: String| ReadFault::Head(HeadFault::Malformed(reason));
+    match decoded.map_err(malformed)? {
+        Decoded::Some(head) => Ok(head),
+        Decoded::Insufficient | Decoded::InsufficientAtLeast(_) => {
+            Err(malformed("the decoder found no end".to_owned()))
+        }
+    }
+}
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -1,6 +1,7 @@
 //! The task that owns the listener for callers.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use futures::future::{FutureExt, Shared};
 use futures::{pin_mut, select_biased};
 use hawthornwall_core::ids::RequestId;
+use hawthornwall_core::pipeline;
 use hawthornwall_settings::CallerSettings;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
@@ -37,6 +39,8 @@
     pub dialect: Dialect,
     pub gate: GateSender,
     pub peers: PeersSender,
+    /// Bounds on the requests in flight of one connection.
+    pub pipeline: pipeline::Limits,
     /// The next request id, shared by all connections.
     pub requests: Rc<Cell<u64>>,
     pub router: RouterSender,
@@ -123,6 +127,10 @@
             dialect: start.dialect,
             gate: start.gate,
             peers: start.peers,
+            pipeline: pipeline::Limits {
+                bytes: settings.pipeline_bytes,
+                requests: settings.pipeline_requests,
+            },
             requests: Rc::new(Cell::new(start.seed)),
             router: start.router,
             service: start.service.map(Rc::from),
@@ -140,6 +148,15 @@
         })
     }
 
+    /// The address of the listener.
+    ///
+    /// # Errors
+    ///
+    /// If the system can't state it.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
     /// Accepts callers until the stop signal, then returns once all connections have closed.
     pub async fn run(self) {
         loop {
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Length of the body, in bytes.
+    pub fn body_length(&self) -> usize {
+        self.answer.body.len()
+    }
+
     /// Encodes the answer to a request of the given method; `close` announces that the connection
     /// closes after it.
     pub fn encode(&self, method: &Method, close: bool) -> Vec<u8> {
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -25,85 +25,171 @@
 use crate::http::header_text;
 use crate::messages::{OpenTicket, Opened, Picked, RouterMessage};
 use crate::telemetry::trace::{Hop, HopSpan};
-use crate::telemetry::{AttemptRecord, Event as Count, RequestRecord, Telemetry};
+use crate::telemetry::{AttemptRecord, Event as Count, RequestRecord};
 
-/// Answers one request of a caller. Dropping the future cancels the call.
-pub(super) async fn serve(backend: &Backend, request: HttpRequest) -> Reply {
-    let started = backend.clock.now();
+/// Finds the service of a caller's request, which arrived at `arrived`. An error is the answer to a request
+/// that isn't passed on.
+pub(super) async fn open(
+    backend: &Backend,
+    request: HttpRequest,
+    arrived: Time,
+) -> Result<OpenedCall<'_>, Reply> {
     let parent = header_text(&request.headers, "traceparent").and_then(|text| text.parse().ok());
     let span = backend.tracer.ingress(parent);
     span.set("path", || request.path.clone());
-    let mut count_guard = CountGuard {
-        event: Count::Abandoned,
-        telemetry: &backend.telemetry,
+    let mut end = CallEnd {
+        arrived,
+        backend,
+        count: Count::Abandoned,
+        id: request_id(backend, &request),
+        span,
     };
-    let id = request_id(backend, &request);
-    let mut reply = handle(backend, request, &span).await;
-    reply.echo_request_id(backend.dialect.names().request_id, &id);
-    let outcome = reply.outcome();
-    span.set_outcome(outcome);
-    let elapsed = backend.clock.now() - started;
-    count_guard.event = Count::Request { elapsed, outcome };
-    reply
+    match open_service(backend, request).await {
+        Ok(service) => Ok(OpenedCall { end, service }),
+        Err(reply) => Err(end.record(reply)),
+    }
+}
+
+/// A caller's request whose service is known and which hasn't been passed on. Dropping it leaves the
+/// request unrun.
+pub(super) struct OpenedCall<'a> {
+    end: CallEnd<'a>,
+    service: OpenedService<'a>,
+}
+
+impl OpenedCall<'_> {
+    /// Whether the request may run more than once.
+    pub fn repeats(&self) -> Repeatability {
+        self.service.repeats
+    }
+
+    /// Passes the request on and returns the answer. Dropping the future cancels the call.
+    pub async fn run(self) -> Reply {
+        let Self { mut end, service } = self;
+        let reply = service.run(&end).await;
+        end.record(reply)
+    }
+}
+
+/// What is recorded of a request once its answer is known.
+struct CallEnd<'a> {
+    arrived: Time,
+    backend: &'a Backend,
+    /// Counted when dropped. A request counts as abandoned if its caller closes the connection before the
+    /// answer is known, or if it is discarded unrun.
+    count: Count,
+    id: String,
+    span: HopSpan,
 }
 
-/// Records a request in the counters when dropped. A request counts as abandoned if its caller
-/// closes the connection before the outcome is set.
-struct CountGuard<'a> {
-    event: Count,
-    telemetry: &'a Telemetry,
+impl CallEnd<'_> {
+    /// Adds the request id to the answer and records the outcome.
+    fn record(&mut self, mut reply: Reply) -> Reply {
+        reply.echo_request_id(self.backend.dialect.names().request_id, &self.id);
+        let outcome = reply.outcome();
+        self.span.set_outcome(outcome);
+        let elapsed = self.backend.clock.now() - self.arrived;
+        self.count = Count::Request { elapsed, outcome };
+        reply
+    }
 }
 
-impl Drop for CountGuard<'_> {
+impl Drop for CallEnd<'_> {
     fn drop(&mut self) {
-        self.telemetry.record(self.event);
+        self.backend.telemetry.record(self.count);
     }
 }
 
-async fn handle(backend: &Backend, mut request: HttpRequest, span: &HopSpan) -> Reply {
+/// A request with its service, which counts it as in flight.
+struct OpenedService<'a> {
+    inflight: InFlightGuard<'a>,
+    opened: Opened,
+    repeats: Repeatability,
+    request: HttpRequest,
+    request_kind: RequestKind,
+}
+
+async fn open_service(
+    backend: &Backend,
+    mut request: HttpRequest,
+) -> Result<OpenedService<'_>, Reply> {
     set_calling_service(backend, &mut request);
-    let request_kind = match request_kind(backend.dialect, &request) {
-        Ok(request_kind) => request_kind,
-        Err(refusal) => return Reply::unanswered(Outcome::Refused(refusal)),
-    };
+    let request_kind = request_kind(backend.dialect, &request)
+        .map_err(|refusal| Reply::unanswered(Outcome::Refused(refusal)))?;
     let (host, path) = host_and_path(&request, &request_kind);
     let budget = time_left(&request, backend.dialect.names().deadline);
-    let opened = match open(backend, host, path, budget).await {
-        Ok(opened) => opened,
-        Err(refusal) => {
+    let opened = find_service(backend, host, path, budget)
+        .await
+        .map_err(|refusal| {
             let outcome = refusal_outcome(&request_kind, refusal);
             log_unrouted(backend, &request, &request_kind, outcome);
-            return Reply::unanswered(outcome);
-        }
-    };
-    let _inflight = InFlightGuard {
+            Reply::unanswered(outcome)
+        })?;
+    let inflight = InFlightGuard {
         router: &backend.router,
         service: opened.service,
     };
     if let RequestKind::Keyed(key) = request_kind
         && key.service != opened.service
     {
-        return Reply::unanswered(Outcome::Refused(Refusal::KeyMismatch));
+        return Err(Reply::unanswered(Outcome::Refused(Refusal::KeyMismatch)));
+    }
+    let repeats = repeatability(&opened, request_kind, &request);
+    Ok(OpenedService {
+        inflight,
+        opened,
+        repeats,
+        request,
+        request_kind,
+    })
+}
+
+/// Whether a request may run more than once: its route decides, or else its method.
+fn repeatability(
+    opened: &Opened,
+    request_kind: RequestKind,
+    request: &HttpRequest,
+) -> Repeatability {
+    // An unused key has no effect, so a key may be requested more than once.
+    let by_method = request_kind == RequestKind::IssueKey || idempotent(&request.method);
+    match &opened.route {
+        Some(route) => route.repeats,
+        None if by_method => Repeatability::Idempotent,
+        None => Repeatability::NonIdempotent,
+    }
+}
+
+impl OpenedService<'_> {
+    async fn run(self, end: &CallEnd<'_>) -> Reply {
+        let Self {
+            inflight,
+            opened,
+            repeats,
+            request,
+            request_kind,
+        } = self;
+        let backend = end.backend;
+        let operation = operation_for(request_kind, request);
+        let mut driver = CallDriver::new(&opened, repeats, request_kind, operation, end);
+        let reply = driver.run().await;
+        drop(inflight);
+        let now = backend.clock.now();
+        let record = RequestRecord {
+            attempts: std::mem::take(&mut driver.records),
+            budget: driver.call.deadline() - end.arrived,
+            elapsed: now - end.arrived,
+            id: end.id.clone(),
+            outcome: reply.outcome(),
+            route: opened
+                .route
+                .as_deref()
+                .map_or_else(String::new, |r| r.prefix.clone()),
+            service: opened.name.clone(),
+            version: opened.version,
+        };
+        backend.telemetry.log_request(record, now);
+        reply
     }
-    let id = request_id(backend, &request);
-    let mut driver = CallDriver::new(backend, &opened, request_kind, request, span);
-    let reply = driver.run().await;
-    let now = backend.clock.now();
-    let record = RequestRecord {
-        attempts: std::mem::take(&mut driver.records),
-        budget: driver.call.deadline() - driver.started,
-        elapsed: now - driver.started,
-        id,
-        outcome: reply.outcome(),
-        route: opened
-            .route
-            .as_deref()
-            .map_or_else(String::new, |r| r.prefix.clone()),
-        service: opened.name.clone(),
-        version: opened.version,
-    };
-    backend.telemetry.log_request(record, now);
-    reply
 }
 
 fn refusal_outcome(request_kind: &RequestKind, refusal: Refusal) -> Outcome {
@@ -113,7 +199,7 @@
     }
 }
 
-async fn open(
+async fn find_service(
     backend: &Backend,
     host: &str,
     path: &str,
@@ -170,6 +256,7 @@
     request_ids: Vec<RequestId>,
     service: ServiceId,
     span: &'a HopSpan,
+    /// When the request arrived.
     started: Time,
     operation: Operation,
     /// Ticket of the choice that the next `Send` effect uses.
@@ -183,33 +270,26 @@
 
 impl<'a> CallDriver<'a> {
     fn new(
-        backend: &'a Backend,
         opened: &Opened,
+        repeats: Repeatability,
         request_kind: RequestKind,
-        request: HttpRequest,
-        span: &'a HopSpan,
+        operation: Operation,
+        end: &'a CallEnd<'a>,
     ) -> Self {
-        let now = backend.clock.now();
-        let rules = &opened.rules;
+        let (backend, started) = (end.backend, end.arrived);
         let pinned = match request_kind {
             RequestKind::Keyed(key) => Some(key.target),
             RequestKind::IssueKey | RequestKind::Plain => None,
         };
         let route = opened.route.as_deref();
-        let repeatable = match route.map(|r| r.repeats) {
-            Some(Repeatability::Idempotent) => true,
-            Some(Repeatability::NonIdempotent) => false,
-            None => idempotent(&request.method),
-        };
         let spec = Spec {
             attempts: route.map_or(MAX_SENDS, |r| r.attempts),
-            deadline: now + opened.left.min(route.map_or(Duration::MAX, |r| r.timeout)),
-            hedge: rules.hedge && request_kind == RequestKind::Plain,
-            // An unused key has no effect, so a key may be requested more than once.
-            idempotent: request_kind == RequestKind::IssueKey || repeatable,
+            deadline: started + opened.left.min(route.map_or(Duration::MAX, |r| r.timeout)),
+            hedge: opened.rules.hedge && request_kind == RequestKind::Plain,
+            idempotent: repeats == Repeatability::Idempotent,
             pinned,
         };
-        let (call, effects) = Call::start(spec, now);
+        let (call, effects) = Call::start(spec, backend.clock.now());
         Self {
             backend,
             call,
@@ -222,15 +302,15 @@
             records: Vec::new(),
             request_ids: Vec::new(),
             service: opened.service,
-            span,
-            started: now,
-            operation: operation_for(request_kind, request),
+            span: &end.span,
+            started,
+            operation,
             ticket: None,
             priority: route.map_or(Priority::default(), |r| Priority {
                 objective: r.objective,
                 rank: r.rank,
             }),
-            objective_deadline: route.map(|r| now + r.objective.saturating_sub(opened.spent)),
+            objective_deadline: route.map(|r| started + r.objective.saturating_sub(opened.spent)),
             output: BTreeMap::new(),
         }
     }
--- a/crates/node/src/probe/endpoint.rs
+++ b/crates/node/src/probe/endpoint.rs
@@ -82,9 +82,9 @@
             path: self.paths[0].clone(),
         };
         let bytes = encode_request(&request, &self.address.to_string(), &[]);
-        stream.write(bytes).await.ok()?;
-        let (head, framing) = stream.read_answer_head().await.ok()?;
-        let body = stream.read_body(framing).await.ok()?;
+        stream.writer.write(bytes).await.ok()?;
+        let (head, framing) = stream.reader.read_answer_head().await.ok()?;
+        let body = stream.reader.read_body(framing).await.ok()?;
         Some((head, body))
     }
 }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -75,6 +75,11 @@
     pub idle: Duration,
     /// TCP address of the listener for callers.
     pub listen: SocketAddr,
+    /// Number of bytes of requests and answers in flight on a connection from which no further request
+    /// is read.
+    pub pipeline_bytes: usize,
+    /// Maximum number of requests in flight on a connection.
+    pub pipeline_requests: usize,
     /// Maximum number of requests in flight per service.
     pub service_limit: usize,
 }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -197,6 +197,10 @@
     number("caller.idle_ms", 60_000, Unit::Milliseconds, (100, 3_600_000),
         "Maximum time between two requests on a connection, or between two parts of one request."),
 
+    number("caller.pipeline_requests", 16, Unit::Count, (1, 1_000),
+        "Maximum number of requests in flight on a connection, whose caller may send further ones before an answer."),
+    number("caller.pipeline_bytes", 64 << 10, Unit::Bytes, (1 << 10, 64 * MIB),
+        "Number of bytes of requests and answers in flight on a connection from which no further request is read."),
     number("caller.announce_ms", 1_000, Unit::Milliseconds, (0, 60_000),
         "Time between announcing a planned stop to callers and refusing their connections."),
 
--- a/crates/testkit/src/launcher/settings.rs
+++ b/crates/testkit/src/launcher/settings.rs
@@ -43,6 +43,8 @@
                 head_limit: 16 << 10,
                 idle: Duration::from_mins(1),
                 listen: addresses.caller,
+                pipeline_bytes: 64 << 10,
+                pipeline_requests: 16,
                 service_limit: 500,
             },
             control: ControlSettings::default(),
