Test that an answer cut within its head is never a success

Cause: other operators saw a success with an empty or short body when a target stopped within the head of its answer. It can't happen here: an answer counts only once its head is complete, and a body only with its whole length, its last chunk, or an orderly end of the connection.

Change: a test that ends the target's connection at each byte of an answer with a length, in chunks and without a length, by end of stream and by reset.

Result: each case is lost as connection-closed.

--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
@@ -75,6 +76,11 @@
 
 /// Sends `count` requests one after another to the target at `address` and returns the results.
 fn results_at(address: SocketAddr, count: u64) -> Vec<String> {
+    results_every(address, count, Duration::from_millis(50))
+}
+
+/// Sends `count` requests one after another, with a pause after each result, and returns the results.
+fn results_every(address: SocketAddr, count: u64, pause: Duration) -> Vec<String> {
     block_on(async {
         let (gate, receiver) = mpsc::unbounded();
         let (probe, _probes) = mpsc::unbounded::<ProbeMessage>();
@@ -104,7 +110,7 @@
             // The scripted target has no load endpoint, so the load query is answered as failed.
             let _ = gate.unbounded_send(GateMessage::LoadAnswer(None));
             results.push(describe_end(end.await.map(|r| r.result)));
-            monoio::time::sleep(Duration::from_millis(50)).await;
+            monoio::time::sleep(pause).await;
         }
         results
     })
@@ -261,3 +267,45 @@
     assert_snapshot!("bytes_without_end", results);
     assert!(started.elapsed() < TIME_LEFT, "{:?}", started.elapsed());
 }
+
+/// Serves one connection for each prefix of `bytes`, which ends by end of stream or by reset.
+fn serve_prefixes(bytes: Vec<u8>, reset: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        for length in 0..bytes.len() {
+            let (mut stream, _) = listener.accept().expect("the gate connects");
+            if !reset {
+                let _ = stream.read(&mut [0; 4096]);
+            }
+            let _ = stream.write_all(&bytes[..length]);
+            if reset {
+                // Closing a socket with unread bytes resets the connection. The request is read only in
+                // part, after the answer's bytes have had time to arrive.
+                let _ = stream.read(&mut [0; 1]);
+                thread::sleep(Duration::from_millis(2));
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a target that stops within the head of its answer and whose caller gets a success: at each
+/// byte of a head, with each framing of the body, by end of stream and by reset.
+#[rstest]
+#[case::length("Content-Length: 2\r\n\r\nab", false)]
+#[case::length_reset("Content-Length: 2\r\n\r\nab", true)]
+#[case::chunked("Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false)]
+#[case::chunked_reset("Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", true)]
+#[case::no_length("Connection: close\r\n\r\n", false)]
+#[case::no_length_reset("Connection: close\r\n\r\n", true)]
+fn answer_that_stops_at_any_byte(#[case] framing: &str, #[case] reset: bool) {
+    let bytes = format!("HTTP/1.1 200 OK\r\n{SEALED}{framing}").into_bytes();
+    let count = bytes.len() as u64;
+    let results = results_every(serve_prefixes(bytes, reset), count, Duration::ZERO);
+    let results: BTreeSet<_> = results.into_iter().collect();
+    assert_eq!(
+        results,
+        BTreeSet::from(["lost connection-closed".to_owned()])
+    );
+}
