Count requests that the target may still hold as running

Cause: some targets never answer a request that they can't queue, nor any further one on its connection. The gate counted the slot of a request as free once the request was cancelled or ran past its deadline, and a restarted daemon counted all slots as free, while the target might still run those requests.

Change: Holdover keeps the deadlines of requests that were given up, and what the target reports beyond the requests that the gate knows of. The excess counts as running, for a restarted daemon during its first ten seconds and otherwise up to the number of requests that were given up. Requests that can't wait go elsewhere.

--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -70,6 +70,9 @@
 /// Input of the gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
+    /// A started request ends without an answer, and the target may still run it; its
+    /// [`Event::Finish`] follows.
+    Abandon(WorkId),
     /// A request arrived.
     Arrive(Arrival),
     /// The sender cancelled the request.
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::event::{Arrival, Effect, Event, Limits, Priority, RunEnd, WorkId};
+use super::holdover::Holdover;
 use super::name::StatedName;
 use super::queue::{Queue, Waiting};
 use super::rate::Rate;
@@ -22,8 +23,8 @@
 /// Service time used to estimate queueing delay before any request has finished.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(5);
 
-/// While the target's machine is strained, waiting requests whose `max_wait` is shorter than this
-/// are refused, so that their senders can try another target.
+/// While the target's machine is strained, or other requests hold its slots, waiting requests whose `max_wait`
+/// is shorter than this are refused, so that their senders can try another target.
 const STRAIN_RECOVERY_WAIT: Duration = Duration::from_millis(75);
 /// Share of the usual service time of its kind that nearly every request takes at least. A request
 /// with less time left before its deadline is refused.
@@ -34,6 +35,7 @@
 /// A request that holds a slot.
 #[derive(Clone, Copy, Debug)]
 struct Running {
+    deadline: Time,
     /// Slots taken when the request started; `None` if the machine was strained then.
     occupancy: Option<Occupancy>,
     started: Time,
@@ -64,6 +66,7 @@
 pub struct Gate {
     draining: bool,
     failure_share: f64,
+    holdover: Holdover,
     instance: InstanceId,
     /// When the target last stated that it leaves; `None` if it has not.
     leaving: Option<Time>,
@@ -88,6 +91,7 @@
         Self {
             draining: false,
             failure_share: 0.0,
+            holdover: Holdover::default(),
             instance,
             leaving: None,
             limits,
@@ -111,12 +115,18 @@
         let mut effects = Vec::new();
         self.drop_expired(now, &mut effects);
         match *event {
+            Event::Abandon(id) => self.abandon(id, now),
             Event::Arrive(arrival) => effects.extend(self.admit(&arrival, now)),
             Event::Cancel(id) => self.cancel(id, &mut effects),
             Event::Configure(limits) => self.configure(limits, &mut effects),
             Event::Drain => self.draining = true,
             Event::Finish { end, id } => self.finish(id, end, now),
-            Event::LoadAnswer(load) => self.strain.finish_check(load, now),
+            Event::LoadAnswer(load) => {
+                if let Some(load) = load {
+                    self.holdover.observe(load, self.running.len(), now);
+                }
+                self.strain.finish_check(load, now);
+            }
             Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
             Event::TargetDrains(drains) => self.set_target_drains(drains),
             Event::TargetLeaves => {
@@ -143,6 +153,9 @@
 
     /// Records the load that the target reported along with an answer.
     pub fn observe_load(&mut self, load: TargetLoad, now: Time) {
+        // The answer's own request still counts as running here and no longer at the target.
+        self.holdover
+            .observe(load, self.running.len().saturating_sub(1), now);
         self.strain.observe(load, now);
     }
 
@@ -178,7 +191,7 @@
             failing: (self.failure_share * 100.0).round() as u8,
             instance: self.instance,
             queued: self.queue.len() as u32,
-            running: withheld.max(self.running.len() as u32),
+            running: withheld.max(self.occupied(now) as u32),
             seq: self.seq,
             service: self.service_estimate(now),
             slowdown: self.recent_slowdown(now),
@@ -229,7 +242,7 @@
             }
         }
         let free = self.running.len() < self.usable as usize;
-        let holding = self.strain.holding || self.rate.holding;
+        let holding = self.strain.holding || self.rate.holding || self.holdover.holding;
         if !self.queue.is_empty() && free && !holding {
             faults.push("a request is queued while a slot is free".to_owned());
         }
@@ -281,7 +294,7 @@
             .ahead_of(arrival, |p| self.service_times.usual(p), now);
         // Later requests of higher priority may start earlier, so the whole queue counts.
         let rate_wait = self.rate.wait(self.queue.len(), now);
-        if self.running.len() + self.queue.len() < self.usable as usize {
+        if self.occupied(now) + self.queue.len() < self.usable as usize {
             return rate_wait;
         }
         rate_wait.max(self.slot_wait(ahead, now))
@@ -343,6 +356,18 @@
         }
     }
 
+    /// The target may run the request until its deadline.
+    fn abandon(&mut self, id: WorkId, now: Time) {
+        if let Some(running) = self.running.get(&id) {
+            self.holdover.abandon(running.deadline, now);
+        }
+    }
+
+    /// Number of slots that are taken, or may be by requests that the gate no longer counts.
+    fn occupied(&self, now: Time) -> usize {
+        self.running.len() + self.holdover.slots(now)
+    }
+
     fn record_failure_sample(&mut self, sample: f64) {
         self.failure_share += FAILURE_WEIGHT * (sample - self.failure_share);
     }
@@ -352,6 +377,7 @@
             occupancy,
             started,
             priority,
+            ..
         } = *running;
         self.service_times.record(priority, now - started);
         // Service times of requests without an objective vary too much to be compared.
@@ -363,6 +389,7 @@
     }
 
     fn replace_target(&mut self, now: Time) {
+        self.holdover.clear();
         self.leaving = None;
         self.rate.set(None, now);
     }
@@ -412,7 +439,7 @@
     fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.strain.holding = false;
         self.rate.holding = false;
-        while self.running.len() < self.usable as usize && !self.queue.is_empty() {
+        while self.occupied(now) < self.usable as usize && !self.queue.is_empty() {
             self.rate.holding = !self.rate.wait(0, now).is_zero();
             if self.rate.holding || !self.may_start(now, effects) {
                 break;
@@ -420,12 +447,18 @@
             let Some(waiting) = self.queue.pop() else {
                 break;
             };
-            let Arrival { id, priority, .. } = waiting.arrival;
+            let Arrival {
+                deadline,
+                id,
+                priority,
+                ..
+            } = waiting.arrival;
             let taken = Occupancy {
                 slots: self.limits.slots,
                 taken: self.running.len() as u32 + 1,
             };
             let running = Running {
+                deadline,
                 occupancy: (!self.strain.is_strained()).then_some(taken),
                 started: now,
                 priority,
@@ -434,6 +467,11 @@
             self.rate.take(now);
             effects.push(Effect::Start(id));
         }
+        let usable = self.usable as usize;
+        self.holdover.holding = self.running.len() < usable && self.occupied(now) >= usable;
+        if self.holdover.holding {
+            self.refuse_short_max_wait(Refusal::Full, effects);
+        }
     }
 
     /// Whether the first request in the queue may start. While the machine is strained, requests
@@ -442,7 +480,7 @@
         match self.strain.verdict(now) {
             Verdict::Normal => return true,
             Verdict::Strained(slowdown) => {
-                self.refuse_short_max_wait(effects);
+                self.refuse_short_max_wait(Refusal::Strained, effects);
                 let first = self.queue.first();
                 let hold_expired = first.is_some_and(|waiting| {
                     let known = self.kind_service_time(waiting.arrival.priority);
@@ -464,9 +502,9 @@
         false
     }
 
-    fn refuse_short_max_wait(&mut self, effects: &mut Vec<Effect>) {
+    fn refuse_short_max_wait(&mut self, refusal: Refusal, effects: &mut Vec<Effect>) {
         let short_max_wait = |_: usize, waiting: &Waiting| {
-            (waiting.arrival.max_wait < STRAIN_RECOVERY_WAIT).then_some(Refusal::Strained)
+            (waiting.arrival.max_wait < STRAIN_RECOVERY_WAIT).then_some(refusal)
         };
         refuse(self.queue.remove_if(short_max_wait), effects);
     }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -9,12 +9,15 @@
 //!   objective start before those that can't;
 //! - while the target reports a strained machine, no request starts until waiting has cost as much
 //!   as an immediate start would;
+//! - while the target reports more requests than the gate knows of, those that it may still hold count as
+//!   running;
 //! - after a drain begins, no request is admitted and every admitted request is finished;
 //! - after the target has stated that it leaves, no request is started;
 //! - only a request that has not been started is refused.
 
 mod event;
 mod gate;
+mod holdover;
 mod name;
 mod queue;
 mod rate;
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -51,8 +51,11 @@
                 self.gate.enable_load_checks();
                 return Vec::new();
             }
+            "abandon" => Event::Abandon(id()),
             "load-answer" => Event::LoadAnswer(Some(TargetLoad {
+                running: line.value("running", 0),
                 slowdown: line.word(0),
+                waiting: line.value("waiting", 0),
                 ..TargetLoad::default()
             })),
             "load-unanswered" => Event::LoadAnswer(None),
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -431,6 +431,7 @@
         // A target that isn't probed stays reachable for the gate; the next request tries it again.
         let probed = self.address.dialect == Dialect::Own;
         let unreachable = probed && matches!(end, JobEnd::Refused(Refusal::Down));
+        let abandoned = matches!(end, JobEnd::Lost(Loss::Cancelled | Loss::Expired));
         let run_result = match end {
             JobEnd::Answered(answer) => RunResult::Answered(answer),
             JobEnd::Lost(loss) => RunResult::Lost(loss),
@@ -442,7 +443,8 @@
         };
         let now_unreachable = unreachable.then_some(Event::Reachable(false));
         let usable = self.gate.usable_slots();
-        for event in now_unreachable.iter().chain([&finish]) {
+        let abandoned = abandoned.then_some(Event::Abandon(work));
+        for event in now_unreachable.iter().chain(&abandoned).chain([&finish]) {
             self.apply(event);
         }
         if self.gate.usable_slots() != usable {
