Deduct from a request's time left what it was held on its way

Cause: the time left of a forwarded request is a duration. Only a pause of the receiving process was deducted.

Change: a daemon states in a header when it sends a request, by a clock that also counts while the machine is suspended. The gate compares the transit time with the shortest recent one of the same sender, since clocks differ by an unknown constant, and deducts the rest. A header instead of a field lets daemons of earlier builds decode the message; they forward the header. Requests of callers can't state it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,4 +32,5 @@
 pub mod routing;
 pub mod stop;
 pub mod time;
+pub mod transit;
 pub mod units;
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,5 +1,4 @@
-//! The monotonic clock of the process. No other module reads the system's monotonic clock to obtain a
-//! [`Time`].
+//! The clocks of the process. No other module reads the system's monotonic clock to obtain a [`Time`].
 
 use std::time::{Duration, Instant};
 
@@ -29,6 +28,14 @@
         Time::ZERO + instant.saturating_duration_since(self.start)
     }
 
+    /// Time since the start of the machine, which also counts while the machine is suspended.
+    pub fn since_boot(self) -> Duration {
+        let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+        let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
+        Duration::new(seconds, nanos)
+    }
+
     /// Time that remains until `time`; zero if it has passed.
     pub fn until(&self, time: Time) -> Duration {
         time - self.now()
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -11,8 +11,10 @@
 use hawthornwall_core::keys::Decision;
 use hawthornwall_core::pause::PauseDetector;
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::transit::TransitTimes;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{RequestId, RunReply, RunRequest, RunResult};
+use hawthornwall_wire::sent::take_sent;
 
 use super::conn::{self, ConnEvent, Finished, Job, JobEnd, TargetAddress};
 use super::records::{EXPIRY_INTERVAL, RecordId, RequestRecords};
@@ -81,6 +83,7 @@
     service: Option<ServiceId>,
     target: Option<TargetId>,
     telemetry: Telemetry,
+    transit: TransitTimes,
     work: WorkTable,
 }
 
@@ -125,6 +128,7 @@
             service: None,
             target: None,
             telemetry: start.telemetry,
+            transit: TransitTimes::default(),
             work: WorkTable::default(),
         }
     }
@@ -264,9 +268,9 @@
 
     fn admit(&mut self, mut run: Box<RunRequest>, waiter: Waiter) {
         let now = self.clock.now();
-        // While the process was paused, the message may have spent time in a buffer, which is not
-        // yet deducted from the time left.
-        run.time_left = run.time_left.saturating_sub(self.pauses.staleness(now));
+        let delay = self.delay(&mut run, now);
+        run.time_left = run.time_left.saturating_sub(delay);
+        run.objective_left = run.objective_left.map(|left| left.saturating_sub(delay));
         let is_local = self.target == Some(run.target) && self.service == Some(run.service);
         // A request with a key is decided by the ledger, whatever the configuration is now. A
         // target that checks its name itself refuses requests for other targets.
@@ -289,6 +293,15 @@
         }
     }
 
+    /// Time that the message has spent on its way, which its sender hasn't deducted. If the sender doesn't
+    /// state when it was sent, the message may have been in a buffer while this process was paused.
+    fn delay(&mut self, run: &mut RunRequest, now: Time) -> Duration {
+        match take_sent(&mut run.http) {
+            Some(stamp) => self.transit.delay(stamp, self.clock.since_boot()),
+            None => self.pauses.staleness(now),
+        }
+    }
+
     fn enqueue(&mut self, run: Box<RunRequest>, waiter: Waiter, record_id: Option<RecordId>) {
         let now = self.clock.now();
         let (work, deadline) = (waiter.work, now + run.time_left);
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -8,9 +8,11 @@
 use hawthornwall_core::calls::AttemptId;
 use hawthornwall_core::keys::Key;
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::transit::SentStamp;
 use hawthornwall_wire::peer::{
     HttpAnswer, HttpRequest, Reply, Request, RunReply, RunRequest, RunResult,
 };
+use hawthornwall_wire::sent::set_sent;
 
 use super::listener::Backend;
 use crate::dialect::Dialect;
@@ -132,7 +134,7 @@
         let reply = if self.local {
             send_local(backend, request).await?
         } else {
-            send_remote(backend, self.params.target, request).await?
+            send_remote(backend, self.params.target, stamped(backend, request)).await?
         };
         // A reply to another request must never reach this caller.
         if reply.id == id {
@@ -179,6 +181,18 @@
     }
 }
 
+/// States when a request is sent, so that the time for which it is held on its way is deducted.
+fn stamped(backend: &Backend, mut request: Request) -> Request {
+    if let Request::Run(_, run) = &mut request {
+        let stamp = SentStamp {
+            at: backend.clock.since_boot(),
+            sender: backend.sender,
+        };
+        set_sent(&mut run.http, stamp);
+    }
+    request
+}
+
 async fn send_local(backend: &Backend, request: Request) -> Result<RunReply, PeerFault> {
     let reply = match request {
         Request::Run(id, run) => run_at_gate(&backend.gate, id, run).await,
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -43,6 +43,8 @@
     /// The next request id, shared by all connections.
     pub requests: Rc<Cell<u64>>,
     pub router: RouterSender,
+    /// Identifies this run of the daemon as the sender of requests.
+    pub sender: u32,
     /// Service of this instance, stated as the origin of its requests; `None` if it belongs to
     /// none.
     pub service: Option<Rc<str>>,
@@ -143,6 +145,7 @@
             },
             requests: Rc::new(Cell::new(start.seed)),
             router: start.router,
+            sender: (start.seed >> u32::BITS) as u32,
             service: start.service.map(Rc::from),
             stop: stop::notice(start.stop),
             telemetry: start.telemetry,
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -17,6 +17,7 @@
 use hawthornwall_core::routing::Choice;
 use hawthornwall_core::stop::StopPlan;
 use hawthornwall_wire::peer::HttpRequest;
+use hawthornwall_wire::sent::remove_sent;
 
 use super::attempt::{Attempt, AttemptOutput, AttemptRequest, Operation, SendParams};
 use super::identity::{log_unrouted, request_id, set_calling_service};
@@ -116,6 +117,7 @@
     mut request: HttpRequest,
 ) -> Result<OpenedService<'_>, Reply> {
     set_calling_service(backend, &mut request);
+    remove_sent(&mut request);
     let request_kind = request_kind(backend.dialect, &request)
         .map_err(|refusal| Reply::unanswered(Outcome::Refused(refusal)))?;
     let (host, path) = host_and_path(&request, &request_kind);
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -11,6 +11,7 @@
 use futures::channel::{mpsc, oneshot};
 use hawthornwall_core::admission::WorkId;
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::transit::SentStamp;
 use hawthornwall_node::clock::Clock;
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::gate::{GateStart, GateTask};
@@ -18,6 +19,7 @@
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{Header, HttpRequest, RequestId, RunReply, RunRequest, RunResult};
+use hawthornwall_wire::sent::set_sent;
 use insta::assert_snapshot;
 use rstest::rstest;
 
@@ -79,37 +81,49 @@
     results_every(address, count, Duration::from_millis(50))
 }
 
+/// Starts a gate for the target at `address`; must be called on a runtime.
+fn start_gate(address: SocketAddr) -> mpsc::UnboundedSender<GateMessage> {
+    let (gate, receiver) = mpsc::unbounded();
+    let (probe, probes) = mpsc::unbounded::<ProbeMessage>();
+    let (telemetry, events) = Telemetry::channel();
+    let settings = settings(address);
+    let task = GateTask::new(GateStart {
+        clock: Clock::start(),
+        dialect: Dialect::Platform,
+        instance: InstanceId(1),
+        probe,
+        receiver,
+        settings: &settings,
+        telemetry,
+    });
+    monoio::spawn(async move {
+        task.run().await;
+        drop((probes, events));
+    });
+    gate
+}
+
+/// Sends one request and returns its result.
+async fn run_once(gate: &mpsc::UnboundedSender<GateMessage>, id: u64, run: RunRequest) -> String {
+    let (reply, end) = oneshot::channel::<RunReply>();
+    let _ = gate.unbounded_send(GateMessage::Run {
+        id: RequestId(id),
+        reply,
+        run: Box::new(run),
+        work: WorkId(id),
+    });
+    // The scripted target has no load endpoint, so the load query is answered as failed.
+    let _ = gate.unbounded_send(GateMessage::LoadAnswer(None));
+    describe_end(end.await.map(|r| r.result))
+}
+
 /// Sends `count` requests one after another, with a pause after each result, and returns the results.
 fn results_every(address: SocketAddr, count: u64, pause: Duration) -> Vec<String> {
     block_on(async {
-        let (gate, receiver) = mpsc::unbounded();
-        let (probe, _probes) = mpsc::unbounded::<ProbeMessage>();
-        let (telemetry, _events) = Telemetry::channel();
-        let settings = settings(address);
-        monoio::spawn(
-            GateTask::new(GateStart {
-                clock: Clock::start(),
-                dialect: Dialect::Platform,
-                instance: InstanceId(1),
-                probe,
-                receiver,
-                settings: &settings,
-                telemetry,
-            })
-            .run(),
-        );
+        let gate = start_gate(address);
         let mut results = Vec::new();
         for id in 0..count {
-            let (reply, end) = oneshot::channel::<RunReply>();
-            let _ = gate.unbounded_send(GateMessage::Run {
-                id: RequestId(id),
-                reply,
-                run: Box::new(request()),
-                work: WorkId(id),
-            });
-            // The scripted target has no load endpoint, so the load query is answered as failed.
-            let _ = gate.unbounded_send(GateMessage::LoadAnswer(None));
-            results.push(describe_end(end.await.map(|r| r.result)));
+            results.push(run_once(&gate, id, request()).await);
             monoio::time::sleep(pause).await;
         }
         results
@@ -309,3 +323,29 @@
         BTreeSet::from(["lost connection-closed".to_owned()])
     );
 }
+
+/// Guards against a request that is run although it was held on its way until its deadline: the time of
+/// sending, which the daemon of the caller states, is compared with that of earlier requests.
+#[test]
+fn request_held_on_its_way() {
+    let (address, lines) = serve(vec![Connection::silent_after(vec![
+        answer(
+            "200 OK", SEALED, "ab"
+        );
+        2
+    ])]);
+    let ends = block_on(async {
+        let gate = start_gate(address);
+        let mut ends = Vec::new();
+        for (id, sent) in [(0, 10_000), (1, 8_500)] {
+            let mut run = request();
+            let at = Clock::start().since_boot() + Duration::from_secs(10);
+            let at = at.saturating_sub(Duration::from_millis(10_000 - sent));
+            set_sent(&mut run.http, SentStamp { at, sender: 1 });
+            ends.push(run_once(&gate, id, run).await);
+        }
+        ends
+    });
+    let lines: Vec<_> = lines.try_iter().collect();
+    assert_snapshot!(format!("{}\n{}", lines.join("\n"), ends.join("\n")));
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod instances;
 pub mod names;
 pub mod peer;
+pub mod sent;
 pub mod trace;
