Read the store less often while a whole fleet starts

Cause: at the start of a fleet the store lists no targets yet, so that each daemon took itself for the only one and watched the store. Every entry that appeared ended all these watches.

Change: while no routes or no targets are published, nothing can be served, so that a daemon awaits the next change instead of confirming its stale read first. Until its own target is published it reads changes in batches of 100 ms, in which it learns of a peer to query. A daemon that starts alone, or whose fleet is published, confirms at once as before.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -21,4 +21,4 @@
 pub use change_log::{ChangeLog, UpdatePayload};
 pub use entry::{Change, PublishedRoutes, PublishedState, PublishedTarget};
 pub use sources::{Level, Sources};
-pub use sync::{Call, CallEnd, StorePosition, StoreSync, UpdateHead, WATCH_WAIT};
+pub use sync::{Call, CallEnd, Published, StorePosition, StoreSync, UpdateHead, WATCH_WAIT};
--- a/crates/core/src/catalog/sync.rs
+++ b/crates/core/src/catalog/sync.rs
@@ -5,6 +5,10 @@
 //! - the result of a stale read takes effect only once a newer read or update confirms it;
 //! - before a removal reported by a peer takes effect, this daemon must have reached the store itself, at
 //!   least by a check;
+//! - while no routes or no targets are published, nothing can be served, so that changes are awaited instead
+//!   of confirming what was read;
+//! - until the own target is published, changes are read in batches, in which a daemon learns of peers to
+//!   query: when a whole fleet starts, each daemon would otherwise watch for every single entry;
 //! - a daemon that queries a peer reads the store itself if nothing newer arrives within the longest watch
 //!   plus the margin of its level: the peer may have lost contact with the store without detecting
 //!   this;
@@ -44,6 +48,9 @@
 /// Delay after a change before the next watch, for each target. In a large fleet changes follow each other
 /// closely, and each update is sent to every daemon, so that changes are read in batches.
 const BATCH_DELAY_PER_TARGET: Duration = Duration::from_millis(4);
+/// Least delay after a change until the own target is published. In a starting fleet several entries appear in
+/// this time, one of which most likely belongs to a peer to query.
+const START_BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Longest delay after a change; the remainder of [`WATCH_WAIT`] is watched after it.
 const BATCH_DELAY_LIMIT: Duration = Duration::from_millis(400);
 /// Time without a proper answer after which entries may have lapsed unnoticed. Entries lapse after three
@@ -91,6 +98,37 @@
     },
 }
 
+/// What the contents held here say of the fleet.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Published {
+    /// Whether the target beside this daemon is published.
+    pub own: bool,
+    /// Whether routes are published.
+    pub routes: bool,
+    /// Number of targets that take work.
+    pub targets: usize,
+}
+
+impl Published {
+    /// Whether any request can be served.
+    fn is_usable(self) -> bool {
+        self.routes && self.targets > 0
+    }
+
+    /// Delay between a change and the next watch.
+    fn batch_delay(self) -> Duration {
+        let targets = u32::try_from(self.targets).unwrap_or(u32::MAX);
+        let delay = BATCH_DELAY_PER_TARGET
+            .saturating_mul(targets)
+            .min(BATCH_DELAY_LIMIT);
+        if self.own {
+            delay
+        } else {
+            delay.max(START_BATCH_DELAY)
+        }
+    }
+}
+
 /// The result of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallEnd {
@@ -180,10 +218,9 @@
     peer_backoff: BTreeMap<SocketAddr, (u32, Time)>,
     revision: Option<u64>,
     rng: Pcg64Mcg,
-    /// Delay between a change and the next watch.
-    batch_delay: Duration,
     /// End of the delay after the last change.
     batch_end: Time,
+    published: Published,
     sources: Sources,
     /// Whether the store must be read because peers can't supply the missing changes.
     store_first: bool,
@@ -207,8 +244,8 @@
             peer_backoff: BTreeMap::new(),
             revision: None,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            batch_delay: Duration::ZERO,
             batch_end: Time::ZERO,
+            published: Published::default(),
             sources: Sources::default(),
             store_due: Time::ZERO,
             store_first: false,
@@ -216,12 +253,9 @@
         }
     }
 
-    /// Sets the number of targets and the peers to query.
-    pub fn set_sources(&mut self, targets: usize, sources: Sources) {
-        let targets = u32::try_from(targets).unwrap_or(u32::MAX);
-        self.batch_delay = BATCH_DELAY_PER_TARGET
-            .saturating_mul(targets)
-            .min(BATCH_DELAY_LIMIT);
+    /// Sets what is published and the peers to query.
+    pub fn set_sources(&mut self, published: Published, sources: Sources) {
+        self.published = published;
         self.peer_backoff
             .retain(|peer, _| sources.parents.contains(peer));
         self.sources = sources;
@@ -335,7 +369,7 @@
     }
 
     fn watch(&self, after: u64, wait: Duration) -> Call {
-        let wait = if self.confirmed_at.is_none() {
+        let wait = if self.confirmed_at.is_none() && self.published.is_usable() {
             Duration::ZERO
         } else {
             wait
@@ -356,7 +390,8 @@
     fn stale_at(&self) -> Time {
         match self.confirmed_at {
             Some(confirmed_at) => confirmed_at + WATCH_WAIT + self.sources.level.margin(),
-            None => self.loaded + CONFIRM_WAIT,
+            None if self.published.is_usable() => self.loaded + CONFIRM_WAIT,
+            None => self.loaded + WATCH_WAIT + self.sources.level.margin(),
         }
     }
 
@@ -378,7 +413,7 @@
         self.due = now;
         self.batch_end = now
             + if changed {
-                self.batch_delay
+                self.published.batch_delay()
             } else {
                 Duration::ZERO
             };
--- a/crates/core/tests/scenarios/store_sync.rs
+++ b/crates/core/tests/scenarios/store_sync.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{
-    Absence, CallEnd, Level, Sources, StorePosition, StoreSync, UpdateHead,
+    Absence, CallEnd, Level, Published, Sources, StorePosition, StoreSync, UpdateHead,
 };
 use hawthornwall_core::prelude::*;
 
@@ -17,8 +17,17 @@
 
 impl Run {
     pub fn new(line: &Line<'_>) -> Self {
+        let mut store_sync = StoreSync::new(line.value("seed", 1));
+        if !line.flag("nothing-published") {
+            let published = Published {
+                own: true,
+                routes: true,
+                targets: 1,
+            };
+            store_sync.set_sources(published, Sources::default());
+        }
         Self {
-            store_sync: StoreSync::new(line.value("seed", 1)),
+            store_sync,
             now: Time::ZERO,
         }
     }
@@ -46,7 +55,12 @@
             }),
             "refused" => Some(CallEnd::Refused),
             "sources" => {
-                self.store_sync.set_sources(line.word(0), sources(line));
+                let published = Published {
+                    own: !line.flag("own-missing"),
+                    routes: !line.flag("no-routes"),
+                    targets: line.word(0),
+                };
+                self.store_sync.set_sources(published, sources(line));
                 None
             }
             "tick" => None,
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -8,8 +8,8 @@
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::catalog::{
-    Call, CallEnd, Catalog, CatalogEvent, Change, ChangeLog, Snapshot, Sources, StoreSync,
-    UpdatePayload,
+    Call, CallEnd, Catalog, CatalogEvent, Change, ChangeLog, Published, Snapshot, Sources,
+    StoreSync, UpdatePayload,
 };
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::ids::{TargetId, Version};
@@ -444,7 +444,12 @@
             report::update_sources(&sources);
             self.sources = sources.clone();
         }
-        self.store_sync.set_sources(count, sources);
+        let published = Published {
+            own: self.catalog.target_at(self.start.own_target).is_some(),
+            routes: self.catalog.version() > Version(0),
+            targets: count,
+        };
+        self.store_sync.set_sources(published, sources);
     }
 
     fn publish(&mut self) {
