Divide the messages of tasks by the task that receives them

Change: a module for each receiving task, re-exported under the same names. Items are moved unchanged, but for the order of the three sender types.

--- /dev/null
+++ b/crates/node/src/messages/mod.rs
@@ -0,0 +1,18 @@
+//! Messages between the tasks of a daemon, by the task that receives them.
+//!
+//! Invariant: a message contains owned values and reply channels, never a reference to another task's
+//! state. A dropped reply receiver cancels the request.
+
+mod control;
+mod gate;
+mod peers;
+mod probe;
+mod router;
+mod routing;
+
+pub use control::{ControlMessage, ControlSender, ControlStatus};
+pub use gate::{GateMessage, GateSender, GateStatus};
+pub use peers::{PeerAddress, PeerFault, PeersMessage, PeersSender, PeersStatus};
+pub use probe::{ProbeMessage, ProbeResult, ProbeSender};
+pub use router::{Observed, OpenTicket, Opened, Picked, RouterMessage, RouterSender};
+pub use routing::{Member, RoutingState};
--- /dev/null
+++ b/crates/node/src/messages/router.rs
@@ -0,0 +1,155 @@
+//! Messages to the `router` task, and what its replies contain.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::{mpsc, oneshot};
+use hawthornwall_core::calls::PickKind;
+use hawthornwall_core::config::Rules;
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::routes::Route;
+use hawthornwall_core::routing::{Choice, Ticket};
+
+use super::RoutingState;
+
+/// Measurements and result of a finished attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Observed {
+    /// Time from sending to the reply or to the loss of the attempt.
+    pub elapsed: Duration,
+    /// Part of `elapsed` that the request spent at the target's daemon; zero without a reply.
+    pub held: Duration,
+    /// Whether the answer states that the target leaves.
+    pub leaving: bool,
+    /// The load report in the reply; `None` without a reply.
+    pub report: Option<LoadReport>,
+    /// How the attempt ended.
+    pub result: AttemptResult,
+}
+
+/// A ticket that is closed exactly once: with an observation, or as cancelled when it is dropped.
+///
+/// The balancer would count a ticket that is never closed as a request in flight and treat its target as
+/// stalled.
+#[derive(Debug)]
+pub struct OpenTicket {
+    router: RouterSender,
+    ticket: Option<Ticket>,
+}
+
+impl OpenTicket {
+    /// Wraps a ticket; its end is reported to `router`.
+    pub fn new(router: RouterSender, ticket: Ticket) -> Self {
+        Self {
+            router,
+            ticket: Some(ticket),
+        }
+    }
+
+    /// Closes the ticket with the observation of its attempt.
+    pub fn close(mut self, observed: Observed) {
+        self.report(observed);
+    }
+
+    fn report(&mut self, observed: Observed) {
+        if let Some(ticket) = self.ticket.take() {
+            let _ = self
+                .router
+                .unbounded_send(RouterMessage::Observe { observed, ticket });
+        }
+    }
+}
+
+impl Drop for OpenTicket {
+    fn drop(&mut self) {
+        let result = AttemptResult::Lost(Loss::Cancelled);
+        self.report(Observed {
+            elapsed: Duration::ZERO,
+            held: Duration::ZERO,
+            leaving: false,
+            report: None,
+            result,
+        });
+    }
+}
+
+/// A request that the router accepted and counts as in flight.
+#[derive(Clone, Debug)]
+pub struct Opened {
+    /// Time limit set by the caller, or the default of the service.
+    pub left: Duration,
+    /// Name of the service.
+    pub name: String,
+    /// The local target; `None` if the configuration does not contain it.
+    pub own: Option<TargetId>,
+    /// The matching route; `None` if the configuration has no routes.
+    pub route: Option<Rc<Route>>,
+    /// Rules of the service.
+    pub rules: Rules,
+    /// The service that the host name and path select.
+    pub service: ServiceId,
+    /// Estimated part of the caller's time limit that had passed when the request arrived.
+    pub spent: Duration,
+    /// Version of the configuration that selected the service.
+    pub version: Version,
+}
+
+/// A picked target.
+#[derive(Debug)]
+pub struct Picked {
+    /// The choice of the balancer.
+    pub choice: Choice,
+    /// Name that the request states and the target compares with its own; `None` if the target does
+    /// not check it.
+    pub expect: Option<Rc<str>>,
+    /// Reports the end of the attempt to the router.
+    pub ticket: OpenTicket,
+}
+
+/// A message to the `router` task.
+#[derive(Debug)]
+pub enum RouterMessage {
+    /// A request accepted by [`RouterMessage::Open`] has ended; it no longer counts as in flight.
+    Close(ServiceId),
+    /// An attempt ended.
+    Observe {
+        /// Measurements and result of the attempt.
+        observed: Observed,
+        /// The ticket that was issued for the attempt.
+        ticket: Ticket,
+    },
+    /// Find the service of a request and count the request as in flight.
+    Open {
+        /// Time limit set by the caller; `None` selects the default of the service.
+        budget: Option<Duration>,
+        /// Host name without port.
+        host: String,
+        /// Path and query.
+        path: String,
+        /// Receives the accepted request, or the refusal.
+        reply: oneshot::Sender<Result<Opened, Refusal>>,
+    },
+    /// Pick a target for an attempt.
+    Pick {
+        /// The reason for the attempt; hedges and retries use the retry budget.
+        kind: PickKind,
+        /// Receives the picked target, or the refusal.
+        reply: oneshot::Sender<Result<Picked, Refusal>>,
+        /// The service whose targets are eligible.
+        service: ServiceId,
+        /// Targets that the call has already tried.
+        tried: Vec<TargetId>,
+    },
+    /// Register an attempt at a target that an idempotency key determines.
+    Pin {
+        /// Receives the ticket of the attempt.
+        reply: oneshot::Sender<OpenTicket>,
+        /// The target of the key.
+        target: TargetId,
+    },
+    /// The configuration or the members changed.
+    RoutingState(Rc<RoutingState>),
+}
+
+/// A sender to the `router` task.
+pub type RouterSender = mpsc::UnboundedSender<RouterMessage>;
--- /dev/null
+++ b/crates/node/src/messages/routing.rs
@@ -0,0 +1,38 @@
+//! What the tasks that route and admit requests know of the fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hawthornwall_core::prelude::*;
+use hawthornwall_core::routes::RouteTable;
+use serde::Serialize;
+
+/// The instance that serves a target.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Name that requests state and the target compares with its own; `None` if the target does not
+    /// check it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub expect: Option<Rc<str>>,
+    /// Id of the running instance; `None` if none has been announced.
+    pub instance: Option<InstanceId>,
+    /// Whether the instance is leaving and accepts no new work.
+    pub leaving: bool,
+    /// Address of the instance's daemon.
+    pub peer: SocketAddr,
+}
+
+/// The configuration in force and the members, published to the tasks that route and admit requests.
+#[derive(Clone, Debug, Default)]
+pub struct RoutingState {
+    /// The configuration in force.
+    pub config: Configuration,
+    /// The members by target; a target without a member can't be reached.
+    pub members: BTreeMap<TargetId, Member>,
+    /// The local target; `None` if the configuration does not contain it.
+    pub own: Option<TargetId>,
+    /// Routes of requests; if `None`, services are found by the host names and paths of the
+    /// configuration.
+    pub routes: Option<Rc<RouteTable>>,
+}
