Move the driver of a call to a module of its own

Change: ingress/driver.rs holds CallDriver; its parameters are a struct, and its records and deadline are reached by methods. Nothing else changes.

Result: tests of the crate pass.

--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 
 mod attempt;
 mod connection;
+mod driver;
 mod identity;
 mod incoming;
 mod listener;
