--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -56,7 +56,7 @@
 }
 
 /// A caller and a gate, and what they have seen.
-struct Bench {
+struct Harness {
     caller: Option<TcpStream>,
     clock: Clock,
     gate: mpsc::UnboundedReceiver<GateMessage>,
@@ -66,7 +66,7 @@
     stop: Option<oneshot::Sender<StopPlan>>,
 }
 
-impl Bench {
+impl Harness {
     async fn perform(&mut self, step: Step) {
         self.log.push(format!("{step:?}"));
         match step {
@@ -195,7 +195,7 @@
             stop,
         } = start(&settings, clock);
         let connected: io::Result<TcpStream> = TcpStream::connect_addr(address).await;
-        let mut bench = Bench {
+        let mut harness = Harness {
             caller: Some(connected.expect("the daemon accepts")),
             clock,
             gate,
@@ -205,9 +205,9 @@
             stop: Some(stop),
         };
         for step in steps {
-            bench.perform(*step).await;
+            harness.perform(*step).await;
         }
-        bench.log.join("\n")
+        harness.log.join("\n")
     })
 }
 
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -215,7 +215,7 @@
     number("caller.pipeline_bytes", 64 << 10, Unit::Bytes, (1 << 10, 64 * MIB),
         "Number of bytes of requests and answers in flight on a connection from which no further request is read."),
     number("caller.announce_ms", 1_000, Unit::Milliseconds, (0, 60_000),
-        "Time between announcing a planned stop to callers and refusing their connections."),
+        "Time between announcing a planned stop to callers and refusing their connections; at most two fifths of the grace."),
 
     setting("caller.grace_s", ValueKind::Seconds { min: 0, max: 86_400 }, DefaultValue::Number(600),
         "Time between a stop signal and the end of the process, if need be by force; all requests are answered before."),
