Publish a target in the example of StoreSync

Cause: since the change of reads at the start of a fleet, a stale read is confirmed at once only if routes and targets are published; the documented example published none.

Change: the example states what is published. It demands the same calls as before.

Result: doc tests of the workspace pass.

--- a/crates/core/src/catalog/sync.rs
+++ b/crates/core/src/catalog/sync.rs
@@ -187,13 +187,15 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use hawthornwall_core::catalog::{Call, CallEnd, StoreSync};
+/// use hawthornwall_core::catalog::{Call, CallEnd, Published, Sources, StoreSync};
 /// use hawthornwall_core::time::Time;
 ///
 /// let mut store_sync = StoreSync::new(1);
 /// assert_eq!(store_sync.next(Time::ZERO), (Time::ZERO, Call::Load { stale: true }));
 /// store_sync.end(CallEnd::ReadStale { revision: 7 }, Time::ZERO);
 /// assert!(!store_sync.is_confirmed());
+/// let published = Published { own: true, routes: true, targets: 1 };
+/// store_sync.set_sources(published, Sources::default());
 /// let confirm = Call::Watch { after: 7, wait: Duration::ZERO };
 /// assert_eq!(store_sync.next(Time::ZERO), (Time::ZERO, confirm));
 /// store_sync.end(CallEnd::Read { revision: 8 }, Time::ZERO);
