Decide repeats by the records before the configuration

Cause: a non-idempotent request whose connection was lost is repeated at the instance that may have received it. A daemon that has restarted and has no configuration yet refused the repeat as wrong-target before it looked at the instance that the repeat names. Its sender took that for a definite refusal of the first attempt, and sent the request to another target: it ran twice.

Ruled out: a retry by the caller, since both runs carry the same request number.

Change: only a first attempt is refused because of the configuration at once. A repeat is decided by the records, which answer "lost" for another instance; what this instance never received is still refused.

--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -271,10 +271,9 @@
         let delay = self.delay(&mut run, now);
         run.time_left = run.time_left.saturating_sub(delay);
         run.objective_left = run.objective_left.map(|left| left.saturating_sub(delay));
-        let is_local = self.target == Some(run.target) && self.service == Some(run.service);
-        // A request with a key is decided by the ledger, whatever the configuration is now. A
-        // target that checks its name itself refuses requests for other targets.
-        if !is_local && run.key.is_none() && run.expected_target.is_none() {
+        // A repeat is decided by the records first: a daemon that has restarted doesn't know its target yet,
+        // and can't state that the first attempt wasn't run.
+        if run.first_instance.is_none() && !self.serves(&run) {
             return self.reply(waiter, RunResult::Refused(Refusal::WrongTarget));
         }
         let (decision, record_id) = self.records.begin_request(waiter.id, &run, now);
@@ -302,8 +301,16 @@
         }
     }
 
+    /// Whether the request is for the local target. A request with a key is decided by the ledger, whatever
+    /// the configuration is now. A target that checks its name itself refuses requests for other targets.
+    fn serves(&self, run: &RunRequest) -> bool {
+        let is_local = self.target == Some(run.target) && self.service == Some(run.service);
+        is_local || run.key.is_some() || run.expected_target.is_some()
+    }
+
     fn enqueue(&mut self, run: Box<RunRequest>, waiter: Waiter, record_id: Option<RecordId>) {
         let now = self.clock.now();
+        let serves = self.serves(&run);
         let (work, deadline) = (waiter.work, now + run.time_left);
         let arrival = Arrival {
             deadline,
@@ -326,7 +333,7 @@
         };
         let misdirected = self.is_misdirected(&inflight);
         self.work.insert(work, inflight);
-        if misdirected {
+        if misdirected || !serves {
             self.finish_work(work, &RunResult::Refused(Refusal::WrongTarget));
         } else {
             self.apply(&Event::Arrive(arrival));
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -349,3 +349,24 @@
     let lines: Vec<_> = lines.try_iter().collect();
     assert_snapshot!(format!("{}\n{}", lines.join("\n"), ends.join("\n")));
 }
+
+/// Guards against a request that runs twice: its daemon restarts after the first attempt was lost, and refuses the
+/// repeat as not run because it has no configuration yet. Only the run that the first attempt may have reached can
+/// state that.
+#[rstest]
+#[case::other_run(InstanceId(9), "lost key-forgotten")]
+#[case::same_run(InstanceId(1), "refused wrong-target")]
+fn repeat_at_a_daemon_without_configuration(#[case] first: InstanceId, #[case] expected: &str) {
+    let (address, _lines) = serve(Vec::new());
+    let end = block_on(async {
+        let gate = start_gate(address);
+        let run = RunRequest {
+            expected_target: None,
+            first_instance: Some(first),
+            run_once: true,
+            ..request()
+        };
+        run_once(&gate, 0, run).await
+    });
+    assert_eq!(end, expected);
+}
