Don't take a repeat that wasn't sent for a refusal of the first attempt

Cause: if the limit of requests in flight to a peer kept a repeat from being sent, the attempt counted as refused because the target was full. A definite refusal of a repeat counts for the first attempt as well, which may have run, so that a non-idempotent request could be sent to another target.

Change: a repeat that isn't sent counts as unreachable, after which it is repeated or its outcome is unknown.

--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -92,6 +92,7 @@
     ) -> (AttemptId, TargetId, AttemptResult, AttemptOutput) {
         let (id, target) = (self.request.params.attempt, self.request.params.target);
         let started = backend.clock.now();
+        let is_repeat = self.request.params.repeat.is_some();
         let Self {
             request,
             span,
@@ -108,7 +109,7 @@
                 (result, Some(reply.report), reply.held, output)
             }
             Err(fault) => (
-                result_of(fault),
+                fault.attempt_result(is_repeat),
                 None,
                 Duration::ZERO,
                 AttemptOutput::Nothing,
@@ -251,11 +252,3 @@
         RunResult::Refused(refusal) => (AttemptResult::Refused(refusal), AttemptOutput::Nothing),
     }
 }
-
-fn result_of(fault: PeerFault) -> AttemptResult {
-    match fault {
-        PeerFault::Busy => AttemptResult::Refused(Refusal::Full),
-        PeerFault::Lost(loss) => AttemptResult::Lost(loss),
-        PeerFault::Unreachable => AttemptResult::Refused(Refusal::Unreachable),
-    }
-}
--- a/crates/node/src/messages/peers.rs
+++ b/crates/node/src/messages/peers.rs
@@ -21,6 +21,21 @@
     Unreachable,
 }
 
+impl PeerFault {
+    /// The result of an attempt that got no reply for this reason.
+    ///
+    /// A definite refusal of a repeat counts for the first attempt as well, but that nothing of the repeat was
+    /// sent says nothing about that attempt.
+    pub fn attempt_result(self, is_repeat: bool) -> AttemptResult {
+        match self {
+            Self::Busy if is_repeat => AttemptResult::Refused(Refusal::Unreachable),
+            Self::Busy => AttemptResult::Refused(Refusal::Full),
+            Self::Lost(loss) => AttemptResult::Lost(loss),
+            Self::Unreachable => AttemptResult::Refused(Refusal::Unreachable),
+        }
+    }
+}
+
 /// The recipient of a request to a peer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PeerAddress {
