Bound the load that a target reports before it is counted

Cause: the running and waiting requests that a target reports were added without a bound, and passed on in load reports. A header with the largest numbers stopped a daemon built with overflow checks, and counted as no load otherwise.

Change: the sum saturates, and a load report states no more taken slots than there are.

Result: a scenario that failed first ("attempt to add with overflow"); scenarios and properties of core pass.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -187,11 +187,14 @@
         self.seq += 1;
         let limited = !self.rate.wait(self.queue.len(), now).is_zero();
         let withheld = if limited { self.usable } else { 0 };
+        // What the target reports isn't bounded; it takes no more slots than there are.
+        let reported = self.occupied(now).min(self.usable as usize);
+        let reported = reported.max(self.running.len());
         LoadReport {
             failing: (self.failure_share * 100.0).round() as u8,
             instance: self.instance,
             queued: self.queue.len() as u32,
-            running: withheld.max(self.occupied(now) as u32),
+            running: withheld.max(reported as u32),
             seq: self.seq,
             service: self.service_estimate(now),
             slowdown: self.recent_slowdown(now),
--- a/crates/core/src/admission/holdover.rs
+++ b/crates/core/src/admission/holdover.rs
@@ -36,7 +36,8 @@
     /// Records a reported load, while `running` requests were known.
     pub fn observe(&mut self, load: TargetLoad, running: usize, now: Time) {
         let running = u32::try_from(running).unwrap_or(u32::MAX);
-        let excess = (load.running + load.waiting).saturating_sub(running);
+        let reported = load.running.saturating_add(load.waiting);
+        let excess = reported.saturating_sub(running);
         self.excess = Some((excess, now));
     }
 
