--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -92,16 +93,38 @@
 
 
 class Store:
-    """The platform's metadata store: linearizable reads and watches."""
+    """The platform's metadata store: linearizable reads and watches. Each machine has an address of its own,
+    so that the store can be silent to some machines while it serves the others."""
 
-    def __init__(self, address, record):
-        self.record = record
+    def __init__(self, record, history_s=20.0):
+        self.record, self.history_s = record, history_s
         self.changed = threading.Condition()
         self.items = {}
         self.events = []
+        self.times = []
+        self.dropped = 0
         self.revision = 1
-        self.sock = listener(address)
-        spawn(self.accept)
+        self.silent = set()
+        self.socks = {}
+
+    def listen(self, machine, address):
+        spawn(self.accept, machine, listener(address))
+
+    def add_event(self, event):
+        """Appends an event and forgets those that are older than the history."""
+        now = time.monotonic()
+        self.events.append(event)
+        self.times.append(now)
+        while self.times[0] < now - self.history_s:
+            self.drop_first()
+
+    def drop_first(self):
+        self.times.pop(0)
+        self.dropped = self.events.pop(0)["revision"]
+
+    def expire(self):
+        while self.times and self.times[0] < time.monotonic() - self.history_s:
+            self.drop_first()
 
     def put(self, key, value):
         """Writes a JSON value and returns the time of the confirmation."""
@@ -111,7 +134,7 @@
             created = self.items.get(key, {}).get("created", self.revision)
             item = {"key": key, "value": text, "revision": self.revision, "created": created, "lease": 0}
             self.items[key] = item
-            self.events.append(item)
+            self.add_event(item)
             self.changed.notify_all()
             at = self.record.now()
         self.record.line(f"store confirms {key} = {json.dumps(value)[:160]}")
@@ -121,19 +144,28 @@
         with self.changed:
             self.revision += 1
             self.items.pop(key, None)
-            self.events.append({"key": key, "revision": self.revision, "deleted": True})
+            self.add_event({"key": key, "revision": self.revision, "deleted": True})
             self.changed.notify_all()
         self.record.line(f"store removes {key}")
 
-    def accept(self):
+    def accept(self, machine, server):
         while True:
+            sock, _ = server.accept()
+            self.socks.setdefault(machine, set()).add(sock)
+            spawn(self.serve, machine, sock)
+
+    def reset(self, machine):
+        """Resets the open connections of a machine."""
+        socks, self.socks[machine] = self.socks.get(machine, set()), set()
+        for sock in socks:
             try:
-                sock, _ = self.sock.accept()
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                fd = sock.detach()
+                os.close(fd)
             except OSError:
-                return
-            spawn(self.serve, sock)
+                pass
 
-    def serve(self, sock):
+    def serve(self, machine, sock):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         buffer = b""
         while True:
@@ -144,6 +176,11 @@
             url = urllib.parse.urlsplit(line.split(" ")[1])
             query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
             answer = self.answer(url.path, query)
+            if machine in self.silent:
+                # A connection on which an answer is lost returns nothing further.
+                while machine in self.silent:
+                    time.sleep(0.01)
+                return sock.close()
             try:
                 sock.sendall(answer)
             except OSError:
@@ -160,6 +197,9 @@
                         "storeRevision": self.revision}
         elif path == "/api/kv-watch":
             body = self.watch(prefix, int(query.get("after", "0")), int(query.get("waitMs", "0")))
+            if body is None:
+                self.record.line(f"store answers 410: the history after {query.get('after')} is gone")
+                return response(410, b"{}")
         else:
             return response(404, b"{}")
         return response(200, json.dumps(body).encode(), [("Content-Type", "application/json")])
@@ -168,6 +208,9 @@
         end = time.monotonic() + wait_ms / 1000
         with self.changed:
             while True:
+                self.expire()
+                if after < self.dropped:
+                    return None
                 events = [e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)]
                 left = end - time.monotonic()
                 if events or left <= 0:
@@ -298,9 +341,13 @@
 class Client:
     """Sends requests as the platform's clients do; each attempt has its own id."""
 
+    clients = 0
+
     def __init__(self, record):
         self.record = record
         self.lock = threading.Lock()
+        Client.clients += 1
+        self.number = Client.clients
         self.count = 0
         self.results = []
 
@@ -308,7 +355,7 @@
         """One attempt on a new connection; returns (id, sent, answered, status or None, headers)."""
         with self.lock:
             self.count += 1
-            ident = f"c{os.getpid():x}{self.count:04x}"
+            ident = f"c{os.getpid():x}{self.number:02x}{self.count:04x}"
         body = b"order" if method == "POST" else b""
         lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"X-Request-Id: {ident}",
                  f"X-Deadline-Ms: {deadline_ms}"]
@@ -372,7 +419,7 @@
         if not os.path.exists(self.command[0]):
             print("the daemon isn't built", file=sys.stderr)
             sys.exit(2)
-        self.store = Store((f"127.{self.network}.250.1", self.ports[5]), record)
+        self.store = Store(record)
 
     def free_ports(self, count):
         socks = [socket.socket() for _ in range(count)]
@@ -399,8 +446,9 @@
             "appAddr": f"{ip}:{ports[4]}", "internalPorts": [ports[2], ports[3]],
             "listen": {"outbound": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}"},
             "bounds": {"graceS": self.grace_s},
-            "platform": {"address": f"127.{self.network}.250.1:{ports[5]}"},
+            "platform": {"address": f"127.{self.network}.{100 + number}.1:{ports[5]}"},
         }
+        self.store.listen(number, (f"127.{self.network}.{100 + number}.1", ports[5]))
         with open(os.path.join(ROOT, self.template), encoding="utf-8") as file:
             text = render(file.read(), fields)
         path = os.path.join(self.folder, f"{number}.json")
@@ -412,6 +460,10 @@
         self.children[number] = child
         self.record.line(f"daemon {number} at {ip} starts ({service})")
 
+    def log(self, number):
+        with open(os.path.join(self.folder, f"{number}.log"), encoding="utf-8", errors="replace") as file:
+            return file.read()
+
     def signal(self, number, which):
         self.record.line(f"daemon {number} gets {signal.Signals(which).name}")
         self.children[number].send_signal(which)
