--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -21,6 +21,8 @@
 import tomllib
 import urllib.parse
 
+# Time that a worker needs to stop work at its time budget and to answer.
+STOP_S = 0.01
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 
@@ -72,7 +74,7 @@
 
 def response(status, body, headers=()):
     reasons = {200: "OK", 404: "Not Found", 410: "Gone", 421: "Misdirected Request",
-               500: "Internal Server Error", 503: "Service Unavailable"}
+               500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout"}
     head = [f"HTTP/1.1 {status} {reasons.get(status, 'Status')}", f"Content-Length: {len(body)}"]
     head += [f"{name}: {value}" for name, value in headers]
     return ("\r\n".join(head) + "\r\n\r\n").encode() + body
@@ -220,7 +222,8 @@
 
 class Worker:
     """A worker with `slots` places and a short queue. `work(worker, head line)` returns the work of a
-    request in seconds, 'shed' or 'fail'. Work stops when the connection closes."""
+    request in seconds, 'shed' or 'fail'. Work stops when the connection closes, and with 504 at the time budget
+    that the worker received."""
 
     def __init__(self, address, name, service, slots, zone, work, record):
         self.address, self.name, self.service, self.slots = address, name, service, slots
@@ -310,7 +313,8 @@
         begun = self.record.now()
         self.record.line(f"worker {self.name} runs {ident}")
         seconds = 0.3 if work == "fail" else work
-        cut = self.spend(sock, seconds)
+        budget = int(headers.get("x-deadline-ms", "3600000")) / 1000 - (begun - at)
+        cut = self.spend(sock, min(seconds, budget + STOP_S))
         with self.lock:
             self.running -= 1
             self.lock.notify_all()
@@ -320,7 +324,7 @@
         if cut:
             return None
         body = (f"{ident} by {self.name}\n" * 20).encode()
-        status = 500 if work == "fail" else 200
+        status = 504 if budget < seconds else 500 if work == "fail" else 200
         seal = f"seal.{len(body)}.{ident}"
         return response(status, body, echo + [("X-Response-Seal", seal), self.load()])
 
@@ -522,6 +526,8 @@
 def run(main):
     """Runs a case: main(fleet, record, trouble) returns the broken rule's lines, or None if it couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the daemons also if the script runs out of time.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(os.path.join(os.path.dirname(os.path.abspath(sys.argv[0])), "record.txt"))
     fleet = Fleet(record)
     code = 2
