Take requests late in a stop only if their route's answers fit

What callers saw: orders that reached a stopping daemon 3.6 s after SIGTERM (grace 6 s) were passed on and answered with 504 at 5.5 s, while their targets were at work on them.

Cause: a stop admitted requests by the latency objective of their route, which says what operators want and not what work takes. The deadlines of running calls, and what targets were told of them, were shortened to the end of the grace.

Change: AnswerTimes records by route how long requests take, those that still run included. A request whose deadline lies before the end of the grace is taken. Of the others, those that arrive within 3 s of the signal are taken if the objective and the usual time of the route fit, later ones if twice the longest recent time fits. A call has its own latest time for retries and reroutes. Event::Stop takes the place of Event::Shorten; deadlines stay as callers set them, and what is left at the end of the daemon ends with the reason daemon-stopped.

Ruled out: an end that comes too early (the answers were due 0.2 s after the last moment for an answer), and targets that are slower than the daemon can know (their answers had taken as long just before).

Evidence: late_requests_are_answered_or_refused failed before, with ten of ten long orders broken off in the seventh tenth of the grace (3.84 s).

The scenario `shortened` is `stop_running` now and asks for the answer at the same moment; that a second, later end has no effect isn't asked any more, as there is no such event. The case 6 s, objective 1.2 s of schedule_by_grace changes from admitted to refused at 3.6 s, as the fault was in it, and so does 2 s, 0.5 s at 1.2 s.

--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -8,6 +8,7 @@
 use crate::ids::{InstanceId, TargetId};
 use crate::outcome::{AttemptResult, Loss, Outcome, Refusal};
 use crate::routing::Choice;
+use crate::stop::StopLimits;
 use crate::time::Time;
 
 /// Maximum number of attempts of a call, including the first. Each further attempt takes some
@@ -56,6 +57,8 @@
     /// A repeated send to the same target and the time when it is due.
     pub(super) resend: Option<(Time, Resend)>,
     pub(super) spec: Spec,
+    /// Set once the daemon stops.
+    stop: Option<StopLimits>,
 }
 
 impl Call {
@@ -68,6 +71,7 @@
             picking: None,
             resend: None,
             spec,
+            stop: None,
         };
         let mut effects = Vec::new();
         if spec.deadline <= now {
@@ -91,7 +95,7 @@
             Event::Ended(attempt, result) => self.on_ended(attempt, result, now, &mut effects),
             Event::NotPicked(refusal) => self.on_not_picked(refusal, now, &mut effects),
             Event::Picked(choice) => self.on_picked(&choice, now, &mut effects),
-            Event::Shorten(deadline) => self.spec.deadline = self.spec.deadline.min(deadline),
+            Event::Stop(limits) => self.stop = Some(limits),
             Event::Timer => self.on_timer(now, &mut effects),
         }
         effects
@@ -149,8 +153,34 @@
     }
 
     /// Whether the request may be sent to another target.
-    fn may_send(&self) -> bool {
-        self.sends_left() > 0
+    fn may_send(&self, now: Time) -> bool {
+        self.sends_left() > 0 && now < self.send_end()
+    }
+
+    /// Until when the request may be sent to a target.
+    fn send_end(&self) -> Time {
+        let deadline = self.spec.deadline;
+        self.stop.map_or(deadline, |stop| stop.send.min(deadline))
+    }
+
+    /// Until when the call can get an answer from a target.
+    pub(super) fn answer_end(&self) -> Time {
+        let deadline = self.spec.deadline;
+        self.stop.map_or(deadline, |stop| stop.answer.min(deadline))
+    }
+
+    /// Whether the stop of the daemon ends the call, rather than its deadline.
+    fn is_stopped(&self, now: Time) -> bool {
+        self.stop.is_some_and(|stop| stop.answer <= now) && now < self.spec.deadline
+    }
+
+    /// Why the request isn't sent any more at `now`.
+    fn send_refusal(&self, now: Time) -> Refusal {
+        if now < self.spec.deadline {
+            Refusal::Stopping
+        } else {
+            Refusal::Expired
+        }
     }
 
     fn sends_left(&self) -> usize {
@@ -160,11 +190,12 @@
     }
 
     fn deadline_timer(&self) -> Time {
-        if self.open_attempts().next().is_some() {
+        let deadline = if self.open_attempts().next().is_some() {
             self.spec.deadline + REPLY_GRACE
         } else {
             self.spec.deadline
-        }
+        };
+        self.stop.map_or(deadline, |stop| stop.answer.min(deadline))
     }
 
     fn open_attempts(&self) -> impl Iterator<Item = AttemptId> + '_ {
@@ -205,8 +236,8 @@
     fn on_picked(&mut self, choice: &Choice, now: Time, effects: &mut Vec<Effect>) {
         self.picking = None;
         // After the process was paused, the pick may be handled before the deadline timer.
-        if now >= self.spec.deadline {
-            return self.finish_unless_open(Refusal::Expired, effects);
+        if now >= self.send_end() {
+            return self.finish_unless_open(self.send_refusal(now), effects);
         }
         let can_reroute = self.sends_left() > 1 && choice.alternatives > 0;
         let max_wait = if can_reroute {
@@ -315,7 +346,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let in_progress = self.picking.is_some() || self.open_attempts().next().is_some();
-        let exhausted = !self.may_send() || now >= self.spec.deadline;
+        let exhausted = !self.may_send(now);
         if !in_progress && (exhausted || self.spec.pinned.is_some()) {
             let outcome = self.outcome_without_answer(refusal);
             self.finish(outcome, None, effects);
@@ -325,14 +356,16 @@
     }
 
     fn on_timer(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        if now >= self.deadline_timer() {
+        if self.is_stopped(now) {
+            self.abort(Loss::Stopped, Refusal::Stopping, effects);
+        } else if now >= self.deadline_timer() {
             self.abort(Loss::Expired, Refusal::Expired, effects);
         } else if let Some((_, resend)) = self.resend.filter(|(due, _)| *due <= now) {
             self.resend = None;
             self.resend(resend, effects);
         } else if self.hedge.is_some_and(|due| due <= now) {
             self.hedge = None;
-            if self.picking.is_none() && self.may_send() && now < self.spec.deadline {
+            if self.picking.is_none() && self.may_send(now) {
                 self.pick(PickKind::Hedge, effects);
             }
         }
--- a/crates/core/src/calls/event.rs
+++ b/crates/core/src/calls/event.rs
@@ -6,6 +6,7 @@
 use crate::ids::{InstanceId, TargetId};
 use crate::outcome::{AttemptResult, Outcome, Refusal};
 use crate::routing::Choice;
+use crate::stop::StopLimits;
 use crate::time::Time;
 
 /// The number of an attempt within its call, from 0.
@@ -59,8 +60,8 @@
     NotPicked(Refusal),
     /// The requested pick returned a target.
     Picked(Choice),
-    /// The caller must have an answer by this time, also if its deadline is later.
-    Shorten(Time),
+    /// The daemon stops. The deadline that targets are told stays as it is.
+    Stop(StopLimits),
     /// The time returned by [`Call::next_timer`](super::Call::next_timer) has been reached.
     Timer,
 }
--- a/crates/core/src/calls/resend.rs
+++ b/crates/core/src/calls/resend.rs
@@ -32,7 +32,11 @@
     pub(super) fn schedule_keyed(&mut self, loss: Loss, now: Time, effects: &mut Vec<Effect>) {
         let target = self.spec.pinned.filter(|_| match loss {
             Loss::Closed | Loss::KeyUnreachable => true,
-            Loss::Cancelled | Loss::Expired | Loss::KeyForgotten | Loss::Malformed => false,
+            Loss::Cancelled
+            | Loss::Expired
+            | Loss::KeyForgotten
+            | Loss::Malformed
+            | Loss::Stopped => false,
         });
         match target {
             Some(target) if self.may_resend(target, now) => {
@@ -71,7 +75,7 @@
 
     fn may_resend(&self, target: TargetId, now: Time) -> bool {
         let below_limits = self.attempts.len() < MAX_ATTEMPTS && self.sends_to(target) < MAX_SENDS;
-        below_limits && now < self.spec.deadline
+        below_limits && now < self.answer_end()
     }
 
     /// The backoff doubles with each send: a peer that has just started is unreachable for some
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -122,7 +122,8 @@
     }
 }
 
-/// Reason why an attempt that may have run has no complete answer.
+/// Reason why an attempt that may have run has no complete answer. The order of the variants is part of the
+/// protocol between daemons, so that new ones go last.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Loss {
     /// The attempt was cancelled after it had been sent.
@@ -139,6 +140,8 @@
     KeyUnreachable,
     /// The answer violated the protocol or exceeded the size limit.
     Malformed,
+    /// The daemon that received the request stopped while the request was running.
+    Stopped,
 }
 
 impl Loss {
@@ -151,6 +154,7 @@
             Self::KeyForgotten => "key-forgotten",
             Self::KeyUnreachable => "key-unreachable",
             Self::Malformed => "answer-malformed",
+            Self::Stopped => "daemon-stopped",
         }
     }
 }
--- a/crates/core/src/routes/budgets.rs
+++ b/crates/core/src/routes/budgets.rs
@@ -10,14 +10,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::by_route::ByRoute;
+
 /// Divisor of a route's recent requests: a budget is usual if at least one in 16 of them states it.
 const USUAL_DIVISOR: u32 = 16;
 /// Least number of requests with a budget before it can be usual.
 const USUAL_MIN_COUNT: u32 = 3;
 /// Requests of a route after which all counts are halved, so that older requests weigh less.
 const HALVING_LIMIT: u32 = 256;
-/// Most routes with recorded budgets; all records are cleared when the limit is reached.
-const ROUTE_LIMIT: usize = 4_096;
 
 /// Budgets of recent requests by route.
 ///
@@ -35,8 +35,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct UsualBudgets {
-    hosts: BTreeMap<String, BTreeMap<String, Budgets>>,
-    routes: usize,
+    routes: ByRoute<Budgets>,
 }
 
 /// Requests of one route by their budgets.
@@ -51,24 +50,11 @@
     /// difference to the next greater usual budget of the route, or 0 if there is none.
     pub fn spent(&mut self, host: &str, prefix: &str, budget: Duration) -> Duration {
         let budget = u64::try_from(budget.as_millis()).unwrap_or(u64::MAX);
-        let existing = self.hosts.get_mut(host).and_then(|h| h.get_mut(prefix));
-        let budgets = match existing {
-            Some(budgets) => budgets,
-            None => self.add(host, prefix),
-        };
+        let budgets = self.routes.entry(host, prefix);
         budgets.record(budget);
         let usual = budgets.next_usual(budget).unwrap_or(budget);
         Duration::from_millis(usual - budget)
     }
-
-    fn add(&mut self, host: &str, prefix: &str) -> &mut Budgets {
-        if self.routes >= ROUTE_LIMIT {
-            *self = Self::default();
-        }
-        self.routes += 1;
-        let host = self.hosts.entry(host.to_owned()).or_default();
-        host.entry(prefix.to_owned()).or_default()
-    }
 }
 
 impl Budgets {
--- a/crates/core/src/routes/mod.rs
+++ b/crates/core/src/routes/mod.rs
@@ -6,9 +6,12 @@
 //! - requests of a split route are distributed among its services by weight, regardless of their load.
 
 mod budgets;
+mod by_route;
 mod split;
 mod table;
+mod times;
 
 pub use budgets::UsualBudgets;
 pub use split::Splitter;
 pub use table::{Destination, Repeatability, Route, RouteTable};
+pub use times::{AnswerTimes, RunningId, UsualTimes};
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -392,7 +392,7 @@
         Loss::Closed | Loss::Malformed => view.record_failure(now),
         Loss::Cancelled => view.record_cancelled(sent, now),
         Loss::Expired => view.record_expired(sent, now),
-        Loss::KeyForgotten | Loss::KeyUnreachable => {}
+        Loss::KeyForgotten | Loss::KeyUnreachable | Loss::Stopped => {}
     }
 }
 
--- a/crates/core/tests/properties/call.rs
+++ b/crates/core/tests/properties/call.rs
@@ -5,6 +5,7 @@
 use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, MAX_ATTEMPTS, Spec};
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routing::{Choice, Estimate, Ticket};
+use hawthornwall_core::stop::StopLimits;
 use proptest::prelude::*;
 
 fn result() -> impl Strategy<Value = AttemptResult> {
@@ -43,7 +44,10 @@
         2 => prop::sample::select(vec![Refusal::Budget, Refusal::NoTarget])
             .prop_map(Event::NotPicked),
         10 => picked,
-        1 => (1..200_000u64).prop_map(|us| Event::Shorten(Time::from_micros(us))),
+        1 => (1..200_000u64, 0..200_000u64).prop_map(|(answer, send)| Event::Stop(StopLimits {
+            answer: Time::from_micros(answer),
+            send: Time::from_micros(send.min(answer)),
+        })),
         4 => Just(Event::Timer),
     ]
 }
@@ -69,6 +73,8 @@
     cancelled: Vec<AttemptId>,
     finishes: Vec<Outcome>,
     picks: usize,
+    /// What the last stop allows, if there was one.
+    stop: Option<StopLimits>,
 }
 
 impl Owner {
@@ -76,7 +82,11 @@
     /// sent attempt ends.
     fn accepts(&mut self, event: &Event) -> bool {
         match event {
-            Event::CallerClosed | Event::Shorten(_) | Event::Timer => true,
+            Event::CallerClosed | Event::Timer => true,
+            Event::Stop(limits) => {
+                self.stop = Some(*limits);
+                true
+            }
             Event::Ended(id, result) => {
                 let sent = self.attempts.get_mut(usize::from(id.0));
                 sent.map(|ended| *ended = ended.or(Some(*result))).is_some()
@@ -106,6 +116,9 @@
                         "sent to {target}, but the key names another target"
                     );
                     assert!(now < spec.deadline, "sent past the deadline");
+                    let stopped = self.stop.is_some_and(|stop| stop.send <= now);
+                    let keyed = spec.pinned.is_some();
+                    assert!(!stopped || keyed, "sent too late for a stop");
                     let id = AttemptId(self.attempts.len() as u8);
                     self.requests.push((id, *target));
                     self.attempts.push(None);
--- a/crates/core/tests/scenarios/calls.rs
+++ b/crates/core/tests/scenarios/calls.rs
@@ -5,6 +5,7 @@
 use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, Spec};
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routing::{Choice, Estimate, Ticket};
+use hawthornwall_core::stop::StopLimits;
 
 use crate::line::{Line, attempt_result, variant};
 
@@ -43,7 +44,10 @@
                 target: line.word(0),
                 ticket: Ticket(0),
             }),
-            "shorten" => Event::Shorten(Time::ZERO + line.span("to", Duration::ZERO)),
+            "stop" => Event::Stop(StopLimits {
+                answer: Time::ZERO + line.span("answer", Duration::ZERO),
+                send: Time::ZERO + line.span("send", Duration::ZERO),
+            }),
             "timer" => Event::Timer,
             other => panic!("unknown event `{other}`"),
         };
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -13,7 +13,7 @@
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::Repeatability;
 use hawthornwall_core::routing::Choice;
-use hawthornwall_core::stop::StopPlan;
+use hawthornwall_core::stop::{Expectation, StopPlan};
 use hawthornwall_wire::peer::HttpRequest;
 
 use super::attempt::{Attempt, AttemptOutput, AttemptRequest, Operation, SendParams};
@@ -28,6 +28,8 @@
 /// Parameters of [`CallDriver::new`].
 pub(super) struct CallStart<'a> {
     pub backend: &'a Backend,
+    /// What is known of the time that the request takes.
+    pub expectation: Expectation,
     /// The service and the route of the request.
     pub opened: &'a Opened,
     pub operation: Operation,
@@ -57,6 +59,7 @@
     backend: &'a Backend,
     call: Call,
     effects: Vec<Effect>,
+    expectation: Expectation,
     /// For each picked target, the name that it must have to run the request; `None` if the target
     /// doesn't check its name.
     expects: BTreeMap<TargetId, Option<Rc<str>>>,
@@ -91,6 +94,7 @@
     pub fn new(start: CallStart<'a>) -> Self {
         let CallStart {
             backend,
+            expectation,
             opened,
             operation,
             repeats,
@@ -102,10 +106,10 @@
             RequestKind::Keyed(key) => Some(key.target),
             RequestKind::IssueKey | RequestKind::Plain => None,
         };
-        let route = opened.route.as_deref();
+        let route = opened.route();
         let spec = Spec {
             attempts: route.map_or(MAX_SENDS, |r| r.attempts),
-            deadline: started + opened.left.min(route.map_or(Duration::MAX, |r| r.timeout)),
+            deadline: expectation.deadline,
             hedge: opened.rules.hedge && request_kind == RequestKind::Plain,
             idempotent: repeats == Repeatability::Idempotent,
             pinned,
@@ -115,6 +119,7 @@
             backend,
             call,
             effects,
+            expectation,
             expects: BTreeMap::new(),
             local: opened.own,
             once: !spec.idempotent && pinned.is_none(),
@@ -122,7 +127,7 @@
             picked: None,
             records: Vec::new(),
             request_ids: Vec::new(),
-            service: opened.service,
+            service: opened.service(),
             span,
             started,
             stop: Some(backend.stop.clone()),
@@ -183,7 +188,7 @@
         }
     }
 
-    /// The caller's deadline, or that of a stop if it is earlier.
+    /// The deadline of the request.
     pub fn deadline(&self) -> Time {
         self.call.deadline()
     }
@@ -209,7 +214,7 @@
             Input::Completion(completion) => self.complete(completion),
             Input::Stop(plan) => {
                 self.stop = None;
-                Event::Shorten(plan.answer_by())
+                Event::Stop(plan.limits(&self.expectation, self.started))
             }
             Input::Timer => Event::Timer,
         }
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -6,6 +6,7 @@
 use hawthornwall_core::calls::keyed_outcome;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::Repeatability;
+use hawthornwall_core::stop::Expectation;
 use hawthornwall_wire::peer::HttpRequest;
 use hawthornwall_wire::sent::remove_sent;
 
@@ -15,7 +16,7 @@
 use super::reply::Reply;
 use super::request::{RequestKind, host_and_path, idempotent, request_kind, time_left};
 use crate::http::header_text;
-use crate::messages::{Opened, RouterMessage};
+use crate::messages::{InFlightRequest, Opened, RouterMessage};
 use crate::telemetry::trace::HopSpan;
 use crate::telemetry::{Event as Count, RequestRecord};
 
@@ -36,7 +37,7 @@
         id: request_id(backend, &request),
         span,
     };
-    match open_service(backend, request).await {
+    match open_service(backend, request, arrived).await {
         Ok(service) => Ok(OpenedCall { end, service }),
         Err(reply) => Err(end.record(reply)),
     }
@@ -94,6 +95,7 @@
 
 /// A request with its service, which counts it as in flight.
 struct OpenedService<'a> {
+    expectation: Expectation,
     inflight: InFlightGuard<'a>,
     opened: Opened,
     repeats: Repeatability,
@@ -104,6 +106,7 @@
 async fn open_service(
     backend: &Backend,
     mut request: HttpRequest,
+    arrived: Time,
 ) -> Result<OpenedService<'_>, Reply> {
     set_calling_service(backend, &mut request);
     remove_sent(&mut request);
@@ -119,21 +122,24 @@
             Reply::unanswered(outcome)
         })?;
     let inflight = InFlightGuard {
+        inflight: Some(opened.inflight.clone()),
+        ran: false,
         router: &backend.router,
-        service: opened.service,
     };
-    if let Err(refusal) = admit(backend, &opened) {
+    let expectation = expectation(&opened, arrived);
+    if let Err(refusal) = admit(backend, &expectation) {
         let outcome = refusal_outcome(&request_kind, refusal);
         log_unrouted(backend, &request, &request_kind, outcome);
         return Err(Reply::unanswered(outcome));
     }
     if let RequestKind::Keyed(key) = request_kind
-        && key.service != opened.service
+        && key.service != opened.service()
     {
         return Err(Reply::unanswered(Outcome::Refused(Refusal::KeyMismatch)));
     }
     let repeats = repeatability(&opened, request_kind, &request);
     Ok(OpenedService {
+        expectation,
         inflight,
         opened,
         repeats,
@@ -142,14 +148,23 @@
     })
 }
 
-/// Refuses a request that can't be expected to finish before the daemon stops.
-fn admit(backend: &Backend, opened: &Opened) -> Result<(), Refusal> {
+/// What is known of the time that a request takes.
+fn expectation(opened: &Opened, arrived: Time) -> Expectation {
+    let route = opened.route();
+    let timeout = route.map_or(Duration::MAX, |route| route.timeout);
+    Expectation {
+        deadline: arrived + opened.left.min(timeout),
+        objective: route.map(|route| route.objective).unwrap_or_default(),
+        usual: opened.usual,
+    }
+}
+
+/// Refuses a request that can't be relied on to finish before the daemon stops.
+fn admit(backend: &Backend, expectation: &Expectation) -> Result<(), Refusal> {
     let Some(plan) = backend.stop.peek() else {
         return Ok(());
     };
-    let objective = opened.route.as_ref().map(|route| route.objective);
-    plan.admit(objective.unwrap_or_default(), backend.clock.now())
-        .map(|_| ())
+    plan.admit(expectation, backend.clock.now()).map(|_| ())
 }
 
 /// Whether a request may run more than once: its route decides, or else its method.
@@ -160,7 +175,7 @@
 ) -> Repeatability {
     // An unused key has no effect, so a key may be requested more than once.
     let by_method = request_kind == RequestKind::IssueKey || idempotent(&request.method);
-    match &opened.route {
+    match opened.route() {
         Some(route) => route.repeats,
         None if by_method => Repeatability::Idempotent,
         None => Repeatability::NonIdempotent,
@@ -170,15 +185,18 @@
 impl OpenedService<'_> {
     async fn run(self, end: &CallEnd<'_>) -> Reply {
         let Self {
-            inflight,
+            expectation,
+            mut inflight,
             opened,
             repeats,
             request,
             request_kind,
         } = self;
         let backend = end.backend;
+        inflight.ran = true;
         let mut driver = CallDriver::new(CallStart {
             backend,
+            expectation,
             opened: &opened,
             operation: operation_for(request_kind, request),
             repeats,
@@ -187,6 +205,7 @@
             started: end.arrived,
         });
         let reply = driver.run().await;
+        inflight.ran = !matches!(reply.outcome(), Outcome::Refused(_));
         drop(inflight);
         let now = backend.clock.now();
         let record = RequestRecord {
@@ -196,8 +215,7 @@
             id: end.id.clone(),
             outcome: reply.outcome(),
             route: opened
-                .route
-                .as_deref()
+                .route()
                 .map_or_else(String::new, |r| r.prefix.clone()),
             service: opened.name.clone(),
             version: opened.version,
@@ -233,14 +251,20 @@
 
 /// Reports to the router, when dropped, that the request is no longer in flight.
 struct InFlightGuard<'a> {
+    /// Taken when dropped.
+    inflight: Option<InFlightRequest>,
+    /// Whether the request has been passed on and not refused.
+    ran: bool,
     router: &'a mpsc::UnboundedSender<RouterMessage>,
-    service: ServiceId,
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        let _ = self
-            .router
-            .unbounded_send(RouterMessage::Close(self.service));
+        if let Some(inflight) = self.inflight.take() {
+            let ran = self.ran;
+            let _ = self
+                .router
+                .unbounded_send(RouterMessage::Close { inflight, ran });
+        }
     }
 }
--- a/crates/node/src/messages/mod.rs
+++ b/crates/node/src/messages/mod.rs
@@ -14,5 +14,7 @@
 pub use gate::{GateMessage, GateSender, GateStatus};
 pub use peers::{PeerAddress, PeerFault, PeersMessage, PeersSender, PeersStatus};
 pub use probe::{ProbeMessage, ProbeResult, ProbeSender};
-pub use router::{Observed, OpenTicket, Opened, Picked, RouterMessage, RouterSender};
+pub use router::{
+    InFlightRequest, Observed, OpenTicket, Opened, Picked, Routed, RouterMessage, RouterSender,
+};
 pub use routing::{Member, RoutingState};
--- a/crates/node/src/messages/router.rs
+++ b/crates/node/src/messages/router.rs
@@ -7,7 +7,7 @@
 use hawthornwall_core::calls::PickKind;
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::prelude::*;
-use hawthornwall_core::routes::Route;
+use hawthornwall_core::routes::{Route, RunningId, UsualTimes};
 use hawthornwall_core::routing::{Choice, Ticket};
 
 use super::RoutingState;
@@ -73,27 +73,60 @@
     }
 }
 
+/// What the router counts as in flight of a request.
+#[derive(Clone, Debug)]
+pub struct InFlightRequest {
+    /// The route of the request, and its number among the running ones; `None` if the configuration has no
+    /// routes.
+    pub routed: Option<Routed>,
+    /// The service that gets the request.
+    pub service: ServiceId,
+}
+
+/// A request in flight on a route.
+#[derive(Clone, Debug)]
+pub struct Routed {
+    /// Host name without port.
+    pub host: String,
+    /// Number of the request.
+    pub id: RunningId,
+    /// The matching route.
+    pub route: Rc<Route>,
+}
+
 /// A request that the router accepted and counts as in flight.
 #[derive(Clone, Debug)]
 pub struct Opened {
+    /// What is returned when the request has ended.
+    pub inflight: InFlightRequest,
     /// Time limit set by the caller, or the default of the service.
     pub left: Duration,
     /// Name of the service.
     pub name: String,
     /// The local target; `None` if the configuration does not contain it.
     pub own: Option<TargetId>,
-    /// The matching route; `None` if the configuration has no routes.
-    pub route: Option<Rc<Route>>,
     /// Rules of the service.
     pub rules: Rules,
-    /// The service that the host name and path select.
-    pub service: ServiceId,
     /// Estimated part of the caller's time limit that had passed when the request arrived.
     pub spent: Duration,
+    /// Times of recent requests of the route, if known.
+    pub usual: Option<UsualTimes>,
     /// Version of the configuration that selected the service.
     pub version: Version,
 }
 
+impl Opened {
+    /// The matching route; `None` if the configuration has no routes.
+    pub fn route(&self) -> Option<&Route> {
+        self.inflight.routed.as_ref().map(|r| &*r.route)
+    }
+
+    /// The service that the host name and path select.
+    pub fn service(&self) -> ServiceId {
+        self.inflight.service
+    }
+}
+
 /// A picked target.
 #[derive(Debug)]
 pub struct Picked {
@@ -110,7 +143,12 @@
 #[derive(Debug)]
 pub enum RouterMessage {
     /// A request accepted by [`RouterMessage::Open`] has ended; it no longer counts as in flight.
-    Close(ServiceId),
+    Close {
+        /// What was returned when the request was accepted.
+        inflight: InFlightRequest,
+        /// Whether the request was passed on and not refused.
+        ran: bool,
+    },
     /// An attempt ended.
     Observe {
         /// Measurements and result of the attempt.
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -13,7 +13,7 @@
 use futures::channel::mpsc;
 use hawthornwall_core::calls::{PickKind, RetryBudget};
 use hawthornwall_core::prelude::*;
-use hawthornwall_core::routes::{Route, Splitter, UsualBudgets};
+use hawthornwall_core::routes::{AnswerTimes, Route, Splitter, UsualBudgets};
 use hawthornwall_core::routing::{
     Balancer, Choice, Membership, Observation, PickRequest, Policy, Ticket,
 };
@@ -21,7 +21,8 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::messages::{
-    Observed, OpenTicket, Opened, Picked, RouterMessage, RouterSender, RoutingState,
+    InFlightRequest, Observed, OpenTicket, Opened, Picked, Routed, RouterMessage, RouterSender,
+    RoutingState,
 };
 
 /// Parameters of the router task.
@@ -48,6 +49,7 @@
 /// The state of the router task.
 #[derive(Debug)]
 pub struct Router {
+    answer_times: AnswerTimes,
     balancer: Balancer,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     /// Usual time limits by host name and route, from which [`Opened::spent`] is estimated.
@@ -70,6 +72,7 @@
             Dialect::Platform => balancer.prefer_local(),
         }
         Self {
+            answer_times: AnswerTimes::default(),
             balancer,
             budgets: BTreeMap::new(),
             caller_budgets: UsualBudgets::default(),
@@ -87,7 +90,7 @@
     pub async fn run(mut self) {
         while let Some(message) = self.receiver.next().await {
             match message {
-                RouterMessage::Close(service) => self.close(service),
+                RouterMessage::Close { inflight, ran } => self.close(&inflight, ran),
                 RouterMessage::Observe { observed, ticket } => self.observe(&observed, ticket),
                 RouterMessage::Open {
                     budget,
@@ -95,10 +98,10 @@
                     path,
                     reply,
                 } => {
-                    let opened = self.open(&host, &path, budget);
+                    let opened = self.open(host, &path, budget);
                     // A cancelled requester sends no Close, so the count is decremented here.
                     if let Err(Ok(opened)) = reply.send(opened) {
-                        self.close(opened.service);
+                        self.close(&opened.inflight, false);
                     }
                 }
                 RouterMessage::Pick {
@@ -152,7 +155,7 @@
 
     fn open(
         &mut self,
-        host: &str,
+        host: String,
         path: &str,
         budget: Option<Duration>,
     ) -> Result<Opened, Refusal> {
@@ -160,7 +163,7 @@
         if config.version == Version(0) {
             return Err(Refusal::NotReady);
         }
-        let (service, route) = self.find(host, path).ok_or(Refusal::UnknownService)?;
+        let (service, route) = self.find(&host, path).ok_or(Refusal::UnknownService)?;
         let config = &self.routing.config;
         let inflight = self.inflight.entry(service).or_default();
         if *inflight >= self.limit {
@@ -168,21 +171,31 @@
         }
         *inflight += 1;
         let spent = match (&route, budget) {
-            (Some(route), Some(budget)) => self.caller_budgets.spent(host, &route.prefix, budget),
+            (Some(route), Some(budget)) => self.caller_budgets.spent(&host, &route.prefix, budget),
             (Some(_) | None, _) => Duration::ZERO,
         };
         let (name, rules) = {
             let found = &config.services[&service];
             (found.name.clone(), found.rules.clone())
         };
+        let now = self.clock.now();
+        let times = &mut self.answer_times;
+        let usual = route
+            .as_ref()
+            .and_then(|route| times.usual(&host, &route.prefix, now));
+        let routed = route.map(|route| Routed {
+            id: times.start(&host, &route.prefix, now),
+            host,
+            route,
+        });
         Ok(Opened {
+            inflight: InFlightRequest { routed, service },
             left: budget.unwrap_or(rules.deadline),
             name,
             own: self.routing.own,
-            route,
             rules,
-            service,
             spent,
+            usual,
             version: config.version,
         })
     }
@@ -198,10 +211,19 @@
         Some((service, Some(Rc::clone(route))))
     }
 
-    fn close(&mut self, service: ServiceId) {
-        if let Some(inflight) = self.inflight.get_mut(&service) {
+    fn close(&mut self, ended: &InFlightRequest, ran: bool) {
+        if let Some(inflight) = self.inflight.get_mut(&ended.service) {
             *inflight = inflight.saturating_sub(1);
         }
+        let Some(Routed { host, id, route }) = &ended.routed else {
+            return;
+        };
+        let times = &mut self.answer_times;
+        if ran {
+            times.end(host, &route.prefix, *id, self.clock.now());
+        } else {
+            times.discard(host, &route.prefix, *id);
+        }
     }
 
     fn pick(
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -6,7 +6,7 @@
 mod runtime;
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -150,3 +150,90 @@
     });
     assert_snapshot!(lines);
 }
+
+/// Grace of the stop with answered requests before it.
+const LONG_GRACE: Duration = Duration::from_secs(6);
+/// Requests that arrive later than this after the signal may not be broken off.
+const UNNOTICED: Duration = Duration::from_secs(3);
+/// Requests of each kind before the stop, and in each tenth of the grace.
+const REPEATS: usize = 10;
+
+/// Ends of the requests of one kind in one tenth of the grace.
+#[derive(Debug, Default)]
+struct Tally {
+    broken: usize,
+    refused: usize,
+    served: usize,
+}
+
+impl Tally {
+    fn count(&mut self, seen: Option<Seen>, passed: bool) {
+        match seen {
+            Some(Seen::Status(200)) => self.served += 1,
+            _ if passed => self.broken += 1,
+            _ => self.refused += 1,
+        }
+    }
+}
+
+/// Guards against requests that are taken late in a planned stop although answers of their route have lately
+/// taken longer than what is left, and are broken off while their target is at work.
+#[test]
+fn late_requests_are_answered_or_refused() {
+    let lines = block_on(async {
+        let clock = Clock::start();
+        let Started {
+            address,
+            drained,
+            gate,
+            stop,
+        } = start(&settings(""), clock);
+        let passed = Passed::default();
+        monoio::spawn(run_gate(gate, Rc::clone(&passed)));
+        let kinds = [("read", 20), ("order", 2_100)];
+        let before = kinds.iter().flat_map(|(kind, length)| {
+            (0..REPEATS).map(move |n| (format!("/{kind}/before/{n}/{length}"), n))
+        });
+        let before =
+            before.map(|(path, _)| async move { call(address, Duration::ZERO, &path).await });
+        assert!(
+            join_all(before)
+                .await
+                .iter()
+                .all(|s| *s == Seen::Status(200))
+        );
+
+        let plan = StopPlan::new(clock.now(), LONG_GRACE, ANNOUNCE);
+        let _ = stop.send(plan);
+        let mut calls = Vec::new();
+        for (kind, length) in kinds {
+            for tenth in 0..10 {
+                for n in 0..REPEATS {
+                    let path = format!("/{kind}/{tenth}/{n}/{length}");
+                    let at = LONG_GRACE * tenth / 10 + LONG_GRACE / 25;
+                    calls.push(async move {
+                        let limit = clock.until(plan.end());
+                        let seen = timeout(limit, call(address, at, &path)).await.ok();
+                        ((kind, tenth), path, at, seen)
+                    });
+                }
+            }
+        }
+        let mut tallies = BTreeMap::<_, Tally>::new();
+        let mut faults = Vec::new();
+        for (cell, path, at, seen) in join_all(calls).await {
+            let passed = passed.borrow().contains(&path);
+            tallies.entry(cell).or_default().count(seen, passed);
+            if at > UNNOTICED && passed && seen != Some(Seen::Status(200)) {
+                faults.push(format!("{path}: passed on at {at:?}, seen: {seen:?}"));
+            }
+        }
+        // The target still has work until the end.
+        drop(drained);
+        let rows = tallies
+            .iter()
+            .map(|(cell, tally)| format!("{cell:?}: {tally:?}"));
+        rows.chain(faults).collect::<Vec<_>>().join("\n")
+    });
+    assert_snapshot!(lines);
+}
