Refuse work at a stopping gate that outlasts the daemon

Until the drain begins, the gate of a stopping daemon took work of any length for its target, and kept what waited. What still ran at the end of the daemon was cut, although other targets could have run it.

Change: Event::Stop gives the gate the plan of the stop. Arrivals and waiting requests that can't be relied on to finish by the service times of the target are refused as target-draining, a true "not run" after which their daemons pick another target.

The property each_arrival_ends_once also asks that nothing starts at or after the last moment for an answer unless its deadline comes first.

--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -5,6 +5,7 @@
 
 use crate::load::TargetLoad;
 use crate::outcome::Refusal;
+use crate::stop::StopPlan;
 use crate::time::Time;
 
 /// Identifies a request within the gate of one target.
@@ -92,6 +93,8 @@
     LoadAnswer(Option<TargetLoad>),
     /// The target became reachable or unreachable from its daemon.
     Reachable(bool),
+    /// The daemon stops, and its target runs on. [`Event::Drain`] follows when the stop has been announced.
+    Stop(StopPlan),
     /// The target reported whether it is draining. Unlike [`Event::Drain`] this can be undone,
     /// since such a report can be wrong.
     TargetDrains(bool),
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -14,6 +14,8 @@
 use crate::ids::InstanceId;
 use crate::load::{LEAVING_MAX_AGE, LoadReport, RateLimit, TargetLoad, TargetState};
 use crate::outcome::Refusal;
+use crate::routes::UsualTimes;
+use crate::stop::{Expectation, StopPlan};
 use crate::time::Time;
 
 /// Weight of the newest result in the moving average of the failure share.
@@ -79,6 +81,8 @@
     seq: u64,
     service_times: ServiceTimes,
     stated_name: StatedName,
+    /// Set once the daemon stops.
+    stop: Option<StopPlan>,
     strain: Strain,
     target_drains: bool,
     /// Number of requests that may run at once, at most `limits.slots`.
@@ -103,6 +107,7 @@
             seq: 0,
             service_times: ServiceTimes::default(),
             stated_name: StatedName::default(),
+            stop: None,
             strain: Strain::default(),
             target_drains: false,
             usable: limits.slots,
@@ -127,6 +132,7 @@
                 }
                 self.strain.finish_check(load, now);
             }
+            Event::Stop(plan) => self.stop = Some(plan),
             Event::Reachable(reachable) => self.set_reachable(reachable, &mut effects),
             Event::TargetDrains(drains) => self.set_target_drains(drains, &mut effects),
             Event::TargetLeaves => {
@@ -276,6 +282,9 @@
         if self.is_too_late(arrival, now) {
             return Err(Refusal::Expired);
         }
+        if self.outlasts_daemon(arrival, now, now) {
+            return Err(Refusal::Draining);
+        }
         let wait = self.expected_wait(arrival, now);
         if wait.is_zero() {
             return Ok(());
@@ -428,8 +437,11 @@
         let next = self.usable as usize;
         let expired = queue.remove_if(|at, waiting| {
             let objective_missed = at >= next && has_missed_objective(waiting, now);
-            (objective_missed || self.is_too_late(&waiting.arrival, now))
-                .then_some(Refusal::Expired)
+            if objective_missed || self.is_too_late(&waiting.arrival, now) {
+                return Some(Refusal::Expired);
+            }
+            self.outlasts_daemon(&waiting.arrival, waiting.arrived, now)
+                .then_some(Refusal::Draining)
         });
         refuse(expired, effects);
         self.queue = queue;
@@ -441,6 +453,22 @@
         arrival.deadline <= now + service_time.mul_f64(MIN_SERVICE_SHARE)
     }
 
+    /// Whether the daemon stops before a request that arrived at `arrived` and starts now can be relied on to
+    /// finish. Another target can still run it.
+    fn outlasts_daemon(&self, arrival: &Arrival, arrived: Time, now: Time) -> bool {
+        let usual = self.kind_service_time(arrival.priority);
+        let request = Expectation {
+            deadline: arrival.deadline,
+            objective: arrival.priority.objective,
+            usual: usual.map(|usual| UsualTimes {
+                expected: usual,
+                longest: usual,
+            }),
+        };
+        self.stop
+            .is_some_and(|plan| now >= plan.limits(&request, arrived).send)
+    }
+
     /// Usual service time of a request's kind; `None` for requests without an objective, whose
     /// service times vary too much for an estimate.
     fn kind_service_time(&self, priority: Priority) -> Option<Duration> {
--- a/crates/core/tests/properties/gate.rs
+++ b/crates/core/tests/properties/gate.rs
@@ -7,6 +7,7 @@
     Arrival, Effect, Event, Gate, Limits, Priority, RunEnd, WorkId,
 };
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::stop::StopPlan;
 use proptest::prelude::*;
 
 fn limits() -> impl Strategy<Value = Limits> {
@@ -58,6 +59,10 @@
         2 => Just(Event::TargetReplaced),
         1 => Just(Event::Tick),
         1 => Just(Event::Drain),
+        1 => (0..500u64).prop_map(|grace| {
+            let grace = Duration::from_millis(grace);
+            Event::Stop(StopPlan::new(Time::ZERO, grace, grace))
+        }),
     ]
 }
 
@@ -72,6 +77,8 @@
 #[derive(Default)]
 struct Owner {
     deadlines: BTreeMap<WorkId, Time>,
+    /// Plan of the last stop, if there was one.
+    stop: Option<StopPlan>,
     stages: BTreeMap<WorkId, Stage>,
 }
 
@@ -95,6 +102,10 @@
                 }
                 event
             }
+            Event::Stop(plan) => {
+                self.stop = Some(plan);
+                event
+            }
             Event::Abandon(_)
             | Event::Cancel(_)
             | Event::Configure(_)
@@ -122,7 +133,10 @@
                 }
                 Effect::Refuse(id, _) => (id, Stage::Waiting, Stage::Ended),
                 Effect::Start(id) => {
-                    assert!(now < self.deadlines[&id], "{id} started past its deadline");
+                    let deadline = self.deadlines[&id];
+                    assert!(now < deadline, "{id} started past its deadline");
+                    let end = self.stop.map_or(deadline, |plan| plan.answer_by());
+                    assert!(now < end || deadline <= end, "{id} outlasts the daemon");
                     (id, Stage::Waiting, Stage::Running)
                 }
             };
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -4,6 +4,7 @@
 
 use hawthornwall_core::admission::{Arrival, Event, Gate, Limits, Priority, RunEnd, WorkId};
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::stop::StopPlan;
 
 use crate::line::Line;
 
@@ -36,6 +37,7 @@
             "cancel" => Event::Cancel(id()),
             "configure" => Event::Configure(limits(line)),
             "drain" => Event::Drain,
+            "stop" => Event::Stop(stop_plan(line)),
             "target-leaves" => Event::TargetLeaves,
             "target-replaced" => Event::TargetReplaced,
             "target-drains" => Event::TargetDrains(line.word(0)),
@@ -79,6 +81,11 @@
     }
 }
 
+fn stop_plan(line: &Line<'_>) -> StopPlan {
+    let grace = line.span("grace", Duration::ZERO);
+    StopPlan::new(line.now, grace, line.span("announce", Duration::ZERO))
+}
+
 fn limits(line: &Line<'_>) -> Limits {
     Limits {
         queue_wait: line.span("queue_wait", Duration::from_millis(100)),
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -346,6 +346,7 @@
         log::info!("stopping; new work is refused once the stop has been announced", kv: { drain_ms, answer_ms });
         let _ = self.senders.control.unbounded_send(ControlMessage::Leaving);
         let _ = self.stop.send(plan);
+        self.senders.gate.send(GateMessage::Stop(plan));
         let gate = self.senders.gate.clone();
         let drained = self.drained;
         let stopping = async {
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -168,6 +168,7 @@
                     self.apply(&Event::Cancel(work));
                 }
             }
+            GateMessage::Stop(plan) => self.apply(&Event::Stop(plan)),
             GateMessage::Drain(done) => {
                 self.drain_replies.push(done);
                 self.apply(&Event::Drain);
--- a/crates/node/src/messages/gate.rs
+++ b/crates/node/src/messages/gate.rs
@@ -6,6 +6,7 @@
 use futures::channel::{mpsc, oneshot};
 use hawthornwall_core::admission::WorkId;
 use hawthornwall_core::prelude::*;
+use hawthornwall_core::stop::StopPlan;
 use hawthornwall_wire::peer::{RunReply, RunRequest};
 use serde::Serialize;
 
@@ -19,6 +20,8 @@
     Cancel(WorkId),
     /// Accept no new work; reply when all accepted work has ended.
     Drain(oneshot::Sender<()>),
+    /// The daemon stops; take only work that can be relied on to finish before its end.
+    Stop(StopPlan),
     /// Issue an idempotency key.
     IssueKey {
         /// Id of the request, repeated in the reply.
--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -158,7 +158,8 @@
             | GateMessage::LoadAnswer(_)
             | GateMessage::Probed(_)
             | GateMessage::RoutingState(_)
-            | GateMessage::Status(_) => {}
+            | GateMessage::Status(_)
+            | GateMessage::Stop(_) => {}
         }
     }
 
