Send changes of routes between daemons as differences

Cause: an update between daemons holds at most 512 entries and routes, and each change of the routes counted with all of them.

Change: the log keeps a new version as the difference to the one before if that is smaller, and sends it so. The receiver resolves it with the routes that it holds; if they are of another version, it reads the store, as for an update that is too large. Whole changes keep their encoding. Builds without differences can't read an update that has one and read the store meanwhile.

--- a/crates/core/src/catalog/call.rs
+++ b/crates/core/src/catalog/call.rs
@@ -102,8 +102,8 @@
     },
     /// The store rejected the call.
     Refused,
-    /// A peer has more changes than fit into an update.
-    TooLarge(SocketAddr),
+    /// A peer has more changes than fit into an update, or changes of other routes than those held here.
+    Unusable(SocketAddr),
     /// A peer sent an update.
     Update(SocketAddr, UpdateHead),
 }
--- a/crates/core/src/catalog/change_log.rs
+++ b/crates/core/src/catalog/change_log.rs
@@ -1,5 +1,10 @@
 //! The contents of the store and its recent changes, for updates to peers.
 //!
+//! Rules kept here:
+//! - new routes are kept as the difference to the earlier ones if that is smaller, so that small changes of a
+//!   large configuration fit into an update;
+//! - a difference is resolved only with the routes that it applies to.
+//!
 //! Invariant: the contents are those at the last revision, and all changes after [`ChangeLog::from`] are
 //! kept.
 
@@ -7,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, Snapshot};
+use super::{Change, RouteDelta, Snapshot, UpdateChange};
 
 /// Most entries and routes in the kept changes, and in the contents of one update. Reading more from the
 /// store costs one call; sending it to a whole failure domain would saturate a slow link.
@@ -17,7 +22,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum UpdatePayload {
     /// Changes in order, each with its revision.
-    Changes(Vec<(u64, Change)>),
+    Changes(Vec<(u64, UpdateChange)>),
     /// All contents, if the changes that the peer needs are no longer kept.
     Contents(Snapshot),
     /// The contents exceed the size of an update; the peer must read the store.
@@ -27,7 +32,7 @@
 /// The contents of the store and recent changes by revision.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
-    changes: VecDeque<(u64, Change)>,
+    changes: VecDeque<(u64, UpdateChange)>,
     contents: Snapshot,
     from: u64,
     weight: usize,
@@ -45,6 +50,7 @@
 
     /// Appends the change at a revision, and drops the oldest changes beyond the limit.
     pub fn push(&mut self, revision: u64, change: &Change) {
+        let update = self.update_change(change);
         match change {
             Change::Routes(routes) => self.contents.routes = Some(routes.clone()),
             Change::Target { name, target } => {
@@ -54,16 +60,46 @@
                 self.contents.targets.remove(name);
             }
         }
-        self.weight += weight(change);
-        self.changes.push_back((revision, change.clone()));
+        self.weight += update.weight();
+        self.changes.push_back((revision, update));
         while self.weight > WEIGHT_LIMIT
             && let Some((revision, change)) = self.changes.pop_front()
         {
-            self.weight -= weight(&change);
+            self.weight -= change.weight();
             self.from = revision;
         }
     }
 
+    /// The changes of an update from a peer, with whole routes in place of differences. `None` if a difference
+    /// applies to other routes than those held here.
+    pub fn resolve(&self, changes: Vec<(u64, UpdateChange)>) -> Option<Vec<(u64, Change)>> {
+        let mut routes = self.contents.routes.clone();
+        let resolved = changes.into_iter().map(|(revision, change)| {
+            let change = match change {
+                UpdateChange::RouteDelta(delta) => Change::Routes(delta.apply(routes.as_ref()?)?),
+                UpdateChange::Routes(published) => Change::Routes(published),
+                UpdateChange::Target { name, target } => Change::Target { name, target },
+                UpdateChange::TargetGone { name } => Change::TargetGone { name },
+            };
+            if let Change::Routes(published) = &change {
+                routes = Some(published.clone());
+            }
+            Some((revision, change))
+        });
+        resolved.collect()
+    }
+
+    /// The form of a change that takes the least space in an update.
+    fn update_change(&self, change: &Change) -> UpdateChange {
+        if let (Change::Routes(new), Some(old)) = (change, &self.contents.routes) {
+            let delta = RouteDelta::between(old, new);
+            if delta.weight() < new.routes.len() {
+                return UpdateChange::RouteDelta(delta);
+            }
+        }
+        change.clone().into()
+    }
+
     /// The changes or contents for a peer that has everything up to the revision `after`.
     ///
     /// ```
@@ -89,10 +125,3 @@
         UpdatePayload::Contents(self.contents.clone())
     }
 }
-
-fn weight(change: &Change) -> usize {
-    match change {
-        Change::Routes(published) => published.routes.len().max(1),
-        Change::Target { .. } | Change::TargetGone { .. } => 1,
-    }
-}
--- a/crates/core/src/catalog/entry.rs
+++ b/crates/core/src/catalog/entry.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
+use super::RouteDelta;
 use crate::ids::Version;
 use crate::routes::RouteTable;
 use crate::units::Micros;
@@ -67,3 +68,46 @@
         name: String,
     },
 }
+
+/// One change as daemons send it to each other. The first variants are those of [`Change`], so that builds
+/// without differences between routes read them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum UpdateChange {
+    /// New routes, which replace all earlier ones.
+    Routes(PublishedRoutes),
+    /// A target's entry was created or updated.
+    Target {
+        /// Name of the target.
+        name: String,
+        /// The new entry.
+        target: PublishedTarget,
+    },
+    /// A target's entry was removed or has lapsed.
+    TargetGone {
+        /// Name of the target.
+        name: String,
+    },
+    /// New routes, as the difference to the earlier ones.
+    RouteDelta(RouteDelta),
+}
+
+impl UpdateChange {
+    /// Number of entries and routes in the change, at least 1.
+    pub(super) fn weight(&self) -> usize {
+        match self {
+            Self::Routes(published) => published.routes.len().max(1),
+            Self::RouteDelta(delta) => delta.weight().max(1),
+            Self::Target { .. } | Self::TargetGone { .. } => 1,
+        }
+    }
+}
+
+impl From<Change> for UpdateChange {
+    fn from(change: Change) -> Self {
+        match change {
+            Change::Routes(published) => Self::Routes(published),
+            Change::Target { name, target } => Self::Target { name, target },
+            Change::TargetGone { name } => Self::TargetGone { name },
+        }
+    }
+}
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -15,12 +15,14 @@
 mod call;
 mod change_log;
 mod entry;
+mod route_delta;
 mod sources;
 mod sync;
 
 pub use aggregate::{Absence, Catalog, CatalogEvent, RETURN_GRACE, Snapshot};
 pub use call::{Call, CallEnd, Published, StorePosition, UpdateHead};
 pub use change_log::{ChangeLog, UpdatePayload};
-pub use entry::{Change, PublishedRoutes, PublishedState, PublishedTarget};
+pub use entry::{Change, PublishedRoutes, PublishedState, PublishedTarget, UpdateChange};
+pub use route_delta::RouteDelta;
 pub use sources::{Level, Sources};
 pub use sync::{StoreSync, WATCH_WAIT};
--- /dev/null
+++ b/crates/core/src/catalog/route_delta.rs
@@ -0,0 +1,79 @@
+//! The difference between two versions of the routes.
+//!
+//! Rules kept here:
+//! - a difference applies only to the routes of the version that it was taken from;
+//! - applied to them, it gives exactly the routes of the newer version.
+
+use serde::{Deserialize, Serialize};
+
+use super::PublishedRoutes;
+use crate::ids::Version;
+use crate::routes::Route;
+
+/// What differs between the routes of two versions.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RouteDelta {
+    /// The version that the difference applies to.
+    pub base: Version,
+    /// Host and prefix of each route that the newer version lacks.
+    pub removed: Vec<(String, String)>,
+    /// Host and content of each route that is new or has changed.
+    pub written: Vec<(String, Route)>,
+    /// The version that results.
+    pub version: Version,
+}
+
+impl RouteDelta {
+    /// The difference that leads from `old` to `new`.
+    ///
+    /// ```
+    /// use hawthornwall_core::catalog::{PublishedRoutes, RouteDelta};
+    /// use hawthornwall_core::ids::Version;
+    /// use hawthornwall_core::routes::RouteTable;
+    ///
+    /// let routes = |version| PublishedRoutes { routes: RouteTable::default(), version };
+    /// let delta = RouteDelta::between(&routes(Version(7)), &routes(Version(9)));
+    /// assert_eq!(delta.weight(), 0);
+    /// assert_eq!(delta.apply(&routes(Version(7))), Some(routes(Version(9))));
+    /// assert_eq!(delta.apply(&routes(Version(8))), None);
+    /// ```
+    pub fn between(old: &PublishedRoutes, new: &PublishedRoutes) -> Self {
+        let removed = old.routes.iter().filter_map(|(host, route)| {
+            let kept = new.routes.get(host, &route.prefix).is_some();
+            (!kept).then(|| (host.to_owned(), route.prefix.clone()))
+        });
+        let written = new.routes.iter().filter_map(|(host, route)| {
+            let same = old.routes.get(host, &route.prefix) == Some(route);
+            (!same).then(|| (host.to_owned(), route.clone()))
+        });
+        Self {
+            base: old.version,
+            removed: removed.collect(),
+            written: written.collect(),
+            version: new.version,
+        }
+    }
+
+    /// Number of routes that differ.
+    pub fn weight(&self) -> usize {
+        self.removed.len() + self.written.len()
+    }
+
+    /// The routes of the newer version; `None` if `old` isn't of the version that the difference applies to.
+    pub fn apply(&self, old: &PublishedRoutes) -> Option<PublishedRoutes> {
+        if old.version != self.base {
+            return None;
+        }
+        let mut routes = old.routes.clone();
+        for (host, prefix) in &self.removed {
+            routes.remove(host, prefix);
+        }
+        for (host, route) in &self.written {
+            routes.insert(host, route.clone());
+        }
+        Some(PublishedRoutes {
+            routes,
+            version: self.version,
+        })
+    }
+}
--- a/crates/core/src/catalog/sync.rs
+++ b/crates/core/src/catalog/sync.rs
@@ -245,7 +245,7 @@
                 self.due = now;
             }
             CallEnd::Refused => self.fail(REFUSED_BACKOFF_LIMIT, now),
-            CallEnd::TooLarge(peer) => {
+            CallEnd::Unusable(peer) => {
                 self.peer_backoff.remove(&peer);
                 self.due = now;
                 self.store_first = true;
--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -84,6 +84,28 @@
         routes.insert(route.prefix.clone(), Rc::new(route));
     }
 
+    /// Removes a route, if it is there.
+    pub fn remove(&mut self, host: &str, prefix: &str) {
+        let Some(routes) = self.hosts.get_mut(host) else {
+            return;
+        };
+        routes.remove(prefix);
+        if routes.is_empty() {
+            self.hosts.remove(host);
+        }
+    }
+
+    /// The route with exactly this host and prefix.
+    pub fn get(&self, host: &str, prefix: &str) -> Option<&Route> {
+        self.hosts.get(host)?.get(prefix).map(|route| &**route)
+    }
+
+    /// All routes with their hosts.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Route)> {
+        let hosts = self.hosts.iter();
+        hosts.flat_map(|(host, routes)| routes.values().map(move |r| (host.as_str(), &**r)))
+    }
+
     /// The route of a request, by its host and path. As every prefix ends with a slash, only the parts
     /// of the path up to a slash are looked up, the longest first.
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
--- a/crates/core/tests/scenarios/store_sync.rs
+++ b/crates/core/tests/scenarios/store_sync.rs
@@ -42,7 +42,7 @@
                 )];
             }
             "failed" => Some(CallEnd::Failed),
-            "too-large" => Some(CallEnd::TooLarge(line.word(0))),
+            "unusable" => Some(CallEnd::Unusable(line.word(0))),
             "incomplete" => Some(CallEnd::Incomplete),
             "history-gone" => Some(CallEnd::HistoryGone),
             "update" => Some(CallEnd::Update(line.word(0), head(line))),
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -9,7 +9,7 @@
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::catalog::{
     Call, CallEnd, Catalog, CatalogEvent, Change, ChangeLog, Published, Snapshot, Sources,
-    StoreSync, UpdatePayload,
+    StoreSync, UpdateChange, UpdatePayload,
 };
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::ids::{TargetId, Version};
@@ -296,8 +296,10 @@
     fn removes_active_target(&self, payload: &UpdatePayload) -> bool {
         match payload {
             UpdatePayload::Changes(changes) => changes.iter().any(|(_, change)| match change {
-                Change::TargetGone { name } => self.catalog.is_active(name),
-                Change::Routes(_) | Change::Target { .. } => false,
+                UpdateChange::TargetGone { name } => self.catalog.is_active(name),
+                UpdateChange::RouteDelta(_)
+                | UpdateChange::Routes(_)
+                | UpdateChange::Target { .. } => false,
             }),
             UpdatePayload::Contents(contents) => {
                 let mut in_use = self.catalog.active();
@@ -320,9 +322,14 @@
         let source = EventSource::Peer(peer);
         match payload {
             UpdatePayload::Changes(changes) => {
-                self.store_sync.end(CallEnd::Update(peer, head), now);
                 let fresh = changes.into_iter().filter(|(at, _)| *at > held);
-                self.apply(fresh.collect(), source, now);
+                let Some(changes) = self.change_log.resolve(fresh.collect()) else {
+                    report::unused_update(peer, &head, held);
+                    self.store_sync.end(CallEnd::Unusable(peer), now);
+                    return;
+                };
+                self.store_sync.end(CallEnd::Update(peer, head), now);
+                self.apply(changes, source, now);
             }
             UpdatePayload::Contents(contents) => {
                 self.store_sync.end(CallEnd::Update(peer, head), now);
@@ -330,7 +337,7 @@
             }
             UpdatePayload::TooLarge => {
                 report::unused_update(peer, &head, held);
-                self.store_sync.end(CallEnd::TooLarge(peer), now);
+                self.store_sync.end(CallEnd::Unusable(peer), now);
             }
         }
     }
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -9,7 +9,10 @@
 use base64::engine::general_purpose::STANDARD;
 use futures::StreamExt;
 use futures::channel::{mpsc, oneshot};
-use hawthornwall_core::catalog::{Change, Sources, StorePosition, UpdateHead, UpdatePayload};
+use hawthornwall_core::catalog::{
+    RouteDelta, Sources, StorePosition, UpdateChange, UpdateHead, UpdatePayload,
+};
+use hawthornwall_core::ids::Version;
 use hawthornwall_node::catalog::{CatalogStart, run};
 use hawthornwall_node::clock::Clock;
 use hawthornwall_node::messages::{
@@ -180,7 +183,7 @@
     all.find(before).expect("half of all addresses come before")
 }
 
-fn update(revision: u64, changes: Vec<(u64, Change)>) -> Reply {
+fn update(revision: u64, changes: Vec<(u64, UpdateChange)>) -> Reply {
     let head = UpdateHead {
         age: Duration::from_millis(1),
         outage: None,
@@ -283,7 +286,7 @@
         let mut daemon = daemon(address);
         let (query, reply) = daemon.query().await;
         let mut observations = vec![query, daemon.ready().await];
-        let gone = |name: &str| Change::TargetGone {
+        let gone = |name: &str| UpdateChange::TargetGone {
             name: name.to_owned(),
         };
         let _ = reply.send(Ok(update(6, vec![(3, gone("i-1")), (6, gone("i-2"))])));
@@ -298,6 +301,42 @@
     assert_snapshot!(text.replace(&peer.to_string(), "PEER"));
 }
 
+/// Guards against a read of the store for a change of routes that a peer sends as a difference, and against a
+/// difference that is applied to other routes than it was taken from.
+#[rstest]
+#[case::same("same", Version(2))]
+#[case::other("other", Version(3))]
+fn peer_sends_difference(#[case] name: &str, #[case] base: Version) {
+    let peer = parent();
+    let first = vec![
+        page(&[("op/config", ROUTES_2), ("servers/i-1", &entry(peer))], 4),
+        events(&[("op/config", ROUTES_9)], 9),
+    ];
+    let (address, calls) = serve(vec![Connection::silent_after(first)]);
+    let observations = block_on(async {
+        let mut daemon = daemon(address);
+        let (_, reply) = daemon.query().await;
+        let _ = reply.send(Ok(update(4, Vec::new())));
+        let mut observations = vec![daemon.routing().await];
+        let (_, reply) = daemon.query().await;
+        // An update is used only if it is newer than the one before it.
+        monoio::time::sleep(Duration::from_millis(10)).await;
+        let delta = RouteDelta {
+            base,
+            removed: Vec::new(),
+            written: Vec::new(),
+            version: Version(5),
+        };
+        let _ = reply.send(Ok(update(6, vec![(6, UpdateChange::RouteDelta(delta))])));
+        observations.push(daemon.routing().await);
+        let (query, _) = daemon.query().await;
+        observations.push(query);
+        observations
+    });
+    let text = format!("{}\n{}", format_calls(&calls), observations.join("\n"));
+    assert_snapshot!(name, text.replace(&peer.to_string(), "PEER"));
+}
+
 /// Guards against queries of peers that get no update, or changes that the peer already has.
 #[test]
 fn queries_are_answered() {
@@ -356,7 +395,7 @@
         // After this delay the last answer of the store is too old, so that the store must be checked.
         monoio::time::sleep(Duration::from_millis(600)).await;
         let (_, reply) = daemon.query().await;
-        let gone = Change::TargetGone {
+        let gone = UpdateChange::TargetGone {
             name: "i-1".to_owned(),
         };
         let _ = reply.send(Ok(update(5, vec![(5, gone)])));
@@ -388,7 +427,7 @@
         // After this delay the last answer of the store is too old, so that the store must be checked.
         monoio::time::sleep(Duration::from_millis(600)).await;
         let (_, reply) = daemon.query().await;
-        let gone = Change::TargetGone {
+        let gone = UpdateChange::TargetGone {
             name: "i-1".to_owned(),
         };
         let _ = reply.send(Ok(update(5, vec![(5, gone)])));
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{
-    self, PublishedRoutes, PublishedState, PublishedTarget, Snapshot, StorePosition, UpdateHead,
-    UpdatePayload,
+    self, PublishedRoutes, PublishedState, PublishedTarget, RouteDelta, Snapshot, StorePosition,
+    UpdateChange, UpdateHead, UpdatePayload,
 };
 use hawthornwall_core::config::{Change, Patch};
 use hawthornwall_core::keys::Key;
@@ -142,9 +142,26 @@
     )
 }
 
+fn route_delta() -> impl Strategy<Value = UpdateChange> {
+    let removed = prop::collection::vec((".{0,9}", ".{0,9}"), 0..4);
+    (routes(), removed, any::<u64>()).prop_map(|(change, removed, base)| {
+        let catalog::Change::Routes(published) = change else {
+            panic!("the strategy gives routes");
+        };
+        let written = published.routes.iter();
+        UpdateChange::RouteDelta(RouteDelta {
+            base: Version(base),
+            removed,
+            written: written.map(|(h, r)| (h.to_owned(), r.clone())).collect(),
+            version: published.version,
+        })
+    })
+}
+
 fn payload() -> impl Strategy<Value = UpdatePayload> {
     let gone = ".{0,9}".prop_map(|name| catalog::Change::TargetGone { name });
-    let change = prop_oneof![gone, routes(), target()];
+    let whole = prop_oneof![gone, routes(), target()].prop_map(UpdateChange::from);
+    let change = prop_oneof![whole, route_delta()];
     let changes = prop::collection::vec((any::<u64>(), change), 0..4);
     let contents = prop::collection::vec(prop_oneof![routes(), target()], 0..4);
     let contents = contents.prop_map(|changes| {
@@ -255,6 +272,15 @@
         prop_assert!(decode_reply(&encoded).is_err());
     }
 
+    /// Guards against updates that builds without differences between routes can't read, or read as something
+    /// else.
+    #[test]
+    fn whole_changes_keep_their_encoding(change in prop_oneof![routes(), target()]) {
+        let before = postcard::to_stdvec(&change).expect("changes are encoded");
+        let now = postcard::to_stdvec(&UpdateChange::from(change)).expect("changes are encoded");
+        prop_assert_eq!(before, now);
+    }
+
     /// Guards against a panic or a huge allocation on arbitrary bytes.
     #[test]
     fn no_bytes_panic(bytes in bytes()) {
