--- a/crates/testkit/tests/system/main.rs
+++ b/crates/testkit/tests/system/main.rs
@@ -3,3 +3,4 @@
 mod catch_up;
 mod daemon;
 mod endless;
+mod link;
