Probe idle connections to the target

Cause: a connection to the target that goes silent while it is idle looks usable, and the next request on it waits for its whole time.

Change: the kernel sends keepalive probes on these connections, as on those to the store, and closes a silent one after three seconds, so that it isn't used again. A target that is slow to answer acknowledges the probes. A connection that goes silent under a request that it hasn't acknowledged isn't covered: the runtime gives no safe way to set TCP_USER_TIMEOUT on its sockets.

Evidence: idle_connection_is_probed reads the kernel's timer of the connection and failed before. A silent connection itself can't be made on loopback without the means to drop packets.

--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::http::{HttpStream, Limits, ReadFault, encode_request, from_answer_head, header_text};
+use crate::keepalive;
 use crate::self_report::SelfReport;
 use crate::telemetry::trace::HopSpan;
 
@@ -120,6 +121,7 @@
         .await
         .ok()?
         .ok()?;
+    keepalive::enable(&tcp).ok()?;
     Some(Conn {
         reused: false,
         stream: HttpStream::new(tcp, target.limits),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gate;
 pub mod http;
 pub mod ingress;
+mod keepalive;
 pub mod messages;
 mod open_count;
 pub mod peers;
--- a/crates/node/src/platform/connection.rs
+++ b/crates/node/src/platform/connection.rs
@@ -2,25 +2,18 @@
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use hawthornwall_wire::head::{Framing, HeadKind, check_head, head_length};
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 
 use super::ReadFault;
+use crate::keepalive;
 
 /// Longest response head, in bytes.
 const HEAD_LIMIT: usize = 8 << 10;
 /// Buffer size of one read from the socket, in bytes.
 const READ_SIZE: usize = 16 << 10;
-/// Idle time after which the kernel sends the first keepalive probe. No data arrives while a watch is
-/// pending, so that only keepalive probes detect a dead connection early.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-/// Time between keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keepalive probes after which the kernel closes the connection.
-const KEEPALIVE_PROBES: u32 = 2;
 /// Longest chunk header, in bytes: 16 digits, an extension and CRLF.
 const CHUNK_LINE_LIMIT: usize = 256;
 
@@ -53,13 +46,8 @@
     pub(super) async fn open(address: SocketAddr, body_limit: usize) -> Result<Self, ReadFault> {
         let stream = TcpStream::connect_addr(address).await.map_err(broken)?;
         stream.set_nodelay(true).map_err(broken)?;
-        stream
-            .set_tcp_keepalive(
-                Some(KEEPALIVE_IDLE),
-                Some(KEEPALIVE_INTERVAL),
-                Some(KEEPALIVE_PROBES),
-            )
-            .map_err(broken)?;
+        // No data arrives while a watch is pending, so that only keepalive probes detect a dead connection early.
+        keepalive::enable(&stream).map_err(broken)?;
         let buffer = Vec::new();
         Ok(Self {
             body_limit,
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -424,3 +424,31 @@
     });
     assert_eq!(end, expected);
 }
+
+/// Timer of the kernel for the connection to `address`: `02` means that it waits to send a keepalive probe.
+fn kernel_timer(address: SocketAddr) -> Option<String> {
+    let table = std::fs::read_to_string("/proc/self/net/tcp").ok()?;
+    let port = format!(":{:04X}", address.port());
+    let timer = |line: &str| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        let to_target = fields.get(2).is_some_and(|remote| remote.ends_with(&port));
+        let timer = fields.get(5)?.split(':').next()?;
+        to_target.then(|| timer.to_owned())
+    };
+    table.lines().find_map(timer)
+}
+
+/// Guards against a request that is sent on a connection which went silent while it was idle, and that then
+/// waits for its whole time: the kernel probes idle connections, so that such a one is closed before.
+#[test]
+fn idle_connection_is_probed() {
+    let first = vec![answer("200 OK", SEALED, "one")];
+    let (address, _lines) = serve(vec![Connection::silent_after(first)]);
+    let timer = block_on(async {
+        let gate = start_gate(address);
+        let end = run_once(&gate, 0, request()).await;
+        assert_eq!(end, "answered 200 \"one\"");
+        kernel_timer(address)
+    });
+    assert_eq!(timer.as_deref(), Some("02"));
+}
