Don't take a second copy of a load answer for the next one

Cause: the kept connection to the target's load or health endpoint wasn't looked at between two checks. If a target sent an answer twice, each later check got the answer to the one before it, so that the gate decided by old load for as long as the connection lasted. A connection that the target had announced to close was used once more, and that check was lost.

Change: a kept connection that holds further bytes, or has been closed, isn't used for the next check. One that the answer closes isn't kept. Whether a head keeps its connection open is decided in one place for callers, targets and probes; targets that list several Connection options are understood.

Evidence: each_check_gets_its_own_answer failed in three of four cases: loads 1, 1, 2 in place of 1, 2, 3 with a copy at once or 20 ms later, and 1, none, 2 with Connection: close.

--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -17,7 +17,9 @@
 
 use crate::clock::Clock;
 use crate::dialect::Dialect;
-use crate::http::{HttpStream, Limits, ReadFault, encode_request, from_answer_head, header_text};
+use crate::http::{
+    HttpStream, Limits, ReadFault, answer_keeps_open, encode_request, from_answer_head, header_text,
+};
 use crate::keepalive;
 use crate::self_report::SelfReport;
 use crate::telemetry::trace::HopSpan;
@@ -271,8 +273,7 @@
             }
             let reusable = in_sync
                 && delimited
-                && !header_is(&head, "connection", "close")
-                && head.version == http::Version::HTTP_11
+                && answer_keeps_open(&head)
                 && !self.stream.reader.has_buffered();
             return Ok(Served {
                 end: job_end(names, &head, body, request, &report),
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -7,6 +7,7 @@
 
 mod convert;
 mod limits;
+mod persistence;
 mod reader;
 mod stream;
 mod writer;
@@ -15,6 +16,7 @@
     encode_answer, encode_request, from_answer_head, from_request_head, header_text,
 };
 pub use limits::{Limits, ReadFault};
+pub use persistence::{answer_keeps_open, request_keeps_open};
 pub use reader::HttpReader;
 pub use stream::HttpStream;
 pub use writer::HttpWriter;
--- a/crates/node/src/ingress/incoming.rs
+++ b/crates/node/src/ingress/incoming.rs
@@ -9,11 +9,11 @@
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_wire::head::Framing;
 use hawthornwall_wire::peer::HttpRequest;
-use http::header::{CONNECTION, EXPECT};
+use http::header::EXPECT;
 use http::request::Parts as RequestHead;
 use http::{Method, Version};
 
-use crate::http::{HttpReader, ReadFault, from_request_head};
+use crate::http::{HttpReader, ReadFault, from_request_head, request_keeps_open};
 
 /// What the connection's task asks its reader to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -113,7 +113,7 @@
         let body = self.reader.read_body(framing).await?;
         Ok(Some(CallerRequest {
             arrived: self.reader.last_arrival().unwrap_or_else(Instant::now),
-            close: wants_close(&head),
+            close: !request_keeps_open(&head),
             method: head.method.clone(),
             http: from_request_head(&head, body),
         }))
@@ -167,17 +167,3 @@
     let fits = !matches!(framing, Framing::Length(length) if length > reader.body_limit());
     expects && fits && framing != Framing::None && !reader.has_buffered()
 }
-
-fn wants_close(head: &RequestHead) -> bool {
-    let has_token = |token: &str| {
-        let values = head
-            .headers
-            .get_all(CONNECTION)
-            .iter()
-            .filter_map(|v| v.to_str().ok());
-        values
-            .flat_map(|v| v.split(','))
-            .any(|t| t.trim().eq_ignore_ascii_case(token))
-    };
-    has_token("close") || (head.version != Version::HTTP_11 && !has_token("keep-alive"))
-}
--- a/crates/node/src/probe/endpoint.rs
+++ b/crates/node/src/probe/endpoint.rs
@@ -1,7 +1,11 @@
 //! Reads of the target's load endpoint, or of its health endpoint if the target has no load endpoint.
+//!
+//! Invariant: a connection that holds bytes which belong to no answer isn't used again. A target may send an
+//! answer twice, and each later read would get the answer to the read before it.
 
 use std::net::SocketAddr;
 
+use futures::FutureExt;
 use hawthornwall_wire::peer::HttpRequest;
 use http::StatusCode;
 use http::response::Parts as AnswerHead;
@@ -9,7 +13,7 @@
 use serde::Deserialize;
 
 use crate::dialect::Dialect;
-use crate::http::{HttpStream, Limits, encode_request};
+use crate::http::{HttpStream, Limits, answer_keeps_open, encode_request};
 use crate::messages::ProbeResult;
 use crate::self_report::SelfReport;
 
@@ -44,7 +48,7 @@
 
     /// Reads the endpoint once; `None` if the connection fails or the response is malformed.
     pub async fn read(&mut self) -> Option<ProbeResult> {
-        let mut stream = match self.stream.take() {
+        let mut stream = match self.take_kept() {
             Some(open) => open,
             None => match TcpStream::connect_addr(self.address).await {
                 Ok(tcp) => HttpStream::new(tcp, self.limits),
@@ -59,7 +63,7 @@
         };
         let (head, body) = self.exchange(&mut stream).await?;
         let status = head.status;
-        self.stream = Some(stream);
+        self.stream = Some(stream).filter(|_| answer_keeps_open(&head));
         if status != StatusCode::OK {
             self.paths.swap(0, 1);
         }
@@ -74,6 +78,13 @@
         })
     }
 
+    /// The kept connection, unless the target has closed it or sent more than its answers.
+    fn take_kept(&mut self) -> Option<HttpStream> {
+        let mut stream = self.stream.take()?;
+        let quiet = stream.reader.readable_or_closed().now_or_never().is_none();
+        quiet.then_some(stream)
+    }
+
     async fn exchange(&self, stream: &mut HttpStream) -> Option<(AnswerHead, Vec<u8>)> {
         let request = HttpRequest {
             body: Vec::new(),
--- /dev/null
+++ b/crates/node/tests/probe.rs
@@ -0,0 +1,133 @@
+//! The probe task against a scripted target over loopback.
+
+#[path = "common/runtime.rs"]
+mod runtime;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::channel::mpsc;
+use hawthornwall_node::clock::Clock;
+use hawthornwall_node::dialect::Dialect;
+use hawthornwall_node::messages::{GateMessage, GateSender, ProbeMessage};
+use hawthornwall_node::probe::{Probe, ProbeStart};
+use hawthornwall_node::telemetry::Telemetry;
+use hawthornwall_settings::Settings;
+use rstest::rstest;
+
+use runtime::block_on;
+
+/// Pause between two checks of the load.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Delay of what the target sends after its answer.
+const DELAY: Duration = Duration::from_millis(20);
+
+fn settings(target: SocketAddr) -> Settings {
+    let text = format!(
+        r#"{{ "name": "t1", "domain": "a", "caller": {{ "listen": "127.0.0.1:1" }},
+        "target": {{ "address": "{target}" }},
+        "peer": {{ "listen": "127.0.0.1:2", "secret": "{}" }},
+        "platform": {{ "store": "127.0.0.1:3" }}, "admin": {{ "listen": "127.0.0.1:4" }},
+        "probe": {{ "per_100s": 5000, "slot_share": 10000 }} }}"#,
+        "0".repeat(64)
+    );
+    Settings::parse(&text).expect("the settings are valid")
+}
+
+/// Answer to a load check with a number of running requests.
+fn answer(running: usize, headers: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 200 OK\r\n{headers}X-Server-Load: {running},0,4\r\nContent-Length: 2\r\n\r\n{{}}"
+    )
+    .into_bytes()
+}
+
+/// What the target does besides answering each check with the number of checks so far.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Extra {
+    /// Sends each answer a second time, at once.
+    Copy,
+    /// Announces that the connection closes, and closes it.
+    Close,
+    /// Sends each answer a second time, later.
+    LateCopy,
+    Nothing,
+}
+
+/// Serves checks on each connection that is opened.
+fn serve(extra: Extra) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        let mut running = 0;
+        for stream in listener.incoming().flatten() {
+            serve_connection(stream, extra, &mut running);
+        }
+    });
+    address
+}
+
+fn serve_connection(mut stream: TcpStream, extra: Extra, running: &mut usize) {
+    let mut buffer = [0; 4096];
+    while let Ok(1..) = stream.read(&mut buffer) {
+        *running += 1;
+        let headers = match extra {
+            Extra::Close => "Connection: close\r\n",
+            Extra::Copy | Extra::LateCopy | Extra::Nothing => "",
+        };
+        let answer = answer(*running, headers);
+        let _ = stream.write_all(&answer);
+        match extra {
+            Extra::Close => return,
+            Extra::Copy => {
+                let _ = stream.write_all(&answer);
+            }
+            Extra::LateCopy => {
+                thread::sleep(DELAY);
+                let _ = stream.write_all(&answer);
+            }
+            Extra::Nothing => {}
+        }
+    }
+}
+
+/// Guards against load reports that are one check old, because a second copy of an answer is taken for the
+/// answer to the next check, and against a check that is lost on a connection which the target has closed.
+#[rstest]
+#[case::once(Extra::Nothing)]
+#[case::copy(Extra::Copy)]
+#[case::late_copy(Extra::LateCopy)]
+#[case::close(Extra::Close)]
+fn each_check_gets_its_own_answer(#[case] extra: Extra) {
+    let address = serve(extra);
+    let settings = settings(address);
+    let loads = block_on(async {
+        let (gate, mut messages) = mpsc::unbounded();
+        let (checks, receiver) = mpsc::unbounded();
+        let (telemetry, events) = Telemetry::channel();
+        let probe = Probe::new(ProbeStart {
+            clock: Clock::start(),
+            dialect: Dialect::Platform,
+            gate: GateSender::new(gate),
+            receiver,
+            settings: &settings,
+            telemetry,
+        });
+        monoio::spawn(probe.run());
+        let mut loads = Vec::new();
+        for _ in 0..3 {
+            let _ = checks.unbounded_send(ProbeMessage::CheckLoad);
+            let Some(GateMessage::LoadAnswer(report)) = messages.next().await else {
+                panic!("each check is answered");
+            };
+            loads.push(report.and_then(|r| r.load).map(|load| load.running));
+            monoio::time::sleep(PAUSE).await;
+        }
+        drop(events);
+        loads
+    });
+    assert_eq!(loads, [Some(1), Some(2), Some(3)]);
+}
