Make the cases of chunk extensions and half-closed callers compile

Both cases pass: the chunked request reaches the gate whole and the request behind it is served; a caller that closes its sending side has its request cancelled.

--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -17,7 +17,7 @@
 use hawthornwall_node::messages::GateMessage;
 use hawthornwall_wire::peer::{HttpAnswer, RequestId, RunReply, RunResult};
 use insta::assert_snapshot;
-use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 use rstest::rstest;
 
