Close a peer connection that sends keep-alive frames without pause

What callers saw, in a test: while another daemon or a client of the port for peers sent keep-alive frames without pause, no request to the daemon had an answer.

Cause: the task that reads or echoes these frames goes on while the next one is there, without ever yielding, and all tasks share one thread.

Change: more than 16 keep-alive frames in one read from the socket violate the protocol. A peer sends one at a time and gives up after three without a reply, so that a daemon that was paused finds a few at most.

--- a/crates/node/src/peers/tcp/frame.rs
+++ b/crates/node/src/peers/tcp/frame.rs
@@ -15,6 +15,10 @@
 /// Maximum number of bytes per write; the silence timeout applies to each write, not to whole messages.
 const WRITE_SIZE: usize = 64 << 10;
 
+/// Most keep-alive frames in one read from the socket. A peer sends one at a time and gives up after a few
+/// without a reply; from one that sends them without pause, this task would read without ever yielding.
+const MAX_KEEP_ALIVES: u32 = 16;
+
 /// A received frame.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Frame {
@@ -25,6 +29,8 @@
 /// A TCP connection with framing.
 pub(super) struct FrameStream {
     buf: BytesMut,
+    /// Keep-alive frames since the last read from the socket.
+    keep_alives: u32,
     /// Maximum message size in bytes.
     limit: usize,
     received: u64,
@@ -37,6 +43,7 @@
         let _ = tcp.set_nodelay(true);
         Self {
             buf: BytesMut::new(),
+            keep_alives: 0,
             limit,
             received: 0,
             sent: 0,
@@ -58,7 +65,8 @@
     ///
     /// # Errors
     ///
-    /// If the connection closes or fails, or the length of a message exceeds the limit.
+    /// If the connection closes or fails, the length of a message exceeds the limit, or keep-alive frames come
+    /// without pause.
     pub async fn read(&mut self) -> io::Result<Frame> {
         loop {
             if let Some(frame) = self.take()? {
@@ -125,16 +133,21 @@
             return Ok(None);
         }
         self.buf.advance(LENGTH_SIZE);
-        Ok(Some(match length {
-            0 => Frame::KeepAlive,
-            _ => Frame::Message(self.buf.split_to(length).to_vec()),
-        }))
+        if length > 0 {
+            return Ok(Some(Frame::Message(self.buf.split_to(length).to_vec())));
+        }
+        self.keep_alives += 1;
+        if self.keep_alives > MAX_KEEP_ALIVES {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(Some(Frame::KeepAlive))
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
         let (result, bytes) = self.tcp.read(Vec::with_capacity(READ_SIZE)).await;
         let count = result?;
         self.buf.extend_from_slice(&bytes[..count]);
+        self.keep_alives = 0;
         self.received += count as u64;
         Ok(count)
     }
