--- a/crates/core/src/catalog/sync.rs
+++ b/crates/core/src/catalog/sync.rs
@@ -19,8 +19,6 @@
 //!   this;
 //! - every watch is short, because a watch that the store accepts right after it has closed all others may
 //!   never return a change;
-//! - while the store rejects calls, it is only checked, which costs least. A store that gives no answer is read: it
-//!   may be slower than a check allows;
 //! - after failures the backoff doubles, with random jitter, so that daemons don't all call a recovering
 //!   store at once;
 //! - a query of a peer lasts no longer than the backoff after a failed call, since removals that peers report
@@ -69,15 +67,6 @@
 /// Longest backoff of a peer that had no update.
 const PEER_BACKOFF_LIMIT: Duration = Duration::from_secs(4);
 
-/// What must be read from the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Needed {
-    /// The changes since the revision held here.
-    Changes,
-    /// The newest contents, because the changes are gone or can't be read.
-    Contents,
-}
-
 /// Decides when the contents of the store are read, and whether from the store or from a peer.
 ///
 /// ```
@@ -120,9 +109,8 @@
     /// End of the delay after the last change.
     batch_end: Time,
     published: Published,
-    /// Whether the store has rejected the last call to it.
-    rejected: bool,
-    needed: Needed,
+    /// Whether the newest contents must be read because the changes can't be.
+    reload: bool,
     sources: Sources,
     /// Whether the store must be read because peers can't supply the missing changes.
     store_first: bool,
@@ -147,8 +135,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             batch_end: Time::ZERO,
             published: Published::default(),
-            rejected: false,
-            needed: Needed::Changes,
+            reload: false,
             sources: Sources::default(),
             store_due: Time::ZERO,
             store_first: false,
@@ -224,7 +211,7 @@
     pub fn next(&self, now: Time) -> (Time, Call) {
         let at_store = self.due.max(self.store_due).max(self.batch_end);
         let Some(after) = self.revision else {
-            let stale = self.confirmed_at.is_none() && self.needed == Needed::Changes;
+            let stale = self.confirmed_at.is_none() && !self.reload;
             return (at_store, Call::Load { stale });
         };
         let backing_off = self.store_due > now;
@@ -246,29 +233,18 @@
     /// Updates the state after a call.
     pub fn end(&mut self, end: CallEnd, now: Time) {
         self.confirming = false;
-        self.rejected = match end {
-            CallEnd::Refused => true,
-            CallEnd::NoUpdate(_) | CallEnd::Unusable(_) | CallEnd::Update(..) => self.rejected,
-            CallEnd::Failed
-            | CallEnd::HistoryGone
-            | CallEnd::Incomplete
-            | CallEnd::Reached
-            | CallEnd::Read { .. }
-            | CallEnd::ReadStale { .. } => false,
-        };
         match end {
             CallEnd::Failed => self.fail(BACKOFF_LIMIT, now),
             CallEnd::HistoryGone => {
                 self.revision = None;
                 self.due = now;
-                self.needed = Needed::Contents;
+                self.reload = true;
             }
             CallEnd::Incomplete => self.require_load(now),
             CallEnd::NoUpdate(peer) => self.end_query(peer, now),
             CallEnd::Reached => {
                 self.due = now;
-                self.end_outage(now);
-                self.reach(now);
+                self.recover(now);
             }
             CallEnd::Read { revision } => self.apply_read(revision, now),
             CallEnd::ReadStale { revision } => {
@@ -290,12 +266,9 @@
 
     /// The call that reads the store once `after` is held, with the longest time that a watch waits.
     fn store_read(&self, after: u64, wait: Duration) -> Call {
-        if self.needed == Needed::Contents {
+        if self.reload {
             return Call::Load { stale: false };
         }
-        if self.rejected {
-            return Call::Check;
-        }
         let wait = if self.confirmed_at.is_none() && self.published.is_usable() {
             Duration::ZERO
         } else {
@@ -356,7 +329,7 @@
         self.revision = Some(revision);
         self.confirming = self.confirmed_at.is_none();
         self.confirmed_at = Some(now);
-        self.needed = Needed::Changes;
+        self.reload = false;
         self.store_first = false;
         self.recover(now);
     }
@@ -398,7 +371,7 @@
         self.revision = Some(head.revision);
         self.confirming = self.confirmed_at.is_none();
         self.confirmed_at = Some(now - head.age);
-        self.needed = Needed::Changes;
+        self.reload = false;
         self.store_first = false;
     }
 
@@ -425,10 +398,9 @@
     /// Requires a load in place of changes that couldn't be read. The store can be reached, so that earlier
     /// failures don't delay the first load.
     fn require_load(&mut self, now: Time) {
-        if self.needed == Needed::Changes {
+        if !std::mem::replace(&mut self.reload, true) {
             self.failures = 0;
         }
-        self.needed = Needed::Contents;
         self.fail(BACKOFF_LIMIT, now);
     }
 
@@ -444,16 +416,9 @@
         self.store_due = now + backoff.mul_f64(self.rng.random_range(0.5..1.0));
     }
 
-    /// Records that the store has answered a read.
     fn recover(&mut self, now: Time) {
-        self.reach(now);
-        self.failures = 0;
-    }
-
-    /// Records that the store has answered. The backoff goes on growing: a store that answers a check may still
-    /// reject reads, which count toward its limit.
-    fn reach(&mut self, now: Time) {
         self.failing_since = None;
+        self.failures = 0;
         self.answered = Some(now);
         self.store_due = now;
     }
