--- a/crates/core/src/catalog/sync.rs
+++ b/crates/core/src/catalog/sync.rs
@@ -3,10 +3,6 @@
 //! Rules kept here:
 //! - all contents are read at the start, after the history is lost, and after changes that can't be read whole;
 //!   only changes otherwise;
-//! - until contents have been confirmed, all contents are read stale, which costs least: a fleet that starts while
-//!   the store is away repeats such reads for as long as that lasts;
-//! - entries that the first confirmed read lacks have left: a daemon that starts after an outage doesn't know
-//!   whether it lasted from before they were removed;
 //! - the result of a stale read takes effect only once a newer read or update confirms it;
 //! - before a removal reported by a peer takes effect, this daemon must have reached the store itself, at
 //!   least by a check;
@@ -100,8 +96,6 @@
     outage_end: Option<Time>,
     /// When the store last confirmed the revision.
     confirmed_at: Option<Time>,
-    /// Whether the last call was the first whose result is confirmed.
-    confirming: bool,
     /// Peers that had no update: how often in a row, and until when they aren't queried.
     peer_backoff: BTreeMap<SocketAddr, (u32, Time)>,
     revision: Option<u64>,
@@ -109,13 +103,15 @@
     /// End of the delay after the last change.
     batch_end: Time,
     published: Published,
-    /// Whether the newest contents must be read because the changes can't be.
+    /// Whether the contents must be read because the changes can't be.
     reload: bool,
     sources: Sources,
     /// Whether the store must be read because peers can't supply the missing changes.
     store_first: bool,
     /// End of the backoff after failed calls to the store.
     store_due: Time,
+    /// Whether no call has ended yet.
+    first_call: bool,
 }
 
 impl StoreSync {
@@ -129,7 +125,6 @@
             loaded: Time::ZERO,
             outage_end: None,
             confirmed_at: None,
-            confirming: false,
             peer_backoff: BTreeMap::new(),
             revision: None,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -139,6 +134,7 @@
             sources: Sources::default(),
             store_due: Time::ZERO,
             store_first: false,
+            first_call: true,
         }
     }
 
@@ -196,10 +192,6 @@
 
     /// How entries that are missing now must be interpreted.
     pub fn absence(&self) -> Absence {
-        // What stale contents list and the confirming read lacks has taken no work from here.
-        if self.confirming {
-            return Absence::Left;
-        }
         match (self.failing_since, self.outage_end) {
             (Some(_), _) => Absence::Unverified,
             (None, Some(ended)) => Absence::Lapsed(ended),
@@ -211,7 +203,7 @@
     pub fn next(&self, now: Time) -> (Time, Call) {
         let at_store = self.due.max(self.store_due).max(self.batch_end);
         let Some(after) = self.revision else {
-            let stale = self.confirmed_at.is_none() && !self.reload;
+            let stale = self.first_call;
             return (at_store, Call::Load { stale });
         };
         let backing_off = self.store_due > now;
@@ -232,13 +224,12 @@
 
     /// Updates the state after a call.
     pub fn end(&mut self, end: CallEnd, now: Time) {
-        self.confirming = false;
+        self.first_call = false;
         match end {
             CallEnd::Failed => self.fail(BACKOFF_LIMIT, now),
             CallEnd::HistoryGone => {
                 self.revision = None;
                 self.due = now;
-                self.reload = true;
             }
             CallEnd::Incomplete => self.require_load(now),
             CallEnd::NoUpdate(peer) => self.end_query(peer, now),
@@ -248,11 +239,10 @@
             }
             CallEnd::Read { revision } => self.apply_read(revision, now),
             CallEnd::ReadStale { revision } => {
+                self.answered = Some(now);
                 self.revision = Some(revision);
                 self.loaded = now;
                 self.due = now;
-                self.end_outage(now);
-                self.recover(now);
             }
             CallEnd::Refused => self.fail(REFUSED_BACKOFF_LIMIT, now),
             CallEnd::Unusable(peer) => {
@@ -325,22 +315,16 @@
             } else {
                 Duration::ZERO
             };
-        self.end_outage(now);
-        self.revision = Some(revision);
-        self.confirming = self.confirmed_at.is_none();
-        self.confirmed_at = Some(now);
-        self.reload = false;
-        self.store_first = false;
-        self.recover(now);
-    }
-
-    /// Records that an outage ends with the store's answer, if the failed calls before it amount to one.
-    fn end_outage(&mut self, now: Time) {
         if let Some(failed) = self.failing_since
             && now - self.unreachable_since(failed) >= OUTAGE
         {
             self.outage_end = Some(now);
         }
+        self.revision = Some(revision);
+        self.confirmed_at = Some(now);
+        self.reload = false;
+        self.store_first = false;
+        self.recover(now);
     }
 
     /// When the store became unreachable, given the time of the first failed call. A call without an
@@ -369,7 +353,6 @@
             self.outage_end = Some(now - ended);
         }
         self.revision = Some(head.revision);
-        self.confirming = self.confirmed_at.is_none();
         self.confirmed_at = Some(now - head.age);
         self.reload = false;
         self.store_first = false;
