--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -16,14 +16,22 @@
 #[rstest]
 // A worker received the whole deadline of a request that its daemon, while paused, had received but not
 // read. The invariant on deadlines holds only for running daemons; the check now takes pauses into account.
-#[case::paused(6, 0)]
-#[case::first(1, 1)]
-fn invariants_hold(#[case] seed: u64, #[case] number: u8) {
+#[case::paused(6, 0, 5, 1)]
+#[case::first(1, 1, 5, 1)]
+// A cut holds the first request that a daemon sends to another one, which can't tell how long it was held and
+// passes on the whole time left.
+#[case::held_first_request(831, 2, 6, 12)]
+fn invariants_hold(
+    #[case] seed: u64,
+    #[case] number: u8,
+    #[case] daemons: usize,
+    #[case] seconds: u64,
+) {
     let options = Options {
-        callers: 25,
-        daemons: 5,
+        callers: daemons * 5,
+        daemons,
         keep: true,
-        length: Duration::from_secs(1),
+        length: Duration::from_secs(seconds),
         network: FIRST_NETWORK + number,
         seed,
     };
