--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -6,6 +6,8 @@
 //!   run;
 //! - an idempotent request that fails at its target is sent to another target; if no attempt is
 //!   answered without a failure, the caller gets the failed answer;
+//! - once the daemon stops, no attempt begins that can't be relied on to finish before its end, and what still runs
+//!   then ends as [`Loss::Stopped`](crate::outcome::Loss::Stopped);
 //! - a call finishes exactly once, and all open attempts are cancelled at that point;
 //! - a call never makes more than [`MAX_ATTEMPTS`] attempts;
 //! - the outcome is "refused" only if every attempt was refused or none was made; for a keyed
