Give each worker of the stand-in's tests an address of its own

answers::case_09_hang failed once in a run of all tests: "the worker starts: Address already in use". The tests of this program run in parallel and took ports that were free a moment before; between that and the worker's bind another test, or a connection, may take the same port. Each worker has its own loopback address now, so that no port is shared. What is checked stays as it was. The tests of the store and of peers choose ports in the same way and weren't changed.

--- a/crates/testkit/tests/worker.rs
+++ b/crates/testkit/tests/worker.rs
@@ -1,14 +1,16 @@
 //! Tests of the fake worker against the platform's rules for answers.
 
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::channel::mpsc;
 use hawthornwall_testkit::http1::{Connection, Fault};
+use hawthornwall_testkit::run;
 use hawthornwall_testkit::worker::{
     AnswerFault, WorkerBehaviour, WorkerOptions, answer_body, serve,
 };
-use hawthornwall_testkit::{launcher, run};
 use http::{Request, Response};
 use insta::assert_snapshot;
 use rstest::rstest;
@@ -42,12 +44,20 @@
     }
 }
 
+/// An address that no other worker of this program uses: the tests run in parallel, and a port that was free
+/// for one may be taken by another before the worker listens.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let worker = NEXT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 214, worker, 1], 9000))
+}
+
 /// Sends one request to a worker and describes the answer and the number of reported runs.
 fn answer_to(behaviour: WorkerBehaviour, headers: &[(&str, &str)]) -> String {
     let seen = run(async {
         let (run_sender, mut runs) = mpsc::unbounded();
         let options = WorkerOptions {
-            address: launcher::free_address().expect("a port is free"),
+            address: own_address(),
             name: "w1".to_owned(),
             seed: 1,
             service: "views".to_owned(),
