--- a/crates/core/src/calls/refusal.rs
+++ b/crates/core/src/calls/refusal.rs
@@ -10,6 +10,8 @@
 pub fn keyed_outcome(refusal: Refusal) -> Outcome {
     match refusal {
         Refusal::Budget
+        | Refusal::Link
+        | Refusal::Memory
         | Refusal::Misdirected
         | Refusal::NoTarget
         | Refusal::NotReady
@@ -19,8 +21,11 @@
         | Refusal::UnknownService
         | Refusal::WrongTarget => Outcome::Unknown(Loss::KeyUnreachable),
         Refusal::Cancelled
+        | Refusal::Cold
+        | Refusal::Dependency
         | Refusal::Down
         | Refusal::Draining
+        | Refusal::Evacuated
         | Refusal::Expired
         | Refusal::Full
         | Refusal::KeyInvalid
@@ -38,9 +43,13 @@
         // A daemon cancels a queued request when its connection is lost, and refuses a repeat of
         // that request as cancelled.
         Refusal::Cancelled
+        | Refusal::Cold
+        | Refusal::Dependency
         | Refusal::Down
         | Refusal::Draining
+        | Refusal::Evacuated
         | Refusal::Full
+        | Refusal::Memory
         | Refusal::Misdirected
         | Refusal::NotReady
         | Refusal::Shed
@@ -51,6 +60,7 @@
         | Refusal::Expired
         | Refusal::KeyInvalid
         | Refusal::KeyMismatch
+        | Refusal::Link
         | Refusal::Malformed
         | Refusal::NoTarget
         | Refusal::Overload
--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -7,7 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, PublishedRoutes, PublishedState, PublishedTarget};
+use super::{
+    Change, PublishedRoutes, PublishedState, PublishedTarget, RequestLimits, ServiceLimits,
+};
 use crate::config::{Configuration, Rules, Service, Target};
 use crate::ids::{ServiceId, TargetId, Version};
 use crate::routes::RouteTable;
@@ -89,8 +91,11 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
+    limits: Option<RequestLimits>,
     next_target: u32,
     routes: Rc<RouteTable>,
+    /// Limits of the services in force, by name.
+    service_limits: BTreeMap<String, ServiceLimits>,
     services: BTreeMap<String, ServiceId>,
     targets: BTreeMap<String, TargetRecord>,
     version: Version,
@@ -191,6 +196,19 @@
         &self.routes
     }
 
+    /// What callers may send; `None` if the configuration in force doesn't limit it.
+    pub fn limits(&self) -> Option<RequestLimits> {
+        self.limits
+    }
+
+    /// The services that the configuration in force limits.
+    pub fn service_limits(&self) -> BTreeMap<ServiceId, ServiceLimits> {
+        let limited = self.service_limits.iter();
+        limited
+            .filter_map(|(name, limits)| Some((*self.services.get(name)?, *limits)))
+            .collect()
+    }
+
     /// Services and targets in the form that the other aggregates take.
     pub fn configuration(&self, rules: &Rules) -> Configuration {
         let services = self.services.iter().map(|(name, id)| {
@@ -256,7 +274,9 @@
         for service in published.routes.services() {
             assign_id(&mut self.services, service);
         }
+        self.limits = published.limits;
         self.routes = Rc::new(published.routes);
+        self.service_limits = published.services;
         self.version = published.version;
         Some(CatalogEvent::Routes(self.version))
     }
--- a/crates/core/src/catalog/entry.rs
+++ b/crates/core/src/catalog/entry.rs
@@ -1,5 +1,6 @@
 //! Entries and routes as published by the store.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,11 +42,43 @@
     pub state: PublishedState,
 }
 
-/// The route table at one version.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// What operators allow callers to send.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestLimits {
+    /// Longest body of a request, in bytes.
+    pub body: usize,
+    /// Longest head of a request, in bytes.
+    pub head: usize,
+    /// Longest time from the first byte of a head to its last.
+    #[serde_as(as = "Micros")]
+    pub head_time: Duration,
+    /// Longest time for which a connection is idle.
+    #[serde_as(as = "Micros")]
+    pub idle: Duration,
+}
+
+/// What operators state about the targets of a service.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceLimits {
+    /// Time for which a target is cold after its start.
+    #[serde_as(as = "Micros")]
+    pub cold: Duration,
+    /// Least time between two requests that a cold target bears on average; zero without a limit.
+    #[serde_as(as = "Micros")]
+    pub cold_interval: Duration,
+}
+
+/// The operators' configuration at one version.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PublishedRoutes {
+    /// What callers may send; `None` if the configuration doesn't limit it.
+    pub limits: Option<RequestLimits>,
     /// The complete route table.
     pub routes: RouteTable,
+    /// Limits by name of the service. A service without any is left out.
+    pub services: BTreeMap<String, ServiceLimits>,
     /// Version of the route table; a greater one is newer.
     pub version: Version,
 }
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -22,7 +22,10 @@
 pub use aggregate::{Absence, Catalog, CatalogEvent, RETURN_GRACE, Snapshot};
 pub use call::{Call, CallEnd, Published, StorePosition, UpdateHead};
 pub use change_log::{ChangeLog, UpdatePayload};
-pub use entry::{Change, PublishedRoutes, PublishedState, PublishedTarget, UpdateChange};
+pub use entry::{
+    Change, PublishedRoutes, PublishedState, PublishedTarget, RequestLimits, ServiceLimits,
+    UpdateChange,
+};
 pub use route_delta::RouteDelta;
 pub use sources::{Level, Sources};
 pub use sync::{StoreSync, WATCH_WAIT};
--- a/crates/core/src/catalog/route_delta.rs
+++ b/crates/core/src/catalog/route_delta.rs
@@ -4,9 +4,11 @@
 //! - a difference applies only to the routes of the version that it was taken from;
 //! - applied to them, it gives exactly the routes of the newer version.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
-use super::PublishedRoutes;
+use super::{PublishedRoutes, RequestLimits, ServiceLimits};
 use crate::ids::Version;
 use crate::routes::Route;
 
@@ -15,8 +17,12 @@
 pub struct RouteDelta {
     /// The version that the difference applies to.
     pub base: Version,
+    /// What callers may send at the newer version.
+    pub limits: Option<RequestLimits>,
     /// Host and prefix of each route that the newer version lacks.
     pub removed: Vec<(String, String)>,
+    /// Limits by name of the service at the newer version.
+    pub services: BTreeMap<String, ServiceLimits>,
     /// Host and content of each route that is new or has changed.
     pub written: Vec<(String, Route)>,
     /// The version that results.
@@ -29,9 +35,8 @@
     /// ```
     /// use hawthornwall_core::catalog::{PublishedRoutes, RouteDelta};
     /// use hawthornwall_core::ids::Version;
-    /// use hawthornwall_core::routes::RouteTable;
     ///
-    /// let routes = |version| PublishedRoutes { routes: RouteTable::default(), version };
+    /// let routes = |version| PublishedRoutes { version, ..PublishedRoutes::default() };
     /// let delta = RouteDelta::between(&routes(Version(7)), &routes(Version(9)));
     /// assert_eq!(delta.weight(), 0);
     /// assert_eq!(delta.apply(&routes(Version(7))), Some(routes(Version(9))));
@@ -48,7 +53,9 @@
         });
         Self {
             base: old.version,
+            limits: new.limits,
             removed: removed.collect(),
+            services: new.services.clone(),
             written: written.collect(),
             version: new.version,
         }
@@ -72,7 +79,9 @@
             routes.insert(host, route.clone());
         }
         Some(PublishedRoutes {
+            limits: self.limits,
             routes,
+            services: self.services.clone(),
             version: self.version,
         })
     }
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -52,6 +52,16 @@
     Misdirected,
     /// The daemon stops, and the request can't be expected to finish before that.
     Stopping,
+    /// The target has just started and already gets as many requests per second as it bears.
+    Cold,
+    /// A service that the request's work calls has no room, so that the work couldn't be finished.
+    Dependency,
+    /// The target's failure domain is being evacuated.
+    Evacuated,
+    /// The link of this daemon's machine can't carry the request in time.
+    Link,
+    /// The memory for buffered requests and answers is spent.
+    Memory,
 }
 
 impl Refusal {
@@ -70,13 +80,18 @@
             Self::Misdirected | Self::Shed => true,
             Self::Budget
             | Self::Cancelled
+            | Self::Cold
+            | Self::Dependency
             | Self::Down
             | Self::Draining
+            | Self::Evacuated
             | Self::Expired
             | Self::Full
             | Self::KeyInvalid
             | Self::KeyMismatch
+            | Self::Link
             | Self::Malformed
+            | Self::Memory
             | Self::NoTarget
             | Self::NotReady
             | Self::Overload
@@ -94,13 +109,18 @@
         match self {
             Self::Budget => "retry-budget-spent",
             Self::Cancelled => "cancelled",
+            Self::Cold => "target-cold",
+            Self::Dependency => "dependency-full",
             Self::Down => "target-down",
             Self::Draining => "target-draining",
+            Self::Evacuated => "domain-evacuated",
             Self::Expired => "deadline-expired",
             Self::Full => "target-full",
             Self::KeyInvalid => "key-invalid",
             Self::KeyMismatch => "key-mismatch",
+            Self::Link => "link-saturated",
             Self::Malformed => "malformed-request",
+            Self::Memory => "memory-full",
             Self::Misdirected => "target-misdirected",
             Self::NoTarget => "no-target",
             Self::NotReady => "not-ready",
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -407,12 +407,17 @@
         }
         Refusal::Budget
         | Refusal::Cancelled
+        | Refusal::Cold
+        | Refusal::Dependency
         | Refusal::Draining
+        | Refusal::Evacuated
         | Refusal::Expired
         | Refusal::Full
         | Refusal::KeyInvalid
         | Refusal::KeyMismatch
+        | Refusal::Link
         | Refusal::Malformed
+        | Refusal::Memory
         | Refusal::NoTarget
         | Refusal::Overload
         | Refusal::Shed
--- a/crates/core/tests/change_log.rs
+++ b/crates/core/tests/change_log.rs
@@ -39,6 +39,7 @@
     PublishedRoutes {
         routes,
         version: Version(version),
+        ..PublishedRoutes::default()
     }
 }
 
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -467,9 +467,11 @@
         debug_assert_eq!(self.catalog.verify(), Vec::<String>::new());
         self.routing = Rc::new(RoutingState {
             config: self.catalog.configuration(&SERVICE_RULES),
+            limits: self.catalog.limits(),
             members: self.members(),
             own: self.catalog.target_at(self.start.own_target),
             routes: Some(Rc::clone(self.catalog.routes())),
+            service_limits: self.catalog.service_limits(),
         });
         let routing = || Rc::clone(&self.routing);
         let _ = self
--- a/crates/node/src/control/routing.rs
+++ b/crates/node/src/control/routing.rs
@@ -40,7 +40,7 @@
             config,
             members,
             own,
-            routes: None,
+            ..RoutingState::default()
         });
         let routing = || Rc::clone(&self.routing);
         let _ = self
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -143,10 +143,15 @@
         Outcome::Refused(
             Refusal::Budget
             | Refusal::Cancelled
+            | Refusal::Cold
+            | Refusal::Dependency
             | Refusal::Down
             | Refusal::Draining
+            | Refusal::Evacuated
             | Refusal::Expired
             | Refusal::Full
+            | Refusal::Link
+            | Refusal::Memory
             | Refusal::Misdirected
             | Refusal::NoTarget
             | Refusal::NotReady
--- a/crates/node/src/messages/routing.rs
+++ b/crates/node/src/messages/routing.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use hawthornwall_core::catalog::{RequestLimits, ServiceLimits};
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::RouteTable;
 use serde::Serialize;
@@ -28,6 +29,8 @@
 pub struct RoutingState {
     /// The configuration in force.
     pub config: Configuration,
+    /// What callers may send; `None` if only the settings limit it.
+    pub limits: Option<RequestLimits>,
     /// The members by target; a target without a member can't be reached.
     pub members: BTreeMap<TargetId, Member>,
     /// The local target; `None` if the configuration does not contain it.
@@ -35,4 +38,6 @@
     /// Routes of requests; if `None`, services are found by the host names and paths of the
     /// configuration.
     pub routes: Option<Rc<RouteTable>>,
+    /// Limits of services; a service without any is left out.
+    pub service_limits: BTreeMap<ServiceId, ServiceLimits>,
 }
--- a/crates/node/tests/common/ingress.rs
+++ b/crates/node/tests/common/ingress.rs
@@ -91,6 +91,7 @@
         members: BTreeMap::from([(target, member)]),
         own: Some(target),
         routes: Some(Rc::new(routes)),
+        ..RoutingState::default()
     }
 }
 
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -323,7 +324,9 @@
         monoio::time::sleep(Duration::from_millis(10)).await;
         let delta = RouteDelta {
             base,
+            limits: None,
             removed: Vec::new(),
+            services: BTreeMap::new(),
             written: Vec::new(),
             version: Version(5),
         };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,8 +17,8 @@
 pub use fault::{Fault, FaultKind, SettingsFaults};
 pub use model::{
     AdminSettings, CallerSettings, ControlSettings, KeySettings, LinkKind, LogLevel, LogSettings,
-    MetricSettings, PeerSettings, PlatformSettings, ProbeSettings, RoutingSettings, Settings,
-    Source, TargetSettings, TraceSettings,
+    MachineSettings, MetricSettings, PeerSettings, PlatformSettings, ProbeSettings,
+    RoutingSettings, Settings, Source, TargetSettings, TraceSettings,
 };
 pub use position::Position;
 pub use print::commented_defaults;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -26,6 +26,8 @@
     pub keys: KeySettings,
     /// Logging.
     pub log: LogSettings,
+    /// What the machine of this daemon has.
+    pub machine: MachineSettings,
     /// Export of metrics.
     pub metrics: MetricSettings,
     /// Name of the local target, as in the configuration.
@@ -144,6 +146,20 @@
     pub level: LogLevel,
 }
 
+/// What the machine of this daemon has. A value that is absent limits nothing.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct MachineSettings {
+    /// Number of file descriptors that this process may open.
+    pub files: Option<usize>,
+    /// Rate of the network link in each direction, in megabits per second.
+    pub link_mbps: Option<f64>,
+    /// Memory that this process may use, in mebibytes.
+    pub memory_mib: Option<usize>,
+}
+
+impl Eq for MachineSettings {}
+
 /// Export of metrics.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -298,6 +314,7 @@
     ControlSettings: "control",
     KeySettings: "keys",
     LogSettings: "log",
+    MachineSettings: "machine",
     MetricSettings: "metrics",
     ProbeSettings: "probe",
     RoutingSettings: "routing",
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -11,6 +11,8 @@
     Bytes,
     /// A number of items, without a unit.
     Count,
+    /// A size in mebibytes.
+    Mebibytes,
     /// A share in hundredths of a percent.
     HundredthsOfPercent,
     /// A duration in milliseconds.
@@ -23,6 +25,7 @@
         f.write_str(match self {
             Self::Bytes => " of bytes",
             Self::Count => "",
+            Self::Mebibytes => " of mebibytes",
             Self::HundredthsOfPercent => " of hundredths of a percent",
             Self::Milliseconds => " of milliseconds",
         })
@@ -38,6 +41,13 @@
     Addresses,
     /// One of these strings.
     Choice(&'static [&'static str]),
+    /// A number of megabits per second, which may have a fraction.
+    Megabits {
+        /// Smallest accepted value.
+        min: u32,
+        /// Largest accepted value.
+        max: u32,
+    },
     /// A name in the form that the configuration accepts.
     Name,
     /// A whole number.
@@ -70,6 +80,12 @@
                 f.write_str("a list of IP addresses with ports, such as [\"127.0.0.1:8080\"]")
             }
             Self::Choice(choices) => write!(f, "one of {}", choices.join(", ")),
+            Self::Megabits { min, max } => {
+                write!(
+                    f,
+                    "a number of megabits per second, {min} to {max}, which may have a fraction"
+                )
+            }
             Self::Name => f.write_str("a name of 1 to 63 characters from a-z, 0-9 and -"),
             Self::Number { unit, min, max } => write!(f, "a whole number{unit}, {min} to {max}"),
             Self::Path => f.write_str("a path that starts with /"),
@@ -134,6 +150,7 @@
 /// Sections with their descriptions, in the order of the printed file.
 pub const SECTIONS: &[(&str, &str)] = &[
     ("", ""),
+    ("machine", "What the machine of this daemon has."),
     (
         "caller",
         "Listener for callers and limits on their requests.",
@@ -202,6 +219,13 @@
     required("name", ValueKind::Name, "Name of the local target, as in the configuration."),
     required("domain", ValueKind::Name, "Failure domain of this instance."),
 
+    setting("machine.memory_mib", ValueKind::Number { unit: Unit::Mebibytes, min: 32, max: 1 << 24 }, DefaultValue::Absent,
+        "Memory that this process may use; if absent, the memory for requests in progress isn't limited as a whole."),
+    setting("machine.files", ValueKind::Number { unit: Unit::Count, min: 64, max: 1 << 24 }, DefaultValue::Absent,
+        "Number of file descriptors that this process may open; if absent, only the limits on connections apply."),
+    setting("machine.link_mbps", ValueKind::Megabits { min: 1, max: 1_000_000 }, DefaultValue::Absent,
+        "Rate of the machine's network link in each direction; if absent, it counts as unlimited."),
+
     required("caller.listen", ValueKind::Address, "TCP address of the listener for callers."),
     number("caller.connections", 1_000, Unit::Count, (1, 100_000), "Maximum number of open connections with callers."),
     number("caller.service_limit", 500, Unit::Count, (1, 100_000), "Maximum number of requests in flight per service."),
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -28,12 +28,18 @@
             None if number.as_f64().is_some_and(|n| n < 0.0) => Some(FaultKind::Range),
             None => Some(FaultKind::Type),
         },
-        (ValueKind::Seconds { min, max }, Value::Number(number)) => {
+        (
+            ValueKind::Megabits { min, max } | ValueKind::Seconds { min, max },
+            Value::Number(number),
+        ) => {
             let accepted = f64::from(min)..=f64::from(max);
             let within = number.as_f64().is_some_and(|n| accepted.contains(&n));
             (!within).then_some(FaultKind::Range)
         }
-        (ValueKind::Number { .. } | ValueKind::Seconds { .. }, Value::String(text)) => {
+        (
+            ValueKind::Megabits { .. } | ValueKind::Number { .. } | ValueKind::Seconds { .. },
+            Value::String(text),
+        ) => {
             let numeric = text.trim_start().starts_with(|c: char| c.is_ascii_digit());
             let bare = text.trim().bytes().all(|b| b.is_ascii_digit());
             let unit = numeric && !bare;
@@ -55,6 +61,7 @@
             ValueKind::Address
             | ValueKind::Addresses
             | ValueKind::Choice(_)
+            | ValueKind::Megabits { .. }
             | ValueKind::Name
             | ValueKind::Number { .. }
             | ValueKind::Path
@@ -87,9 +94,10 @@
             let digits = text.bytes().all(|b| b.is_ascii_hexdigit());
             (text.len() == SECRET_DIGITS && digits, FaultKind::Secret)
         }
-        ValueKind::Addresses | ValueKind::Number { .. } | ValueKind::Seconds { .. } => {
-            (false, FaultKind::Type)
-        }
+        ValueKind::Addresses
+        | ValueKind::Megabits { .. }
+        | ValueKind::Number { .. }
+        | ValueKind::Seconds { .. } => (false, FaultKind::Type),
     };
     (!accepted).then_some(fault)
 }
--- a/crates/testkit/src/launcher/settings.rs
+++ b/crates/testkit/src/launcher/settings.rs
@@ -4,8 +4,8 @@
 
 use hawthornwall_settings::{
     AdminSettings, CallerSettings, ControlSettings, KeySettings, LinkKind, LogSettings,
-    MetricSettings, PeerSettings, PlatformSettings, ProbeSettings, RoutingSettings, Settings,
-    TargetSettings, TraceSettings,
+    MachineSettings, MetricSettings, PeerSettings, PlatformSettings, ProbeSettings,
+    RoutingSettings, Settings, TargetSettings, TraceSettings,
 };
 use serde_json::Value;
 
@@ -52,6 +52,7 @@
             domain: node.plan.domain.clone(),
             keys: KeySettings::default(),
             log: LogSettings::default(),
+            machine: MachineSettings::default(),
             metrics: MetricSettings::default(),
             name: node.plan.name.clone(),
             peer: self.peer_settings(index),
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -120,6 +120,7 @@
         catalog::Change::Routes(PublishedRoutes {
             routes,
             version: Version(version),
+            ..PublishedRoutes::default()
         })
     })
 }
@@ -151,7 +152,9 @@
         let written = published.routes.iter();
         UpdateChange::RouteDelta(RouteDelta {
             base: Version(base),
+            limits: published.limits,
             removed,
+            services: published.services.clone(),
             written: written.map(|(h, r)| (h.to_owned(), r.clone())).collect(),
             version: published.version,
         })
