Fill the machine's section of the settings template in the soak test

Cause: the soak test's own rendering knew one section only, so that its daemons rejected their settings and the fleet didn't start (soak case_1_paused, "TimedOut(the fleet)"). Change: sections are filled by their names, with the values of a small machine.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -17,6 +17,13 @@
 
 /// Time between a termination signal and the forced end of a daemon, in seconds.
 const GRACE_SECONDS: u32 = 6;
+/// Numbers in sections of the settings template: the grace in seconds, and a machine as small as the users'.
+const SECTIONS: [(&str, u32); 4] = [
+    ("bounds.graceS", GRACE_SECONDS),
+    ("limits.linkMbps", 1_000),
+    ("limits.maxFds", 4_100),
+    ("limits.memoryMb", 260),
+];
 /// Settings template of the daemons on the users' platform.
 const TEMPLATE: &str = include_str!("../../../platform/settings.json.template");
 /// Port of the daemons' caller listener.
@@ -296,15 +303,15 @@
             ("listen.outbound", at(1, CALLER_PORT)),
             ("listen.ready", at(1, READY_PORT)),
             ("platform.address", at(3, STORE_PORT)),
-            ("#bounds.graceS", String::new()),
-            (".", GRACE_SECONDS.to_string()),
-            ("/bounds.graceS", String::new()),
         ];
-        values
+        let text = SECTIONS
             .iter()
             .fold(TEMPLATE.to_owned(), |text, (key, value)| {
-                text.replace(&format!("{{{{{key}}}}}"), value)
-            })
+                fill_section(&text, key, *value)
+            });
+        values.iter().fold(text, |text, (key, value)| {
+            text.replace(&format!("{{{{{key}}}}}"), value)
+        })
     }
 
     /// Returns the address of a worker. Peers connect to the same IP address, on which the proxy listens.
@@ -313,6 +320,17 @@
     }
 }
 
+/// Replaces a section of the template that is rendered once, for its value.
+fn fill_section(text: &str, key: &str, value: u32) -> String {
+    let (start, end) = (format!("{{{{#{key}}}}}"), format!("{{{{/{key}}}}}"));
+    let Some((before, rest)) = text.split_once(&start) else {
+        return text.to_owned();
+    };
+    let (inner, after) = rest.split_once(&end).unwrap_or((rest, ""));
+    let inner = inner.replace("{{.}}", &value.to_string());
+    format!("{before}{inner}{after}")
+}
+
 /// Returns a loopback address of a soak test. Block 1 is for daemons, 2 for workers and proxies, 3 for
 /// the store.
 fn address(network: u8, block: u8, number: usize, port: u16) -> SocketAddr {
