Let a large body wait longer at a strained target before it moves

Cause: a gate refuses requests whose sender has another target while its machine is strained. For a body of 60 KB each move crosses two links of 10 Mbit/s once more. Ruled out: room at the targets (2,548 arrivals at 72 slots in 30 s).

Change: a pick states how long the body takes on the way, from its length and machine.link_mbps, and the maximum wait at the target is that much longer.

--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -46,6 +46,9 @@
 pub struct PickRequest<'a> {
     /// The service whose targets are eligible.
     pub service: ServiceId,
+    /// Time that the request's body takes on the way to a target of another machine. A large body that
+    /// moves from target to target saturates the links, so that it waits longer before it moves.
+    pub transfer: Duration,
     /// Targets of earlier attempts of the same call; they are excluded.
     pub tried: &'a [TargetId],
 }
@@ -183,7 +186,7 @@
             .ok_or(Refusal::NoTarget)?;
         let estimate = self.views[&target].estimate(&mean, now);
         let others: Vec<_> = eligible.into_iter().filter(|id| *id != target).collect();
-        let max_wait = self.max_wait(target, &others, &mean, now);
+        let max_wait = self.max_wait(target, &others, &mean, now) + request.transfer;
         let alternatives = others.len();
         let hedge = self.hedge_delay(request.service);
         let ticket = self.issue(target, now);
--- a/crates/core/tests/properties/balancer.rs
+++ b/crates/core/tests/properties/balancer.rs
@@ -149,7 +149,11 @@
                 }
                 Step::Pick(tried) => {
                     let tried: Vec<_> = tried.into_iter().map(TargetId).collect();
-                    let request = PickRequest { service: ServiceId(0), tried: &tried };
+                    let request = PickRequest {
+                        service: ServiceId(0),
+                        transfer: Duration::ZERO,
+                        tried: &tried,
+                    };
                     if let Ok(choice) = balancer.pick(&request, now) {
                         prop_assert!(!tried.contains(&choice.target));
                         prop_assert!(present.contains(&choice.target.0));
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -41,6 +41,7 @@
                 let tried = tried(line);
                 let request = PickRequest {
                     service: ServiceId(0),
+                    transfer: line.span("transfer", Duration::ZERO),
                     tried: &tried,
                 };
                 let picked = self.balancer.pick(&request, line.now);
@@ -136,6 +137,7 @@
         for _ in 0..line.word(0) {
             let request = PickRequest {
                 service: ServiceId(0),
+                transfer: Duration::ZERO,
                 tried: &[],
             };
             let choice = self.balancer.pick(&request, line.now).unwrap();
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -144,6 +144,7 @@
             dialect: self.dialect,
             drained,
             gate: self.senders.gate.clone(),
+            link_mbps: self.settings.machine.link_mbps,
             peers: self.senders.peers.clone(),
             router: self.senders.router.clone(),
             seed: rand::rng().random(),
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -248,6 +248,7 @@
             kind,
             reply,
             service,
+            transfer: self.backend.transfer_time(body_length(&self.operation)),
             tried,
         };
         let _ = self.backend.router.unbounded_send(message);
@@ -343,6 +344,14 @@
     }
 }
 
+/// Length of the body that each attempt sends, in bytes.
+fn body_length(operation: &Operation) -> usize {
+    match operation {
+        Operation::Issue => 0,
+        Operation::Run { http, .. } => http.body.len(),
+    }
+}
+
 /// Waits for the plan of a stop; never completes once the call has been told of it.
 async fn stop_plan(notice: &mut Option<StopNotice>) -> StopPlan {
     match notice {
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -30,6 +30,8 @@
 /// signal, also the interval at which the number of open connections is polled.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+const BITS_PER_MEGABIT: f64 = 1e6;
+
 /// Shared dependencies of all connections.
 #[derive(Clone, Debug)]
 pub(super) struct Backend {
@@ -37,6 +39,8 @@
     pub default_limits: Limits,
     pub dialect: Dialect,
     pub gate: GateSender,
+    /// Rate of the machine's network link in megabits per second; `None` if it counts as unlimited.
+    pub link_mbps: Option<f64>,
     pub peers: PeersSender,
     /// Bounds on the requests in flight of one connection.
     pub pipeline: pipeline::Limits,
@@ -61,6 +65,15 @@
         self.requests.set(id.wrapping_add(1));
         RequestId(id)
     }
+
+    /// Time that a body takes on this machine's link and on an equal one at the target.
+    pub fn transfer_time(&self, body_length: usize) -> Duration {
+        let bits = body_length as f64 * f64::from(u8::BITS);
+        let one_link = self
+            .link_mbps
+            .map_or(0.0, |mbps| bits / (mbps * BITS_PER_MEGABIT));
+        Duration::from_secs_f64(2.0 * one_link)
+    }
 }
 
 /// Parameters of [`Ingress::start`].
@@ -74,6 +87,8 @@
     pub drained: oneshot::Receiver<()>,
     /// Sender to the gate of the local target.
     pub gate: GateSender,
+    /// Rate of the machine's network link in megabits per second; `None` if it counts as unlimited.
+    pub link_mbps: Option<f64>,
     /// Sender to the task that exchanges messages with other daemons.
     pub peers: PeersSender,
     /// Sender to the router, which picks targets.
@@ -138,6 +153,7 @@
             },
             dialect: start.dialect,
             gate: start.gate,
+            link_mbps: start.link_mbps,
             peers: start.peers,
             pipeline: pipeline::Limits {
                 bytes: settings.pipeline_bytes,
--- a/crates/node/src/messages/router.rs
+++ b/crates/node/src/messages/router.rs
@@ -175,6 +175,8 @@
         reply: oneshot::Sender<Result<Picked, Refusal>>,
         /// The service whose targets are eligible.
         service: ServiceId,
+        /// Time that the request's body takes on the way to a target of another machine.
+        transfer: Duration,
         /// Targets that the call has already tried.
         tried: Vec<TargetId>,
     },
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -108,9 +108,15 @@
                     kind,
                     reply,
                     service,
+                    transfer,
                     tried,
                 } => {
-                    let picked = self.pick(kind, service, &tried);
+                    let request = PickRequest {
+                        service,
+                        transfer,
+                        tried: &tried,
+                    };
+                    let picked = self.pick(kind, &request);
                     let _ = reply.send(picked.map(|choice| self.picked(choice)));
                 }
                 RouterMessage::Pin { reply, target } => {
@@ -226,15 +232,10 @@
         }
     }
 
-    fn pick(
-        &mut self,
-        kind: PickKind,
-        service: ServiceId,
-        tried: &[TargetId],
-    ) -> Result<Choice, Refusal> {
+    fn pick(&mut self, kind: PickKind, request: &PickRequest<'_>) -> Result<Choice, Refusal> {
         let budget = self
             .budgets
-            .get_mut(&service)
+            .get_mut(&request.service)
             .ok_or(Refusal::UnknownService)?;
         match kind {
             PickKind::First => budget.deposit(),
@@ -245,8 +246,7 @@
                 }
             }
         }
-        self.balancer
-            .pick(&PickRequest { service, tried }, self.clock.now())
+        self.balancer.pick(request, self.clock.now())
     }
 
     fn picked(&self, choice: Choice) -> Picked {
--- a/crates/node/tests/common/ingress.rs
+++ b/crates/node/tests/common/ingress.rs
@@ -129,6 +129,7 @@
         dialect: Dialect::Platform,
         drained: target_drained,
         gate: GateSender::new(gate_sender),
+        link_mbps: settings.machine.link_mbps,
         peers,
         router,
         seed: 0,
