Ask callers of shed requests to come back within their objective

Cause: every refusal asked callers to wait one second. When the targets of a service shed a share of the requests for some seconds, each caller came back when its objective had passed, although another attempt would most likely have been accepted.

Change: ReturnDelays in core decides by the reason: 50 to 150 ms if targets shed, evenly spread, one second otherwise. Callers with HTTP's own format get whole seconds, as before.

Tests of core and node pass.

--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -18,8 +18,10 @@
 mod event;
 mod refusal;
 mod resend;
+mod return_delay;
 
 pub use budget::RetryBudget;
 pub use call::{Call, MAX_ATTEMPTS, MAX_SENDS};
 pub use event::{AttemptId, Effect, Event, PickKind, Spec};
 pub use refusal::keyed_outcome;
+pub use return_delay::ReturnDelays;
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -1,5 +1,7 @@
 //! The two sets of HTTP conventions between a daemon and its callers and targets.
 
+use std::time::Duration;
+
 use hawthornwall_core::load::{RateLimit, TargetLoad};
 use hawthornwall_settings::Source;
 use hawthornwall_wire::names::{self, HeaderNames};
@@ -48,6 +50,15 @@
         }
     }
 
+    /// The value of the `Retry-After` header for a delay. HTTP allows whole seconds only; the platform's callers
+    /// accept fractions.
+    pub fn retry_after(self, delay: Duration) -> String {
+        match self {
+            Self::Own => delay.as_secs_f64().ceil().max(1.0).to_string(),
+            Self::Platform => format!("{:.3}", delay.as_secs_f64()),
+        }
+    }
+
     /// Whether the headers of an answer, as returned by `text`, state that the target leaves.
     pub fn states_leaving<'a>(self, text: impl FnOnce(&str) -> Option<&'a str>) -> bool {
         let value = self.names().leaving.and_then(text);
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -9,7 +9,9 @@
 use futures::channel::oneshot;
 use futures::future::FutureExt;
 use futures::{pin_mut, select_biased};
+use hawthornwall_core::calls::ReturnDelays;
 use hawthornwall_core::ids::RequestId;
+use hawthornwall_core::outcome::Refusal;
 use hawthornwall_core::pipeline;
 use hawthornwall_core::stop::StopPlan;
 use hawthornwall_settings::CallerSettings;
@@ -46,6 +48,8 @@
     pub pipeline: pipeline::Limits,
     /// The next request id, shared by all connections.
     pub requests: Rc<Cell<u64>>,
+    /// Delays for the callers of refused requests, shared by all connections.
+    pub return_delays: Rc<Cell<ReturnDelays>>,
     pub router: RouterSender,
     /// Identifies this run of the daemon as the sender of requests.
     pub sender: u32,
@@ -66,6 +70,14 @@
         RequestId(id)
     }
 
+    /// Time after which the caller of a refused request may send it again.
+    pub fn return_delay(&self, refusal: Refusal) -> Duration {
+        let mut delays = self.return_delays.get();
+        let delay = delays.next(refusal);
+        self.return_delays.set(delays);
+        delay
+    }
+
     /// Time that a body takes on this machine's link and on an equal one at the target.
     pub fn transfer_time(&self, body_length: usize) -> Duration {
         let bits = body_length as f64 * f64::from(u8::BITS);
@@ -160,6 +172,7 @@
                 requests: settings.pipeline_requests,
             },
             requests: Rc::new(Cell::new(start.seed)),
+            return_delays: Rc::default(),
             router: start.router,
             sender: (start.seed >> u32::BITS) as u32,
             service: start.service.map(Rc::from),
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -1,15 +1,15 @@
 //! Answers to callers, by outcome of the call or by fault of the request.
 
+use std::time::Duration;
+
 use hawthornwall_core::outcome::{Loss, Outcome, Refusal};
 use hawthornwall_wire::head::HeadFault;
 use hawthornwall_wire::peer::{Header, HttpAnswer};
 use http::Method;
 
+use crate::dialect::Dialect;
 use crate::http::{ReadFault, encode_answer};
 
-/// Value of the `Retry-After` header of refused requests, in seconds.
-const RETRY_AFTER_SECONDS: &str = "1";
-
 /// An answer to a caller, with the headers that the daemon adds.
 #[derive(Debug)]
 pub(super) struct Reply {
@@ -68,13 +68,18 @@
 
     /// Creates the answer for a call that ended without an answer from a target.
     pub fn unanswered(outcome: Outcome) -> Self {
-        let status = status_of(outcome);
-        let mut reply = Self::error(status, outcome, explanation(outcome));
-        let repeatable = matches!(outcome, Outcome::Refused(_)) && matches!(status, 429 | 503);
-        reply
-            .extra
-            .extend(repeatable.then(|| header("retry-after", RETRY_AFTER_SECONDS)));
-        reply
+        Self::error(status_of(outcome), outcome, explanation(outcome))
+    }
+
+    /// Tells the caller of a refused request when to send it again, if that can help.
+    pub fn set_retry_after(&mut self, delay: impl FnOnce(Refusal) -> Duration, dialect: Dialect) {
+        let Outcome::Refused(refusal) = self.outcome else {
+            return;
+        };
+        if matches!(self.answer.status, 429 | 503) {
+            let seconds = dialect.retry_after(delay(refusal));
+            self.extra.push(header("retry-after", &seconds));
+        }
     }
 
     fn error(status: u16, outcome: Outcome, text: &str) -> Self {
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -78,7 +78,9 @@
 impl CallEnd<'_> {
     /// Adds the request id to the answer and records the outcome.
     fn record(&mut self, mut reply: Reply) -> Reply {
-        reply.echo_request_id(self.backend.dialect.names().request_id, &self.id);
+        let dialect = self.backend.dialect;
+        reply.echo_request_id(dialect.names().request_id, &self.id);
+        reply.set_retry_after(|refusal| self.backend.return_delay(refusal), dialect);
         let outcome = reply.outcome();
         self.span.set_outcome(outcome);
         let elapsed = self.backend.clock.now() - self.arrived;
