Refuse work in evacuated failure domains

Cause: operators evacuate a failure domain by writing a key of the store, which daemons ignored, so that its targets went on getting requests. The balancer doesn't pick targets of evacuated domains, and refuses a request at once if no others are left. The gate beside such a target refuses arriving and waiting requests and reports the target as draining, so that daemons that don't know yet stop sending. On the platform a gate admits nothing before its first routing state, or for 2 s without one: a restarted daemon doesn't know yet whether its domain is evacuated. The gate tests give it a routing state first, and new ones cover the time before.

--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -82,6 +82,8 @@
     Configure(Limits),
     /// The target is being removed or its daemon is shutting down. This can't be undone.
     Drain,
+    /// The evacuation of the target's failure domain begins or is revoked.
+    Evacuate(bool),
     /// A started request ended.
     Finish {
         /// How it ended.
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -34,6 +34,13 @@
 /// Age from which a slowdown that the target reported is left out of load reports.
 const SLOWDOWN_MAX_AGE: Duration = Duration::from_millis(100);
 
+/// Whether a failure domain takes requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum DomainState {
+    Evacuated,
+    InUse,
+}
+
 /// A request that holds a slot.
 #[derive(Clone, Copy, Debug)]
 struct Running {
@@ -66,6 +73,8 @@
 /// ```
 #[derive(Debug)]
 pub struct Gate {
+    /// State of the target's failure domain.
+    domain: DomainState,
     draining: bool,
     failure_share: f64,
     holdover: Holdover,
@@ -93,6 +102,7 @@
     /// Creates a gate without requests, for a target that is reachable and not draining.
     pub fn new(instance: InstanceId, limits: Limits) -> Self {
         Self {
+            domain: DomainState::InUse,
             draining: false,
             failure_share: 0.0,
             holdover: Holdover::default(),
@@ -125,6 +135,7 @@
             Event::Cancel(id) => self.cancel(id, &mut effects),
             Event::Configure(limits) => self.configure(limits, &mut effects),
             Event::Drain => self.draining = true,
+            Event::Evacuate(evacuated) => self.evacuate(evacuated, &mut effects),
             Event::Finish { end, id } => self.finish(id, end, now),
             Event::LoadAnswer(load) => {
                 if let Some(load) = load {
@@ -206,12 +217,18 @@
         }
     }
 
+    /// Whether the target's failure domain is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.domain == DomainState::Evacuated
+    }
+
     /// Whether the target has stated that it leaves.
     pub fn target_leaves(&self, now: Time) -> bool {
         self.leaving.is_some_and(|at| now - at < LEAVING_MAX_AGE)
     }
 
-    /// State of the target as stated in load reports.
+    /// State of the target as stated in load reports. A target in an evacuated domain is stated as draining,
+    /// so that daemons that don't know of the evacuation yet send it no further requests.
     pub fn state(&self, now: Time) -> TargetState {
         match (self.accepts_none(now), self.reachable) {
             (true, _) => TargetState::Draining,
@@ -255,6 +272,9 @@
         if !self.queue.is_empty() && self.target_drains {
             faults.push("a request is queued for a target that drains".to_owned());
         }
+        if !self.queue.is_empty() && self.is_evacuated() {
+            faults.push("a request is queued in an evacuated failure domain".to_owned());
+        }
         faults
     }
 
@@ -269,10 +289,13 @@
 
     /// Whether the daemon or the target takes no new requests.
     fn accepts_none(&self, now: Time) -> bool {
-        self.draining || self.target_drains || self.target_leaves(now)
+        self.is_evacuated() || self.draining || self.target_drains || self.target_leaves(now)
     }
 
     fn check(&self, arrival: &Arrival, now: Time) -> Result<(), Refusal> {
+        if self.is_evacuated() {
+            return Err(Refusal::Evacuated);
+        }
         if self.accepts_none(now) {
             return Err(Refusal::Draining);
         }
@@ -425,6 +448,16 @@
         }
     }
 
+    /// Requests that run may finish; those that wait can still run in another domain.
+    fn evacuate(&mut self, evacuated: bool, effects: &mut Vec<Effect>) {
+        if evacuated {
+            self.domain = DomainState::Evacuated;
+            self.refuse_waiting(Refusal::Evacuated, effects);
+        } else {
+            self.domain = DomainState::InUse;
+        }
+    }
+
     fn refuse_waiting(&mut self, refusal: Refusal, effects: &mut Vec<Effect>) {
         refuse(self.queue.remove_if(|_, _| Some(refusal)), effects);
     }
--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -57,6 +57,10 @@
 /// A change of the catalog, for logs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CatalogEvent {
+    /// The targets of a failure domain take no requests from now on.
+    Evacuated(String),
+    /// The evacuation of a failure domain was revoked.
+    EvacuationEnded(String),
     /// Routes older than those in force were received and ignored.
     OlderRoutes(Version),
     /// Routes of a new version are in force.
@@ -72,6 +76,8 @@
 /// The contents of the store at one revision.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Snapshot {
+    /// Failure domains that are evacuated.
+    pub evacuated: BTreeSet<String>,
     /// The routes; `None` if none are published or they can't be decoded.
     pub routes: Option<PublishedRoutes>,
     /// Entries of all targets by name.
@@ -91,6 +97,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
+    evacuated: BTreeSet<String>,
     limits: Option<RequestLimits>,
     next_target: u32,
     routes: Rc<RouteTable>,
@@ -108,11 +115,14 @@
             Change::Routes(published) => self.adopt(published),
             Change::Target { name, target } => self.upsert(&name, target, now),
             Change::TargetGone { name } => self.mark_missing(&name, absence, now),
+            Change::Evacuated { domain } => self.evacuate(domain),
+            Change::EvacuationEnded { domain } => self.end_evacuation(domain),
         }
     }
 
-    /// Replaces routes and targets by the contents of a snapshot. Targets that the snapshot lacks are
-    /// handled according to `absence`.
+    /// Replaces routes, targets and evacuations by the contents of a snapshot. Targets that the snapshot
+    /// lacks are handled according to `absence`. Evacuations that it lacks are revoked: their keys don't
+    /// lapse during an outage of the store.
     pub fn replace(
         &mut self,
         snapshot: Snapshot,
@@ -134,6 +144,18 @@
             events.extend(self.upsert(&name, target, now));
         }
         events.extend(snapshot.routes.and_then(|routes| self.adopt(routes)));
+        let ended: Vec<_> = self
+            .evacuated
+            .difference(&snapshot.evacuated)
+            .cloned()
+            .collect();
+        events.extend(
+            ended
+                .into_iter()
+                .filter_map(|domain| self.end_evacuation(domain)),
+        );
+        let current = snapshot.evacuated.into_iter();
+        events.extend(current.filter_map(|domain| self.evacuate(domain)));
         events
     }
 
@@ -174,6 +196,11 @@
         }
     }
 
+    /// Failure domains whose targets take no requests.
+    pub fn evacuated(&self) -> &BTreeSet<String> {
+        &self.evacuated
+    }
+
     /// Whether a target takes work.
     pub fn is_active(&self, name: &str) -> bool {
         self.targets.get(name).is_some_and(|r| r.left_at.is_none())
@@ -281,6 +308,16 @@
         Some(CatalogEvent::Routes(self.version))
     }
 
+    fn evacuate(&mut self, domain: String) -> Option<CatalogEvent> {
+        let fresh = self.evacuated.insert(domain.clone());
+        fresh.then_some(CatalogEvent::Evacuated(domain))
+    }
+
+    fn end_evacuation(&mut self, domain: String) -> Option<CatalogEvent> {
+        let ended = self.evacuated.remove(&domain);
+        ended.then_some(CatalogEvent::EvacuationEnded(domain))
+    }
+
     fn upsert(&mut self, name: &str, entry: PublishedTarget, now: Time) -> Option<CatalogEvent> {
         assign_id(&mut self.services, &entry.service);
         let leaving = entry.state == PublishedState::Draining;
--- a/crates/core/src/catalog/change_log.rs
+++ b/crates/core/src/catalog/change_log.rs
@@ -59,6 +59,12 @@
             Change::TargetGone { name } => {
                 self.contents.targets.remove(name);
             }
+            Change::Evacuated { domain } => {
+                self.contents.evacuated.insert(domain.clone());
+            }
+            Change::EvacuationEnded { domain } => {
+                self.contents.evacuated.remove(domain);
+            }
         }
         self.weight += update.weight();
         self.changes.push_back((revision, update));
@@ -80,6 +86,8 @@
                 UpdateChange::Routes(published) => Change::Routes(published),
                 UpdateChange::Target { name, target } => Change::Target { name, target },
                 UpdateChange::TargetGone { name } => Change::TargetGone { name },
+                UpdateChange::Evacuated { domain } => Change::Evacuated { domain },
+                UpdateChange::EvacuationEnded { domain } => Change::EvacuationEnded { domain },
             };
             if let Change::Routes(published) = &change {
                 routes = Some(published.clone());
@@ -119,7 +127,8 @@
         }
         let routes = self.contents.routes.as_ref();
         let routes = routes.map_or(0, |published| published.routes.len());
-        if routes + self.contents.targets.len() > WEIGHT_LIMIT {
+        let entries = self.contents.targets.len() + self.contents.evacuated.len();
+        if routes + entries > WEIGHT_LIMIT {
             return UpdatePayload::TooLarge;
         }
         UpdatePayload::Contents(self.contents.clone())
--- a/crates/core/src/catalog/entry.rs
+++ b/crates/core/src/catalog/entry.rs
@@ -100,6 +100,16 @@
         /// Name of the target.
         name: String,
     },
+    /// A failure domain is evacuated: its targets take no requests.
+    Evacuated {
+        /// Name of the failure domain.
+        domain: String,
+    },
+    /// The evacuation of a failure domain was revoked.
+    EvacuationEnded {
+        /// Name of the failure domain.
+        domain: String,
+    },
 }
 
 /// One change as daemons send it to each other. The first variants are those of [`Change`], so that builds
@@ -122,6 +132,16 @@
     },
     /// New routes, as the difference to the earlier ones.
     RouteDelta(RouteDelta),
+    /// A failure domain is evacuated: its targets take no requests.
+    Evacuated {
+        /// Name of the failure domain.
+        domain: String,
+    },
+    /// The evacuation of a failure domain was revoked.
+    EvacuationEnded {
+        /// Name of the failure domain.
+        domain: String,
+    },
 }
 
 impl UpdateChange {
@@ -130,7 +150,10 @@
         match self {
             Self::Routes(published) => published.routes.len().max(1),
             Self::RouteDelta(delta) => delta.weight().max(1),
-            Self::Target { .. } | Self::TargetGone { .. } => 1,
+            Self::Evacuated { .. }
+            | Self::EvacuationEnded { .. }
+            | Self::Target { .. }
+            | Self::TargetGone { .. } => 1,
         }
     }
 }
@@ -141,6 +164,8 @@
             Change::Routes(published) => Self::Routes(published),
             Change::Target { name, target } => Self::Target { name, target },
             Change::TargetGone { name } => Self::TargetGone { name },
+            Change::Evacuated { domain } => Self::Evacuated { domain },
+            Change::EvacuationEnded { domain } => Self::EvacuationEnded { domain },
         }
     }
 }
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -1,7 +1,9 @@
-//! The catalog: routes and targets as the platform's store publishes them.
+//! The catalog: routes, targets and evacuations as the platform's store publishes them.
 //!
 //! Rules kept here:
 //! - the version of the routes in force never decreases;
+//! - an evacuation of a failure domain stays in force until its key is known to be deleted; losing the store
+//!   doesn't end it;
 //! - a target that the store lists as draining, or no longer lists, takes no new work;
 //! - an entry that is missing when the store recovers from an outage counts as present for
 //!   [`RETURN_GRACE`], because entries lapse during an outage although their targets run;
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -1,6 +1,6 @@
 //! Target selection for one daemon, based on load reports and the results of its own attempts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -101,6 +101,8 @@
 #[derive(Debug)]
 pub struct Balancer {
     domain: String,
+    /// Failure domains whose targets are not eligible.
+    evacuated: BTreeSet<String>,
     issued: BTreeMap<Ticket, TargetId>,
     latency: BTreeMap<ServiceId, LatencyWindow>,
     next_ticket: u64,
@@ -117,6 +119,7 @@
     pub fn new(domain: &str, policy: Policy, seed: u64) -> Self {
         Self {
             domain: domain.to_owned(),
+            evacuated: BTreeSet::new(),
             issued: BTreeMap::new(),
             latency: BTreeMap::new(),
             next_ticket: 0,
@@ -151,6 +154,11 @@
         }
     }
 
+    /// Replaces the set of evacuated failure domains, whose targets get no attempts.
+    pub fn evacuate(&mut self, domains: &BTreeSet<String>) {
+        self.evacuated.clone_from(domains);
+    }
+
     /// Applies changed entries of the member list. Unknown targets are ignored.
     pub fn update_members(&mut self, members: &[Membership], now: Time) {
         for member in members {
@@ -174,13 +182,14 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::NoTarget`] if no target of the service is eligible.
+    /// [`Refusal::Evacuated`] if all targets that would accept the request are in evacuated failure domains,
+    /// [`Refusal::NoTarget`] if no target of the service is eligible for another reason.
     pub fn pick(&mut self, request: &PickRequest<'_>, now: Time) -> Result<Choice, Refusal> {
         let eligible = self.eligible(request, now);
         let mean = self.mean(request.service, now);
         let target = self
             .choose(&eligible, &mean, now)
-            .ok_or(Refusal::NoTarget)?;
+            .ok_or_else(|| self.refusal(request.service, now))?;
         let estimate = self.views[&target].estimate(&mean, now);
         let others: Vec<_> = eligible.into_iter().filter(|id| *id != target).collect();
         let max_wait = self.max_wait(target, &others, &mean, now);
@@ -269,7 +278,7 @@
     /// the one whose backoff ends first, since refusing every request would be worse.
     fn eligible(&self, request: &PickRequest<'_>, now: Time) -> Vec<TargetId> {
         let accepting = |id: &TargetId, v: &View| {
-            v.service == request.service && v.accepts_work(now) && !request.tried.contains(id)
+            v.service == request.service && self.accepts_work(v, now) && !request.tried.contains(id)
         };
         let all: Vec<_> = self
             .views
@@ -288,6 +297,24 @@
         first.map(|(id, _)| **id).into_iter().collect()
     }
 
+    /// Whether a target accepts new work and its failure domain isn't evacuated.
+    fn accepts_work(&self, view: &View, now: Time) -> bool {
+        !self.evacuated.contains(&view.domain) && view.accepts_work(now)
+    }
+
+    /// Why no target of a service is eligible. What the targets of an evacuated domain last reported doesn't
+    /// matter: their gates report them as draining.
+    fn refusal(&self, service: ServiceId, now: Time) -> Refusal {
+        let of_service = || self.views.values().filter(|v| v.service == service);
+        let accepting = of_service().any(|v| self.accepts_work(v, now));
+        let evacuated = of_service().any(|v| !v.leaving && self.evacuated.contains(&v.domain));
+        if evacuated && !accepting {
+            Refusal::Evacuated
+        } else {
+            Refusal::NoTarget
+        }
+    }
+
     fn choose(&mut self, eligible: &[TargetId], mean: &Mean, now: Time) -> Option<TargetId> {
         match self.policy {
             Policy::Expected => {
--- a/crates/core/tests/change_log.rs
+++ b/crates/core/tests/change_log.rs
@@ -63,7 +63,10 @@
                 published.routes.len()
             )
         }
-        UpdateChange::Target { name, .. } | UpdateChange::TargetGone { name } => name.clone(),
+        UpdateChange::Target { name, .. }
+        | UpdateChange::TargetGone { name }
+        | UpdateChange::Evacuated { domain: name }
+        | UpdateChange::EvacuationEnded { domain: name } => name.clone(),
     };
     match payload {
         UpdatePayload::Changes(changes) => {
@@ -141,7 +144,10 @@
             let versions = log.resolve(update(after)).map(|changes| {
                 let versions = changes.into_iter().map(|(at, change)| match change {
                     Change::Routes(published) => (at, published.version.to_string()),
-                    Change::Target { name, .. } | Change::TargetGone { name } => (at, name),
+                    Change::Target { name, .. }
+                    | Change::TargetGone { name }
+                    | Change::Evacuated { domain: name }
+                    | Change::EvacuationEnded { domain: name } => (at, name),
                 });
                 versions.collect::<Vec<_>>()
             });
--- a/crates/core/tests/properties/balancer.rs
+++ b/crates/core/tests/properties/balancer.rs
@@ -12,6 +12,7 @@
 #[derive(Clone, Debug)]
 enum Step {
     Configure(BTreeSet<u32>),
+    Evacuate(BTreeSet<String>),
     Member {
         instance: u64,
         leaving: bool,
@@ -63,6 +64,7 @@
     );
     prop_oneof![
         1 => prop::collection::btree_set(0..TARGETS, 0..5).prop_map(Step::Configure),
+        1 => prop::collection::btree_set("a{1,3}", 0..3).prop_map(Step::Evacuate),
         1 => (0..3u64, any::<bool>(), 0..TARGETS)
             .prop_map(|(instance, leaving, target)| Step::Member { instance, leaving, target }),
         8 => observe.prop_map(|(index, report, result)| Step::Observe { index, report, result }),
@@ -71,9 +73,13 @@
     ]
 }
 
+fn domain(target: u32) -> String {
+    "a".repeat(target as usize % 2 + 1)
+}
+
 fn configuration(targets: impl IntoIterator<Item = u32>) -> Configuration {
     let target = |id: u32| Target {
-        domain: "a".repeat(id as usize % 2 + 1),
+        domain: domain(id),
         name: format!("work{id}"),
         service: ServiceId(0),
         slots: id + 1,
@@ -101,7 +107,7 @@
 }
 
 proptest! {
-    /// Guards against picks of excluded targets and against tickets that stay outstanding after
+    /// Guards against picks of excluded targets or in evacuated failure domains, and against tickets that stay outstanding after
     /// their attempts have ended.
     #[test]
     fn every_ticket_ends(
@@ -114,6 +120,7 @@
         let mut tickets = Vec::new();
         let mut leaving = BTreeSet::new();
         let mut present: BTreeSet<_> = (0..TARGETS).collect();
+        let mut evacuated = BTreeSet::new();
         let mut now = Time::ZERO;
         for (gap, step) in steps {
             now = now + Duration::from_micros(gap);
@@ -123,6 +130,10 @@
                     leaving.retain(|t| targets.contains(t));
                     present = targets;
                 }
+                Step::Evacuate(domains) => {
+                    balancer.evacuate(&domains);
+                    evacuated = domains;
+                }
                 Step::Member { instance, leaving: leaves, target } => {
                     let instance = Some(InstanceId(10 + instance)).filter(|_| !leaves);
                     let view = Membership { instance, leaving: leaves, target: TargetId(target) };
@@ -150,7 +161,11 @@
                 Step::Pick(tried) => {
                     let tried: Vec<_> = tried.into_iter().map(TargetId).collect();
                     let request = PickRequest { service: ServiceId(0), tried: &tried };
-                    if let Ok(choice) = balancer.pick(&request, now) {
+                    let picked = balancer.pick(&request, now);
+                    let excluded = present.iter().any(|t| evacuated.contains(&domain(*t)));
+                    prop_assert!(picked != Err(Refusal::Evacuated) || excluded);
+                    if let Ok(choice) = picked {
+                        prop_assert!(!evacuated.contains(&domain(choice.target.0)));
                         prop_assert!(!tried.contains(&choice.target));
                         prop_assert!(present.contains(&choice.target.0));
                         prop_assert!(!leaving.contains(&choice.target.0));
--- a/crates/core/tests/properties/gate.rs
+++ b/crates/core/tests/properties/gate.rs
@@ -53,6 +53,7 @@
                 ..TargetLoad::default()
             }))
         }),
+        1 => any::<bool>().prop_map(Event::Evacuate),
         1 => any::<bool>().prop_map(Event::Reachable),
         1 => any::<bool>().prop_map(Event::TargetDrains),
         1 => Just(Event::TargetLeaves),
@@ -110,6 +111,7 @@
             | Event::Cancel(_)
             | Event::Configure(_)
             | Event::Drain
+            | Event::Evacuate(_)
             | Event::LoadAnswer(_)
             | Event::Reachable(_)
             | Event::TargetDrains(_)
@@ -210,4 +212,27 @@
             prop_assert!(!(drains && starts), "{:?} after {:?}", effects, event);
         }
     }
+
+    /// Guards against requests that start in an evacuated failure domain, and against those that wait for its end.
+    #[test]
+    fn evacuated_domain_gets_no_request(
+        checks in any::<bool>(),
+        limits in limits(),
+        events in prop::collection::vec((0..3_000u64, event()), 1..100),
+    ) {
+        let mut gate = gate(limits, checks);
+        let mut owner = Owner::default();
+        let (mut now, mut evacuated) = (Time::ZERO, false);
+        for (elapsed, event) in events {
+            now = now + Duration::from_micros(elapsed);
+            let event = owner.prepare(event, now);
+            if let Event::Evacuate(begins) = event {
+                evacuated = begins;
+            }
+            let effects = gate.on(&event, now);
+            let starts = effects.iter().any(|e| matches!(e, Effect::Start(_)));
+            prop_assert!(!(evacuated && starts), "{:?} after {:?}", effects, event);
+            prop_assert!(!evacuated || gate.waiting() == 0);
+        }
+    }
 }
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -4,6 +4,7 @@
 mod active;
 mod balancer;
 mod call;
+mod evacuation;
 mod gate;
 mod ledger;
 mod members;
--- a/crates/core/tests/scenarios/admission.rs
+++ b/crates/core/tests/scenarios/admission.rs
@@ -37,6 +37,7 @@
             "cancel" => Event::Cancel(id()),
             "configure" => Event::Configure(limits(line)),
             "drain" => Event::Drain,
+            "evacuate" => Event::Evacuate(line.word(0)),
             "stop" => Event::Stop(stop_plan(line)),
             "target-leaves" => Event::TargetLeaves,
             "target-replaced" => Event::TargetReplaced,
--- a/crates/core/tests/scenarios/catalog.rs
+++ b/crates/core/tests/scenarios/catalog.rs
@@ -25,38 +25,20 @@
         } else {
             Absence::Left
         };
+        if let Some(change) = change(line) {
+            let event = self.catalog.apply(change, absence, line.now);
+            return event.iter().map(|e| format!("{e:?}")).collect();
+        }
         let events: Vec<CatalogEvent> = match line.verb {
-            "entry" => {
-                let (name, target) = entry(line);
-                let change = Change::Target { name, target };
-                self.catalog
-                    .apply(change, absence, line.now)
-                    .into_iter()
-                    .collect()
-            }
-            "gone" => {
-                let change = Change::TargetGone { name: line.word(0) };
-                self.catalog
-                    .apply(change, absence, line.now)
-                    .into_iter()
-                    .collect()
-            }
-            "routes" => {
-                let routes = PublishedRoutes {
-                    version: line.word(0),
-                    ..PublishedRoutes::default()
-                };
-                let change = Change::Routes(routes);
-                self.catalog
-                    .apply(change, absence, line.now)
-                    .into_iter()
-                    .collect()
-            }
             "listed" => {
                 let (name, target) = entry(line);
                 self.snapshot.targets.insert(name, target);
                 Vec::new()
             }
+            "listed-evacuation" => {
+                self.snapshot.evacuated.insert(line.word(0));
+                Vec::new()
+            }
             "replace" => {
                 let snapshot = std::mem::take(&mut self.snapshot);
                 self.catalog.replace(snapshot, absence, line.now)
@@ -76,11 +58,35 @@
         let lines = targets.map(|(id, name, entry, leaving)| {
             format!("{name} {id} {} leaving={leaving}", entry.address)
         });
-        let lines: Vec<_> = lines.collect();
+        let evacuated = self.catalog.evacuated().iter();
+        let evacuated = evacuated.map(|domain| format!("{domain} is evacuated"));
+        let lines: Vec<_> = lines.chain(evacuated).collect();
         format!("{} {}", self.catalog.version(), lines.join(", "))
     }
 }
 
+/// The change that a line makes; `None` if it does something else.
+fn change(line: &Line<'_>) -> Option<Change> {
+    match line.verb {
+        "entry" => {
+            let (name, target) = entry(line);
+            Some(Change::Target { name, target })
+        }
+        "evacuate" => Some(Change::Evacuated {
+            domain: line.word(0),
+        }),
+        "gone" => Some(Change::TargetGone { name: line.word(0) }),
+        "revoke" => Some(Change::EvacuationEnded {
+            domain: line.word(0),
+        }),
+        "routes" => Some(Change::Routes(PublishedRoutes {
+            version: line.word(0),
+            ..PublishedRoutes::default()
+        })),
+        _ => None,
+    }
+}
+
 fn entry(line: &Line<'_>) -> (String, PublishedTarget) {
     let state = if line.flag("draining") {
         PublishedState::Draining
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -35,6 +35,11 @@
 
     pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
         match line.verb {
+            "evacuate" => {
+                let domains = line.text("domains").unwrap_or_default().split(',');
+                let domains = domains.filter(|d| !d.is_empty()).map(str::to_owned);
+                self.balancer.evacuate(&domains.collect());
+            }
             "member" => self.member(line),
             "observe" => self.observe(line),
             "pick" => {
--- a/crates/node/src/catalog/decode.rs
+++ b/crates/node/src/catalog/decode.rs
@@ -9,7 +9,7 @@
 /// routes that can't be decoded are ignored.
 pub(super) fn decode_event(event: Event) -> Option<Change> {
     match event {
-        Event::Deleted { key, .. } => target_gone(&key),
+        Event::Deleted { key, .. } => evacuation_ended(&key).or_else(|| target_gone(&key)),
         Event::Written(item) => match decode_change(&item) {
             Ok(change) => change,
             Err(fault) => {
@@ -29,7 +29,10 @@
             Change::Target { name, target } => {
                 snapshot.targets.insert(name, target);
             }
-            Change::TargetGone { .. } => {}
+            Change::Evacuated { domain } => {
+                snapshot.evacuated.insert(domain);
+            }
+            Change::EvacuationEnded { .. } | Change::TargetGone { .. } => {}
         }
     }
     snapshot
@@ -40,7 +43,16 @@
         KeyKind::Target(name) => Some(Change::TargetGone {
             name: name.to_owned(),
         }),
-        KeyKind::Other | KeyKind::Routes => None,
+        KeyKind::Evacuation(_) | KeyKind::Other | KeyKind::Routes => None,
+    }
+}
+
+fn evacuation_ended(key: &str) -> Option<Change> {
+    match KeyKind::of(key) {
+        KeyKind::Evacuation(domain) => Some(Change::EvacuationEnded {
+            domain: domain.to_owned(),
+        }),
+        KeyKind::Other | KeyKind::Routes | KeyKind::Target(_) => None,
     }
 }
 
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -55,6 +55,12 @@
     );
     for event in catalog_events {
         match event {
+            CatalogEvent::Evacuated(domain) => {
+                log::warn!("evacuation of a failure domain seen", kv: { domain:, revision, source: });
+            }
+            CatalogEvent::EvacuationEnded(domain) => {
+                log::info!("evacuation of a failure domain revoked", kv: { domain:, revision, source: });
+            }
             CatalogEvent::OlderRoutes(offered) => {
                 let in_force = catalog.version();
                 log::warn!("ignored routes older than those in force", kv: { offered:, in_force:, revision, source: });
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -297,7 +297,9 @@
         match payload {
             UpdatePayload::Changes(changes) => changes.iter().any(|(_, change)| match change {
                 UpdateChange::TargetGone { name } => self.catalog.is_active(name),
-                UpdateChange::RouteDelta(_)
+                UpdateChange::Evacuated { .. }
+                | UpdateChange::EvacuationEnded { .. }
+                | UpdateChange::RouteDelta(_)
                 | UpdateChange::Routes(_)
                 | UpdateChange::Target { .. } => false,
             }),
@@ -467,6 +469,7 @@
         debug_assert_eq!(self.catalog.verify(), Vec::<String>::new());
         self.routing = Rc::new(RoutingState {
             config: self.catalog.configuration(&SERVICE_RULES),
+            evacuated: self.catalog.evacuated().clone(),
             limits: self.catalog.limits(),
             members: self.members(),
             own: self.catalog.target_at(self.start.own_target),
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -35,6 +35,10 @@
 const TICK_IDLE: Duration = Duration::from_millis(200);
 /// Maximum number of connections to the target that are opened in advance.
 const MAX_PRECONNECTS: u32 = 32;
+/// Time after the start for which a daemon that hasn't received a routing state starts no requests, since its
+/// failure domain may be evacuated. A store that can be reached is read within some tens of milliseconds; without
+/// it, requests that state the name of their target are served after this time.
+const ROUTING_WAIT: Duration = Duration::from_secs(2);
 /// Number of slots until a configuration or the target states the number.
 const INITIAL_SLOTS: u32 = 1;
 
@@ -73,12 +77,18 @@
     drain_replies: Vec<oneshot::Sender<()>>,
     last_expiry: Time,
     conn_sender: mpsc::UnboundedSender<ConnEvent>,
+    /// Failure domain of this instance.
+    domain: String,
+    /// Requests that were refused since the target's failure domain was last evacuated.
+    evacuated_refusals: u64,
     gate: Gate,
     idle: Vec<mpsc::UnboundedSender<Job>>,
     records: RequestRecords,
     pauses: PauseDetector,
     probe: ProbeSender,
     receiver: mpsc::UnboundedReceiver<GateMessage>,
+    /// Until when requests are refused because no routing state has been received.
+    routing_due: Option<Time>,
     service: Option<ServiceId>,
     target: Option<TargetId>,
     telemetry: Telemetry,
@@ -88,7 +98,8 @@
 
 impl GateTask {
     /// Creates the task without a target. Until a configuration names one, only requests that state
-    /// the expected instance name are admitted; the target checks that name itself.
+    /// the expected instance name are admitted; the target checks that name itself. On the platform, nothing is
+    /// admitted before the first routing state, or for [`ROUTING_WAIT`] without one.
     pub fn new(start: GateStart<'_>) -> Self {
         let settings = start.settings;
         let (conn_sender, conn_events) = mpsc::unbounded();
@@ -118,12 +129,18 @@
             drain_replies: Vec::new(),
             last_expiry: Time::ZERO,
             conn_sender,
+            domain: settings.domain.clone(),
+            evacuated_refusals: 0,
             gate,
             idle: Vec::new(),
             records: RequestRecords::new(start.instance, &settings.keys),
             pauses: PauseDetector::new(TICK_IDLE, start.clock.now()),
             probe: start.probe,
             receiver: start.receiver,
+            routing_due: match start.dialect {
+                Dialect::Own => None,
+                Dialect::Platform => Some(start.clock.now() + ROUTING_WAIT),
+            },
             service: None,
             target: None,
             telemetry: start.telemetry,
@@ -221,6 +238,9 @@
         let target = routing
             .own
             .and_then(|id| Some((id, config.targets.get(&id)?)));
+        self.routing_due = None;
+        let domain = target.map_or(&self.domain, |(_, target)| &target.domain);
+        self.evacuate(routing.evacuated.contains(domain));
         let rules = target
             .and_then(|(_, t)| config.services.get(&t.service))
             .map(|s| &s.rules);
@@ -248,6 +268,21 @@
         }
     }
 
+    /// Tells the gate whether the target's failure domain is evacuated, and logs changes.
+    fn evacuate(&mut self, evacuated: bool) {
+        if evacuated == self.gate.is_evacuated() {
+            return;
+        }
+        let refused = std::mem::take(&mut self.evacuated_refusals);
+        let waiting = self.gate.waiting();
+        self.apply(&Event::Evacuate(evacuated));
+        if evacuated {
+            log::warn!("the target's failure domain is evacuated; its gate refuses requests", kv: { waiting });
+        } else {
+            log::info!("the target's failure domain isn't evacuated any more", kv: { refused });
+        }
+    }
+
     fn record_probe(&mut self, result: &ProbeResult) {
         self.apply(&Event::Reachable(result.reachable));
         if let Some(draining) = result.draining {
@@ -259,6 +294,9 @@
         if self.target != Some(target) || self.service != Some(service) {
             return RunResult::Refused(Refusal::WrongTarget);
         }
+        if self.gate.is_evacuated() {
+            return RunResult::Refused(Refusal::Evacuated);
+        }
         match self.gate.state(self.clock.now()) {
             TargetState::Draining => RunResult::Refused(Refusal::Draining),
             TargetState::Down => RunResult::Refused(Refusal::Down),
@@ -335,6 +373,8 @@
         self.work.insert(work, inflight);
         if misdirected || !serves {
             self.finish_work(work, &RunResult::Refused(Refusal::WrongTarget));
+        } else if self.routing_due.is_some_and(|due| now < due) {
+            self.finish_work(work, &RunResult::Refused(Refusal::NotReady));
         } else {
             self.apply(&Event::Arrive(arrival));
         }
@@ -430,6 +470,7 @@
 
     fn status(&mut self) -> GateStatus {
         GateStatus {
+            evacuated: self.gate.is_evacuated(),
             keys: self.records.key_count(),
             report: self.gate.report(self.clock.now()),
             target: self.target,
--- a/crates/node/src/gate/task/ends.rs
+++ b/crates/node/src/gate/task/ends.rs
@@ -114,6 +114,9 @@
     pub(super) fn reply(&mut self, waiter: Waiter, result: RunResult) {
         if let RunResult::Refused(refusal) = &result {
             self.telemetry.record(Count::GateRefused(*refusal));
+            if *refusal == Refusal::Evacuated {
+                self.evacuated_refusals += 1;
+            }
         }
         let held = self.clock.now() - waiter.arrived;
         self.send_reply(waiter.reply, waiter.id, result, held);
--- a/crates/node/src/messages/gate.rs
+++ b/crates/node/src/messages/gate.rs
@@ -57,6 +57,8 @@
 /// State of the gate on the status page.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct GateStatus {
+    /// Whether the target's failure domain is evacuated.
+    pub evacuated: bool,
     /// Number of stored idempotency keys.
     pub keys: usize,
     /// The load report that a reply sent now would contain.
--- a/crates/node/src/messages/routing.rs
+++ b/crates/node/src/messages/routing.rs
@@ -1,6 +1,6 @@
 //! What the tasks that route and admit requests know of the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -29,6 +29,8 @@
 pub struct RoutingState {
     /// The configuration in force.
     pub config: Configuration,
+    /// Failure domains whose targets take no requests.
+    pub evacuated: BTreeSet<String>,
     /// What callers may send; `None` if only the settings limit it.
     pub limits: Option<RequestLimits>,
     /// The members by target; a target without a member can't be reached.
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -5,7 +5,7 @@
 //! - requests in flight are limited per service, so that an overloaded service does not block the
 //!   others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +24,7 @@
     InFlightRequest, Observed, OpenTicket, Opened, Picked, Routed, RouterMessage, RouterSender,
     RoutingState,
 };
+use crate::telemetry::log;
 
 /// Parameters of the router task.
 #[derive(Debug)]
@@ -55,6 +56,8 @@
     /// Usual time limits by host name and route, from which [`Opened::spent`] is estimated.
     caller_budgets: UsualBudgets,
     clock: Clock,
+    /// Picks refused since the evacuations last changed, because all targets were evacuated.
+    evacuated_refusals: u64,
     inflight: BTreeMap<ServiceId, usize>,
     limit: usize,
     receiver: mpsc::UnboundedReceiver<RouterMessage>,
@@ -77,6 +80,7 @@
             budgets: BTreeMap::new(),
             caller_budgets: UsualBudgets::default(),
             clock: start.clock,
+            evacuated_refusals: 0,
             inflight: BTreeMap::new(),
             limit: start.service_limit,
             receiver: start.receiver,
@@ -134,6 +138,9 @@
             })
             .collect();
         self.balancer.update_members(&members, self.clock.now());
+        if self.routing.evacuated != routing.evacuated {
+            self.evacuate(&routing.evacuated);
+        }
         self.budgets
             .retain(|id, _| routing.config.services.contains_key(id));
         for (id, service) in &routing.config.services {
@@ -153,6 +160,15 @@
         self.routing = routing;
     }
 
+    /// Passes the evacuations to the balancer, and logs how many picks the earlier ones have refused.
+    fn evacuate(&mut self, domains: &BTreeSet<String>) {
+        self.balancer.evacuate(domains);
+        let refused = std::mem::take(&mut self.evacuated_refusals);
+        let domains: Vec<_> = domains.iter().map(String::as_str).collect();
+        let domains = domains.join(" ");
+        log::info!("evacuated failure domains changed", kv: { domains, refused });
+    }
+
     fn open(
         &mut self,
         host: String,
@@ -245,8 +261,12 @@
                 }
             }
         }
-        self.balancer
-            .pick(&PickRequest { service, tried }, self.clock.now())
+        let request = PickRequest { service, tried };
+        let picked = self.balancer.pick(&request, self.clock.now());
+        if picked == Err(Refusal::Evacuated) {
+            self.evacuated_refusals += 1;
+        }
+        picked
     }
 
     fn picked(&self, choice: Choice) -> Picked {
--- a/crates/node/tests/common/ingress.rs
+++ b/crates/node/tests/common/ingress.rs
@@ -14,7 +14,9 @@
 use hawthornwall_node::clock::Clock;
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::ingress::{Ingress, IngressStart};
-use hawthornwall_node::messages::{GateMessage, GateSender, Member, RouterMessage, RoutingState};
+use hawthornwall_node::messages::{
+    GateMessage, GateSender, Member, RouterMessage, RouterSender, RoutingState,
+};
 use hawthornwall_node::router::{Router, RouterStart};
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_node::telemetry::trace::Tracer;
@@ -48,7 +50,7 @@
 }
 
 /// One service with one local target, and a route for each kind of request.
-fn routing_state() -> RoutingState {
+pub fn routing_state() -> RoutingState {
     let (service, target) = (ServiceId(0), TargetId(0));
     let rules = Rules {
         deadline: Duration::from_secs(5),
@@ -101,6 +103,7 @@
     pub address: SocketAddr,
     pub drained: oneshot::Sender<()>,
     pub gate: mpsc::UnboundedReceiver<GateMessage>,
+    pub router: RouterSender,
     pub stop: oneshot::Sender<StopPlan>,
 }
 
@@ -130,7 +133,7 @@
         drained: target_drained,
         gate: GateSender::new(gate_sender),
         peers,
-        router,
+        router: router.clone(),
         seed: 0,
         service: None,
         settings: &settings.caller,
@@ -145,6 +148,7 @@
         address,
         drained,
         gate,
+        router,
         stop,
     }
 }
--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures::channel::{mpsc, oneshot};
@@ -14,14 +15,14 @@
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::stop::StopPlan;
 use hawthornwall_node::clock::Clock;
-use hawthornwall_node::messages::GateMessage;
+use hawthornwall_node::messages::{GateMessage, RouterMessage, RouterSender, RoutingState};
 use hawthornwall_wire::peer::{HttpAnswer, RequestId, RunReply, RunResult};
 use insta::assert_snapshot;
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 use rstest::rstest;
 
-use ingress::{Started, settings, start};
+use ingress::{Started, routing_state, settings, start};
 use runtime::block_on;
 
 /// Time within which everything that a step leads to has happened.
@@ -40,6 +41,8 @@
     Close,
     /// The caller closes its sending side only.
     CloseSending,
+    /// These failure domains are evacuated; any other evacuation is revoked.
+    Evacuate(&'static [&'static str]),
     /// States whether at most this time was left of the request for this path when it was passed on.
     LeftAtMost(&'static str, Duration),
     /// The caller sends these bytes; `|` stands for CR LF.
@@ -64,6 +67,7 @@
     gate: mpsc::UnboundedReceiver<GateMessage>,
     log: Vec<String>,
     passed: BTreeMap<String, Duration>,
+    router: RouterSender,
     running: BTreeMap<String, Running>,
     stop: Option<oneshot::Sender<StopPlan>>,
 }
@@ -78,6 +82,14 @@
                 let caller = self.caller.as_mut().expect("the connection is open");
                 caller.shutdown().await.expect("the sending side is open");
             }
+            Step::Evacuate(domains) => {
+                let routing = RoutingState {
+                    evacuated: domains.iter().map(ToString::to_string).collect(),
+                    ..routing_state()
+                };
+                let message = RouterMessage::RoutingState(Rc::new(routing));
+                let _ = self.router.unbounded_send(message);
+            }
             Step::LeftAtMost(path, limit) => {
                 let within = self.passed.get(path).is_some_and(|left| *left <= limit);
                 self.log.push(format!("    {within}"));
@@ -171,7 +183,15 @@
 
     fn log_answers(&mut self, received: &[u8]) {
         let text = String::from_utf8_lossy(received);
-        let shown = |line: &&str| line.starts_with("HTTP/") || line.starts_with("connection:");
+        let shown = |line: &&str| {
+            let names = [
+                "HTTP/",
+                "connection:",
+                "hawthornwall-reason: domain",
+                "retry-after:",
+            ];
+            names.iter().any(|name| line.starts_with(name))
+        };
         for part in text.split("HTTP/1.1 ").skip(1) {
             let (head, body) = part.split_once("\r\n\r\n").unwrap_or((part, ""));
             let status = head.lines().next().unwrap_or_default();
@@ -199,6 +219,7 @@
             address,
             drained: _drained,
             gate,
+            router,
             stop,
         } = start(&settings, clock);
         let connected: io::Result<TcpStream> = TcpStream::connect_addr(address).await;
@@ -208,6 +229,7 @@
             gate,
             log: Vec::new(),
             passed: BTreeMap::new(),
+            router,
             running: BTreeMap::new(),
             stop: Some(stop),
         };
@@ -325,3 +347,19 @@
 fn requests_of_one_connection(#[case] name: &str, #[case] extra: &str, #[case] steps: &[Step]) {
     assert_snapshot!(name, transcript(extra, steps));
 }
+
+/// Guards against requests that are placed in an evacuated failure domain, or wait there, although the daemon
+/// knows of the evacuation: they are refused at once with a time to retry, and those that run are answered.
+#[test]
+fn service_in_an_evacuated_domain() {
+    let steps = [
+        Step::Send("GET /read/1 HTTP/1.1|host: h||"),
+        Step::Evacuate(&["b", "a"]),
+        Step::Answer("/read/1"),
+        Step::Send("GET /read/2 HTTP/1.1|host: h||"),
+        Step::Send("POST /order/3 HTTP/1.1|host: h|content-length: 0||"),
+        Step::Evacuate(&["b"]),
+        Step::Send("GET /read/4 HTTP/1.1|host: h||"),
+    ];
+    assert_snapshot!(transcript("", &steps));
+}
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -129,6 +129,7 @@
             address,
             drained,
             gate,
+            router: _router,
             stop,
         } = start(&settings(""), clock);
         let passed = Passed::default();
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -118,7 +118,15 @@
                 let targets = routing.members.len();
                 let used = routing.members.values().filter(|m| !m.leaving).count();
                 let version = routing.config.version;
-                format!("routing state {version}, {targets} targets, {used} used")
+                let evacuated = routing.evacuated.iter();
+                let used = [format!("{used} used")].into_iter();
+                let all: Vec<_> = used
+                    .chain(evacuated.map(|d| format!("{d} evacuated")))
+                    .collect();
+                format!(
+                    "routing state {version}, {targets} targets, {}",
+                    all.join(", ")
+                )
             }
             Ok(Some(_) | None) | Err(_) => "no other routing state".to_owned(),
         }
@@ -468,3 +476,86 @@
     ];
     assert_snapshot!(name, run_script(connections, 2));
 }
+
+/// A response of the store with the deletion of a key.
+fn deletion(key: &str, revision: u64) -> String {
+    ok(&format!(
+        r#"{{"events":[{{"key":"{key}","revision":{revision},"deleted":true}}],"storeRevision":{revision}}}"#
+    ))
+}
+
+/// Guards against an evacuation that is missed or ends too early, in this order: the stale read of a daemon that
+/// starts doesn't contain it, another one begins with a value that can't be decoded, the first is revoked, the
+/// store is unavailable, and has lost its history; the last read has neither the key nor an event of its deletion.
+#[test]
+fn evacuations() {
+    let first = vec![
+        page(&[("op/config", ROUTES_2)], 4),
+        events(&[("op/evacuate/dk-1", "e30=")], 5),
+        events(&[("op/evacuate/dk-2", "%%")], 6),
+        deletion("op/evacuate/dk-1", 7),
+        status(503),
+        status(410),
+        page(
+            &[
+                ("op/config", ROUTES_5),
+                ("op/evacuate/dk-2", "e30="),
+                ("op/evacuate/", "e30="),
+            ],
+            8,
+        ),
+        status(410),
+        page(&[("op/config", ROUTES_5)], 9),
+    ];
+    assert_snapshot!(run_script(vec![Connection::silent_after(first)], 5));
+}
+
+/// Guards against evacuations that daemons don't learn of from each other, as changes and as contents, and
+/// against dropping one with the connection to the peer.
+#[test]
+fn evacuations_from_a_peer() {
+    let peer = parent();
+    let first = vec![
+        page(&[("op/config", ROUTES_2), ("servers/i-1", &entry(peer))], 4),
+        status(503),
+    ];
+    let (address, _calls) = serve(vec![Connection::silent_after(first)]);
+    let observations = block_on(async {
+        let mut daemon = daemon(address);
+        let (_, reply) = daemon.query().await;
+        let begins = |domain: &str| UpdateChange::Evacuated {
+            domain: domain.to_owned(),
+        };
+        let changes = vec![(5, begins("dk-1")), (6, begins("dk-2"))];
+        let _ = reply.send(Ok(update(6, changes)));
+        let mut observations = vec![daemon.routing().await];
+        let (_, reply) = daemon.query().await;
+        // An update is used only if it is newer than the one before it.
+        monoio::time::sleep(Duration::from_millis(10)).await;
+        let ends = UpdateChange::EvacuationEnded {
+            domain: "dk-1".to_owned(),
+        };
+        let _ = reply.send(Ok(update(7, vec![(7, ends)])));
+        observations.push(daemon.routing().await);
+        for revision in [1, 6] {
+            let (reply, update) = oneshot::channel();
+            let position = StorePosition {
+                age: None,
+                revision,
+            };
+            let message = ControlMessage::StoreUpdate { position, reply };
+            daemon.control.unbounded_send(message).expect("it runs");
+            let StoreUpdate { payload, .. } = update.await.expect("the query is answered");
+            observations.push(match payload {
+                UpdatePayload::Changes(changes) => format!("after {revision}: {changes:?}"),
+                UpdatePayload::Contents(all) => format!("after {revision}: {:?}", all.evacuated),
+                UpdatePayload::TooLarge => "too large".to_owned(),
+            });
+        }
+        let (_, reply) = daemon.query().await;
+        drop(reply);
+        observations.push(daemon.routing().await);
+        observations
+    });
+    assert_snapshot!(observations.join("\n"));
+}
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -84,7 +84,7 @@
 }
 
 /// Starts a gate for the target at `address`; must be called on a runtime.
-fn start_gate(address: SocketAddr) -> mpsc::UnboundedSender<GateMessage> {
+fn start_gate_unread(address: SocketAddr) -> mpsc::UnboundedSender<GateMessage> {
     let (gate, receiver) = mpsc::unbounded();
     let (probe, probes) = mpsc::unbounded::<ProbeMessage>();
     let (telemetry, events) = Telemetry::channel();
@@ -105,6 +105,13 @@
     gate
 }
 
+/// Starts a gate whose daemon has read a store that doesn't list the target.
+fn start_gate(address: SocketAddr) -> mpsc::UnboundedSender<GateMessage> {
+    let gate = start_gate_unread(address);
+    let _ = gate.unbounded_send(GateMessage::RoutingState(Rc::default()));
+    gate
+}
+
 /// Sends one request and returns its result.
 async fn run_once(gate: &mpsc::UnboundedSender<GateMessage>, id: u64, run: RunRequest) -> String {
     let (reply, end) = oneshot::channel::<RunReply>();
@@ -465,3 +472,66 @@
     ];
     assert_snapshot!(results(vec![Connection::silent_after(answers)], 2));
 }
+
+/// Sends a gate the state of a fleet in which some failure domains are evacuated.
+fn evacuate(gate: &mpsc::UnboundedSender<GateMessage>, domains: &[&str], routing: RoutingState) {
+    let evacuated = domains.iter().map(ToString::to_string).collect();
+    let routing = RoutingState {
+        evacuated,
+        ..routing
+    };
+    let _ = gate.unbounded_send(GateMessage::RoutingState(Rc::new(routing)));
+}
+
+/// Guards against requests that start or wait in an evacuated failure domain, and against one that is cut off
+/// there: the first request runs and the second waits when the evacuation begins.
+#[test]
+fn evacuation_at_the_gate() {
+    let replies = vec![answer("200 OK", SEALED, "ab"); 2];
+    let (address, lines) = serve(vec![Connection::silent_after(replies)]);
+    let ends = block_on(async {
+        let gate = start_gate(address);
+        evacuate(&gate, &["b"], routing_state());
+        // The connection that is opened in advance takes the first request.
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        let begin = async { evacuate(&gate, &["a", "b"], routing_state()) };
+        let runs = (run_once(&gate, 0, request()), run_once(&gate, 1, request()));
+        let (first, second, ()) = futures::join!(runs.0, runs.1, begin);
+        let third = run_once(&gate, 2, request()).await;
+        evacuate(&gate, &["b"], routing_state());
+        let fourth = run_once(&gate, 3, request()).await;
+        [first, second, third, fourth]
+    });
+    let lines: Vec<_> = lines.try_iter().collect();
+    assert_snapshot!(format!("{}\n{}", lines.join("\n"), ends.join("\n")));
+}
+
+/// Guards against requests that a restarted daemon starts in an evacuated failure domain before it has read the
+/// store, also if its target isn't listed.
+#[test]
+fn restart_in_an_evacuated_domain() {
+    let (address, lines) = serve(Vec::new());
+    let ends = block_on(async {
+        let gate = start_gate_unread(address);
+        let unread = run_once(&gate, 0, request()).await;
+        evacuate(&gate, &["a"], RoutingState::default());
+        [unread, run_once(&gate, 1, request()).await]
+    });
+    assert_eq!(ends, ["refused not-ready", "refused domain-evacuated"]);
+    assert_eq!(lines.try_iter().count(), 0);
+}
+
+/// Guards against a target that gets no work for as long as the store is unavailable, because the daemon beside
+/// it restarted meanwhile.
+#[test]
+fn restart_while_the_store_is_unavailable() {
+    let replies = vec![answer("200 OK", SEALED, "ab")];
+    let (address, _lines) = serve(vec![Connection::silent_after(replies)]);
+    let ends = block_on(async {
+        let gate = start_gate_unread(address);
+        let first = run_once(&gate, 0, request()).await;
+        monoio::time::sleep(Duration::from_millis(2_100)).await;
+        [first, run_once(&gate, 1, request()).await]
+    });
+    assert_snapshot!(ends.join("\n"));
+}
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -161,12 +161,18 @@
     })
 }
 
+fn evacuated() -> impl Strategy<Value = catalog::Change> {
+    ".{0,9}".prop_map(|domain| catalog::Change::Evacuated { domain })
+}
+
 fn payload() -> impl Strategy<Value = UpdatePayload> {
     let gone = ".{0,9}".prop_map(|name| catalog::Change::TargetGone { name });
-    let whole = prop_oneof![gone, routes(), target()].prop_map(UpdateChange::from);
+    let ended = ".{0,9}".prop_map(|domain| catalog::Change::EvacuationEnded { domain });
+    let whole = prop_oneof![gone, routes(), target(), evacuated(), ended];
+    let whole = whole.prop_map(UpdateChange::from);
     let change = prop_oneof![whole, route_delta()];
     let changes = prop::collection::vec((any::<u64>(), change), 0..4);
-    let contents = prop::collection::vec(prop_oneof![routes(), target()], 0..4);
+    let contents = prop::collection::vec(prop_oneof![routes(), target(), evacuated()], 0..4);
     let contents = contents.prop_map(|changes| {
         let mut contents = Snapshot::default();
         for change in changes {
@@ -175,7 +181,10 @@
                 catalog::Change::Target { name, target } => {
                     contents.targets.insert(name, target);
                 }
-                catalog::Change::TargetGone { .. } => {}
+                catalog::Change::Evacuated { domain } => {
+                    contents.evacuated.insert(domain);
+                }
+                catalog::Change::EvacuationEnded { .. } | catalog::Change::TargetGone { .. } => {}
             }
         }
         contents
