--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -55,7 +55,7 @@
     pub fn retry_after(self, delay: Duration) -> String {
         match self {
             Self::Own => delay.as_secs_f64().ceil().max(1.0).to_string(),
-            Self::Platform => format!("{:.3}", delay.as_secs_f64()),
+            Self::Platform => (delay.as_millis() as f64 / 1_000.0).to_string(),
         }
     }
 
