Tell a saturated own link from the loss of peers

A daemon whose link is saturated in its receiving direction gets no reply to its requests to connect within 150 ms. Each peer counted as unreachable in turn: a request was tried at five to seven of them, each target got a backoff, and store updates came seconds late.

`OwnLink` in core learns from connections that open, are refused or are late, from the network time of replies and of keep-alive frames, and from connections that go silent. If two peers are silent within a second and none was reached since the silence began, the own link counts as saturated. A late connection then stays open for up to 1.2 s, within the time left of its request; it uses a connection to the same peer that becomes idle, and is begun anew once a peer was reached in time. Otherwise the request is refused as `link-saturated`, at once if nothing has arrived for 1.2 s, and its target gets no backoff. All of this applies only where `machine.link_mbps` is set.

With the threshold raised so that the link never counts as saturated, as before this change, second_silent_peer_is_waited_for and saturated_link_refuses_before_the_deadline fail ("waits: false", "Unreachable Unreachable").

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod gossip;
 pub mod ids;
 pub mod keys;
+pub mod link;
 pub mod load;
 pub mod members;
 pub mod outcome;
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -7,5 +7,6 @@
 mod gate;
 mod ledger;
 mod members;
+mod own_link;
 mod pipeline;
 mod probing;
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -126,9 +126,11 @@
     ) -> Result<Peers, Report<StartError>> {
         let caller = &self.settings.caller;
         Peers::start(PeersStart {
+            clock: self.clock,
             control: self.senders.control.clone(),
             gate: self.senders.gate.clone(),
             limit: caller.body_limit + caller.head_limit + MESSAGE_OVERHEAD,
+            link_mbps: self.settings.machine.link_mbps,
             receiver,
             settings: &self.settings.peer,
         })
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 
 use futures::channel::{mpsc, oneshot};
+use hawthornwall_core::link::Rate;
 use hawthornwall_wire::peer::{Reply, Request};
 
+use crate::clock::Clock;
 use crate::messages::PeerFault;
 
 /// A request to a peer, with the channel for its reply.
@@ -16,6 +18,14 @@
     pub to: SocketAddr,
 }
 
+/// The clock and the network link of this daemon's machine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnMachine {
+    pub clock: Clock,
+    /// Rate of the link in each direction; `None` if it isn't set.
+    pub link: Option<Rate>,
+}
+
 /// Payload bytes of one control request and its reply.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ExchangeSize {
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -6,13 +6,15 @@
 use error_stack::Report;
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, select_biased};
+use hawthornwall_core::link::Rate;
 use hawthornwall_settings::{LinkKind, PeerSettings};
 use hawthornwall_wire::peer::{Reply, Request};
 
 use super::inbound::Inbound;
-use super::link::{Delivery, ExchangeSize};
+use super::link::{Delivery, ExchangeSize, OwnMachine};
 use super::quic::QuicLink;
 use super::tcp::TcpLink;
+use crate::clock::Clock;
 use crate::messages::{
     ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RoutingState,
 };
@@ -41,12 +43,16 @@
 /// Parameters of the peers task.
 #[derive(Debug)]
 pub struct PeersStart<'a> {
+    /// Clock shared by the tasks of this process.
+    pub clock: Clock,
     /// Handles control requests from peers.
     pub control: ControlSender,
     /// Handles caller requests that peers forward.
     pub gate: GateSender,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Rate of the network link in each direction, in megabits per second; `None` if it isn't set.
+    pub link_mbps: Option<f64>,
     /// Messages from other tasks.
     pub receiver: mpsc::UnboundedReceiver<PeersMessage>,
     /// Addresses, kind of link, secret and silence timeout.
@@ -85,9 +91,13 @@
             gate: start.gate,
             limit: start.limit,
         };
+        let own = OwnMachine {
+            clock: start.clock,
+            link: start.link_mbps.map(Rate::from_mbps),
+        };
         let link = match settings.link {
             LinkKind::Quic => Link::Quic(Box::new(QuicLink::start(settings, inbound, sender)?)),
-            LinkKind::Tcp => Link::Tcp(Box::new(TcpLink::start(settings, inbound, sender)?)),
+            LinkKind::Tcp => Link::Tcp(Box::new(TcpLink::start(settings, inbound, sender, own)?)),
         };
         Ok(Self {
             control: ControlTraffic::default(),
--- a/crates/node/src/peers/tcp/conn.rs
+++ b/crates/node/src/peers/tcp/conn.rs
@@ -1,21 +1,25 @@
 //! The task that owns one connection to a peer.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures::channel::mpsc;
+use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
+use hawthornwall_core::link::{CONNECT_TIMEOUT, Contact, LATE_CONNECT_TIMEOUT};
 use hawthornwall_core::outcome::Loss;
+use hawthornwall_core::time::Time;
 use hawthornwall_wire::peer::{Reply, Request, decode_reply, encode_request};
 use monoio::net::TcpStream;
 
 use super::super::link::{Delivery, ExchangeReports, ExchangeSize};
 use super::frame::{Frame, FrameStream};
+use crate::clock::Clock;
 use crate::messages::PeerFault;
 
-/// Maximum time to open a connection. A machine that is down doesn't reply at all, and another target
-/// answers sooner; a daemon that is being restarted refuses the connection at once.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time before the deadline of a request at which the wait for a late connection ends, so that the refusal
+/// reaches the caller in time.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(50);
 /// Time after which an idle connection is closed. The accepting side uses a longer timeout, so that it
 /// never closes a connection on which a request is being sent.
 pub(super) const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -27,11 +31,31 @@
 pub(super) enum ConnReport {
     /// The connection has closed.
     Closed(ConnEnd),
+    /// A peer was reached, late or not at all.
+    Contact { contact: Contact, peer: SocketAddr },
     /// The connection is idle and can be reused.
     Idle {
         conn: mpsc::UnboundedSender<Delivery>,
         peer: SocketAddr,
     },
+    /// The connection has not opened within [`CONNECT_TIMEOUT`].
+    Late {
+        decision: oneshot::Sender<LateDecision>,
+        peer: SocketAddr,
+        /// When the connection was begun.
+        since: Time,
+    },
+}
+
+/// What becomes of a request whose connection opens late.
+#[derive(Debug)]
+pub(super) enum LateDecision {
+    /// The request fails for this reason.
+    Fail(PeerFault),
+    /// The own link is free again: the connection is begun anew.
+    Retry,
+    /// Another connection to the peer is idle and takes the request.
+    Use(mpsc::UnboundedSender<Delivery>),
 }
 
 /// Traffic of a closed connection, in bytes.
@@ -45,6 +69,7 @@
 /// Parameters of a connection task.
 #[derive(Clone, Debug)]
 pub(super) struct ConnStart {
+    pub clock: Clock,
     pub exchange_reports: ExchangeReports,
     /// Maximum message size in bytes.
     pub limit: usize,
@@ -70,23 +95,125 @@
     let _ = reports.unbounded_send(ConnReport::Closed(end));
 }
 
-async fn open(start: ConnStart, mut first: Delivery) -> Option<(Conn, Delivery)> {
+async fn open(start: ConnStart, mut delivery: Delivery) -> Option<(Conn, Delivery)> {
     let connected = {
-        let connect = TcpStream::connect_addr(start.peer);
-        let connect = monoio::time::timeout(CONNECT_TIMEOUT, connect).fuse();
-        let cancelled = first.reply.cancellation().fuse();
+        let connect = start.connect(wait_limit(&delivery.request)).fuse();
+        let cancelled = delivery.reply.cancellation().fuse();
         pin_mut!(connect, cancelled);
         select_biased! {
-            connected = connect => connected.ok().and_then(Result::ok),
+            connected = connect => connected,
             () = cancelled => return None,
         }
     };
-    let Some(tcp) = connected else {
-        let _ = first.reply.send(Err(PeerFault::Unreachable));
-        return None;
-    };
-    let stream = FrameStream::new(tcp, start.limit);
-    Some((Conn { start, stream }, first))
+    match connected {
+        Connected::Opened(tcp) => {
+            let stream = FrameStream::new(tcp, start.limit);
+            Some((Conn { start, stream }, delivery))
+        }
+        Connected::Failed(fault) => {
+            let _ = delivery.reply.send(Err(fault));
+            None
+        }
+        Connected::Other(conn) => {
+            if let Err(unsent) = conn.unbounded_send(delivery) {
+                let _ = unsent.into_inner().reply.send(Err(PeerFault::Unreachable));
+            }
+            None
+        }
+    }
+}
+
+/// Maximum time for which a request waits for its connection. A request whose wait outlasts its deadline
+/// would count as one that may have run.
+fn wait_limit(request: &Request) -> Duration {
+    match request {
+        Request::Run(_, run) => {
+            let useful = run.time_left.saturating_sub(REFUSAL_MARGIN);
+            useful.clamp(CONNECT_TIMEOUT, LATE_CONNECT_TIMEOUT)
+        }
+        Request::StoreUpdate(_) | Request::Exchange(_) | Request::IssueKey { .. } => {
+            LATE_CONNECT_TIMEOUT
+        }
+    }
+}
+
+/// Result of opening a connection.
+enum Connected {
+    Failed(PeerFault),
+    Opened(TcpStream),
+    /// An idle connection takes the request.
+    Other(mpsc::UnboundedSender<Delivery>),
+}
+
+impl ConnStart {
+    /// Opens a connection within [`CONNECT_TIMEOUT`], or within `limit` while the own link is saturated.
+    async fn connect(&self, limit: Duration) -> Connected {
+        let since = self.clock.now();
+        let connect = TcpStream::connect_addr(self.peer).fuse();
+        let on_time = monoio::time::sleep(CONNECT_TIMEOUT).fuse();
+        pin_mut!(connect, on_time);
+        select_biased! {
+            connected = connect => return self.reached(connected),
+            () = on_time => {}
+        }
+        let (decision, decided) = oneshot::channel();
+        let peer = self.peer;
+        let _ = self.reports.unbounded_send(ConnReport::Late {
+            decision,
+            peer,
+            since,
+        });
+        let limit = monoio::time::sleep(limit.saturating_sub(CONNECT_TIMEOUT)).fuse();
+        let decided = decided.fuse();
+        pin_mut!(decided, limit);
+        let decision = select_biased! {
+            connected = connect => {
+                self.report(Contact::Late);
+                return connected.map_or(Connected::Failed(PeerFault::Unreachable), Connected::Opened);
+            }
+            decision = decided => decision.unwrap_or(LateDecision::Fail(PeerFault::Unreachable)),
+            () = limit => LateDecision::Fail(PeerFault::Link),
+        };
+        match decision {
+            LateDecision::Fail(fault) => Connected::Failed(fault),
+            LateDecision::Retry => {
+                let again = TcpStream::connect_addr(self.peer);
+                match monoio::time::timeout(CONNECT_TIMEOUT, again).await {
+                    Ok(connected) => self.reached(connected),
+                    Err(_) => Connected::Failed(PeerFault::Unreachable),
+                }
+            }
+            LateDecision::Use(conn) => Connected::Other(conn),
+        }
+    }
+
+    /// Handles a reply to a connection request. A peer that refuses connections was reached, too.
+    fn reached(&self, connected: io::Result<TcpStream>) -> Connected {
+        let contact = match &connected {
+            Ok(_) => true,
+            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        };
+        if contact {
+            self.report(Contact::Reached);
+        }
+        connected.map_or(Connected::Failed(PeerFault::Unreachable), Connected::Opened)
+    }
+
+    /// Reports a reply on an open connection. A new connection would have opened in about the same time.
+    fn report_reply(&self, elapsed: Duration) {
+        self.report(if elapsed < CONNECT_TIMEOUT {
+            Contact::Reached
+        } else {
+            Contact::Late
+        });
+    }
+
+    fn report(&self, contact: Contact) {
+        let peer = self.peer;
+        let _ = self
+            .reports
+            .unbounded_send(ConnReport::Contact { contact, peer });
+    }
 }
 
 struct Conn {
@@ -153,6 +280,7 @@
     async fn exchange(&mut self, request: &Request) -> Result<Reply, PeerFault> {
         let lost = PeerFault::Lost(Loss::Closed);
         let message = encode_request(request);
+        let sent = self.start.clock.now();
         let written = self.stream.write(&message, self.start.silence).await;
         written.map_err(|_| lost)?;
         let bytes = self.read_reply().await.ok_or(lost)?;
@@ -165,7 +293,18 @@
             }
             Request::IssueKey { .. } | Request::Run(..) => {}
         }
-        decode_reply(&bytes).map_err(|_| PeerFault::Lost(Loss::Malformed))
+        let reply = decode_reply(&bytes).map_err(|_| PeerFault::Lost(Loss::Malformed))?;
+        self.report_transit(&reply, self.start.clock.now() - sent);
+        Ok(reply)
+    }
+
+    /// Reports how long a reply took, apart from the time at the peer.
+    fn report_transit(&self, reply: &Reply, elapsed: Duration) {
+        match reply {
+            Reply::Run(reply) => self.start.report_reply(elapsed.saturating_sub(reply.held)),
+            // How long these were held at the peer is unknown.
+            Reply::Exchange(_) | Reply::StoreUpdate(_) => {}
+        }
     }
 
     /// Reads the reply; `None` if the connection failed or nothing arrived within the silence timeout
@@ -173,20 +312,33 @@
     async fn read_reply(&mut self) -> Option<Vec<u8>> {
         let check_interval = self.start.silence / SILENCE_CHECKS;
         let (mut last, mut silent_checks) = (self.stream.received(), 0);
+        let (mut heard, mut asked) = (self.start.clock.now(), None);
         loop {
-            match monoio::time::timeout(check_interval, self.stream.read()).await {
+            let read = monoio::time::timeout(check_interval, self.stream.read()).await;
+            let now = self.start.clock.now();
+            match read {
                 Ok(Ok(Frame::Message(bytes))) => return Some(bytes),
-                Ok(Ok(Frame::KeepAlive)) => silent_checks = 0,
+                Ok(Ok(Frame::KeepAlive)) => {
+                    silent_checks = 0;
+                    if let Some(asked) = asked.take() {
+                        self.start.report_reply(now - asked);
+                    }
+                }
                 Ok(Err(_)) => return None,
                 Err(_) if self.stream.received() > last => silent_checks = 0,
                 Err(_) => {
                     silent_checks += 1;
                     if silent_checks >= SILENCE_CHECKS {
+                        self.start.report(Contact::Silent(heard));
                         return None;
                     }
+                    asked = asked.or(Some(now));
                     self.stream.write_keep_alive(check_interval).await.ok()?;
                 }
             }
+            if silent_checks == 0 {
+                heard = now;
+            }
             last = self.stream.received();
         }
     }
--- a/crates/node/src/peers/tcp/link.rs
+++ b/crates/node/src/peers/tcp/link.rs
@@ -10,9 +10,9 @@
 use monoio::net::{ListenerOpts, TcpListener};
 
 use super::super::inbound::Inbound;
-use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
+use super::super::link::{Delivery, ExchangeReports, LinkTraffic, OwnMachine};
 use super::accept::Accept;
-use super::pool::{Pool, PoolMessage};
+use super::pool::{Pool, PoolMessage, PoolStart};
 use crate::open_count::OpenCount;
 use crate::start::StartError;
 
@@ -36,6 +36,7 @@
         settings: &PeerSettings,
         inbound: Inbound,
         exchange_reports: ExchangeReports,
+        own: OwnMachine,
     ) -> Result<Self, Report<StartError>> {
         let options = ListenerOpts::new().reuse_port(false);
         let listener = TcpListener::bind_with_config(settings.listen, &options)
@@ -51,7 +52,15 @@
             silence,
         };
         monoio::spawn(accept.run(listener, stopped.shared()));
-        monoio::spawn(Pool::new(receiver, exchange_reports, limit, silence).run());
+        let pool_start = PoolStart {
+            clock: own.clock,
+            exchange_reports,
+            limit,
+            link: own.link,
+            receiver,
+            silence,
+        };
+        monoio::spawn(Pool::new(pool_start).run());
         Ok(Self {
             accepted,
             pool,
--- a/crates/node/src/peers/tcp/pool.rs
+++ b/crates/node/src/peers/tcp/pool.rs
@@ -2,16 +2,20 @@
 //!
 //! Invariant: a connection is listed as idle only while no request uses it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, select_biased};
+use hawthornwall_core::link::{Contact, LinkChange, OwnLink, Rate, Verdict};
+use hawthornwall_core::time::Time;
 
 use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
-use super::conn::{self, ConnEnd, ConnReport, ConnStart};
+use super::conn::{self, ConnEnd, ConnReport, ConnStart, LateDecision};
+use crate::clock::Clock;
 use crate::messages::PeerFault;
+use crate::telemetry::log;
 
 /// Maximum number of connections to one peer. A target runs and queues far fewer requests of one daemon.
 const CONNECTION_LIMIT: usize = 256;
@@ -29,14 +33,58 @@
 #[derive(Debug, Default)]
 struct Peer {
     idle: Vec<mpsc::UnboundedSender<Delivery>>,
+    /// Requests whose connections are late, in order.
+    late: VecDeque<oneshot::Sender<LateDecision>>,
     open: usize,
 }
 
+impl Peer {
+    /// Lists a connection as idle, unless a request waits for one.
+    fn offer_idle(&mut self, conn: mpsc::UnboundedSender<Delivery>) {
+        self.idle.push(conn);
+        self.use_idle();
+    }
+
+    /// Passes idle connections to the requests whose own connections are late.
+    fn use_idle(&mut self) {
+        while !self.late.is_empty() {
+            let Some(conn) = self.idle.pop() else { return };
+            if conn.is_closed() {
+                continue;
+            }
+            let mut unused = Some(conn);
+            while let (Some(conn), Some(late)) = (unused.take(), self.late.pop_front()) {
+                if let Err(LateDecision::Use(conn)) = late.send(LateDecision::Use(conn)) {
+                    unused = Some(conn);
+                }
+            }
+            self.idle.extend(unused);
+        }
+    }
+}
+
+/// Parameters of [`Pool::new`].
+#[derive(Debug)]
+pub(super) struct PoolStart {
+    pub clock: Clock,
+    pub exchange_reports: ExchangeReports,
+    /// Maximum message size in bytes.
+    pub limit: usize,
+    /// Rate of the own link; `None` if it isn't set.
+    pub link: Option<Rate>,
+    pub receiver: mpsc::UnboundedReceiver<PoolMessage>,
+    /// Time without received bytes, while a reply is expected, after which a connection is closed.
+    pub silence: Duration,
+}
+
 /// The state of the pool task.
 #[derive(Debug)]
 pub(super) struct Pool {
+    clock: Clock,
     exchange_reports: ExchangeReports,
     limit: usize,
+    /// `None` if the rate of the own link isn't set.
+    own_link: Option<OwnLink<SocketAddr>>,
     peers: HashMap<SocketAddr, Peer>,
     receiver: mpsc::UnboundedReceiver<PoolMessage>,
     reports: mpsc::UnboundedReceiver<ConnReport>,
@@ -46,21 +94,18 @@
 }
 
 impl Pool {
-    pub fn new(
-        receiver: mpsc::UnboundedReceiver<PoolMessage>,
-        exchange_reports: ExchangeReports,
-        limit: usize,
-        silence: Duration,
-    ) -> Self {
+    pub fn new(start: PoolStart) -> Self {
         let (sender, reports) = mpsc::unbounded();
         Self {
-            exchange_reports,
-            limit,
+            clock: start.clock,
+            exchange_reports: start.exchange_reports,
+            limit: start.limit,
+            own_link: start.link.map(|_| OwnLink::default()),
             peers: HashMap::new(),
-            receiver,
+            receiver: start.receiver,
             reports,
             sender,
-            silence,
+            silence: start.silence,
             traffic: LinkTraffic::default(),
         }
     }
@@ -84,16 +129,63 @@
     fn handle_report(&mut self, report: Option<ConnReport>) {
         match report {
             Some(ConnReport::Closed(end)) => self.remove_connection(&end),
+            Some(ConnReport::Contact { contact, peer }) => self.observe(peer, contact),
             Some(ConnReport::Idle { conn, peer }) => {
                 if let Some(existing) = self.peers.get_mut(&peer) {
-                    existing.idle.push(conn);
+                    existing.offer_idle(conn);
                 }
             }
+            Some(ConnReport::Late {
+                decision,
+                peer,
+                since,
+            }) => self.decide_late(peer, since, decision),
             // Unreachable: the pool itself owns a sender.
             None => {}
         }
     }
 
+    fn observe(&mut self, peer: SocketAddr, contact: Contact) {
+        let Some(link) = &mut self.own_link else {
+            return;
+        };
+        match link.on(peer, contact, self.clock.now()) {
+            Some(LinkChange::Saturated) => {
+                log::warn!("the own link is saturated: several peers are silent and none answers");
+            }
+            Some(LinkChange::Free) => {
+                log::info!("the own link is free again");
+                for decision in self.peers.values_mut().flat_map(|peer| peer.late.drain(..)) {
+                    let _ = decision.send(LateDecision::Retry);
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// Decides on a request whose connection has not opened in time.
+    fn decide_late(
+        &mut self,
+        peer: SocketAddr,
+        since: Time,
+        decision: oneshot::Sender<LateDecision>,
+    ) {
+        self.observe(peer, Contact::Silent(since));
+        let now = self.clock.now();
+        let link = self.own_link.as_ref();
+        let fail = match link.map_or(Verdict::GiveUp, |link| link.verdict(now)) {
+            Verdict::GiveUp => PeerFault::Unreachable,
+            Verdict::Refuse => PeerFault::Link,
+            Verdict::Wait => {
+                let peer = self.peers.entry(peer).or_default();
+                peer.late.retain(|late| !late.is_canceled());
+                peer.late.push_back(decision);
+                return peer.use_idle();
+            }
+        };
+        let _ = decision.send(LateDecision::Fail(fail));
+    }
+
     fn remove_connection(&mut self, end: &ConnEnd) {
         self.traffic.received += end.received;
         self.traffic.sent += end.sent;
@@ -124,6 +216,7 @@
         }
         peer.open += 1;
         let start = ConnStart {
+            clock: self.clock,
             exchange_reports: self.exchange_reports.clone(),
             limit: self.limit,
             peer: address,
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -14,6 +14,7 @@
 use futures::StreamExt;
 use futures::channel::{mpsc, oneshot};
 use hawthornwall_core::prelude::*;
+use hawthornwall_node::clock::Clock;
 use hawthornwall_node::messages::{
     GateMessage, GateSender, PeerAddress, PeerFault, PeersMessage, PeersSender, PeersStatus,
 };
@@ -23,6 +24,7 @@
     HttpRequest, Reply, Request, RequestId, RunReply, RunRequest, RunResult, encode_reply,
 };
 use insta::assert_snapshot;
+use monoio::net::ListenerOpts;
 use rstest::rstest;
 
 use runtime::block_on;
@@ -33,6 +35,8 @@
 const LIMIT: Duration = Duration::from_secs(3);
 /// Maximum message size in bytes.
 const MESSAGE_LIMIT: usize = 1 << 16;
+/// Rate of the link of the daemons under test.
+const LINK_MBPS: f64 = 10.0;
 
 /// Lowest second octet of the loopback addresses of the daemons under test.
 const FIRST_NETWORK: u8 = 128;
@@ -64,6 +68,10 @@
 }
 
 fn daemon() -> Daemon {
+    daemon_with_link(Some(LINK_MBPS))
+}
+
+fn daemon_with_link(link_mbps: Option<f64>) -> Daemon {
     let address = free_address();
     let (control, _) = mpsc::unbounded();
     let (gate, gate_receiver) = mpsc::unbounded();
@@ -77,9 +85,11 @@
         silence: SILENCE,
     };
     let started = Peers::start(PeersStart {
+        clock: Clock::start(),
         control,
         gate: GateSender::new(gate),
         limit: MESSAGE_LIMIT,
+        link_mbps,
         receiver,
         settings: &settings,
     });
@@ -332,3 +342,113 @@
         "reply to request0000000000000001: Refused(Full), 0 bytes"
     );
 }
+
+/// A peer that doesn't accept connections: its accept queue is full, and the system discards requests to
+/// connect. The connections that fill it are kept open.
+struct SilentPeer {
+    address: SocketAddr,
+    _connections: Vec<TcpStream>,
+    _listener: monoio::net::TcpListener,
+}
+
+fn silent_peer() -> SilentPeer {
+    let options = ListenerOpts::new().backlog(0);
+    let listener = monoio::net::TcpListener::bind_with_config("127.0.0.1:0", &options);
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let wait = Duration::from_millis(50);
+    let connect = || TcpStream::connect_timeout(&address, wait).ok();
+    SilentPeer {
+        address,
+        _connections: std::iter::from_fn(connect).collect(),
+        _listener: listener,
+    }
+}
+
+/// Guards against requests that are tried at one silent peer after another although the own link is
+/// saturated, and against a request that stays refused or waits on once the link is free.
+#[test]
+fn second_silent_peer_is_waited_for() {
+    let observed = block_on(async {
+        let (ours, mut theirs) = (daemon(), daemon());
+        let [first, second] = [silent_peer(), silent_peer()];
+        let mut observed = vec![end(ours.send(first.address, 1)).await];
+        let waiting = ours.send(second.address, 2);
+        let waited = monoio::time::sleep(SILENCE * 3);
+        let (waiting, ()) = futures::join!(
+            async { monoio::time::timeout(SILENCE * 3, waiting).await.is_err() },
+            waited
+        );
+        observed.push(format!("waits: {waiting}"));
+        let waiting = ours.send(second.address, 3);
+        monoio::time::sleep(SILENCE * 2).await;
+        let sent = ours.send(theirs.address, 4);
+        let (id, pending) = theirs.request().await;
+        let _ = pending.send(reply(id));
+        observed.push(end(sent).await);
+        observed.push(end(waiting).await);
+        observed.join("\n")
+    });
+    assert_snapshot!(observed, @r"
+    Unreachable
+    waits: true
+    reply to request0000000000000004: Refused(Full)
+    Unreachable
+    ");
+}
+
+/// Guards against a wait for a link that transports nothing until the deadline of the request, after which
+/// it would count as one that may have run.
+#[test]
+fn saturated_link_refuses_before_the_deadline() {
+    let observed = block_on(async {
+        let ours = daemon();
+        let [first, second] = [silent_peer(), silent_peer()];
+        let sent = [first.address, second.address].map(|to| ours.send(to, 1));
+        let mut observed = Vec::new();
+        for one in sent {
+            observed.push(end(one).await);
+        }
+        observed.join("\n")
+    });
+    assert_snapshot!(observed, @r"
+    Unreachable
+    Link
+    ");
+}
+
+/// Guards against the loss of some peers that is taken for a fault of the own link while another peer
+/// answers.
+#[test]
+fn lost_peers_are_unreachable_while_others_answer() {
+    let observed = block_on(async {
+        let (ours, mut theirs) = (daemon(), daemon());
+        let lost = [silent_peer(), silent_peer(), silent_peer()];
+        let mut observed = Vec::new();
+        for peer in lost.iter().chain(&lost) {
+            let unreachable = ours.send(peer.address, 1);
+            let sent = ours.send(theirs.address, 2);
+            let (id, pending) = theirs.request().await;
+            let _ = pending.send(reply(id));
+            let _ = end(sent).await;
+            observed.push(end(unreachable).await);
+        }
+        observed.join(" ")
+    });
+    assert_snapshot!(observed, @"Unreachable Unreachable Unreachable Unreachable Unreachable Unreachable");
+}
+
+/// Guards against daemons whose behaviour changes although the rate of their link isn't set.
+#[test]
+fn silent_peers_are_unreachable_without_a_link_rate() {
+    let observed = block_on(async {
+        let ours = daemon_with_link(None);
+        let [first, second] = [silent_peer(), silent_peer()];
+        let mut observed = Vec::new();
+        for one in [first.address, second.address].map(|to| ours.send(to, 1)) {
+            observed.push(end(one).await);
+        }
+        observed.join(" ")
+    });
+    assert_snapshot!(observed, @"Unreachable Unreachable");
+}
