Place large bodies where the links have room

Where `machine.link_mbps` is set, such a request goes to the target beside the ingress daemon if that has a free slot. A daemon refuses an offered body at once if the estimated wait for its link exceeds what the sender accepts while it has another target.

`cargo test -p hawthornwall-core -p hawthornwall-wire -p hawthornwall-node` passes, with new scenarios body_at_own_target, body_link_busy, peer_link, own_link and another_target.

--- a/crates/core/src/calls/return_delay.rs
+++ b/crates/core/src/calls/return_delay.rs
@@ -10,10 +10,14 @@
 
 use std::time::Duration;
 
+use crate::link::OUTSTANDING;
 use crate::outcome::Refusal;
 
 /// Shortest delay while targets accept part of the requests.
 const SHED_DELAY: Duration = Duration::from_millis(50);
+/// Shortest delay after the refusal of a body for the link of its target: the bodies granted there have mostly
+/// arrived.
+const LINK_DELAY: Duration = OUTSTANDING;
 /// Delay in all other cases: longer than the queue of a target, so that returning callers find room.
 const ROOM_DELAY: Duration = Duration::from_secs(1);
 /// Share of the shortest delay by which delays differ at most.
@@ -45,6 +49,7 @@
         self.position = (self.position + SPREAD_STEP).fract();
         match refusal {
             Refusal::Budget | Refusal::Shed => SHED_DELAY.mul_f64(1.0 + SPREAD * self.position),
+            Refusal::PeerLink => LINK_DELAY.mul_f64(1.0 + SPREAD * self.position),
             Refusal::Cancelled
             | Refusal::Cold
             | Refusal::Dependency
--- a/crates/core/src/link/grants.rs
+++ b/crates/core/src/link/grants.rs
@@ -39,6 +39,9 @@
     pub due: Time,
     /// Identifies the offer.
     pub id: OfferId,
+    /// Maximum estimated wait for the grant that the sender accepts. It is shorter where the sender has another
+    /// target to try.
+    pub max_wait: Duration,
     /// Rank and objective of the request.
     pub priority: Priority,
     /// Size in bytes.
@@ -168,14 +171,18 @@
         faults
     }
 
-    /// Refuses an offer that can't arrive in time behind those that precede it. One that is late already is
+    /// Refuses an offer that would wait too long or arrive too late behind those that precede it. One that is late already is
     /// taken if the link is idle, since late answers are still of use.
     fn receive(&mut self, mut offer: Offer, now: Time, effects: &mut Vec<GrantEffect>) {
         let ahead = self.waiting.iter().filter(|w| !precedes(&offer, w));
         let ahead: u64 = ahead.map(|w| w.offer.size).sum();
         offer.due = offer.due.max(now + self.rate.time(offer.size));
-        let arrival = now + self.rate.time(self.outstanding() + ahead + offer.size);
-        if arrival > offer.due || self.waiting.len() >= MAX_WAITING {
+        let total = self.outstanding() + ahead + offer.size;
+        let is_late = now + self.rate.time(total) > offer.due;
+        let wait = self
+            .rate
+            .time(total.saturating_sub(self.limit.max(offer.size)));
+        if is_late || wait > offer.max_wait || self.waiting.len() >= MAX_WAITING {
             effects.push(GrantEffect::Refuse(offer.id, Refusal::PeerLink));
         } else {
             self.waiting.push(Waiting { offer, since: now });
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -11,6 +11,7 @@
 use super::{Estimate, LatencyWindow, Policy};
 use crate::config::Configuration;
 use crate::ids::{InstanceId, ServiceId, TargetId};
+use crate::link::OUTSTANDING;
 use crate::load::LoadReport;
 use crate::outcome::{AttemptResult, Loss, Refusal};
 use crate::time::Time;
@@ -34,6 +35,9 @@
 /// Hedge delay with fewer than [`HEDGE_MIN_SAMPLES`] samples.
 const HEDGE_DEFAULT: Duration = Duration::from_millis(100);
 const HEDGE_MIN: Duration = Duration::from_millis(2);
+/// Time for which a target gets no large bodies after its daemon has refused one for its link: the bodies that
+/// were granted before have arrived then.
+const LINK_BUSY: Duration = OUTSTANDING;
 /// Maximum age of a report that is included in the mean of a service.
 const MEAN_WINDOW: Duration = Duration::from_secs(1);
 
@@ -180,9 +184,46 @@
     /// [`Refusal::NoTarget`] if no target of the service is eligible.
     pub fn pick(&mut self, request: &PickRequest<'_>, now: Time) -> Result<Choice, Refusal> {
         let eligible = self.eligible(request, now);
+        self.pick_among(&eligible.clone(), eligible, request, now)
+    }
+
+    /// Picks a target for a request with a large body: `own`, the target of this daemon, if it has a free
+    /// slot, since the body then crosses no further link; else one whose daemon's link isn't known as busy.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoTarget`] if no target of the service is eligible.
+    pub fn pick_for_body(
+        &mut self,
+        request: &PickRequest<'_>,
+        own: Option<TargetId>,
+        now: Time,
+    ) -> Result<Choice, Refusal> {
+        let eligible = self.eligible(request, now);
+        let mean = self.mean(request.service, now);
+        let has_room = |id: &TargetId| self.views[id].has_free_slot(&mean, now);
+        let own = own.filter(|id| eligible.contains(id) && has_room(id));
+        let link_free = |id: &TargetId| self.views[id].link_busy_until <= now;
+        let free: Vec<_> = eligible.iter().copied().filter(link_free).collect();
+        let candidates = match own {
+            Some(own) => vec![own],
+            None if free.is_empty() => eligible.clone(),
+            None => free,
+        };
+        self.pick_among(&candidates, eligible, request, now)
+    }
+
+    /// Picks one of `candidates`; the other eligible targets are its alternatives.
+    fn pick_among(
+        &mut self,
+        candidates: &[TargetId],
+        eligible: Vec<TargetId>,
+        request: &PickRequest<'_>,
+        now: Time,
+    ) -> Result<Choice, Refusal> {
         let mean = self.mean(request.service, now);
         let target = self
-            .choose(&eligible, &mean, now)
+            .choose(candidates, &mean, now)
             .ok_or(Refusal::NoTarget)?;
         let estimate = self.views[&target].estimate(&mean, now);
         let others: Vec<_> = eligible.into_iter().filter(|id| *id != target).collect();
@@ -408,6 +449,7 @@
         | Refusal::WrongTarget => {
             view.record_failure(now);
         }
+        Refusal::PeerLink => view.link_busy_until = now + LINK_BUSY,
         Refusal::Budget
         | Refusal::Cancelled
         | Refusal::Cold
@@ -423,7 +465,6 @@
         | Refusal::Memory
         | Refusal::NoTarget
         | Refusal::Overload
-        | Refusal::PeerLink
         | Refusal::Shed
         | Refusal::Stopping
         | Refusal::Strained
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -97,6 +97,8 @@
     pub former: Option<InstanceId>,
     pub instance: Option<InstanceId>,
     pub leaving: bool,
+    /// Until when the link of the target's daemon counts as busy.
+    pub link_busy_until: Time,
     /// When the current instance replaced an earlier one; `None` for the first instance.
     pub ramp: Option<Time>,
     /// The latest report and the time of its arrival.
@@ -120,6 +122,7 @@
             former: None,
             instance: None,
             leaving: false,
+            link_busy_until: Time::ZERO,
             ramp: None,
             report: None,
             rtt,
@@ -253,6 +256,12 @@
         }
     }
 
+    /// Whether a slot is expected to be free for another request.
+    pub fn has_free_slot(&self, mean: &Mean, now: Time) -> bool {
+        let service = self.service_time(mean, now);
+        self.expected_occupancy(mean, service, now) + 1.0 <= f64::from(self.slots)
+    }
+
     /// Expected time to an answer, excluding the round trip, if all slots are occupied and no
     /// request is queued.
     pub fn busy_time(&self, mean: &Mean, now: Time) -> Duration {
--- a/crates/core/tests/body_grants.rs
+++ b/crates/core/tests/body_grants.rs
@@ -15,6 +15,8 @@
     End(u64),
     /// Id, rank, size in KB, and time in ms within which the body must arrive.
     Offer(u64, u8, u64, u64),
+    /// Id, size in KB, and time in ms for which the sender waits rather than try another target.
+    OfferElsewhere(u64, u64, u64),
     Timer,
 }
 
@@ -22,6 +24,20 @@
     Time::from_micros(millis * 1_000)
 }
 
+/// An offer of a body with this id, rank, size in KB and time in ms within which it must arrive.
+fn offer(now: Time, (id, rank, kilobytes, due): (u64, u8, u64, u64)) -> GrantEvent {
+    GrantEvent::Offer(Offer {
+        due: now + Duration::from_millis(due),
+        id: OfferId(id),
+        max_wait: Duration::MAX,
+        priority: Priority {
+            objective: Duration::from_secs(1),
+            rank,
+        },
+        size: kilobytes * 1_000,
+    })
+}
+
 /// Guards against bodies that wait behind less urgent ones, and against those that can't arrive in time and
 /// are refused late.
 #[rstest]
@@ -43,6 +59,10 @@
     (0, Step::Offer(1, 0, 60, 0)), (0, Step::Offer(2, 0, 60, 0)), (50, Step::End(1)),
     (60, Step::Offer(3, 0, 60, 0)),
 ])]
+#[case::another_target("another_target", &[
+    (0, Step::Offer(1, 0, 180, 900)), (0, Step::OfferElsewhere(2, 60, 41)),
+    (0, Step::OfferElsewhere(3, 60, 43)), (0, Step::OfferElsewhere(4, 60, 43)), (150, Step::End(1)),
+])]
 #[case::larger_than_the_limit("larger_than_the_limit", &[
     (0, Step::Offer(1, 0, 60, 900)), (0, Step::Offer(2, 0, 360, 900)), (0, Step::Offer(3, 0, 60, 900)),
     (50, Step::End(1)), (340, Step::End(2)),
@@ -59,15 +79,14 @@
         let now = ms(*at);
         let event = match *step {
             Step::End(id) => GrantEvent::End(OfferId(id)),
-            Step::Offer(id, rank, kilobytes, due) => GrantEvent::Offer(Offer {
-                due: now + Duration::from_millis(due),
-                id: OfferId(id),
-                priority: Priority {
-                    objective: Duration::from_secs(1),
-                    rank,
-                },
-                size: kilobytes * 1_000,
-            }),
+            Step::Offer(id, rank, kilobytes, due) => offer(now, (id, rank, kilobytes, due)),
+            Step::OfferElsewhere(id, kilobytes, wait) => {
+                let GrantEvent::Offer(offer) = offer(now, (id, 0, kilobytes, 1_000)) else {
+                    unreachable!("the event is an offer");
+                };
+                let max_wait = Duration::from_millis(wait);
+                GrantEvent::Offer(Offer { max_wait, ..offer })
+            }
             Step::Timer => GrantEvent::Timer,
         };
         let effects = grants.on(&event, now);
--- a/crates/core/tests/properties/body_grants.rs
+++ b/crates/core/tests/properties/body_grants.rs
@@ -16,6 +16,7 @@
     GrantEvent::Offer(Offer {
         due,
         id: OfferId(id),
+        max_wait: Duration::MAX,
         priority: Priority {
             objective: Duration::from_millis(500),
             rank,
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -37,14 +37,19 @@
         match line.verb {
             "member" => self.member(line),
             "observe" => self.observe(line),
-            "pick" => {
+            "pick" | "pick-for-body" => {
                 let tried = tried(line);
                 let request = PickRequest {
                     service: ServiceId(0),
                     transfer: line.span("transfer", Duration::ZERO),
                     tried: &tried,
                 };
-                let picked = self.balancer.pick(&request, line.now);
+                let own = line.text("own").map(|own| own.parse().unwrap());
+                let picked = if line.verb == "pick" {
+                    self.balancer.pick(&request, line.now)
+                } else {
+                    self.balancer.pick_for_body(&request, own, line.now)
+                };
                 if let (Ok(choice), Some(name)) = (&picked, line.text("as")) {
                     self.tickets.insert(name.to_owned(), choice.ticket);
                 }
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -10,6 +10,7 @@
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::admission::Priority;
 use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, MAX_SENDS, PickKind, Spec};
+use hawthornwall_core::link::LARGE_BODY;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::Repeatability;
 use hawthornwall_core::routing::Choice;
@@ -244,11 +245,13 @@
     fn pick(&mut self, kind: PickKind) {
         let (reply, receiver) = oneshot::channel();
         let (service, tried) = (self.service, self.call.tried());
+        let length = body_length(&self.operation);
         let message = RouterMessage::Pick {
             kind,
+            large: self.backend.link_mbps.is_some() && length >= LARGE_BODY,
             reply,
             service,
-            transfer: self.backend.transfer_time(body_length(&self.operation)),
+            transfer: self.backend.transfer_time(length),
             tried,
         };
         let _ = self.backend.router.unbounded_send(message);
--- a/crates/node/src/messages/router.rs
+++ b/crates/node/src/messages/router.rs
@@ -171,6 +171,8 @@
     Pick {
         /// The reason for the attempt; hedges and retries use the retry budget.
         kind: PickKind,
+        /// Whether the request has a large body and the rate of the own link is set.
+        large: bool,
         /// Receives the picked target, or the refusal.
         reply: oneshot::Sender<Result<Picked, Refusal>>,
         /// The service whose targets are eligible.
--- a/crates/node/src/peers/bodies.rs
+++ b/crates/node/src/peers/bodies.rs
@@ -136,6 +136,7 @@
         Offer {
             due: self.clock.now() + left.min(offer.time_left),
             id,
+            max_wait: offer.max_wait,
             priority: Priority {
                 objective: offer.objective,
                 rank: offer.rank,
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -106,6 +106,7 @@
                 }
                 RouterMessage::Pick {
                     kind,
+                    large,
                     reply,
                     service,
                     transfer,
@@ -116,7 +117,7 @@
                         transfer,
                         tried: &tried,
                     };
-                    let picked = self.pick(kind, &request);
+                    let picked = self.pick(kind, &request, large);
                     let _ = reply.send(picked.map(|choice| self.picked(choice)));
                 }
                 RouterMessage::Pin { reply, target } => {
@@ -232,7 +233,12 @@
         }
     }
 
-    fn pick(&mut self, kind: PickKind, request: &PickRequest<'_>) -> Result<Choice, Refusal> {
+    fn pick(
+        &mut self,
+        kind: PickKind,
+        request: &PickRequest<'_>,
+        large: bool,
+    ) -> Result<Choice, Refusal> {
         let budget = self
             .budgets
             .get_mut(&request.service)
@@ -246,7 +252,12 @@
                 }
             }
         }
-        self.balancer.pick(request, self.clock.now())
+        let now = self.clock.now();
+        if large {
+            self.balancer.pick_for_body(request, self.routing.own, now)
+        } else {
+            self.balancer.pick(request, now)
+        }
     }
 
     fn picked(&self, choice: Choice) -> Picked {
