--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -295,7 +295,12 @@
         self.is_evacuated() || self.draining || self.target_drains || self.target_leaves(now)
     }
 
-    fn check(&self, arrival: &Arrival, now: Time) -> Result<(), Refusal> {
+    /// Whether a request that arrives now is admitted.
+    ///
+    /// # Errors
+    ///
+    /// The reason why it would be refused.
+    pub fn check(&self, arrival: &Arrival, now: Time) -> Result<(), Refusal> {
         if self.is_evacuated() {
             return Err(Refusal::Evacuated);
         }
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -3,10 +3,12 @@
 
 mod active;
 mod balancer;
+mod body_grants;
 mod call;
 mod evacuation;
 mod gate;
 mod ledger;
 mod members;
+mod own_link;
 mod pipeline;
 mod probing;
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -6,17 +6,21 @@
 use error_stack::Report;
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, select_biased};
+use hawthornwall_core::link::{GRANT_EXPIRY, Rate};
 use hawthornwall_settings::{LinkKind, PeerSettings};
 use hawthornwall_wire::peer::{Reply, Request};
 
+use super::bodies::Bodies;
 use super::inbound::Inbound;
-use super::link::{Delivery, ExchangeSize};
+use super::link::{Delivery, ExchangeSize, OwnMachine};
 use super::quic::QuicLink;
 use super::tcp::TcpLink;
+use crate::clock::Clock;
 use crate::messages::{
     ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RoutingState,
 };
 use crate::start::StartError;
+use crate::telemetry::Telemetry;
 
 /// Payload bytes of control messages since the start.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,16 +45,22 @@
 /// Parameters of the peers task.
 #[derive(Debug)]
 pub struct PeersStart<'a> {
+    /// Clock shared by the tasks of this process.
+    pub clock: Clock,
     /// Handles control requests from peers.
     pub control: ControlSender,
     /// Handles caller requests that peers forward.
     pub gate: GateSender,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Rate of the network link in each direction, in megabits per second; `None` if it isn't set.
+    pub link_mbps: Option<f64>,
     /// Messages from other tasks.
     pub receiver: mpsc::UnboundedReceiver<PeersMessage>,
     /// Addresses, kind of link, secret and silence timeout.
     pub settings: &'a PeerSettings,
+    /// Receives counts of bodies admitted to the own link.
+    pub telemetry: Telemetry,
 }
 
 /// The state of the peers task.
@@ -80,14 +90,27 @@
     pub fn start(start: PeersStart<'_>) -> Result<Self, Report<StartError>> {
         let settings = start.settings;
         let (sender, exchange_sizes) = mpsc::unbounded();
+        let own = OwnMachine {
+            clock: start.clock,
+            link: start.link_mbps.map(Rate::from_mbps),
+        };
+        let telemetry = &start.telemetry;
+        let admit = |rate| Bodies::start(rate, GRANT_EXPIRY, start.clock, telemetry.clone());
         let inbound = Inbound {
+            bodies: own.link.map(admit),
             control: start.control,
             gate: start.gate,
             limit: start.limit,
         };
         let link = match settings.link {
             LinkKind::Quic => Link::Quic(Box::new(QuicLink::start(settings, inbound, sender)?)),
-            LinkKind::Tcp => Link::Tcp(Box::new(TcpLink::start(settings, inbound, sender)?)),
+            LinkKind::Tcp => Link::Tcp(Box::new(TcpLink::start(
+                settings,
+                inbound,
+                sender,
+                own,
+                start.telemetry,
+            )?)),
         };
         Ok(Self {
             control: ControlTraffic::default(),
@@ -158,7 +181,12 @@
             let _ = reply.send(Err(PeerFault::Unreachable));
             return;
         };
-        let delivery = Delivery { reply, request, to };
+        let delivery = Delivery {
+            offers: false,
+            reply,
+            request,
+            to,
+        };
         match &mut self.link {
             Link::Quic(link) => link.send(delivery),
             Link::Tcp(link) => link.send(delivery),
