Evacuate zones in the soak test

Cause: no test ran whole daemons while operators evacuate failure domains. Change: the plan evacuates zones among the faults and in calm periods, each service keeping a target there, and the history reports a run at a worker of an evacuated zone more than 2.5 s after the key was written, half of what operators are promised.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -48,8 +48,8 @@
 const POLL: Duration = Duration::from_millis(50);
 /// Interval at which the readiness of a daemon is polled, and timeout of each poll.
 const READY_POLL: Duration = Duration::from_millis(250);
-const ZONES: [&str; 3] = ["a", "b", "c"];
-const SERVICES: [&str; 2] = ["views", "orders"];
+pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
+pub(crate) const SERVICES: [&str; 2] = ["views", "orders"];
 
 /// One instance: a daemon with its worker and its proxy.
 pub(crate) struct Node {
@@ -79,6 +79,11 @@
     SERVICES[number % SERVICES.len()]
 }
 
+/// Returns the index of the zone of an instance.
+pub(crate) fn zone(number: usize) -> usize {
+    number % ZONES.len()
+}
+
 impl Fleet {
     /// Starts the store, the proxies, the workers and the daemons on the current runtime. Each run of a
     /// worker is sent to `run_sender`.
@@ -165,7 +170,7 @@
             draining,
             service: service(number),
             slots: SLOTS,
-            zone: ZONES[number % ZONES.len()],
+            zone: ZONES[zone(number)],
         };
         let key = format!("servers/{}", self.worker_name(number));
         self.store.put(&key, &entry.json());
@@ -176,6 +181,16 @@
         self.store.delete(&format!("servers/{name}"));
     }
 
+    /// Writes the key that evacuates a zone, or deletes it.
+    pub fn set_evacuated(&self, zone: usize, evacuated: bool) {
+        let key = format!("op/evacuate/{}", ZONES[zone]);
+        if evacuated {
+            self.store.put_bytes(&key, b"{}".to_vec());
+        } else {
+            self.store.delete(&key);
+        }
+    }
+
     /// Sends a signal to a daemon. Does nothing if the daemon isn't running.
     pub fn signal(&self, number: usize, signal: Signal) {
         let node = &self.nodes[number];
@@ -294,7 +309,7 @@
         let at = |part, port| address(self.network, part, number, port).to_string();
         let values = [
             ("nodeName", format!("daemon-{number}")),
-            ("zone", ZONES[number % ZONES.len()].to_owned()),
+            ("zone", ZONES[zone(number)].to_owned()),
             ("service", service(number).to_owned()),
             ("appAddr", self.worker_address(number).to_string()),
             ("ip", address(self.network, 1, number, 0).ip().to_string()),
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -25,6 +25,8 @@
     pub deadline_excess: Duration,
     /// Time after which a leaving worker must not receive requests.
     pub drain: Duration,
+    /// Time after which no worker of an evacuated zone must receive requests.
+    pub evacuation: Duration,
     /// Age of a request from which a planned stop must not close its connection without an answer.
     pub lost: Duration,
     /// Maximum number of workers that run the same request.
@@ -45,6 +47,8 @@
             config: Duration::from_millis(2_500),
             deadline_excess: Duration::from_millis(500),
             drain: Duration::from_millis(2_500),
+            // Half of what operators are promised: evacuations reach daemons in the same way as configurations.
+            evacuation: Duration::from_millis(2_500),
             lost: Duration::from_millis(200),
             max_workers: 2,
             regression: Duration::from_millis(250),
@@ -68,6 +72,8 @@
     Deadline,
     /// A leaving worker receives no new requests.
     Drain,
+    /// Workers of an evacuated zone receive no requests.
+    Evacuation,
     /// A request runs on at most the allowed number of workers.
     MaxAttempts,
     /// A request that isn't idempotent runs at most once.
@@ -162,6 +168,8 @@
     bounds: Bounds,
     calm: Vec<(Instant, Instant)>,
     configured: BTreeMap<u64, Instant>,
+    /// Begin and end of each evacuation, by index of each instance of the zone.
+    evacuations: BTreeMap<usize, Vec<(Instant, Option<Instant>)>>,
     /// Newest version whose route each start of a daemon has answered, and when it did so first.
     served_versions: BTreeMap<(usize, u32), (u64, Instant)>,
     /// When each leaving worker was marked as such.
@@ -183,6 +191,7 @@
             bounds,
             calm: calm.collect(),
             configured: BTreeMap::new(),
+            evacuations: BTreeMap::new(),
             served_versions: BTreeMap::new(),
             leaving: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -198,6 +207,24 @@
         self.configured.insert(version, at);
     }
 
+    /// Records that the zone of these instances is evacuated.
+    pub fn record_evacuation(&mut self, instances: impl Iterator<Item = usize>, at: Instant) {
+        for instance in instances {
+            let all = self.evacuations.entry(instance).or_default();
+            all.push((at, None));
+        }
+    }
+
+    /// Records that the evacuation of the zone of these instances is revoked.
+    pub fn record_evacuation_end(&mut self, instances: impl Iterator<Item = usize>, at: Instant) {
+        for instance in instances {
+            let last = self.evacuations.get_mut(&instance);
+            if let Some((_, end)) = last.and_then(|all| all.last_mut()) {
+                *end = Some(at);
+            }
+        }
+    }
+
     /// Records that the store has marked a worker as leaving or deleted its entry.
     pub fn record_leaving(&mut self, worker: &str, at: Instant) {
         self.leaving.entry(worker.to_owned()).or_insert(at);
@@ -252,6 +279,14 @@
         for (invariant, text) in faults {
             self.add_violation(invariant, at, text);
         }
+        if let Some(begin) = self.evacuated_since(&run.worker, at) {
+            let late = at - begin;
+            let text = format!(
+                "{} received {} {late:.1?} after the evacuation of its zone",
+                run.worker, run.id
+            );
+            self.add_violation(Invariant::Evacuation, at, text);
+        }
         let overdue = self.leaving.get(&run.worker).copied();
         let overdue = overdue.filter(|left| at > *left + self.bounds.drain);
         if let Some(left) = overdue.filter(|left| self.is_calm(*left, at)) {
@@ -323,6 +358,19 @@
         calm.any(|(begin, end)| *begin <= from && to <= *end)
     }
 
+    /// The begin of an evacuation that excludes runs of a worker at `at`, which lies in a calm period. The number
+    /// in the worker's name is the index of its instance.
+    fn evacuated_since(&self, worker: &str, at: Instant) -> Option<Instant> {
+        let number = worker.trim_start_matches('w').split('-').next()?;
+        let all = self.evacuations.get(&number.parse().ok()?)?;
+        let bound = self.bounds.evacuation;
+        let excludes = |(begin, end): &&(Instant, Option<Instant>)| {
+            at > *begin + bound && end.is_none_or(|end| at < end)
+        };
+        let (begin, _) = all.iter().find(excludes)?;
+        self.is_calm(at, at).then_some(*begin)
+    }
+
     fn check_version(&mut self, sent: &SentRequest, status: u16, at: Instant) {
         let Some(version) = sent.version else {
             return;
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -1,6 +1,7 @@
 //! Runs a soak test: injects the faults of its plan while callers send requests.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 use hawthornwall_testkit::worker::{AnswerFault, WorkerBehaviour};
 
 use crate::callers::{self, Endpoint, HOST, Traffic};
-use crate::fleet::{Fleet, service};
+use crate::fleet::{self, Fleet, service};
 use crate::history::{Bounds, History, Violation};
 use crate::plan::{Plan, Step, StoreFault, TimedStep};
 
@@ -90,6 +91,8 @@
 }
 
 struct Injector {
+    /// Number of evacuations in force of each zone that has any, by index.
+    evacuations: RefCell<BTreeMap<usize, usize>>,
     fleet: Rc<Fleet>,
     traffic: Rc<Traffic>,
 }
@@ -173,7 +176,11 @@
         monoio::spawn(Rc::clone(&fleet).supervise(number, record_exit));
         monoio::spawn(Rc::clone(&fleet).poll_ready(number));
     }
-    let injector = Rc::new(Injector { fleet, traffic });
+    let injector = Rc::new(Injector {
+        evacuations: RefCell::default(),
+        fleet,
+        traffic,
+    });
     injector.configure();
     Ok(injector)
 }
@@ -225,6 +232,7 @@
                 nodes[index].proxy.cut(None);
             }
             Step::DrainWorker(index) => self.drain_worker(index).await,
+            Step::Evacuate(zone, time) => self.evacuate(zone, time).await,
             Step::Pause(index, time) => {
                 let from = Instant::now();
                 self.fleet.signal(index, Signal::Stop);
@@ -306,6 +314,28 @@
         history.record_configuration(version, Instant::now());
     }
 
+    /// Evacuates a zone for a time. Its key is deleted when the last of several evacuations ends.
+    async fn evacuate(&self, zone: usize, time: Duration) {
+        let instances = || (0..self.fleet.nodes.len()).filter(|n| fleet::zone(*n) == zone);
+        let count = |change: fn(usize) -> usize| {
+            let mut all = self.evacuations.borrow_mut();
+            let count = all.entry(zone).or_default();
+            *count = change(*count);
+            *count
+        };
+        if count(|n| n + 1) == 1 {
+            self.fleet.set_evacuated(zone, true);
+            let mut history = self.traffic.history.borrow_mut();
+            history.record_evacuation(instances(), Instant::now());
+        }
+        monoio::time::sleep(time).await;
+        if count(|n| n - 1) == 0 {
+            let mut history = self.traffic.history.borrow_mut();
+            history.record_evacuation_end(instances(), Instant::now());
+            self.fleet.set_evacuated(zone, false);
+        }
+    }
+
     /// Marks a worker as leaving and replaces it after it has drained.
     async fn drain_worker(&self, index: usize) {
         let name = self.fleet.worker_name(index);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! The random plan of a soak test, generated from its seed.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::fleet::{SERVICES, ZONES, service, zone};
+
 /// Period at the start of a round in which faults begin.
 const FAULT_PERIOD: Duration = Duration::from_secs(5);
 /// Period from the latest end of a fault to the start of the calm period. Invariants with time bounds
@@ -23,6 +26,16 @@
 /// Maximum number of planned changes in a round.
 const MAX_PLANNED: usize = 3;
 
+/// Maximum number of evacuations in a round that begin and are revoked before the calm period.
+const MAX_EVACUATIONS: usize = 3;
+/// Maximum duration of such an evacuation in milliseconds.
+const MAX_EVACUATION_MS: u64 = 8_000;
+/// Duration of an evacuation in a calm period.
+const CALM_EVACUATION: Duration = Duration::from_secs(6);
+/// Distinguishes the random choices of evacuations from all others of a seed, which thus stay the same as before
+/// there were evacuations.
+const EVACUATION_SEED: u64 = 0x65_7661_6375;
+
 /// Failure mode of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFault {
@@ -48,6 +61,8 @@
     Configure,
     /// Connections from other daemons to this one carry no data in one or both directions.
     CutPeer(usize, Direction, Duration),
+    /// The zone with this index is evacuated for a time.
+    Evacuate(usize, Duration),
     /// The worker is marked as leaving, continues to serve for a while, and is replaced.
     DrainWorker(usize),
     /// The daemon process is paused by a stop signal, then resumed.
@@ -85,6 +100,30 @@
     To,
 }
 
+impl Step {
+    /// Index of the instance whose daemon or worker is affected.
+    fn instance(&self) -> Option<usize> {
+        match self {
+            Self::Burst(_)
+            | Self::Configure
+            | Self::Evacuate(..)
+            | Self::Store(..)
+            | Self::StorePart(..) => None,
+            Self::CutPeer(index, ..)
+            | Self::DrainWorker(index)
+            | Self::FaultyWorker(index, ..)
+            | Self::Kill(index)
+            | Self::KillWorker(index)
+            | Self::Pause(index, _)
+            | Self::ResetPeers(index)
+            | Self::SlowPeer(index, _)
+            | Self::SlowWorker(index, _)
+            | Self::StallPeers(index)
+            | Self::Terminate(index) => Some(*index),
+        }
+    }
+}
+
 impl fmt::Display for Step {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{self:?}")
@@ -128,6 +167,7 @@
     /// ```
     pub fn generate(seed: u64, daemons: usize, length: Duration) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
+        let mut evacuations = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
         let (mut calm, mut steps) = (Vec::new(), Vec::new());
         let mut start = Duration::from_secs(1);
         while calm.is_empty() || start < length {
@@ -141,15 +181,19 @@
                 });
             }
             let from = start + FAULT_PERIOD + Duration::from_millis(MAX_FAULT_MS) + RECOVERY_PERIOD;
+            let mut planned = Vec::new();
             for _ in 0..rng.random_range(1..=MAX_PLANNED) {
                 let at = from + CALM_PERIOD.mul_f64(rng.random_range(0.0..0.3));
                 let step = random_planned(&mut rng, daemons);
-                steps.push(TimedStep {
+                planned.push(TimedStep {
                     at,
                     planned: true,
                     step,
                 });
             }
+            steps.extend(random_evacuations(&mut evacuations, start));
+            steps.extend(calm_evacuation(&mut evacuations, from, daemons, &planned));
+            steps.extend(planned);
             calm.push((from, from + CALM_PERIOD));
             start = from + CALM_PERIOD;
         }
@@ -211,6 +255,50 @@
     )
 }
 
+/// Evacuations that begin among the faults and are revoked before the calm period; several may be in force at
+/// once.
+fn random_evacuations(rng: &mut StdRng, start: Duration) -> Vec<TimedStep> {
+    let count = rng.random_range(0..=MAX_EVACUATIONS);
+    let evacuation = |_| {
+        let time = Duration::from_millis(rng.random_range(1_000..=MAX_EVACUATION_MS));
+        TimedStep {
+            at: start + FAULT_PERIOD.mul_f64(rng.random()),
+            planned: false,
+            step: Step::Evacuate(rng.random_range(0..ZONES.len()), time),
+        }
+    };
+    (0..count).map(evacuation).collect()
+}
+
+/// The evacuation of a calm period, which begins in it or among the faults before it. Each service keeps a target
+/// that neither the evacuation nor a planned change affects; `None` if there is no such zone.
+fn calm_evacuation(
+    rng: &mut StdRng,
+    from: Duration,
+    daemons: usize,
+    planned: &[TimedStep],
+) -> Option<TimedStep> {
+    let affected: BTreeSet<_> = planned.iter().filter_map(|p| p.step.instance()).collect();
+    let serves = |name: &str, evacuated: usize| {
+        let mut others = (0..daemons).filter(|n| !affected.contains(n));
+        others.any(|n| service(n) == name && zone(n) != evacuated)
+    };
+    let usable = |zone: &usize| SERVICES.iter().all(|name| serves(name, *zone));
+    let zones: Vec<_> = (0..ZONES.len()).filter(usable).collect();
+    let zone = *zones.choose(rng)?;
+    let from = from + CALM_PERIOD.mul_f64(rng.random_range(0.0..0.3));
+    let early = if rng.random() {
+        (RECOVERY_PERIOD + FAULT_PERIOD).mul_f64(rng.random())
+    } else {
+        Duration::ZERO
+    };
+    Some(TimedStep {
+        at: from.saturating_sub(early),
+        planned: true,
+        step: Step::Evacuate(zone, early + CALM_EVACUATION),
+    })
+}
+
 fn random_store_fault(rng: &mut StdRng) -> StoreFault {
     let faults = [
         StoreFault::Busy,
--- a/crates/soak/tests/history.rs
+++ b/crates/soak/tests/history.rs
@@ -184,6 +184,26 @@
     scenario.sent("b", GET, 2_500).ran("b", "w1", GET, 2_501);
 }
 
+fn run_in_an_evacuated_zone(scenario: &mut Scenario) {
+    let (begin, end) = (scenario.at(0), scenario.at(3_000));
+    scenario
+        .history
+        .record_evacuation([1, 4].into_iter(), begin);
+    scenario.sent("a", GET, 2_490).ran("a", "w1-2", GET, 2_499);
+    scenario.sent("b", GET, 2_500).ran("b", "w1-2", GET, 2_501);
+    scenario.sent("c", GET, 2_510).ran("c", "w4", GET, 2_511);
+    scenario.sent("d", GET, 2_520).ran("d", "w2", GET, 2_521);
+    scenario
+        .history
+        .record_evacuation_end([1, 4].into_iter(), end);
+    scenario.sent("e", GET, 3_000).ran("e", "w1", GET, 3_001);
+    scenario
+        .history
+        .record_evacuation([1, 4].into_iter(), scenario.start + Duration::from_secs(4));
+    scenario.sent("f", GET, 6_490).ran("f", "w1", GET, 6_499);
+    scenario.sent("g", GET, 6_500).ran("g", "w1", GET, 6_501);
+}
+
 fn late_configuration(scenario: &mut Scenario) {
     scenario.history.record_configuration(5, scenario.start);
     scenario
@@ -250,6 +270,7 @@
 #[case::longer_deadline("longer_deadline", longer_deadline)]
 #[case::no_deadline("no_deadline", no_deadline)]
 #[case::run_on_leaving_worker("run_on_leaving_worker", run_on_leaving_worker)]
+#[case::run_in_an_evacuated_zone("run_in_an_evacuated_zone", run_in_an_evacuated_zone)]
 #[case::late_configuration("late_configuration", late_configuration)]
 #[case::regressed_configuration("regressed_configuration", regressed_configuration)]
 #[case::closed_by_stop("closed_by_stop", closed_by_stop)]
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -21,6 +21,8 @@
 // A cut holds the first request that a daemon sends to another one, which can't tell how long it was held and
 // passes on the whole time left.
 #[case::held_first_request(831, 2, 6, 12)]
+// Three domains are evacuated at once while the store fails and a daemon is killed; one of them stays so.
+#[case::evacuations(181, 3, 5, 1)]
 fn invariants_hold(
     #[case] seed: u64,
     #[case] number: u8,
