Let only recent updates confirm a stale read of the store

Cause: a daemon that starts took any update of a peer as the confirmation of its stale read, also from a peer that had lost the store long ago, so that it could forward requests before it knew of an evacuation in force. Change: an update older than 2 s doesn't confirm a stale read; the next peer or the store is asked.

--- a/crates/core/src/catalog/sync.rs
+++ b/crates/core/src/catalog/sync.rs
@@ -3,7 +3,8 @@
 //! Rules kept here:
 //! - all contents are read at the start, after the history is lost, and after changes that can't be read whole;
 //!   only changes otherwise;
-//! - the result of a stale read takes effect only once a newer read or update confirms it;
+//! - the result of a stale read takes effect only once a newer read or update confirms it, and an update only if
+//!   its peer has heard from the store lately: a daemon that starts must not miss an evacuation in force;
 //! - before a removal reported by a peer takes effect, this daemon must have reached the store itself, at
 //!   least by a check;
 //! - while no routes or no targets are published, nothing can be served, so that changes are awaited instead
@@ -49,6 +50,9 @@
 /// Time without a proper answer after which entries may have lapsed unnoticed. Entries lapse after three
 /// missed heartbeats, so a shorter failure removes none.
 const OUTAGE: Duration = Duration::from_secs(1);
+/// Greatest age of an update that confirms a stale read. Peers that reach the store are at most
+/// [`WATCH_WAIT`] and the margins of their levels behind, and evacuations must be known within 5 s.
+const CONFIRM_MAX_AGE: Duration = Duration::from_secs(2);
 /// Time allowed for an update that confirms a stale read, before the store is read once more.
 const CONFIRM_WAIT: Duration = Duration::from_millis(100);
 /// Least reduction in age that makes an update at the same revision worth sending. Smaller differences come
@@ -177,9 +181,13 @@
         })
     }
 
-    /// Whether a peer's update is newer than the state held here.
+    /// Whether a peer's update is newer than the state held here, and recent enough if nothing has confirmed
+    /// that.
     pub fn is_newer(&self, head: &UpdateHead, now: Time) -> bool {
-        let fresher = self.confirmed_at.is_none_or(|held| now - head.age > held);
+        let fresher = match self.confirmed_at {
+            Some(confirmed_at) => now - head.age > confirmed_at,
+            None => head.age <= CONFIRM_MAX_AGE,
+        };
         fresher && head.revision >= self.revision()
     }
 
