Show evacuated failure domains on the status page

Cause: operators couldn't see which evacuations a daemon knows of, only whether its own target is affected. Change: the status of the task that reads the store lists them.

--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -509,6 +509,7 @@
         let members = names
             .filter_map(|(id, t)| Some((t.name.clone(), self.routing.members.get(id)?.clone())));
         ControlStatus {
+            evacuated: self.routing.evacuated.clone(),
             members: members.collect(),
             platform_reads: self.reads,
             ready: self.is_ready(),
--- a/crates/node/src/control/routing.rs
+++ b/crates/node/src/control/routing.rs
@@ -69,6 +69,7 @@
         let members = self.members.current();
         ControlStatus {
             digest: config.digest,
+            evacuated: self.routing.evacuated.clone(),
             in_force_ms: (self.clock.now() - self.in_force_since).as_millis() as u64,
             members: members.map(|(n, v)| (n.to_owned(), member(v))).collect(),
             neighbours: self.gossip.neighbours().len(),
--- a/crates/node/src/messages/control.rs
+++ b/crates/node/src/messages/control.rs
@@ -1,6 +1,6 @@
 //! Messages to the `control` task, or to the `catalog` task in its place.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -56,6 +56,8 @@
 pub struct ControlStatus {
     /// Digest of the configuration in force; daemons with the same version and digest agree.
     pub digest: u64,
+    /// Failure domains whose targets take no requests, according to this daemon.
+    pub evacuated: BTreeSet<String>,
     /// Time since the version took effect on this daemon, in milliseconds.
     pub in_force_ms: u64,
     /// Members by target name.
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -83,6 +83,7 @@
                 };
                 let status = ControlStatus {
                     digest: 7,
+                    evacuated: ["dk-2".to_owned()].into(),
                     in_force_ms: 1_500,
                     members: [("calendar-1".to_owned(), member)].into(),
                     neighbours: 4,
