--- a/crates/core/tests/properties/balancer.rs
+++ b/crates/core/tests/properties/balancer.rs
@@ -160,7 +160,11 @@
                 }
                 Step::Pick(tried) => {
                     let tried: Vec<_> = tried.into_iter().map(TargetId).collect();
-                    let request = PickRequest { service: ServiceId(0), tried: &tried };
+                    let request = PickRequest {
+                        service: ServiceId(0),
+                        transfer: Duration::ZERO,
+                        tried: &tried,
+                    };
                     let picked = balancer.pick(&request, now);
                     let excluded = present.iter().any(|t| evacuated.contains(&domain(*t)));
                     prop_assert!(picked != Err(Refusal::Evacuated) || excluded);
--- a/crates/core/tests/properties/evacuation.rs
+++ b/crates/core/tests/properties/evacuation.rs
@@ -120,6 +120,7 @@
             .unwrap_or(ServiceId(0));
         let request = PickRequest {
             service,
+            transfer: Duration::ZERO,
             tried: &[],
         };
         let choice = balancer.pick(&request, Time::ZERO)?;
--- a/crates/node/src/peers/tcp/link.rs
+++ b/crates/node/src/peers/tcp/link.rs
@@ -10,11 +10,12 @@
 use monoio::net::{ListenerOpts, TcpListener};
 
 use super::super::inbound::Inbound;
-use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
+use super::super::link::{Delivery, ExchangeReports, LinkTraffic, OwnMachine};
 use super::accept::Accept;
-use super::pool::{Pool, PoolMessage};
+use super::pool::{Pool, PoolMessage, PoolStart};
 use crate::open_count::OpenCount;
 use crate::start::StartError;
+use crate::telemetry::Telemetry;
 
 /// Time at a planned stop in which pending replies are written.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
@@ -36,6 +37,8 @@
         settings: &PeerSettings,
         inbound: Inbound,
         exchange_reports: ExchangeReports,
+        own: OwnMachine,
+        telemetry: Telemetry,
     ) -> Result<Self, Report<StartError>> {
         let options = ListenerOpts::new().reuse_port(false);
         let listener = TcpListener::bind_with_config(settings.listen, &options)
@@ -51,7 +54,16 @@
             silence,
         };
         monoio::spawn(accept.run(listener, stopped.shared()));
-        monoio::spawn(Pool::new(receiver, exchange_reports, limit, silence).run());
+        let pool_start = PoolStart {
+            clock: own.clock,
+            exchange_reports,
+            limit,
+            link: own.link,
+            receiver,
+            silence,
+            telemetry,
+        };
+        monoio::spawn(Pool::new(pool_start).run());
         Ok(Self {
             accepted,
             pool,
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -110,11 +110,18 @@
                 }
                 RouterMessage::Pick {
                     kind,
+                    large,
                     reply,
                     service,
+                    transfer,
                     tried,
                 } => {
-                    let picked = self.pick(kind, service, &tried);
+                    let request = PickRequest {
+                        service,
+                        transfer,
+                        tried: &tried,
+                    };
+                    let picked = self.pick(kind, &request, large);
                     let _ = reply.send(picked.map(|choice| self.picked(choice)));
                 }
                 RouterMessage::Pin { reply, target } => {
@@ -245,12 +252,12 @@
     fn pick(
         &mut self,
         kind: PickKind,
-        service: ServiceId,
-        tried: &[TargetId],
+        request: &PickRequest<'_>,
+        large: bool,
     ) -> Result<Choice, Refusal> {
         let budget = self
             .budgets
-            .get_mut(&service)
+            .get_mut(&request.service)
             .ok_or(Refusal::UnknownService)?;
         match kind {
             PickKind::First => budget.deposit(),
@@ -261,8 +268,12 @@
                 }
             }
         }
-        let request = PickRequest { service, tried };
-        let picked = self.balancer.pick(&request, self.clock.now());
+        let now = self.clock.now();
+        let picked = if large {
+            self.balancer.pick_for_body(request, self.routing.own, now)
+        } else {
+            self.balancer.pick(request, now)
+        };
         if picked == Err(Refusal::Evacuated) {
             self.evacuated_refusals += 1;
         }
