Send large bodies one after the other on the own link

The requests of an ingress daemon wrote their large bodies at once, so that small messages waited behind all of them in the sending direction of its link.

The `peers` task keeps a second `BodyGrants` for that direction. Such a grant ends after the link time of its body, since what was written may still be in the buffer of a connection. A body that the own link can't carry within its objective is refused at once as `link-saturated`.

--- a/crates/node/src/peers/bodies.rs
+++ b/crates/node/src/peers/bodies.rs
@@ -8,7 +8,9 @@
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::admission::Priority;
-use hawthornwall_core::link::{BodyGrants, GrantEffect, GrantEvent, Offer, OfferId, Rate};
+use hawthornwall_core::link::{
+    BodyGrants, GRANT_EXPIRY, GrantEffect, GrantEvent, Offer, OfferId, Rate,
+};
 use hawthornwall_core::prelude::*;
 use hawthornwall_wire::peer::BodyOffer;
 
@@ -18,6 +20,37 @@
 /// Longest sleep of the task while nothing is pending.
 const IDLE_SLEEP: Duration = Duration::from_mins(1);
 
+/// The direction in which bodies cross the own link.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Direction {
+    /// The arrival of each body is observed, and ends its grant.
+    Receiving,
+    /// A body that was written to a connection may still be in its buffer, so that a grant ends after the link
+    /// time of its body.
+    Sending,
+}
+
+impl Direction {
+    fn expiry(self) -> Duration {
+        match self {
+            Self::Receiving => GRANT_EXPIRY,
+            Self::Sending => Duration::ZERO,
+        }
+    }
+
+    /// The event to count for an effect, if any.
+    fn event(self, effect: GrantEffect) -> Option<LinkEvent> {
+        match (self, effect) {
+            (Self::Receiving, GrantEffect::Expire(_)) => Some(LinkEvent::Expired),
+            (Self::Receiving, GrantEffect::Grant(_)) => Some(LinkEvent::Granted),
+            (Self::Receiving, GrantEffect::Refuse(..)) => Some(LinkEvent::Refused),
+            (Self::Sending, GrantEffect::Expire(_)) => None,
+            (Self::Sending, GrantEffect::Grant(_)) => Some(LinkEvent::Sent),
+            (Self::Sending, GrantEffect::Refuse(..)) => Some(LinkEvent::SendRefused),
+        }
+    }
+}
+
 /// A message to the task.
 #[derive(Debug)]
 enum BodyMessage {
@@ -38,12 +71,13 @@
 }
 
 impl Bodies {
-    /// Starts the task for a link of this rate. `expiry` is that of [`BodyGrants::new`].
-    pub fn start(rate: Rate, expiry: Duration, clock: Clock, telemetry: Telemetry) -> Self {
+    /// Starts the task for one direction of a link of this rate.
+    pub fn start(rate: Rate, direction: Direction, clock: Clock, telemetry: Telemetry) -> Self {
         let (sender, receiver) = mpsc::unbounded();
         let task = BodyTask {
             clock,
-            grants: BodyGrants::new(rate, expiry),
+            direction,
+            grants: BodyGrants::new(rate, direction.expiry()),
             receiver,
             replies: BTreeMap::new(),
             telemetry,
@@ -94,6 +128,7 @@
 
 struct BodyTask {
     clock: Clock,
+    direction: Direction,
     grants: BodyGrants,
     receiver: mpsc::UnboundedReceiver<BodyMessage>,
     /// Senders that wait for a decision.
@@ -147,8 +182,11 @@
 
     fn apply(&mut self, event: &GrantEvent) {
         for effect in self.grants.on(event, self.clock.now()) {
+            if let Some(event) = self.direction.event(effect) {
+                self.telemetry.record(Event::Link(event));
+            }
             match effect {
-                GrantEffect::Expire(_) => self.telemetry.record(Event::Link(LinkEvent::Expired)),
+                GrantEffect::Expire(_) => {}
                 GrantEffect::Grant(id) => self.decide(id, Ok(())),
                 GrantEffect::Refuse(id, refusal) => self.decide(id, Err(refusal)),
             }
@@ -156,11 +194,6 @@
     }
 
     fn decide(&mut self, id: OfferId, decision: Result<(), Refusal>) {
-        let event = match decision {
-            Ok(()) => LinkEvent::Granted,
-            Err(_) => LinkEvent::Refused,
-        };
-        self.telemetry.record(Event::Link(event));
         if let Some(reply) = self.replies.remove(&id) {
             let _ = reply.send(decision);
         }
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -6,11 +6,11 @@
 use error_stack::Report;
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, select_biased};
-use hawthornwall_core::link::{GRANT_EXPIRY, Rate};
+use hawthornwall_core::link::Rate;
 use hawthornwall_settings::{LinkKind, PeerSettings};
 use hawthornwall_wire::peer::{Reply, Request};
 
-use super::bodies::Bodies;
+use super::bodies::{Bodies, Direction};
 use super::inbound::Inbound;
 use super::link::{Delivery, ExchangeSize, OwnMachine};
 use super::quic::QuicLink;
@@ -95,7 +95,8 @@
             link: start.link_mbps.map(Rate::from_mbps),
         };
         let telemetry = &start.telemetry;
-        let admit = |rate| Bodies::start(rate, GRANT_EXPIRY, start.clock, telemetry.clone());
+        let admit =
+            |rate| Bodies::start(rate, Direction::Receiving, start.clock, telemetry.clone());
         let inbound = Inbound {
             bodies: own.link.map(admit),
             control: start.control,
--- a/crates/node/src/peers/tcp/conn.rs
+++ b/crates/node/src/peers/tcp/conn.rs
@@ -12,6 +12,7 @@
 use hawthornwall_wire::peer::{BodyOffer, Reply, Request, RequestId, decode_reply, encode_request};
 use monoio::net::TcpStream;
 
+use super::super::bodies::Bodies;
 use super::super::link::{Delivery, ExchangeReports, ExchangeSize};
 use super::frame::{Frame, FrameStream};
 use crate::clock::Clock;
@@ -75,6 +76,8 @@
     pub exchange_reports: ExchangeReports,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Orders large bodies on the own link; `None` if its rate isn't set.
+    pub outgoing: Option<Bodies>,
     pub peer: SocketAddr,
     pub reports: mpsc::UnboundedSender<ConnReport>,
     /// Time without received bytes, while a reply is expected, after which the connection is closed.
@@ -251,25 +254,33 @@
     }
 }
 
-/// The offer of a request with a large body; `None` if it is sent without one. A refusal of a repeat, or of a
-/// request with a key, would be taken as one by the records of the gate, which an offer doesn't reach.
+/// The offer of a request with a large body; `None` if its body is small.
 fn large_body(request: &Request) -> Option<(RequestId, BodyOffer)> {
     let Request::Run(id, run) = request else {
         return None;
     };
     let size = run.http.body.len();
-    let recorded = run.first_instance.is_some() || run.key.is_some();
-    (size >= LARGE_BODY && !recorded).then_some((
-        *id,
-        BodyOffer {
-            max_wait: run.max_wait,
-            objective: run.objective,
-            objective_left: run.objective_left,
-            rank: run.rank,
-            size: size as u64,
-            time_left: run.time_left,
-        },
-    ))
+    let offer = BodyOffer {
+        max_wait: run.max_wait,
+        objective: run.objective,
+        objective_left: run.objective_left,
+        rank: run.rank,
+        size: size as u64,
+        time_left: run.time_left,
+    };
+    (size >= LARGE_BODY).then_some((*id, offer))
+}
+
+/// Whether the peer may refuse the offer of a request. The refusal of a repeat, or of a request with a key, would
+/// speak for its first attempt, which only the records of the gate know; an offer doesn't reach them.
+fn may_offer(request: &Request) -> bool {
+    match request {
+        Request::Run(_, run) => run.first_instance.is_none() && run.key.is_none(),
+        Request::StoreUpdate(_)
+        | Request::Exchange(_)
+        | Request::IssueKey { .. }
+        | Request::OfferBody(..) => false,
+    }
 }
 
 struct Conn {
@@ -322,8 +333,7 @@
                 request,
                 ..
             } = &mut delivery;
-            let offer = offers.then(|| large_body(request)).flatten();
-            let exchange = self.offer_and_exchange(offer, request).fuse();
+            let exchange = self.offer_and_exchange(*offers, request).fuse();
             let cancelled = reply.cancellation().fuse();
             pin_mut!(exchange, cancelled);
             select_biased! {
@@ -346,14 +356,15 @@
         open
     }
 
-    /// Offers a large body and sends the request if it is granted; returns the reply to the request, or to
-    /// the offer if it is refused.
+    /// Sends a request; if it has a large body, as soon as its offer is granted and the own link has room.
+    /// Returns the reply to the request, or to the offer if it is refused.
     async fn offer_and_exchange(
         &mut self,
-        offer: Option<(RequestId, BodyOffer)>,
+        offers: bool,
         request: &Request,
     ) -> Result<Reply, SendFault> {
-        if let Some((id, offer)) = offer {
+        let body = large_body(request);
+        if let Some((id, offer)) = body.filter(|_| offers && may_offer(request)) {
             let reply = self.exchange(&Request::OfferBody(id, offer)).await;
             match reply.map_err(offer_fault)? {
                 Reply::BodyGranted(granted) if granted == id => {}
@@ -363,6 +374,15 @@
                 }
             }
         }
+        let _grant = match (body, &self.start.outgoing) {
+            (Some((_, offer)), Some(outgoing)) => {
+                // The link is the same to all targets.
+                let max_wait = Duration::MAX;
+                let admitted = outgoing.admit(BodyOffer { max_wait, ..offer }).await;
+                Some(admitted.map_err(|_| SendFault::Peer(PeerFault::Link))?)
+            }
+            (Some(_) | None, _) => None,
+        };
         let reply = self.exchange(request).await;
         reply.map_err(|fault| SendFault::Peer(PeerFault::Lost(fault.loss())))
     }
--- a/crates/node/src/peers/tcp/link.rs
+++ b/crates/node/src/peers/tcp/link.rs
@@ -9,6 +9,7 @@
 use hawthornwall_settings::PeerSettings;
 use monoio::net::{ListenerOpts, TcpListener};
 
+use super::super::bodies::{Bodies, Direction};
 use super::super::inbound::Inbound;
 use super::super::link::{Delivery, ExchangeReports, LinkTraffic, OwnMachine};
 use super::accept::Accept;
@@ -54,11 +55,12 @@
             silence,
         };
         monoio::spawn(accept.run(listener, stopped.shared()));
+        let send = |rate| Bodies::start(rate, Direction::Sending, own.clock, telemetry.clone());
         let pool_start = PoolStart {
             clock: own.clock,
             exchange_reports,
             limit,
-            link: own.link,
+            outgoing: own.link.map(send),
             receiver,
             silence,
             telemetry,
--- a/crates/node/src/peers/tcp/pool.rs
+++ b/crates/node/src/peers/tcp/pool.rs
@@ -8,9 +8,10 @@
 
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, select_biased};
-use hawthornwall_core::link::{Contact, LinkChange, OwnLink, Rate, Verdict};
+use hawthornwall_core::link::{Contact, LinkChange, OwnLink, Verdict};
 use hawthornwall_core::time::Time;
 
+use super::super::bodies::Bodies;
 use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
 use super::conn::{self, ConnEnd, ConnReport, ConnStart, LateDecision};
 use crate::clock::Clock;
@@ -74,8 +75,8 @@
     pub exchange_reports: ExchangeReports,
     /// Maximum message size in bytes.
     pub limit: usize,
-    /// Rate of the own link; `None` if it isn't set.
-    pub link: Option<Rate>,
+    /// Orders large bodies on the own link; `None` if its rate isn't set.
+    pub outgoing: Option<Bodies>,
     pub receiver: mpsc::UnboundedReceiver<PoolMessage>,
     /// Time without received bytes, while a reply is expected, after which a connection is closed.
     pub silence: Duration,
@@ -90,6 +91,7 @@
     limit: usize,
     /// `None` if the rate of the own link isn't set.
     own_link: Option<OwnLink<SocketAddr>>,
+    outgoing: Option<Bodies>,
     peers: HashMap<SocketAddr, Peer>,
     receiver: mpsc::UnboundedReceiver<PoolMessage>,
     reports: mpsc::UnboundedReceiver<ConnReport>,
@@ -108,7 +110,8 @@
             clock: start.clock,
             exchange_reports: start.exchange_reports,
             limit: start.limit,
-            own_link: start.link.map(|_| OwnLink::default()),
+            own_link: start.outgoing.as_ref().map(|_| OwnLink::default()),
+            outgoing: start.outgoing,
             peers: HashMap::new(),
             receiver: start.receiver,
             reports,
@@ -241,6 +244,7 @@
             clock: self.clock,
             exchange_reports: self.exchange_reports.clone(),
             limit: self.limit,
+            outgoing: self.outgoing.clone(),
             peer: address,
             reports: self.sender.clone(),
             silence: self.silence,
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -49,6 +49,10 @@
     Refused,
     /// The link was found saturated.
     Saturated,
+    /// A large body was not sent, since the link couldn't carry it in time.
+    SendRefused,
+    /// A large body was sent.
+    Sent,
 }
 
 impl LinkEvent {
@@ -59,6 +63,8 @@
             Self::Granted => "granted",
             Self::Refused => "refused",
             Self::Saturated => "saturated",
+            Self::SendRefused => "send-refused",
+            Self::Sent => "sent",
         }
     }
 }
@@ -82,8 +88,8 @@
     pub attempts: BTreeMap<&'static str, u64>,
     /// Refusals by the local gate, by reason.
     pub gate_refusals: BTreeMap<&'static str, u64>,
-    /// Events of the own link: large bodies `granted`, `refused` or `expired`, and how often it was found
-    /// `saturated`.
+    /// Events of the own link: large bodies to receive that were `granted`, `refused` or `expired`, those to send
+    /// that were `sent` or `send-refused`, and how often the link was found `saturated`.
     pub link: BTreeMap<&'static str, u64>,
     /// Probes omitted because the measurement budget was used up.
     pub probes_skipped: u64,
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -648,3 +648,32 @@
     });
     assert_eq!(observed, "reply to request0000000000000001: Refused(Full)");
 }
+
+/// Guards against large bodies that fill the own link at once, so that small messages wait behind them, and
+/// against bodies of a low rank that go first. The link takes 0.8 s for each body.
+#[test]
+fn bodies_are_sent_by_rank_one_after_the_other() {
+    let observed = block_on(async {
+        let (ours, mut theirs) = (daemon_with_link(Some(1.0)), daemon_with_link(None));
+        let to = theirs.address;
+        let ranked = |rank| RunRequest {
+            rank,
+            time_left: LIMIT * 5,
+            ..large_run(BODY)
+        };
+        let mut sent = vec![ours.send_run(to, 1, ranked(1))];
+        theirs.admit_offer().await;
+        let mut order = vec![theirs.request().await];
+        for (id, rank) in [(2, 1), (3, 0)] {
+            sent.push(ours.send_run(to, id, ranked(rank)));
+            theirs.admit_offer().await;
+        }
+        sent.push(ours.send(to, 4));
+        while order.len() < sent.len() {
+            order.push(theirs.request().await);
+        }
+        let ids: Vec<_> = order.iter().map(|(id, _)| id.0.to_string()).collect();
+        ids.join(" ")
+    });
+    assert_eq!(observed, "1 4 3 2");
+}
--- a/crates/wire/tests/peer_units.rs
+++ b/crates/wire/tests/peer_units.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use hawthornwall_core::ids::{ServiceId, TargetId};
+use hawthornwall_core::prelude::{LoadReport, Refusal};
 use hawthornwall_wire::peer::{
-    HttpRequest, Request, RequestId, RunRequest, decode_request, encode_request,
+    BodyOffer, HttpRequest, Reply, Request, RequestId, RunReply, RunRequest, RunResult,
+    decode_request, encode_reply, encode_request,
 };
 
 /// Guards against a panic on encoding an unlimited `max_wait`, which the last attempt of a call has.
@@ -37,3 +39,35 @@
     };
     assert_eq!(run.max_wait, Duration::from_micros(u64::MAX));
 }
+
+/// Guards against messages that daemons of a build before read as others: offers of bodies are numbered after
+/// all that such a build knows.
+#[test]
+fn offers_follow_the_other_messages() {
+    let offer = BodyOffer {
+        max_wait: Duration::ZERO,
+        objective: Duration::ZERO,
+        objective_left: None,
+        rank: 0,
+        size: 0,
+        time_left: Duration::ZERO,
+    };
+    let refused = RunReply {
+        result: RunResult::Refused(Refusal::PeerLink),
+        held: Duration::ZERO,
+        id: RequestId(3),
+        report: LoadReport::default(),
+    };
+    let issue = Request::IssueKey {
+        id: RequestId(3),
+        service: ServiceId(1),
+        target: TargetId(2),
+    };
+    assert_eq!(encode_request(&issue)[0], 2);
+    assert_eq!(
+        encode_request(&Request::OfferBody(RequestId(3), offer))[0],
+        4
+    );
+    assert_eq!(encode_reply(&Reply::Run(Box::new(refused)))[0], 2);
+    assert_eq!(encode_reply(&Reply::BodyGranted(RequestId(3)))[0], 3);
+}
