Count the wait for a link as time at the target's daemon

The balancer takes the time of an attempt less the time at the target's daemon as network delay. The wait for a grant counted as such, so that a target with a busy link seemed far away for requests without a body too.

--- a/crates/node/src/peers/tcp/conn.rs
+++ b/crates/node/src/peers/tcp/conn.rs
@@ -364,6 +364,7 @@
         request: &Request,
     ) -> Result<Reply, SendFault> {
         let body = large_body(request);
+        let begun = self.start.clock.now();
         if let Some((id, offer)) = body.filter(|_| offers && may_offer(request)) {
             let reply = self.exchange(&Request::OfferBody(id, offer)).await;
             match reply.map_err(offer_fault)? {
@@ -383,8 +384,14 @@
             }
             (Some(_) | None, _) => None,
         };
+        let waited = self.start.clock.now() - begun;
         let reply = self.exchange(request).await;
-        reply.map_err(|fault| SendFault::Peer(PeerFault::Lost(fault.loss())))
+        let mut reply = reply.map_err(|fault| SendFault::Peer(PeerFault::Lost(fault.loss())))?;
+        if let Reply::Run(reply) = &mut reply {
+            // A wait for a link is no network delay: it says nothing about requests without a body.
+            reply.held += waited;
+        }
+        Ok(reply)
     }
 
     async fn exchange(&mut self, request: &Request) -> Result<Reply, ExchangeFault> {
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -230,8 +230,8 @@
     stream
 }
 
-/// Guards against more bodies at a time than the link takes, and against a grant that is lost when its
-/// sender fails or doesn't use it.
+/// Guards against more bodies at a time than the link takes, against a grant that is lost when its sender fails
+/// or doesn't use it, and against a wait for the link that counts as a network delay.
 #[rstest]
 #[case::sender_fails(true)]
 #[case::unused(false)]
@@ -250,7 +250,11 @@
         let (id, pending) = theirs.request().await;
         drop(sender);
         let _ = pending.send(reply(id));
-        end(sent).await
+        let Ok(Ok(Reply::Run(replied))) = sent.await else {
+            panic!("the request has no reply");
+        };
+        assert!(replied.held >= SILENCE * 2, "held for {:?}", replied.held);
+        format!("reply to {}: {:?}", replied.id, replied.result)
     });
     assert_eq!(observed, "reply to request0000000000000001: Refused(Full)");
 }
