Reject answers whose status is outside 200 to 599

Cause: an answer of a target with a status from 600 to 999 reached the caller, who can't tell what it means. Between daemons any number was accepted, and a check of the load took what an interim answer, or one with such a status, stated about the target.

Change: the check of a head rejects an answer whose status is outside 100 to 599, the decoder of replies one outside 200 to 599, and a check skips interim answers. A request whose target answered so counts as lost with a malformed answer, that is, as one that may have run (502).

--- a/crates/node/src/http/convert.rs
+++ b/crates/node/src/http/convert.rs
@@ -1,5 +1,6 @@
 //! Conversions between message heads of the `http` crate, messages of the peer protocol, and bytes.
 
+use hawthornwall_wire::head::FINAL_STATUSES;
 use hawthornwall_wire::peer::{Header, HttpAnswer, HttpRequest};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName};
 use http::request::Parts as RequestHead;
@@ -89,14 +90,16 @@
 /// Encodes an answer to a request of the given method, with a `Content-Length`.
 ///
 /// Headers in `extra` replace those of the same name. `close` announces that the connection closes
-/// after the answer. A status that isn't valid is sent as 502.
+/// after the answer. A status that isn't one of a final answer is sent as 502.
 pub fn encode_answer(
     answer: &HttpAnswer,
     method: &Method,
     extra: &[Header],
     close: bool,
 ) -> Vec<u8> {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let status = StatusCode::from_u16(answer.status).ok();
+    let status = status.filter(|status| FINAL_STATUSES.contains(&status.as_u16()));
+    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let reason = status.canonical_reason().unwrap_or("Unknown");
     let mut out = format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).into_bytes();
     let replaced = |h: &&Header| !extra.iter().any(|e| e.name == h.name);
--- a/crates/node/src/probe/endpoint.rs
+++ b/crates/node/src/probe/endpoint.rs
@@ -17,6 +17,10 @@
 use crate::messages::ProbeResult;
 use crate::self_report::SelfReport;
 
+/// Maximum number of interim answers before the answer to a check. Without a limit, a target that sends them
+/// without pause would keep this task from doing anything else.
+const MAX_INTERIM: usize = 16;
+
 /// The used part of a load endpoint's response. Its occupancy is ignored: the gate counts that itself.
 #[derive(Debug, Deserialize)]
 struct LoadAnswer {
@@ -94,8 +98,14 @@
         };
         let bytes = encode_request(&request, &self.address.to_string(), &[]);
         stream.writer.write(bytes).await.ok()?;
-        let (head, framing) = stream.reader.read_answer_head().await.ok()?;
-        let body = stream.reader.read_body(framing).await.ok()?;
-        Some((head, body))
+        // An interim answer says nothing about the target.
+        for _ in 0..=MAX_INTERIM {
+            let (head, framing) = stream.reader.read_answer_head().await.ok()?;
+            if !head.status.is_informational() {
+                let body = stream.reader.read_body(framing).await.ok()?;
+                return Some((head, body));
+            }
+        }
+        None
     }
 }
--- a/crates/node/tests/probe.rs
+++ b/crates/node/tests/probe.rs
@@ -131,3 +131,56 @@
     });
     assert_eq!(loads, [Some(1), Some(2), Some(3)]);
 }
+
+/// Guards against a load or a state that is taken from a response whose status isn't one of a final answer, and
+/// against a check that is never answered because of it.
+#[rstest]
+fn checks_with_invalid_statuses(
+    #[values(
+        "000", "099", "100", "199", "600", "999", "1000", "20", "2x0", "+200", "-200", ""
+    )]
+    status: &str,
+    #[values(Dialect::Own, Dialect::Platform)] dialect: Dialect,
+) {
+    let address = serve_status(status.to_owned());
+    let settings = settings(address);
+    let message = block_on(async {
+        let (gate, mut messages) = mpsc::unbounded();
+        let (checks, receiver) = mpsc::unbounded();
+        let (telemetry, events) = Telemetry::channel();
+        let probe = Probe::new(ProbeStart {
+            clock: Clock::start(),
+            dialect,
+            gate: GateSender::new(gate),
+            receiver,
+            settings: &settings,
+            telemetry,
+        });
+        monoio::spawn(probe.run());
+        let _ = checks.unbounded_send(ProbeMessage::CheckLoad);
+        let message = messages.next().await;
+        drop((checks, events));
+        message
+    });
+    assert!(
+        matches!(message, Some(GateMessage::LoadAnswer(None))),
+        "{status}: {message:?}"
+    );
+}
+
+/// Answers the check on each connection with a status, and closes the connection.
+fn serve_status(status: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 4096]);
+            let text = String::from_utf8(answer(1, "")).expect("the answer is text");
+            let _ = stream.write_all(
+                text.replacen("200 OK", &format!("{status} X"), 1)
+                    .as_bytes(),
+            );
+        }
+    });
+    address
+}
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -172,6 +172,22 @@
     assert_snapshot!(name, results(vec![script], 1));
 }
 
+/// Status lines whose status isn't one of a final answer, 200 to 599.
+const INVALID_STATUSES: [&str; 12] = [
+    "000", "099", "100", "199", "600", "999", "1000", "20", "2x0", "+200", "-200", "",
+];
+
+/// Guards against a caller that gets an answer with a status that it can't interpret.
+#[test]
+fn invalid_statuses() {
+    let results = INVALID_STATUSES.map(|status| {
+        let reply = answer(&format!("{status} X"), SEALED, "ab");
+        let script = Connection::closed_after(vec![reply]);
+        format!("{status:?}: {}", results(vec![script], 1))
+    });
+    assert_snapshot!(results.join("\n"));
+}
+
 /// Guards against an unsolicited second answer being used as the answer to the next request.
 #[test]
 fn unsolicited_answer() {
--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -4,9 +4,14 @@
 //! every message whose end two parties could determine differently.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 
 /// Maximum number of headers in a message, which is also the limit of the library's decoder.
 pub const HEADER_LIMIT: usize = 96;
+/// Statuses of final answers. A caller can't tell what any other number means (RFC 9110, section 15).
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+/// Lowest status of an interim answer, which precedes the final one.
+const MIN_STATUS: u16 = 100;
 
 /// How the body of a message is delimited.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -97,8 +102,9 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the end of the message is ambiguous, the Host header of a request is, or the
-/// syntax is not valid.
+/// Returns an error if the end of the message is ambiguous, the Host header of a request is, the
+/// syntax is not valid, or the status of an answer is neither that of an interim answer nor one of
+/// [`FINAL_STATUSES`].
 pub fn check_head(head: &[u8], kind: HeadKind) -> Result<Framing, HeadFault> {
     let folded = head
         .windows(3)
@@ -142,11 +148,9 @@
     let (status, version, headers) = match kind {
         HeadKind::Answer => {
             let mut answer = httparse::Response::new(headers);
-            (
-                answer.parse(head).map_err(malformed)?,
-                answer.version,
-                answer.headers,
-            )
+            let parsed = answer.parse(head).map_err(malformed)?;
+            check_status(answer.code)?;
+            (parsed, answer.version, answer.headers)
         }
         HeadKind::Request => {
             let mut request = httparse::Request::new(headers);
@@ -165,6 +169,16 @@
     }
 }
 
+fn check_status(code: Option<u16>) -> Result<(), HeadFault> {
+    match code {
+        Some(code) if !(MIN_STATUS..=*FINAL_STATUSES.end()).contains(&code) => {
+            Err(HeadFault::Malformed(format!("status {code}")))
+        }
+        // The parser hasn't reached the status of an incomplete head.
+        Some(_) | None => Ok(()),
+    }
+}
+
 fn framing(headers: &[httparse::Header<'_>]) -> Result<Framing, HeadFault> {
     let of = |name: &str| -> Vec<&[u8]> {
         headers
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -20,6 +20,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
+use crate::head::FINAL_STATUSES;
+
 /// An HTTP header. Its value need not be UTF-8.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
@@ -49,7 +51,7 @@
     pub body: Vec<u8>,
     /// End-to-end headers.
     pub headers: Vec<Header>,
-    /// Status code.
+    /// Status code, one of [`FINAL_STATUSES`].
     pub status: u16,
 }
 
@@ -244,9 +246,17 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes are not exactly one reply.
+/// Returns an error if the bytes are not exactly one reply, or if the status of an answer isn't one of
+/// [`FINAL_STATUSES`].
 pub fn decode_reply(bytes: &[u8]) -> Result<Reply, DecodeError> {
-    decode(postcard::take_from_bytes(bytes))
+    let reply = decode(postcard::take_from_bytes(bytes))?;
+    if let Reply::Run(run) = &reply
+        && let RunResult::Answered(HttpAnswer { status, .. }) = run.result
+        && !FINAL_STATUSES.contains(&status)
+    {
+        return Err(DecodeError(format!("status {status}")));
+    }
+    Ok(reply)
 }
 
 fn decode<T>(taken: Result<(T, &[u8]), postcard::Error>) -> Result<T, DecodeError> {
