Keep other entries in force beside values of a later version

Cause: the protocol of a service wasn't read, so that requests went to targets that speak another protocol than HTTP/1.1. An entry with an unknown state couldn't be decoded; it counted as missing, so that its target could stay in use for the grace after an outage, and each of its heartbeats was logged.

Change: a service whose protocol isn't `h1` is unsupported: its targets count as leaving, and requests for it are refused. A target in an unknown state takes no work. Each unknown value is logged once with its name and counted as `unknown_values`. A service without a protocol speaks HTTP/1.1 as before. The decoders return the unknown values beside the content.

Test first: store `unknown_protocol` listed 3 of 3 targets as used, 1 is right.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -7,9 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{
-    Change, PublishedRoutes, PublishedState, PublishedTarget, RequestLimits, ServiceLimits,
-};
+use super::{Change, PublishedRoutes, PublishedTarget, RequestLimits, ServiceLimits};
 use crate::config::{Configuration, Rules, Service, Target};
 use crate::ids::{ServiceId, TargetId, Version};
 use crate::routes::RouteTable;
@@ -98,6 +96,8 @@
     service_limits: BTreeMap<String, ServiceLimits>,
     services: BTreeMap<String, ServiceId>,
     targets: BTreeMap<String, TargetRecord>,
+    /// Services in force whose protocol this build doesn't speak.
+    unsupported: BTreeSet<String>,
     version: Version,
 }
 
@@ -209,6 +209,12 @@
             .collect()
     }
 
+    /// Whether targets of a service can get requests: the configuration in force gives it no protocol that
+    /// this build doesn't speak.
+    pub fn is_supported(&self, service: &str) -> bool {
+        !self.unsupported.contains(service)
+    }
+
     /// Services and targets in the form that the other aggregates take.
     pub fn configuration(&self, rules: &Rules) -> Configuration {
         let services = self.services.iter().map(|(name, id)| {
@@ -277,13 +283,14 @@
         self.limits = published.limits;
         self.routes = Rc::new(published.routes);
         self.service_limits = published.services;
+        self.unsupported = published.unsupported;
         self.version = published.version;
         Some(CatalogEvent::Routes(self.version))
     }
 
     fn upsert(&mut self, name: &str, entry: PublishedTarget, now: Time) -> Option<CatalogEvent> {
         assign_id(&mut self.services, &entry.service);
-        let leaving = entry.state == PublishedState::Draining;
+        let leaving = !entry.state.takes_work();
         let before = self
             .targets
             .get(name)
--- a/crates/core/src/catalog/entry.rs
+++ b/crates/core/src/catalog/entry.rs
@@ -1,6 +1,6 @@
 //! Entries and routes as published by the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,6 +19,18 @@
     Draining,
     /// The target takes new work.
     Ready,
+    /// A state that this build doesn't know; the target takes no work.
+    Unknown,
+}
+
+impl PublishedState {
+    /// Whether the target takes new work.
+    pub const fn takes_work(self) -> bool {
+        match self {
+            Self::Draining | Self::Unknown => false,
+            Self::Ready => true,
+        }
+    }
 }
 
 /// A target's entry in the store.
@@ -79,6 +91,8 @@
     pub routes: RouteTable,
     /// Limits by name of the service. A service without any is left out.
     pub services: BTreeMap<String, ServiceLimits>,
+    /// Services whose protocol this build doesn't speak. Their targets get no requests.
+    pub unsupported: BTreeSet<String>,
     /// Version of the route table; a greater one is newer.
     pub version: Version,
 }
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -3,6 +3,8 @@
 //! Rules kept here:
 //! - the version of the routes in force never decreases;
 //! - a target that the store lists as draining, or no longer lists, takes no new work;
+//! - a target in an unknown state, or of a service with an unknown protocol, gets no requests, and all other
+//!   entries stay in force;
 //! - an entry that is missing when the store recovers from an outage counts as present for
 //!   [`RETURN_GRACE`], because entries lapse during an outage although their targets run;
 //! - a daemon that can't reach the store keeps targets that its peers report as removed until it reaches
--- a/crates/core/src/catalog/route_delta.rs
+++ b/crates/core/src/catalog/route_delta.rs
@@ -4,7 +4,7 @@
 //! - a difference applies only to the routes of the version that it was taken from;
 //! - applied to them, it gives exactly the routes of the newer version.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,8 @@
     pub removed: Vec<(String, String)>,
     /// Limits by name of the service at the newer version.
     pub services: BTreeMap<String, ServiceLimits>,
+    /// Services whose protocol isn't spoken, at the newer version.
+    pub unsupported: BTreeSet<String>,
     /// Host and content of each route that is new or has changed.
     pub written: Vec<(String, Route)>,
     /// The version that results.
@@ -56,6 +58,7 @@
             limits: new.limits,
             removed: removed.collect(),
             services: new.services.clone(),
+            unsupported: new.unsupported.clone(),
             written: written.collect(),
             version: new.version,
         }
@@ -82,6 +85,7 @@
             limits: self.limits,
             routes,
             services: self.services.clone(),
+            unsupported: self.unsupported.clone(),
             version: self.version,
         })
     }
--- a/crates/core/tests/scenarios/catalog.rs
+++ b/crates/core/tests/scenarios/catalog.rs
@@ -84,6 +84,8 @@
 fn entry(line: &Line<'_>) -> (String, PublishedTarget) {
     let state = if line.flag("draining") {
         PublishedState::Draining
+    } else if line.flag("unknown-state") {
+        PublishedState::Unknown
     } else {
         PublishedState::Ready
     };
--- a/crates/node/src/catalog/decode.rs
+++ b/crates/node/src/catalog/decode.rs
@@ -4,14 +4,15 @@
 use hawthornwall_platform::{Event, Item, KeyKind, decode_change};
 
 use super::report;
+use super::unknown::UnknownValues;
 
 /// Decodes an event; `None` if it changes nothing. A target whose entry can't be decoded counts as gone;
 /// routes that can't be decoded are ignored.
-pub(super) fn decode_event(event: Event) -> Option<Change> {
+pub(super) fn decode_event(event: Event, unknown: &mut UnknownValues) -> Option<Change> {
     match event {
         Event::Deleted { key, .. } => target_gone(&key),
         Event::Written(item) => match decode_change(&item) {
-            Ok(change) => change,
+            Ok(decoded) => decoded.map(|decoded| unknown.take(decoded)),
             Err(fault) => {
                 report::undecodable_entry(&item.key, &fault.0, item.revision);
                 target_gone(&item.key)
@@ -21,9 +22,9 @@
 }
 
 /// Decodes all items, leaving out those that can't be decoded.
-pub(super) fn decode_snapshot(items: &[Item]) -> Snapshot {
+pub(super) fn decode_snapshot(items: &[Item], unknown: &mut UnknownValues) -> Snapshot {
     let mut snapshot = Snapshot::default();
-    for change in items.iter().filter_map(decode_item) {
+    for change in items.iter().filter_map(|item| decode_item(item, unknown)) {
         match change {
             Change::Routes(routes) => snapshot.routes = Some(routes),
             Change::Target { name, target } => {
@@ -44,9 +45,10 @@
     }
 }
 
-fn decode_item(item: &Item) -> Option<Change> {
-    decode_change(item).unwrap_or_else(|fault| {
+fn decode_item(item: &Item, unknown: &mut UnknownValues) -> Option<Change> {
+    let decoded = decode_change(item).unwrap_or_else(|fault| {
         report::undecodable_entry(&item.key, &fault.0, item.revision);
         None
-    })
+    });
+    decoded.map(|decoded| unknown.take(decoded))
 }
--- a/crates/node/src/catalog/mod.rs
+++ b/crates/node/src/catalog/mod.rs
@@ -15,5 +15,6 @@
 mod queries;
 mod report;
 mod task;
+mod unknown;
 
 pub use task::{CatalogStart, run};
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{Catalog, CatalogEvent, Sources, StorePosition, UpdateHead};
+use hawthornwall_platform::UnknownValue;
 
 use crate::platform::ReadFault;
 use crate::telemetry::log;
@@ -87,6 +88,12 @@
     log::warn!("entry can't be decoded and defines no target or route", kv: { key, fault, revision });
 }
 
+/// Logs a value that this build doesn't know.
+pub(super) fn unknown_value(unknown: &UnknownValue) {
+    let (field, value) = (unknown.field.name(), unknown.value.as_str());
+    log::warn!("the store has a value that this build doesn't know", kv: { field, value });
+}
+
 /// Logs which peers this daemon queries for store updates.
 pub(super) fn update_sources(sources: &Sources) {
     let level = sources.level.name();
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -19,6 +19,7 @@
 use super::decode::{decode_event, decode_snapshot};
 use super::queries::{ReceivedQueries, ReceivedQuery};
 use super::report::{self, EventSource, StoreHealthLog};
+use super::unknown::UnknownValues;
 use crate::clock::Clock;
 use crate::messages::{
     ControlMessage, ControlStatus, GateMessage, GateSender, Member, PeerAddress, PeerFault,
@@ -26,6 +27,7 @@
 };
 use crate::platform::ReadFault;
 use crate::platform::store::{self, StoreCall, StoreEnd, StoreRead};
+use crate::telemetry::Telemetry;
 
 /// Rules of every service; the platform publishes none.
 const SERVICE_RULES: Rules = Rules {
@@ -63,6 +65,8 @@
     pub seed: u64,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Counts events.
+    pub telemetry: Telemetry,
 }
 
 /// The call in progress; there is at most one.
@@ -138,6 +142,7 @@
     queries: ReceivedQueries,
     /// The state last sent to the other tasks.
     routing: Rc<RoutingState>,
+    unknown: UnknownValues,
 }
 
 /// Runs the task until all senders to it are dropped.
@@ -157,6 +162,7 @@
         reads: 0,
         store_health: StoreHealthLog::new(start.store),
         sources: Sources::default(),
+        unknown: UnknownValues::new(start.telemetry.clone()),
         start,
         unpublished: false,
         queries: ReceivedQueries::default(),
@@ -368,15 +374,17 @@
                     CallEnd::Read { revision }
                 };
                 self.record_success(end, now);
-                self.replace(decode_snapshot(&items), EventSource::Store, now);
+                let contents = decode_snapshot(&items, &mut self.unknown);
+                self.replace(contents, EventSource::Store, now);
             }
             StoreRead::Changes { events, revision } => {
                 self.record_success(CallEnd::Read { revision }, now);
                 let changes = events.into_iter().filter_map(|event| {
                     let at = event.revision();
-                    Some((at, decode_event(event)?))
+                    Some((at, decode_event(event, &mut self.unknown)?))
                 });
-                self.apply(changes.collect(), EventSource::Store, now);
+                let changes = changes.collect();
+                self.apply(changes, EventSource::Store, now);
             }
             StoreRead::HistoryGone => self.store_sync.end(CallEnd::HistoryGone, now),
             StoreRead::Reached => self.record_success(CallEnd::Reached, now),
@@ -497,7 +505,10 @@
         };
         let targets = self.catalog.targets();
         targets
-            .map(|(id, name, entry, leaving)| (id, member(name, entry.address, leaving)))
+            .map(|(id, name, entry, leaving)| {
+                let unused = leaving || !self.catalog.is_supported(&entry.service);
+                (id, member(name, entry.address, unused))
+            })
             .collect()
     }
 
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -220,6 +220,7 @@
             router: self.senders.router.clone(),
             seed: rand::rng().random(),
             store,
+            telemetry: self.senders.telemetry.clone(),
         }
     }
 
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -34,6 +34,8 @@
     },
     /// An attempt was sent.
     Sent(PickKind),
+    /// Content of the store has a value that this build doesn't know, in this field.
+    UnknownValue(&'static str),
 }
 
 /// Totals of the events since the start. All names are outward: on the status page and in statsd.
@@ -65,6 +67,8 @@
     pub requests: BTreeMap<&'static str, u64>,
     /// Attempts sent, by kind of pick: `first`, `hedge`, `reroute`, `retry`.
     pub sent: BTreeMap<&'static str, u64>,
+    /// Values in decoded content of the store that this build doesn't know, by field.
+    pub unknown_values: BTreeMap<&'static str, u64>,
 }
 
 impl Counters {
@@ -84,6 +88,7 @@
                 }
             }
             Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
+            Event::UnknownValue(field) => add(&mut self.unknown_values, field),
         }
     }
 
@@ -95,6 +100,11 @@
             ("refusals", &self.refusals, &earlier.refusals),
             ("requests", &self.requests, &earlier.requests),
             ("sent", &self.sent, &earlier.sent),
+            (
+                "unknown_values",
+                &self.unknown_values,
+                &earlier.unknown_values,
+            ),
         ];
         let named = groups.into_iter().flat_map(|(group, now, before)| {
             now.iter().map(move |(name, count)| {
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -43,6 +43,7 @@
     request_time: Histogram,
     requests: Counters,
     sent: Counters,
+    unknown_values: Counters,
 }
 
 impl Default for Metrics {
@@ -59,6 +60,7 @@
         let refusals = counters("refusals", "Requests told to be refused, by reason");
         let requests = counters("requests", "Requests of callers by outcome");
         let sent = counters("sent", "Attempts sent, by why");
+        let unknown_values = counters("unknown_values", "Unknown values in the store, by field");
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BOUNDS);
             registry.register(name, help, histogram.clone());
@@ -76,6 +78,7 @@
             request_time,
             requests,
             sent,
+            unknown_values,
         }
     }
 }
@@ -100,6 +103,7 @@
                 }
             }
             Event::Sent(kind) => count(&self.sent, "why", pick_name(kind)),
+            Event::UnknownValue(field) => count(&self.unknown_values, "field", field),
         }
     }
 
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 use hawthornwall_node::messages::{
     ControlMessage, GateSender, PeerAddress, PeerFault, PeersMessage, RouterMessage,
 };
+use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_wire::peer::{Reply, Request, StoreUpdate};
 use insta::assert_snapshot;
 use rstest::rstest;
@@ -97,6 +98,7 @@
         router,
         seed: 1,
         store,
+        telemetry: Telemetry::channel().0,
     }));
     Daemon {
         control,
@@ -218,6 +220,64 @@
     assert_snapshot!(run_script(vec![Connection::silent_after(first)], 2));
 }
 
+/// Base64 of the entry of a target of `service` in `state`, at an address with the last octet `host`.
+fn entry_of(service: &str, state: &str, host: u8) -> String {
+    STANDARD.encode(format!(
+        r#"{{"address":"10.0.0.{host}:80","info":{{"service":"{service}","version":"v1","zone":"a","slots":2}},"status":{{"state":"{state}","sequence":1,"coldRemainingS":0}}}}"#
+    ))
+}
+
+/// Base64 of a configuration without routes that names a service for each protocol, `s1` and on.
+fn protocols(version: u64, protocols: &[&str]) -> String {
+    let clusters = protocols.iter().zip(1..);
+    let clusters = clusters.map(|(p, n)| format!(r#"{{"name":"s{n}","protocol":"{p}"}}"#));
+    let clusters: Vec<_> = clusters.collect();
+    let clusters = clusters.join(",");
+    STANDARD.encode(format!(
+        r#"{{"version":"r{version}","listeners":[],"clusters":[{clusters}]}}"#
+    ))
+}
+
+/// Guards against requests to targets that speak another protocol than HTTP/1.1, against targets of other
+/// services that are lost with them, and against targets that stay unused once a later version names a known
+/// protocol.
+#[test]
+fn unknown_protocol() {
+    let first = vec![
+        page(
+            &[
+                ("op/config", &protocols(2, &["h1", "h9"])),
+                ("servers/i-1", &entry_of("s1", "ready", 1)),
+                ("servers/i-2", &entry_of("s2", "ready", 2)),
+                ("servers/i-3", &entry_of("s2", "ready", 3)),
+            ],
+            4,
+        ),
+        events(&[], 4),
+        events(&[("op/config", &protocols(3, &["h1", "h1"]))], 5),
+    ];
+    assert_snapshot!(run_script(vec![Connection::silent_after(first)], 2));
+}
+
+/// Guards against work for a target in a state that this build doesn't know.
+#[test]
+fn unknown_state() {
+    let first = vec![
+        page(
+            &[
+                ("op/config", ROUTES_2),
+                ("servers/i-1", &entry_of("s1", "ready", 1)),
+                ("servers/i-2", &entry_of("s1", "resting", 2)),
+            ],
+            4,
+        ),
+        events(&[], 4),
+        events(&[("servers/i-1", &entry_of("s1", "resting", 1))], 5),
+        events(&[("servers/i-2", &entry_of("s1", "ready", 2))], 6),
+    ];
+    assert_snapshot!(run_script(vec![Connection::silent_after(first)], 3));
+}
+
 /// Guards against missing the changes that the store dropped from its history.
 #[test]
 fn history_gone() {
@@ -327,6 +387,7 @@
             limits: None,
             removed: Vec::new(),
             services: BTreeMap::new(),
+            unsupported: BTreeSet::new(),
             written: Vec::new(),
             version: Version(5),
         };
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -155,6 +155,7 @@
             limits: published.limits,
             removed,
             services: published.services.clone(),
+            unsupported: published.unsupported.clone(),
             written: written.map(|(h, r)| (h.to_owned(), r.clone())).collect(),
             version: published.version,
         })
