--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -13,8 +13,9 @@
 use crate::routes::RouteTable;
 use crate::time::Time;
 
-/// Time for which an entry that is missing after an outage of the store counts as present. Targets write
-/// their entries again within two seconds.
+/// Time for which an entry that is missing after an outage of the store counts as present, and for which an
+/// entry from an older copy doesn't put a target back in use. Targets write their entries again within two
+/// seconds.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
 /// Time for which a target that left stays in the catalog, so that its last answers are still processed.
@@ -24,7 +25,12 @@
 #[derive(Clone, Debug)]
 struct TargetRecord {
     entry: PublishedTarget,
+    /// Whether the entry says that the target takes work, and is not followed because the store may not have
+    /// learnt yet that the target has left.
+    held_back: bool,
     id: TargetId,
+    /// Whether the entry is in the contents last received.
+    listed: bool,
     /// When the target started to leave; it takes no new work from then on.
     left_at: Option<Time>,
     /// Set while the entry is missing although the target may still run.
@@ -61,6 +67,9 @@
     Routes(Version),
     /// A target takes no new work from now on.
     TargetLeaving(String),
+    /// A target that has left is listed in the store's older copy; it isn't used until the store has had time to
+    /// learn of that.
+    TargetHeldBack(String),
     /// The entry of a target is missing; the target is used until its removal is confirmed.
     TargetMissing(String),
     /// A target takes work from now on.
@@ -91,6 +100,9 @@
 pub struct Catalog {
     limits: Option<RequestLimits>,
     next_target: u32,
+    /// End of the time in which everybody writes again what the store has lost; `None` if it hasn't returned
+    /// from an older copy.
+    restored_until: Option<Time>,
     routes: Rc<RouteTable>,
     /// Limits of the services in force, by name.
     service_limits: BTreeMap<String, ServiceLimits>,
@@ -124,7 +136,8 @@
         let missing: Vec<String> = self
             .targets
             .iter()
-            .filter(|(name, record)| !present.contains(*name) && record.left_at.is_none())
+            .filter(|(name, _)| !present.contains(*name))
+            .filter(|(_, record)| record.listed || record.left_at.is_none())
             .map(|(name, _)| name.clone())
             .collect();
         for name in missing {
@@ -137,10 +150,25 @@
         events
     }
 
-    /// Marks targets as left whose missing entries have expired, and removes targets that left long ago.
+    /// Records that the store has returned from an older copy of its contents at a time. Until [`RETURN_GRACE`]
+    /// has passed, an entry that is missing doesn't show that its target has left, and one that is present
+    /// doesn't show that its target, which has left, takes work again.
+    pub fn begin_era(&mut self, at: Time) {
+        let until = at + RETURN_GRACE;
+        let until = self.restored_until.map_or(until, |held| held.max(until));
+        self.restored_until = Some(until);
+        for record in self.targets.values_mut() {
+            if let Some(Missing::Until(end)) = &mut record.missing {
+                *end = until.max(*end);
+            }
+        }
+    }
+
+    /// Marks targets as left whose missing entries have expired, uses targets whose entries were held back, and
+    /// removes targets that left long ago.
     pub fn expire(&mut self, now: Time) -> Vec<CatalogEvent> {
         let old = |r: &TargetRecord| r.left_at.is_some_and(|at| now - at >= LEFT_RETENTION);
-        self.targets.retain(|_, r| !old(r));
+        self.targets.retain(|_, r| r.listed || !old(r));
         let due = |r: &TargetRecord| match r.missing {
             Some(Missing::Until(at)) => at <= now,
             Some(Missing::StoreUnreachable) | None => false,
@@ -151,18 +179,23 @@
             .filter(|(_, r)| due(r))
             .map(|(name, _)| name.clone())
             .collect();
-        gone.iter()
-            .filter_map(|name| self.mark_left(name, now))
-            .collect()
+        let left = gone.iter().filter_map(|name| self.mark_left(name, now));
+        let mut events: Vec<_> = left.collect();
+        if self.restored_until.is_some_and(|until| until <= now) {
+            self.restored_until = None;
+            events.extend(self.release_held_back(now));
+        }
+        events
     }
 
-    /// When [`Catalog::expire`] next marks a target as left.
+    /// When [`Catalog::expire`] next changes a target.
     pub fn next_expiry(&self) -> Option<Time> {
         let until = |r: &TargetRecord| match r.missing {
             Some(Missing::Until(at)) => Some(at),
             Some(Missing::StoreUnreachable) | None => None,
         };
-        self.targets.values().filter_map(until).min()
+        let missing = self.targets.values().filter_map(until);
+        missing.chain(self.restored_until).min()
     }
 
     /// Records that this daemon reaches the store again. Entries that went missing meanwhile return within
@@ -268,6 +301,9 @@
             if record.left_at.is_some() && record.missing.is_some() {
                 faults.push(format!("{name} has left but its entry is marked missing"));
             }
+            if record.held_back && (record.left_at.is_none() || self.restored_until.is_none()) {
+                faults.push(format!("{name} is held back for no reason"));
+            }
         }
         faults
     }
@@ -290,24 +326,35 @@
 
     fn upsert(&mut self, name: &str, entry: PublishedTarget, now: Time) -> Option<CatalogEvent> {
         assign_id(&mut self.services, &entry.service);
-        let leaving = !entry.state.takes_work();
-        let before = self
-            .targets
-            .get(name)
-            .filter(|r| is_same_run(&r.entry, &entry));
+        let restoring = self.restored_until.is_some_and(|until| now < until);
+        let known = self.targets.get(name);
+        if restoring && known.is_some_and(|r| is_earlier_run(&entry, &r.entry)) {
+            return self.mark_missing(name, Absence::Left, now);
+        }
+        let before = known.filter(|r| is_same_run(&r.entry, &entry));
+        let has_left = before.is_some_and(|r| r.left_at.is_some());
+        let held_back = restoring && has_left && entry.state.takes_work();
+        let was_held_back = before.is_some_and(|r| r.held_back);
+        let leaving = held_back || !entry.state.takes_work();
         let was_leaving = before.map(|r| r.left_at.is_some());
         let id = before.map_or(TargetId(self.next_target + 1), |r| r.id);
         let left_at = before.and_then(|r| r.left_at).unwrap_or(now);
         self.next_target = self.next_target.max(id.0);
         let record = TargetRecord {
             entry,
+            held_back,
             id,
             left_at: leaving.then_some(left_at),
+            listed: true,
             missing: None,
         };
         self.targets.insert(name.to_owned(), record);
         self.retire_replaced(name, now);
-        let leaves = self.targets[name].left_at.is_some();
+        let record = &self.targets[name];
+        if record.held_back {
+            return (!was_held_back).then(|| CatalogEvent::TargetHeldBack(name.to_owned()));
+        }
+        let leaves = record.left_at.is_some();
         (was_leaving != Some(leaves)).then(|| {
             if leaves {
                 CatalogEvent::TargetLeaving(name.to_owned())
@@ -336,6 +383,7 @@
         };
         let replaced = |r: &&mut TargetRecord| at_address(r) && r.entry.started_ms < last;
         for record in self.targets.values_mut().filter(replaced) {
+            record.held_back = false;
             record.missing = None;
             record.left_at.get_or_insert(now);
         }
@@ -343,12 +391,18 @@
 
     /// Handles a missing entry: marks the target as left, or only as missing if it may still run.
     fn mark_missing(&mut self, name: &str, absence: Absence, now: Time) -> Option<CatalogEvent> {
+        let restored = self.restored_until.filter(|until| now < *until);
         let missing = match absence {
+            Absence::Lapsed(_) | Absence::Left if let Some(until) = restored => {
+                Missing::Until(until)
+            }
             Absence::Lapsed(at) if at + RETURN_GRACE > now => Missing::Until(at + RETURN_GRACE),
             Absence::Lapsed(_) | Absence::Left => return self.mark_left(name, now),
             Absence::Unverified => Missing::StoreUnreachable,
         };
         let record = self.targets.get_mut(name)?;
+        record.held_back = false;
+        record.listed = false;
         let fresh = record.missing.is_none() && record.left_at.is_none();
         if fresh {
             record.missing = Some(missing);
@@ -356,8 +410,30 @@
         fresh.then(|| CatalogEvent::TargetMissing(name.to_owned()))
     }
 
+    /// Uses the targets whose entries were held back: the store has had time to learn that they have left, and
+    /// still lists them.
+    fn release_held_back(&mut self, now: Time) -> Vec<CatalogEvent> {
+        let mut released = Vec::new();
+        for (name, record) in &mut self.targets {
+            if std::mem::take(&mut record.held_back) {
+                record.left_at = None;
+                released.push(name.clone());
+            }
+        }
+        for name in &released {
+            self.retire_replaced(name, now);
+        }
+        released.retain(|name| self.is_active(name));
+        released
+            .into_iter()
+            .map(CatalogEvent::TargetReady)
+            .collect()
+    }
+
     fn mark_left(&mut self, name: &str, now: Time) -> Option<CatalogEvent> {
         let record = self.targets.get_mut(name)?;
+        record.held_back = false;
+        record.listed = false;
         record.missing = None;
         let changed = record.left_at.is_none();
         record.left_at.get_or_insert(now);
@@ -371,6 +447,11 @@
     a.started_ms == b.started_ms && a.address == b.address && a.service == b.service
 }
 
+/// Whether `a` describes an earlier run than `b` of a target that keeps its name.
+fn is_earlier_run(a: &PublishedTarget, b: &PublishedTarget) -> bool {
+    a.started_ms.is_some() && a.started_ms < b.started_ms
+}
+
 fn assign_id(services: &mut BTreeMap<String, ServiceId>, name: &str) {
     if !services.contains_key(name) {
         let id = ServiceId(services.len() as u16);
--- a/crates/core/src/catalog/call.rs
+++ b/crates/core/src/catalog/call.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
+use super::Revision;
 use crate::time::Time;
 use crate::units::Micros;
 
@@ -23,7 +24,7 @@
 pub enum Call {
     /// Query a peer for changes after a revision.
     Ask {
-        /// The last revision held here.
+        /// Number of the last revision held here.
         after: u64,
         /// The peer to query.
         peer: SocketAddr,
@@ -39,7 +40,7 @@
     },
     /// Watch the store for changes after a revision.
     Watch {
-        /// The last revision held here.
+        /// Number of the last revision held here.
         after: u64,
         /// The longest time that the store holds the call open.
         wait: Duration,
@@ -88,17 +89,18 @@
     Incomplete,
     /// A queried peer gave no answer.
     NoUpdate(SocketAddr),
-    /// The contents or changes up to a revision were read from the store.
+    /// The contents or changes up to a revision were read from the store. At a revision of a later era than the
+    /// one held, these are all contents.
     Read {
         /// The revision that was read.
-        revision: u64,
+        revision: Revision,
     },
     /// The store answered, without contents or changes.
     Reached,
     /// Contents that may be out of date were read from the store.
     ReadStale {
         /// The revision that was read.
-        revision: u64,
+        revision: Revision,
     },
     /// The store rejected the call.
     Refused,
@@ -115,8 +117,8 @@
     /// Time since the store confirmed the revision; `None` after a stale read.
     #[serde_as(as = "Option<Micros>")]
     pub age: Option<Duration>,
-    /// The last revision held; 0 if none.
-    pub revision: u64,
+    /// The last revision held; number 0 if none.
+    pub revision: Revision,
 }
 
 /// Revision and age of an update from a peer.
@@ -130,5 +132,5 @@
     #[serde_as(as = "Option<Micros>")]
     pub outage: Option<Duration>,
     /// The last revision that the peer holds.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/core/src/catalog/change_log.rs
+++ b/crates/core/src/catalog/change_log.rs
@@ -3,7 +3,10 @@
 //! Rules kept here:
 //! - new routes are kept as the difference to the earlier ones if that is smaller, so that small changes of a
 //!   large configuration fit into an update;
-//! - a difference is resolved only with the routes that it applies to.
+//! - a difference is resolved only with the routes that it applies to;
+//!
+//! - changes are only sent to a peer of the same era of the store, since the revisions of two eras don't follow each
+//!   other.
 //!
 //! Invariant: the contents are those at the last revision, and all changes after [`ChangeLog::from`] are
 //! kept.
@@ -12,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, RouteDelta, Snapshot, UpdateChange};
+use super::{Change, Revision, RouteDelta, Snapshot, UpdateChange};
 
 /// Most entries and routes in the kept changes, and in the contents of one update. Reading more from the
 /// store costs one call; sending it to a whole failure domain would saturate a slow link.
@@ -21,7 +24,7 @@
 /// The part of the store's contents that a peer doesn't have.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum UpdatePayload {
-    /// Changes in order, each with its revision.
+    /// Changes in order, each with the number of its revision. All are of the era of the update.
     Changes(Vec<(u64, UpdateChange)>),
     /// All contents, if the changes that the peer needs are no longer kept.
     Contents(Snapshot),
@@ -34,21 +37,24 @@
 pub struct ChangeLog {
     changes: VecDeque<(u64, UpdateChange)>,
     contents: Snapshot,
+    /// Era of the contents and of all changes.
+    era: u64,
     from: u64,
     weight: usize,
 }
 
 impl ChangeLog {
     /// Replaces the log by all contents of the store at a revision.
-    pub fn restart(&mut self, revision: u64, contents: Snapshot) {
+    pub fn restart(&mut self, revision: Revision, contents: Snapshot) {
         *self = Self {
             contents,
-            from: revision,
+            era: revision.era,
+            from: revision.number,
             ..Self::default()
         };
     }
 
-    /// Appends the change at a revision, and drops the oldest changes beyond the limit.
+    /// Appends the change at a revision of the era of the contents, given by its number, and drops the oldest changes beyond the limit.
     pub fn push(&mut self, revision: u64, change: &Change) {
         let update = self.update_change(change);
         match change {
@@ -103,18 +109,20 @@
     /// The changes or contents for a peer that has everything up to the revision `after`.
     ///
     /// ```
-    /// use hawthornwall_core::catalog::{Change, ChangeLog, UpdatePayload, Snapshot};
+    /// use hawthornwall_core::catalog::{Change, ChangeLog, Revision, UpdatePayload, Snapshot};
     ///
     /// let mut log = ChangeLog::default();
-    /// log.restart(7, Snapshot::default());
+    /// log.restart(Revision::new(2, 7), Snapshot::default());
     /// log.push(9, &Change::TargetGone { name: "t1".to_owned() });
-    /// assert!(matches!(log.since(7), UpdatePayload::Changes(changes) if changes.len() == 1));
-    /// assert_eq!(log.since(9), UpdatePayload::Changes(Vec::new()));
-    /// assert_eq!(log.since(6), UpdatePayload::Contents(Snapshot::default()));
+    /// let since = |era, number| log.since(Revision::new(era, number));
+    /// assert!(matches!(since(2, 7), UpdatePayload::Changes(changes) if changes.len() == 1));
+    /// assert_eq!(since(2, 9), UpdatePayload::Changes(Vec::new()));
+    /// assert_eq!(since(2, 6), UpdatePayload::Contents(Snapshot::default()));
+    /// assert_eq!(since(1, 9), UpdatePayload::Contents(Snapshot::default()));
     /// ```
-    pub fn since(&self, after: u64) -> UpdatePayload {
-        if after >= self.from {
-            let changes = self.changes.iter().filter(|(at, _)| *at > after);
+    pub fn since(&self, after: Revision) -> UpdatePayload {
+        if after.era == self.era && after.number >= self.from {
+            let changes = self.changes.iter().filter(|(at, _)| *at > after.number);
             return UpdatePayload::Changes(changes.cloned().collect());
         }
         let routes = self.contents.routes.as_ref();
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -7,6 +7,9 @@
 //!   entries stay in force;
 //! - an entry that is missing when the store recovers from an outage counts as present for
 //!   [`RETURN_GRACE`], because entries lapse during an outage although their targets run;
+//! - when the store returns from an older copy of its contents, targets that the copy lacks stay in use, and
+//!   targets that have left or drain stay out of use, for [`RETURN_GRACE`], because everybody writes again what
+//!   the store has lost;
 //! - a daemon that can't reach the store keeps targets that its peers report as removed until it reaches
 //!   the store again: the targets may be cut off together with it, and daemons that reach the store send
 //!   them no work;
@@ -17,6 +20,7 @@
 mod call;
 mod change_log;
 mod entry;
+mod revision;
 mod route_delta;
 mod sources;
 mod sync;
@@ -28,6 +32,7 @@
     Change, PublishedRoutes, PublishedState, PublishedTarget, RequestLimits, ServiceLimits,
     UpdateChange,
 };
+pub use revision::Revision;
 pub use route_delta::RouteDelta;
 pub use sources::{Level, Sources};
-pub use sync::{StoreSync, WATCH_WAIT};
+pub use sync::{EraOrder, StoreSync, WATCH_WAIT};
--- a/crates/core/src/catalog/sync.rs
+++ b/crates/core/src/catalog/sync.rs
@@ -19,8 +19,11 @@
 //!   store at once;
 //! - a query of a peer lasts no longer than the backoff after a failed call, since removals that peers report
 //!   take effect only once the store has been reached;
+//! - an answer of the store of a later era than the contents held makes a read of all contents necessary, and one of
+//!   an earlier era is not used; a peer that holds a later era is a reason to read the store once, and its update
+//!   is used as it is;
 //! - failures count as an outage of the store only after [`OUTAGE`], as a single lost call doesn't show
-//!   that entries have lapsed.
+//!   that entries have lapsed; the return of the store from an older copy always counts as one.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,9 +32,9 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::Absence;
 use super::call::{Call, CallEnd, Published, StorePosition, UpdateHead};
 use super::sources::{Level, Sources};
+use super::{Absence, Revision};
 use crate::time::Time;
 
 /// Longest time that the store holds a watch open. The end of each watch shows that the store is still
@@ -63,22 +66,33 @@
 /// Longest backoff of a peer that had no update.
 const PEER_BACKOFF_LIMIT: Duration = Duration::from_secs(4);
 
+/// The era of an answer of the store, compared with the latest one that is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EraOrder {
+    /// The answer is of an earlier era, and its contents are out of date.
+    Earlier,
+    /// The answer is of a later era than the contents held here. Unless it has all contents, they must be read.
+    Later,
+    /// The answer is of the era of the contents held here, or none are held.
+    Same,
+}
+
 /// Decides when the contents of the store are read, and whether from the store or from a peer.
 ///
 /// ```
 /// use std::time::Duration;
-/// use hawthornwall_core::catalog::{Call, CallEnd, Published, Sources, StoreSync};
+/// use hawthornwall_core::catalog::{Call, CallEnd, Published, Revision, Sources, StoreSync};
 /// use hawthornwall_core::time::Time;
 ///
 /// let mut store_sync = StoreSync::new(1);
 /// assert_eq!(store_sync.next(Time::ZERO), (Time::ZERO, Call::Load { stale: true }));
-/// store_sync.end(CallEnd::ReadStale { revision: 7 }, Time::ZERO);
+/// store_sync.end(CallEnd::ReadStale { revision: Revision::new(0, 7) }, Time::ZERO);
 /// assert!(!store_sync.is_confirmed());
 /// let published = Published { own: true, routes: true, targets: 1 };
 /// store_sync.set_sources(published, Sources::default());
 /// let confirm = Call::Watch { after: 7, wait: Duration::ZERO };
 /// assert_eq!(store_sync.next(Time::ZERO), (Time::ZERO, confirm));
-/// store_sync.end(CallEnd::Read { revision: 8 }, Time::ZERO);
+/// store_sync.end(CallEnd::Read { revision: Revision::new(0, 8) }, Time::ZERO);
 /// assert!(store_sync.is_confirmed());
 /// store_sync.end(CallEnd::HistoryGone, Time::ZERO);
 /// assert_eq!(store_sync.next(Time::ZERO).1, Call::Load { stale: false });
@@ -86,11 +100,19 @@
 #[derive(Clone, Debug)]
 pub struct StoreSync {
     due: Time,
+    /// Era of the contents held.
+    era: u64,
     failures: u32,
     /// Time of the first failure since the store's last proper answer.
     failing_since: Option<Time>,
     /// Time of the store's last proper answer.
     answered: Option<Time>,
+    /// A later era than that of the contents held, all of whose contents must be read.
+    awaited_era: Option<u64>,
+    /// Latest era that a peer has stated, and for which the store was to be read.
+    hinted_era: u64,
+    /// Latest era that the store has stated, or of the contents held.
+    known_era: u64,
     /// When contents were last loaded by a stale read.
     loaded: Time,
     outage_end: Option<Time>,
@@ -98,6 +120,9 @@
     confirmed_at: Option<Time>,
     /// Peers that had no update: how often in a row, and until when they aren't queried.
     peer_backoff: BTreeMap<SocketAddr, (u32, Time)>,
+    /// When the store last returned from an older copy.
+    restored_at: Option<Time>,
+    /// Number of the last revision held.
     revision: Option<u64>,
     rng: Pcg64Mcg,
     /// End of the delay after the last change.
@@ -119,13 +144,18 @@
     pub fn new(seed: u64) -> Self {
         Self {
             due: Time::ZERO,
+            era: 0,
             failures: 0,
             failing_since: None,
             answered: None,
+            awaited_era: None,
+            hinted_era: 0,
+            known_era: 0,
             loaded: Time::ZERO,
             outage_end: None,
             confirmed_at: None,
             peer_backoff: BTreeMap::new(),
+            restored_at: None,
             revision: None,
             rng: Pcg64Mcg::seed_from_u64(seed),
             batch_end: Time::ZERO,
@@ -151,9 +181,51 @@
         self.confirmed_at.is_some()
     }
 
-    /// The last revision held here, 0 while there is none.
-    pub fn revision(&self) -> u64 {
-        self.revision.unwrap_or(0)
+    /// The last revision held here, with the number 0 while there is none.
+    pub fn revision(&self) -> Revision {
+        Revision::new(self.era, self.revision.unwrap_or(0))
+    }
+
+    /// When the store last returned from an older copy, as far as is known here; `None` if the contents held here
+    /// were all of one era.
+    pub fn restored_at(&self) -> Option<Time> {
+        self.restored_at
+    }
+
+    /// Compares the era of an answer of the store, also of a rejection, with the latest one known. An answer of a
+    /// later era makes a read of all contents necessary.
+    ///
+    /// ```
+    /// use hawthornwall_core::catalog::{Call, CallEnd, EraOrder, Revision, StoreSync};
+    /// use hawthornwall_core::time::Time;
+    ///
+    /// let now = Time::ZERO;
+    /// let mut store_sync = StoreSync::new(1);
+    /// store_sync.end(CallEnd::Read { revision: Revision::new(1, 41) }, now);
+    /// assert_eq!(store_sync.receive_era(1, now), EraOrder::Same);
+    /// assert_eq!(store_sync.receive_era(2, now), EraOrder::Later);
+    /// assert_eq!(store_sync.next(now).1, Call::Load { stale: false });
+    /// assert_eq!(store_sync.receive_era(1, now), EraOrder::Earlier);
+    /// ```
+    pub fn receive_era(&mut self, era: u64, now: Time) -> EraOrder {
+        if era < self.known_era {
+            return EraOrder::Earlier;
+        }
+        self.known_era = era;
+        if self.revision.is_none() || era == self.era {
+            return EraOrder::Same;
+        }
+        self.await_era(era, now);
+        EraOrder::Later
+    }
+
+    /// Takes note of the era that a peer holds. A later one than any known is a reason to read the store, but only
+    /// once, as the store alone states its era.
+    pub fn receive_hint(&mut self, era: u64, now: Time) {
+        if self.revision.is_some() && era > self.known_era.max(self.hinted_era) {
+            self.hinted_era = era;
+            self.await_era(era, now);
+        }
     }
 
     /// The revision held here and its age, sent along when a peer is queried.
@@ -166,7 +238,8 @@
 
     /// The update for a peer at the given position; `None` while there is nothing newer for it.
     pub fn update_for(&self, position: &StorePosition, now: Time) -> Option<UpdateHead> {
-        let (confirmed_at, revision) = self.confirmed_at.zip(self.revision)?;
+        let (confirmed_at, _) = self.confirmed_at.zip(self.revision)?;
+        let revision = self.revision();
         let age = now - confirmed_at;
         let fresher = position.age.is_none_or(|held| age + MIN_AGE_GAIN <= held);
         let newer = revision > position.revision;
@@ -179,8 +252,9 @@
 
     /// Whether a peer's update is newer than the state held here.
     pub fn is_newer(&self, head: &UpdateHead, now: Time) -> bool {
+        let later_era = head.revision.era > self.era;
         let fresher = self.confirmed_at.is_none_or(|held| now - head.age > held);
-        fresher && head.revision >= self.revision()
+        later_era || fresher && head.revision >= self.revision()
     }
 
     /// Whether the store must be reached before a removal reported by a peer takes effect. A daemon that
@@ -235,12 +309,13 @@
             CallEnd::NoUpdate(peer) => self.end_query(peer, now),
             CallEnd::Reached => {
                 self.due = now;
+                self.store_first |= self.awaited_era.is_some();
                 self.recover(now);
             }
             CallEnd::Read { revision } => self.apply_read(revision, now),
             CallEnd::ReadStale { revision } => {
                 self.answered = Some(now);
-                self.revision = Some(revision);
+                self.hold(revision);
                 self.loaded = now;
                 self.due = now;
             }
@@ -305,9 +380,12 @@
         usable.or(parents.first().filter(|_| backing_off)).copied()
     }
 
-    fn apply_read(&mut self, revision: u64, now: Time) {
+    fn apply_read(&mut self, revision: Revision, now: Time) {
+        if revision.era < self.known_era {
+            return self.fail(REFUSED_BACKOFF_LIMIT, now);
+        }
         // Changes that happened during a load are requested at once, without a delay.
-        let changed = self.revision.is_some_and(|held| held != revision);
+        let changed = self.revision.is_some_and(|_| self.revision() != revision);
         self.due = now;
         self.batch_end = now
             + if changed {
@@ -320,13 +398,43 @@
         {
             self.outage_end = Some(now);
         }
-        self.revision = Some(revision);
+        if self.begins_era(revision) {
+            self.begin_era(now);
+        }
+        self.hold(revision);
         self.confirmed_at = Some(now);
+        self.awaited_era = None;
         self.reload = false;
         self.store_first = false;
         self.recover(now);
     }
 
+    fn hold(&mut self, revision: Revision) {
+        self.era = revision.era;
+        self.known_era = self.known_era.max(revision.era);
+        self.revision = Some(revision.number);
+    }
+
+    /// Whether contents at a revision are the first of an era after contents of an earlier one.
+    fn begins_era(&self, revision: Revision) -> bool {
+        let held_before = self.revision.is_some() || self.confirmed_at.is_some();
+        held_before && revision.era > self.era
+    }
+
+    fn begin_era(&mut self, at: Time) {
+        self.outage_end = Some(at);
+        self.restored_at = Some(at);
+    }
+
+    /// Requires a read of all contents from the store, as there are newer ones of a later era.
+    fn await_era(&mut self, era: u64, now: Time) {
+        self.awaited_era = Some(era);
+        self.reload = true;
+        self.store_first = true;
+        self.due = now;
+        self.batch_end = now;
+    }
+
     /// When the store became unreachable, given the time of the first failed call. A call without an
     /// answer fails only at its timeout, by when entries may have lapsed already. A confirmation that
     /// peers received after the failure moves the time forward.
@@ -349,12 +457,15 @@
         let gap = self
             .confirmed_at
             .is_none_or(|held| now - held >= OUTAGE + WATCH_WAIT);
-        if let Some(ended) = head.outage.filter(|_| gap) {
+        if self.begins_era(head.revision) {
+            self.begin_era(head.outage.map_or(now, |ended| now - ended));
+        } else if let Some(ended) = head.outage.filter(|_| gap) {
             self.outage_end = Some(now - ended);
         }
-        self.revision = Some(head.revision);
+        self.hold(head.revision);
         self.confirmed_at = Some(now - head.age);
-        self.reload = false;
+        self.awaited_era = self.awaited_era.filter(|era| *era > self.era);
+        self.reload = self.awaited_era.is_some();
         self.store_first = false;
     }
 
@@ -389,6 +500,8 @@
 
     fn fail(&mut self, limit: Duration, now: Time) {
         self.failing_since.get_or_insert(now);
+        // Peers may have the contents of the later era meanwhile.
+        self.store_first &= self.awaited_era.is_none();
         let limit = match self.sources.level {
             Level::Head | Level::Root => limit,
             Level::Member => MEMBER_BACKOFF_LIMIT,
--- a/crates/core/tests/change_log.rs
+++ b/crates/core/tests/change_log.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{
-    Change, ChangeLog, PublishedRoutes, Snapshot, UpdateChange, UpdatePayload,
+    Change, ChangeLog, PublishedRoutes, Revision, Snapshot, UpdateChange, UpdatePayload,
 };
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::{Destination, Repeatability, Route, RouteTable};
@@ -15,6 +15,10 @@
 
 const HOST: &str = "a.example";
 
+fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn route(prefix: &str, service: &str) -> Route {
     Route {
         attempts: 1,
@@ -82,7 +86,7 @@
         routes: Some(routes(1, &many(1_948))),
         ..Snapshot::default()
     };
-    log.restart(7, contents);
+    log.restart(at(7), contents);
     log
 }
 
@@ -99,20 +103,20 @@
     log.push(9, &Change::Routes(routes(3, &numbers)));
     let mut table = String::new();
     for after in [6, 7, 8, 9] {
-        writeln!(table, "after {after}: {}", describe(&log.since(after))).unwrap();
+        writeln!(table, "after {after}: {}", describe(&log.since(at(after)))).unwrap();
     }
     log.push(10, &Change::Routes(routes(4, &many(3_000))));
     writeln!(
         table,
         "after 9, many new routes: {}",
-        describe(&log.since(9))
+        describe(&log.since(at(9)))
     )
     .unwrap();
     log.push(11, &Change::Routes(routes(5, &[(1, "s")])));
     writeln!(
         table,
         "after 10, few are left: {}",
-        describe(&log.since(10))
+        describe(&log.since(at(10)))
     )
     .unwrap();
     assert_snapshot!(table);
@@ -129,7 +133,7 @@
     ahead.push(8, &Change::Routes(routes(2, &numbers)));
     numbers[6] = (6, "other");
     sender.push(9, &Change::Routes(routes(3, &numbers)));
-    let update = |after| match sender.since(after) {
+    let update = |after| match sender.since(at(after)) {
         UpdatePayload::Changes(changes) => changes,
         UpdatePayload::Contents(_) | UpdatePayload::TooLarge => Vec::new(),
     };
@@ -167,13 +171,13 @@
         let published = |n: usize| routes(n as u64 + 1, &versions[n]);
         let snapshot = |n| Snapshot { routes: Some(published(n)), ..Snapshot::default() };
         let mut sender = ChangeLog::default();
-        sender.restart(0, snapshot(0));
+        sender.restart(at(0), snapshot(0));
         let mut receiver = ChangeLog::default();
-        receiver.restart(held as u64, snapshot(held));
+        receiver.restart(at(held as u64), snapshot(held));
         for n in 1..versions.len() {
             sender.push(n as u64, &Change::Routes(published(n)));
         }
-        let UpdatePayload::Changes(changes) = sender.since(held as u64) else {
+        let UpdatePayload::Changes(changes) = sender.since(at(held as u64)) else {
             panic!("the changes fit into an update");
         };
         let resolved = receiver.resolve(changes).unwrap();
--- a/crates/core/tests/scenarios/catalog.rs
+++ b/crates/core/tests/scenarios/catalog.rs
@@ -61,6 +61,10 @@
                 let snapshot = std::mem::take(&mut self.snapshot);
                 self.catalog.replace(snapshot, absence, line.now)
             }
+            "begin-era" => {
+                self.catalog.begin_era(line.now);
+                Vec::new()
+            }
             "reconnect" => {
                 self.catalog.reconnect(line.now);
                 Vec::new()
--- a/crates/core/tests/scenarios/store_sync.rs
+++ b/crates/core/tests/scenarios/store_sync.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{
-    Absence, CallEnd, Level, Published, Sources, StorePosition, StoreSync, UpdateHead,
+    Absence, CallEnd, Level, Published, Revision, Sources, StorePosition, StoreSync, UpdateHead,
 };
 use hawthornwall_core::prelude::*;
 
@@ -41,6 +41,14 @@
                     self.store_sync.update_for(&position(line), self.now)
                 )];
             }
+            "era" => {
+                let order = self.store_sync.receive_era(line.word(0), self.now);
+                return vec![format!("{order:?}"), self.state()];
+            }
+            "hint" => {
+                self.store_sync.receive_hint(line.word(0), self.now);
+                None
+            }
             "failed" => Some(CallEnd::Failed),
             "unusable" => Some(CallEnd::Unusable(line.word(0))),
             "incomplete" => Some(CallEnd::Incomplete),
@@ -101,13 +109,13 @@
     UpdateHead {
         age: line.span("age", Duration::ZERO),
         outage: line.text("outage").map(duration),
-        revision: line.value("revision", 0),
+        revision: line.value("revision", Revision::default()),
     }
 }
 
 fn position(line: &Line<'_>) -> StorePosition {
     StorePosition {
         age: line.text("age").map(duration),
-        revision: line.value("revision", 0),
+        revision: line.value("revision", Revision::default()),
     }
 }
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hawthornwall_core::catalog::{Catalog, CatalogEvent, Sources, StorePosition, UpdateHead};
+use hawthornwall_core::catalog::{
+    Catalog, CatalogEvent, Revision, Sources, StorePosition, UpdateHead,
+};
 use hawthornwall_platform::UnknownValue;
 
 use crate::platform::ReadFault;
@@ -21,6 +23,17 @@
     Store,
 }
 
+impl EventSource {
+    /// The kind of the source in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Expiry => "expiry",
+            Self::Peer(_) => "peer",
+            Self::Store => "store",
+        }
+    }
+}
+
 impl fmt::Display for EventSource {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -46,10 +59,12 @@
 pub(super) fn catalog_events(
     catalog_events: &[CatalogEvent],
     catalog: &Catalog,
-    revision: u64,
+    revision: Revision,
     source: EventSource,
 ) {
-    let (mut leaving, mut missing, mut ready) = (
+    let Revision { era, number } = revision;
+    let (mut held_back, mut leaving, mut missing, mut ready) = (
+        TargetNames::default(),
         TargetNames::default(),
         TargetNames::default(),
         TargetNames::default(),
@@ -58,28 +73,33 @@
         match event {
             CatalogEvent::OlderRoutes(offered) => {
                 let in_force = catalog.version();
-                log::warn!("ignored routes older than those in force", kv: { offered:, in_force:, revision, source: });
+                log::warn!("ignored routes older than those in force", kv: { offered:, in_force:, era, revision = number, source: });
             }
             CatalogEvent::Routes(version) => {
                 let routes = catalog.routes().len();
-                log::info!("routes in force", kv: { version:, routes, revision, source: });
+                log::info!("routes in force", kv: { version:, routes, era, revision = number, source: });
             }
+            CatalogEvent::TargetHeldBack(target) => held_back.0.push(target),
             CatalogEvent::TargetLeaving(target) => leaving.0.push(target),
             CatalogEvent::TargetMissing(target) => missing.0.push(target),
             CatalogEvent::TargetReady(target) => ready.0.push(target),
         }
     }
+    if !held_back.0.is_empty() {
+        let targets = held_back.joined();
+        log::warn!("targets that have left are listed in the store's older copy and aren't used yet", kv: { targets, era, revision = number, source: });
+    }
     if !ready.0.is_empty() {
         let targets = ready.joined();
-        log::info!("targets take work", kv: { targets, revision, source: });
+        log::info!("targets take work", kv: { targets, era, revision = number, source: });
     }
     if !missing.0.is_empty() {
         let targets = missing.joined();
-        log::warn!("entries of targets are missing; the targets stay in use until their removal is confirmed", kv: { targets, revision, source: });
+        log::warn!("entries of targets are missing; the targets stay in use until their removal is confirmed", kv: { targets, era, revision = number, source: });
     }
     if !leaving.0.is_empty() {
         let targets = leaving.joined();
-        log::info!("targets take no new work", kv: { targets, revision, source: });
+        log::info!("targets take no new work", kv: { targets, era, revision = number, source: });
     }
 }
 
@@ -105,15 +125,25 @@
 /// Logs that a queried peer sent no update in time.
 pub(super) fn peer_query_failed(peer: SocketAddr, position: StorePosition) {
     let age_ms = position.age.map_or(0, |age| age.as_millis() as u64);
-    let revision = position.revision;
-    log::info!("peer sent no store update", kv: { peer:, revision, age_ms });
+    let Revision { era, number } = position.revision;
+    log::info!("peer sent no store update", kv: { peer:, era, revision = number, age_ms });
 }
 
 /// Logs that a peer's update is not newer than the state held here, or that its changes don't fit into an
 /// update.
-pub(super) fn unused_update(peer: SocketAddr, head: &UpdateHead, known: u64) {
+pub(super) fn unused_update(peer: SocketAddr, head: &UpdateHead, known: Revision) {
     let (age_ms, offered) = (head.age.as_millis() as u64, head.revision);
-    log::info!("store update from peer is not used", kv: { peer:, known, offered, age_ms });
+    log::info!("store update from peer is not used", kv: { peer:, known:, offered:, age_ms });
+}
+
+/// Logs that contents of a later era of the store are in use.
+pub(super) fn new_era(before: Revision, revision: Revision, source: EventSource) {
+    log::warn!("the store has returned from an older copy of its contents", kv: { before:, revision:, source: });
+}
+
+/// Logs an answer of the store that is of an earlier era than the contents held.
+pub(super) fn earlier_era(era: u64, known: Revision) {
+    log::warn!("ignored an answer of the store of an earlier era", kv: { era, known: });
 }
 
 /// Logs when reads of the store start to fail, fail in another way, or succeed again.
@@ -140,10 +170,11 @@
         self.failing = Some(fault.clone());
     }
 
-    pub fn record_success(&mut self, revision: u64, outage: Duration) {
+    pub fn record_success(&mut self, revision: Revision, outage: Duration) {
         if self.failing.take().is_some() {
             let (store, ms) = (self.store, outage.as_millis() as u64);
-            log::info!("the store can be read again", kv: { store:, revision, outage_ms = ms });
+            let Revision { era, number } = revision;
+            log::info!("the store can be read again", kv: { store:, era, revision = number, outage_ms = ms });
         }
     }
 }
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -8,8 +8,8 @@
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::catalog::{
-    Call, CallEnd, Catalog, CatalogEvent, Change, ChangeLog, Published, Snapshot, Sources,
-    StoreSync, UpdateChange, UpdatePayload,
+    Call, CallEnd, Catalog, CatalogEvent, Change, ChangeLog, EraOrder, Published, Revision,
+    Snapshot, Sources, StoreSync, UpdateChange, UpdatePayload,
 };
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::ids::{TargetId, Version};
@@ -27,7 +27,7 @@
 };
 use crate::platform::ReadFault;
 use crate::platform::store::{self, StoreCall, StoreEnd, StoreRead};
-use crate::telemetry::Telemetry;
+use crate::telemetry::{Event, Telemetry};
 
 /// Rules of every service; the platform publishes none.
 const SERVICE_RULES: Rules = Rules {
@@ -246,6 +246,8 @@
         match message {
             ControlMessage::StoreUpdate { position, reply } => {
                 let received_at = self.start.clock.now();
+                self.store_sync
+                    .receive_hint(position.revision.era, received_at);
                 self.queries.push(ReceivedQuery {
                     received_at,
                     position,
@@ -326,10 +328,16 @@
         }
         let held = self.store_sync.revision();
         let source = EventSource::Peer(peer);
+        // Unless the update has all contents, they must be read from the store.
+        self.store_sync.receive_hint(head.revision.era, now);
         match payload {
             UpdatePayload::Changes(changes) => {
-                let fresh = changes.into_iter().filter(|(at, _)| *at > held);
-                let Some(changes) = self.change_log.resolve(fresh.collect()) else {
+                let fresh = changes.into_iter().filter(|(at, _)| *at > held.number);
+                // Changes of another era don't follow the contents held here.
+                let resolved = (head.revision.era == held.era)
+                    .then(|| self.change_log.resolve(fresh.collect()))
+                    .flatten();
+                let Some(changes) = resolved else {
                     report::unused_update(peer, &head, held);
                     self.store_sync.end(CallEnd::Unusable(peer), now);
                     return;
@@ -339,6 +347,7 @@
             }
             UpdatePayload::Contents(contents) => {
                 self.store_sync.end(CallEnd::Update(peer, head), now);
+                self.enter_era(held, source);
                 self.replace(contents, source, now);
             }
             UpdatePayload::TooLarge => {
@@ -351,8 +360,14 @@
     fn read_ended(&mut self, end: StoreEnd) {
         let pending = std::mem::replace(&mut self.pending, Pending::Nothing);
         let now = self.start.clock.now();
-        match end {
-            Ok(read) => self.apply_read(read, now),
+        let StoreEnd { era, result } = end;
+        let held = self.store_sync.revision();
+        let order = era.map_or(EraOrder::Same, |era| self.store_sync.receive_era(era, now));
+        if let (EraOrder::Earlier, Some(era)) = (order, era) {
+            report::earlier_era(era, held);
+        }
+        match result {
+            Ok(read) => self.apply_read(read, order, now),
             Err(fault) => self.record_failure(&fault, now),
         }
         match pending {
@@ -361,23 +376,37 @@
         }
     }
 
-    fn apply_read(&mut self, read: StoreRead, now: Time) {
-        match read {
-            StoreRead::Contents {
-                items,
-                revision,
-                stale,
-            } => {
+    /// Applies what the store has returned, unless it is of an earlier era. Of a later one, only all contents are
+    /// applied.
+    fn apply_read(&mut self, read: StoreRead, order: EraOrder, now: Time) {
+        match (read, order) {
+            (
+                StoreRead::Changes { .. } | StoreRead::Contents { .. } | StoreRead::HistoryGone,
+                EraOrder::Earlier,
+            ) => {
+                self.failing_since.get_or_insert(now);
+                self.store_sync.end(CallEnd::Refused, now);
+            }
+            (
+                StoreRead::Contents {
+                    items,
+                    revision,
+                    stale,
+                },
+                EraOrder::Later | EraOrder::Same,
+            ) => {
+                let held = self.store_sync.revision();
                 let end = if stale {
                     CallEnd::ReadStale { revision }
                 } else {
                     CallEnd::Read { revision }
                 };
                 self.record_success(end, now);
+                self.enter_era(held, EventSource::Store);
                 let contents = decode_snapshot(&items, &mut self.unknown);
                 self.replace(contents, EventSource::Store, now);
             }
-            StoreRead::Changes { events, revision } => {
+            (StoreRead::Changes { events, revision }, EraOrder::Same) => {
                 self.record_success(CallEnd::Read { revision }, now);
                 let changes = events.into_iter().filter_map(|event| {
                     let at = event.revision();
@@ -386,8 +415,26 @@
                 let changes = changes.collect();
                 self.apply(changes, EventSource::Store, now);
             }
-            StoreRead::HistoryGone => self.store_sync.end(CallEnd::HistoryGone, now),
-            StoreRead::Reached => self.record_success(CallEnd::Reached, now),
+            (StoreRead::HistoryGone, EraOrder::Same) => {
+                self.store_sync.end(CallEnd::HistoryGone, now);
+            }
+            (StoreRead::Changes { .. } | StoreRead::HistoryGone, EraOrder::Later)
+            | (StoreRead::Reached, EraOrder::Earlier | EraOrder::Later | EraOrder::Same) => {
+                self.record_success(CallEnd::Reached, now);
+            }
+        }
+    }
+
+    /// Gives everybody time to write again what the store has lost, if it has returned from an older copy since
+    /// the revision `before` was held.
+    fn enter_era(&mut self, before: Revision, source: EventSource) {
+        let revision = self.store_sync.revision();
+        if let Some(at) = self.store_sync.restored_at()
+            && revision.era > before.era
+        {
+            self.catalog.begin_era(at);
+            self.start.telemetry.record(Event::StoreEra(source.name()));
+            report::new_era(before, revision, source);
         }
     }
 
--- a/crates/node/src/platform/connection.rs
+++ b/crates/node/src/platform/connection.rs
@@ -3,6 +3,8 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
+use hawthornwall_platform::decode_era;
+use hawthornwall_platform::headers::ERA_HEADER;
 use hawthornwall_wire::chunks::{ChunkDecoder, ChunkFault};
 use hawthornwall_wire::head::{Framing, HeadKind, check_head, head_length};
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
@@ -21,6 +23,8 @@
 pub(super) struct Response {
     /// The decoded body.
     pub(super) body: Vec<u8>,
+    /// Era of the store: 0 without the header, `None` if it is malformed.
+    pub(super) era: Option<u64>,
     /// Whether the connection can carry another request.
     pub(super) reusable: bool,
     /// Value of the `Revision` header, which counts changes of the content; `None` if it is absent or
@@ -148,6 +152,7 @@
     let closes = header_value("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
     let response = Response {
         body: Vec::new(),
+        era: decode_era(header_value(ERA_HEADER)),
         reusable: parsed.version == Some(1) && !closes,
         revision: header_value("revision").and_then(|v| v.trim().parse().ok()),
         status: parsed.code.unwrap_or(0),
--- a/crates/node/src/platform/store.rs
+++ b/crates/node/src/platform/store.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariants:
 //! - at most one call is in flight;
-//! - an incomplete response is discarded as a whole;
+//! - an incomplete response is discarded as a whole, and contents are of one era of the store;
 //! - a connection is closed after an error or a timeout, and the next call opens another;
 //! - an idle connection that ends is dropped at once, and a check without an answer on a kept connection is
 //!   repeated on a new one: neither shows that the store can't be reached.
@@ -12,6 +12,7 @@
 
 use futures::channel::mpsc;
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
+use hawthornwall_core::catalog::Revision;
 use hawthornwall_platform::{
     ALL_KEYS, DecodeFault, Event, Item, NO_KEYS, RangePage, decode_range, decode_watch, range_path,
     watch_path,
@@ -35,6 +36,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Most further pages that one load reads. It ends the load of a store that always reports more.
 const PAGE_LIMIT: usize = 100;
+/// Most times that a load starts again because the store has begun another era meanwhile. Two returns from an
+/// older copy within one load are not expected.
+const LOAD_ATTEMPTS: usize = 3;
 /// Longest response body, in bytes. The store limits a page to about 1 MB, but one value alone takes 1.4 MB in
 /// base64, and a watch returns all changes at once.
 const RESPONSE_LIMIT: usize = 8 << 20;
@@ -66,14 +70,14 @@
         /// The changes in order.
         events: Vec<Event>,
         /// The revision after which the next watch continues.
-        revision: u64,
+        revision: Revision,
     },
     /// All contents of the store.
     Contents {
         /// All items.
         items: Vec<Item>,
         /// The revision after which changes must be watched.
-        revision: u64,
+        revision: Revision,
         /// Whether the contents may be seconds old.
         stale: bool,
     },
@@ -84,7 +88,13 @@
 }
 
 /// The result of a call.
-pub type StoreEnd = Result<StoreRead, ReadFault>;
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoreEnd {
+    /// Latest era that a response to the call stated, also if it was a rejection; `None` without a response.
+    pub era: Option<u64>,
+    /// What the call returned.
+    pub result: Result<StoreRead, ReadFault>,
+}
 
 /// Makes the calls received on `calls` in order, until the other side of a channel is dropped.
 pub async fn run(
@@ -95,9 +105,13 @@
     let mut client = StoreClient {
         address,
         connection: None,
+        era: None,
     };
     while let Some(call) = client.next_call(&mut calls).await {
-        let end = client.call(call).await;
+        client.era = None;
+        let result = client.call(call).await;
+        let era = client.era;
+        let end = StoreEnd { era, result };
         if ends.unbounded_send(end).is_err() {
             return;
         }
@@ -113,6 +127,8 @@
 struct StoreClient {
     address: SocketAddr,
     connection: Option<Connection>,
+    /// Latest era that a response to the current call stated.
+    era: Option<u64>,
 }
 
 impl StoreClient {
@@ -142,7 +158,7 @@
         calls.next().await
     }
 
-    async fn call(&mut self, call: StoreCall) -> StoreEnd {
+    async fn call(&mut self, call: StoreCall) -> Result<StoreRead, ReadFault> {
         match call {
             StoreCall::Check => self.check().await,
             StoreCall::Load { stale } => self.load(stale).await,
@@ -152,7 +168,7 @@
 
     /// Reads an empty range from any replica of the store, which costs least. Without an answer on a kept
     /// connection, only a new one shows whether the store can be reached.
-    async fn check(&mut self) -> StoreEnd {
+    async fn check(&mut self) -> Result<StoreRead, ReadFault> {
         let path = range_path(NO_KEYS, None, true);
         if self.connection.is_some() {
             match self.get(&path, KEPT_CHECK_TIMEOUT).await {
@@ -167,38 +183,58 @@
         reached(&answered.map_err(|_| ReadFault::Silent)??)
     }
 
-    /// Reads all pages. Their revisions may differ; watching from the lowest of them misses no change.
-    async fn load(&mut self, stale: bool) -> StoreEnd {
-        let first = self.page(None, stale).await?;
-        let mut revision = first.revision;
+    /// Reads all pages, again from the first one if the store begins another era meanwhile.
+    async fn load(&mut self, stale: bool) -> Result<StoreRead, ReadFault> {
+        for _ in 0..LOAD_ATTEMPTS {
+            if let Some((items, revision)) = self.pages(stale).await? {
+                return Ok(StoreRead::Contents {
+                    items,
+                    revision,
+                    stale,
+                });
+            }
+        }
+        Err(ReadFault::Content("pages are of several eras".to_owned()))
+    }
+
+    /// Reads all pages; `None` if they are of several eras. Their revisions may differ; watching from the lowest
+    /// of them misses no change.
+    async fn pages(&mut self, stale: bool) -> Result<Option<(Vec<Item>, Revision)>, ReadFault> {
+        let (era, first) = self.page(None, stale).await?;
+        let mut number = first.revision;
         let (mut items, mut more) = (first.items, first.more);
         for _ in 0..PAGE_LIMIT {
             let Some(last) = items.last().filter(|_| more) else {
                 break;
             };
             let key = last.key.clone();
-            let page = self.page(Some(&key), stale).await?;
+            let (page_era, page) = self.page(Some(&key), stale).await?;
+            if page_era != era {
+                return Ok(None);
+            }
             more = page.more && !page.items.is_empty();
-            revision = revision.min(page.revision);
+            number = number.min(page.revision);
             items.extend(page.items);
         }
-        Ok(StoreRead::Contents {
-            items,
-            revision,
-            stale,
-        })
+        Ok(Some((items, Revision::new(era, number))))
     }
 
-    async fn page(&mut self, after: Option<&str>, stale: bool) -> Result<RangePage, ReadFault> {
+    /// Reads one page, and returns it with its era.
+    async fn page(
+        &mut self,
+        after: Option<&str>,
+        stale: bool,
+    ) -> Result<(u64, RangePage), ReadFault> {
         let path = range_path(ALL_KEYS, after, stale);
         let response = self.get(&path, PAGE_TIMEOUT).await?;
         expect_ok(&response)?;
-        decode_range(&response.body).map_err(content)
+        let page = decode_range(&response.body).map_err(content)?;
+        Ok((era(&response)?, page))
     }
 
     /// Watches for changes. The next watch continues from the last change received, not from the store's
     /// revision, as an empty response may have missed changes up to that revision.
-    async fn watch(&mut self, after: u64, wait: Duration) -> StoreEnd {
+    async fn watch(&mut self, after: u64, wait: Duration) -> Result<StoreRead, ReadFault> {
         let path = watch_path(ALL_KEYS, after, wait);
         let response = self.get(&path, wait + WATCH_MARGIN).await?;
         if response.status == 410 {
@@ -207,7 +243,7 @@
         expect_ok(&response)?;
         let events = decode_watch(&response.body).map_err(content)?.events;
         let last = events.iter().map(Event::revision).max();
-        let revision = last.unwrap_or(after).max(after);
+        let revision = Revision::new(era(&response)?, last.unwrap_or(after).max(after));
         Ok(StoreRead::Changes { events, revision })
     }
 
@@ -219,6 +255,7 @@
         let exchange = connection.get(path, self.address);
         let response = monoio::time::timeout(limit, exchange).await;
         let response = response.map_err(|_| connection.timeout_fault())??;
+        self.era = self.era.max(response.era);
         if response.reusable {
             self.connection = Some(connection);
         }
@@ -235,7 +272,12 @@
     }
 }
 
-fn reached(response: &Response) -> StoreEnd {
+fn era(response: &Response) -> Result<u64, ReadFault> {
+    let malformed = || ReadFault::Content("the era isn't a number".to_owned());
+    response.era.ok_or_else(malformed)
+}
+
+fn reached(response: &Response) -> Result<StoreRead, ReadFault> {
     expect_ok(response)?;
     Ok(StoreRead::Reached)
 }
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -34,6 +34,8 @@
     },
     /// An attempt was sent.
     Sent(PickKind),
+    /// Contents of the store after its return from an older copy are in use, from this source.
+    StoreEra(&'static str),
     /// Content of the store has a value that this build doesn't know, in this field.
     UnknownValue(&'static str),
 }
@@ -67,6 +69,8 @@
     pub requests: BTreeMap<&'static str, u64>,
     /// Attempts sent, by kind of pick: `first`, `hedge`, `reroute`, `retry`.
     pub sent: BTreeMap<&'static str, u64>,
+    /// Returns of the store from an older copy, by where their contents came from.
+    pub store_eras: BTreeMap<&'static str, u64>,
     /// Values in decoded content of the store that this build doesn't know, by field.
     pub unknown_values: BTreeMap<&'static str, u64>,
 }
@@ -88,6 +92,7 @@
                 }
             }
             Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
+            Event::StoreEra(source) => add(&mut self.store_eras, source),
             Event::UnknownValue(field) => add(&mut self.unknown_values, field),
         }
     }
@@ -100,6 +105,7 @@
             ("refusals", &self.refusals, &earlier.refusals),
             ("requests", &self.requests, &earlier.requests),
             ("sent", &self.sent, &earlier.sent),
+            ("store_eras", &self.store_eras, &earlier.store_eras),
             (
                 "unknown_values",
                 &self.unknown_values,
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -43,6 +43,7 @@
     request_time: Histogram,
     requests: Counters,
     sent: Counters,
+    store_eras: Counters,
     unknown_values: Counters,
 }
 
@@ -60,6 +61,10 @@
         let refusals = counters("refusals", "Requests told to be refused, by reason");
         let requests = counters("requests", "Requests of callers by outcome");
         let sent = counters("sent", "Attempts sent, by why");
+        let store_eras = counters(
+            "store_eras",
+            "Returns of the store from an older copy, by source",
+        );
         let unknown_values = counters("unknown_values", "Unknown values in the store, by field");
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BOUNDS);
@@ -78,6 +83,7 @@
             request_time,
             requests,
             sent,
+            store_eras,
             unknown_values,
         }
     }
@@ -103,6 +109,7 @@
                 }
             }
             Event::Sent(kind) => count(&self.sent, "why", pick_name(kind)),
+            Event::StoreEra(source) => count(&self.store_eras, "source", source),
             Event::UnknownValue(field) => count(&self.unknown_values, "field", field),
         }
     }
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -126,6 +126,7 @@
         | Event::ProbeSkipped
         | Event::ProbeSpent
         | Event::Sent(_)
+        | Event::StoreEra(_)
         | Event::UnknownValue(_) => {}
     }
 }
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -11,7 +11,8 @@
 use futures::StreamExt;
 use futures::channel::{mpsc, oneshot};
 use hawthornwall_core::catalog::{
-    RouteDelta, Sources, StorePosition, UpdateChange, UpdateHead, UpdatePayload,
+    PublishedRoutes, Revision, RouteDelta, Snapshot, Sources, StorePosition, UpdateChange,
+    UpdateHead, UpdatePayload,
 };
 use hawthornwall_core::ids::Version;
 use hawthornwall_node::catalog::{CatalogStart, run};
@@ -140,7 +141,10 @@
                     panic!("{request:?} is no query for an update");
                 };
                 let confirmed = position.age.is_some();
-                let text = format!("{to} after {}, confirmed {confirmed}", position.revision);
+                let Revision { era, number } = position.revision;
+                let era = (era > 0).then(|| format!(" of era {era}"));
+                let era = era.unwrap_or_default();
+                let text = format!("{to} after {number}{era}, confirmed {confirmed}");
                 return (text, reply);
             }
         }
@@ -187,12 +191,16 @@
 }
 
 fn update(revision: u64, changes: Vec<(u64, UpdateChange)>) -> Reply {
+    let payload = UpdatePayload::Changes(changes);
+    update_at(Revision::new(0, revision), payload)
+}
+
+fn update_at(revision: Revision, payload: UpdatePayload) -> Reply {
     let head = UpdateHead {
         age: Duration::from_millis(1),
         outage: None,
         revision,
     };
-    let payload = UpdatePayload::Changes(changes);
     Reply::StoreUpdate(Box::new(StoreUpdate { head, payload }))
 }
 
@@ -278,6 +286,60 @@
     assert_snapshot!(run_script(vec![Connection::silent_after(first)], 3));
 }
 
+/// A response of the store in an era.
+fn in_era(era: u64, response: &str) -> String {
+    response.replacen("\r\n", &format!("\r\nStore-Era: {era}\r\n"), 1)
+}
+
+/// The addresses of daemons that query the daemon of this test, and are not queried by it.
+fn children() -> impl Iterator<Item = IpAddr> {
+    let own = SocketAddr::from(([127, 0, 0, 1], PEER_PORT));
+    let after = move |ip: &IpAddr| {
+        let daemons = [(SocketAddr::new(*ip, PEER_PORT), "a")];
+        Sources::of(own, "a", &daemons).parents.is_empty()
+    };
+    (1..=255).map(|n| IpAddr::from([10, 0, 0, n])).filter(after)
+}
+
+/// Guards against a daemon that watches on from a revision which the store has lost, against routes that go back
+/// to an older version, and against targets that go out of use because an older copy lacks them. The first two
+/// responses are of era 1; then the store returns from a copy with the routes of version 2 and without i-2, and
+/// what is missing is written again, except for i-2.
+#[rstest]
+#[case::watch("older_copy_in_watch", vec![in_era(2, &events(&[("op/config", ROUTES_9)], 45))])]
+#[case::history_gone("older_copy_after_history", vec![in_era(2, &status(410))])]
+#[case::busy("older_copy_in_rejection", vec![in_era(2, &status(503))])]
+#[case::of_older_era(
+    "older_copy_then_older_era",
+    vec![in_era(2, &status(410)), in_era(1, &page(&[("op/config", ROUTES_9)], 50))]
+)]
+fn older_copy(#[case] name: &str, #[case] first_of_era: Vec<String>) {
+    let entries: Vec<_> = children().take(2).map(entry).collect();
+    let before = [
+        ("op/config", ROUTES_5),
+        ("servers/i-1", &entries[0]),
+        ("servers/i-2", &entries[1]),
+    ];
+    let copy = [("op/config", ROUTES_2), ("servers/i-1", &entries[0])];
+    let mut responses = vec![in_era(1, &page(&before, 40)), in_era(1, &events(&[], 40))];
+    responses.extend(first_of_era);
+    responses.extend([
+        in_era(2, &page(&copy, 30)),
+        in_era(2, &events(&[("op/config", ROUTES_9)], 31)),
+    ]);
+    let (address, calls) = serve(vec![Connection::silent_after(responses)]);
+    let observations = block_on(async {
+        let mut daemon = daemon(address);
+        let mut observations = Vec::new();
+        for _ in 0..4 {
+            observations.push(daemon.routing().await);
+        }
+        observations
+    });
+    let text = format!("{}\n{}", format_calls(&calls), observations.join("\n"));
+    assert_snapshot!(name, text);
+}
+
 /// Guards against missing the changes that the store dropped from its history.
 #[test]
 fn history_gone() {
@@ -416,7 +478,7 @@
             let (reply, update) = oneshot::channel();
             let position = StorePosition {
                 age: None,
-                revision,
+                revision: Revision::new(0, revision),
             };
             let message = ControlMessage::StoreUpdate { position, reply };
             daemon.control.unbounded_send(message).expect("it runs");
@@ -429,13 +491,146 @@
                 UpdatePayload::Contents(contents) => format!("{} targets", contents.targets.len()),
                 UpdatePayload::TooLarge => "too large".to_owned(),
             };
-            replies.push(format!("after {revision}: {}, {payload}", head.revision));
+            replies.push(format!(
+                "after {revision}: {}, {payload}",
+                head.revision.number
+            ));
         }
         replies.join("\n")
     });
     assert_snapshot!(seen);
 }
 
+/// Guards against a daemon that can't reach the store and stays with contents that the store has lost although a
+/// peer has newer ones, against routes that go back, and against a target that goes out of use because the copy
+/// lacks it.
+#[test]
+fn peer_of_a_later_era_while_cut_off() {
+    let peer = parent();
+    let first = vec![
+        page(
+            &[("op/config", ROUTES_2), ("servers/i-1", &entry(peer))],
+            40,
+        ),
+        status(503),
+    ];
+    let (address, calls) = serve(vec![Connection::silent_after(first)]);
+    let observations = block_on(async {
+        let mut daemon = daemon(address);
+        let (_, reply) = daemon.query().await;
+        let _ = reply.send(Ok(update(40, Vec::new())));
+        let mut observations = vec![daemon.routing().await];
+        // After this delay the last answer of the store is too old, so that the store must be checked.
+        monoio::time::sleep(Duration::from_millis(600)).await;
+        let (_, reply) = daemon.query().await;
+        let copy = Snapshot {
+            routes: Some(PublishedRoutes {
+                version: Version(1),
+                ..PublishedRoutes::default()
+            }),
+            ..Snapshot::default()
+        };
+        let copy = UpdatePayload::Contents(copy);
+        let _ = reply.send(Ok(update_at(Revision::new(1, 30), copy)));
+        observations.push(daemon.routing().await);
+        let (query, _) = daemon.query().await;
+        observations.push(query);
+        observations
+    });
+    let text = format!("{}\n{}", format_calls(&calls), observations.join("\n"));
+    assert_snapshot!(text.replace(&peer.to_string(), "PEER"));
+}
+
+/// Guards against changes of a later era that are applied to contents of an earlier one, which they don't follow.
+#[test]
+fn peer_sends_changes_of_a_later_era() {
+    let peer = parent();
+    let first = vec![
+        page(
+            &[("op/config", ROUTES_2), ("servers/i-1", &entry(peer))],
+            40,
+        ),
+        in_era(
+            1,
+            &page(
+                &[("op/config", ROUTES_9), ("servers/i-1", &entry(peer))],
+                30,
+            ),
+        ),
+    ];
+    let (address, calls) = serve(vec![Connection::silent_after(first)]);
+    let observations = block_on(async {
+        let mut daemon = daemon(address);
+        let (_, reply) = daemon.query().await;
+        let _ = reply.send(Ok(update(40, Vec::new())));
+        let mut observations = vec![daemon.routing().await];
+        let (_, reply) = daemon.query().await;
+        let delta = RouteDelta {
+            base: Version(2),
+            limits: None,
+            removed: Vec::new(),
+            services: BTreeMap::new(),
+            unsupported: BTreeSet::new(),
+            written: Vec::new(),
+            version: Version(5),
+        };
+        let changes = UpdatePayload::Changes(vec![(41, UpdateChange::RouteDelta(delta))]);
+        let _ = reply.send(Ok(update_at(Revision::new(1, 41), changes)));
+        observations.push(daemon.routing().await);
+        observations
+    });
+    let text = format!("{}\n{}", format_calls(&calls), observations.join("\n"));
+    assert_snapshot!(text.replace(&peer.to_string(), "PEER"));
+}
+
+/// Guards against a daemon of an earlier era that isn't told the later one, or gets changes that don't follow its
+/// contents, and against a daemon that learns of a later era from a query, and sends older contents as newer or
+/// doesn't read the store again.
+#[test]
+fn queries_of_other_eras() {
+    let child = children().next().expect("half of all addresses come after");
+    let entry = entry(child);
+    let contents = [("op/config", ROUTES_2), ("servers/i-1", entry.as_str())];
+    let first = vec![
+        in_era(1, &page(&contents, 4)),
+        in_era(1, &events(&[], 4)),
+        String::new(),
+    ];
+    let second = vec![in_era(2, &page(&contents, 2))];
+    let connections = vec![
+        Connection::silent_after(first),
+        Connection::silent_after(second),
+    ];
+    let (address, calls) = serve(connections);
+    let observations = block_on(async {
+        let mut daemon = daemon(address);
+        let mut observations = vec![daemon.routing().await];
+        for position in [Revision::new(0, 900), Revision::new(2, 1)] {
+            let (reply, update) = oneshot::channel();
+            let message = ControlMessage::StoreUpdate {
+                position: StorePosition {
+                    age: Some(Duration::ZERO),
+                    revision: position,
+                },
+                reply,
+            };
+            daemon.control.unbounded_send(message).expect("it runs");
+            let update = monoio::time::timeout(LIMIT, update).await;
+            let update = update.expect("the query is answered in time");
+            let StoreUpdate { head, payload } = update.expect("the query is answered");
+            let payload = match payload {
+                UpdatePayload::Changes(_) => "changes",
+                UpdatePayload::Contents(_) => "contents",
+                UpdatePayload::TooLarge => "too large",
+            };
+            observations.push(format!("after {position}: {payload} at {}", head.revision));
+        }
+        observations
+    });
+    let text = format!("{}\n{}", format_calls(&calls), observations.join("\n"));
+    assert_snapshot!(text);
+}
+
 /// Guards against dropping a target on a peer's report while this daemon is cut off from the store, which
 /// may be true of the target too, and against work for a target that has left.
 #[rstest]
--- a/crates/node/tests/telemetry.rs
+++ b/crates/node/tests/telemetry.rs
@@ -36,6 +36,7 @@
         Event::GateRefused(Refusal::Full),
         Event::ProbeSpent,
         Event::ProbeSkipped,
+        Event::StoreEra("peer"),
         Event::UnknownValue("protocol"),
     ]
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{
-    self, PublishedRoutes, PublishedState, PublishedTarget, RouteDelta, Snapshot, StorePosition,
-    UpdateChange, UpdateHead, UpdatePayload,
+    self, PublishedRoutes, PublishedState, PublishedTarget, Revision, RouteDelta, Snapshot,
+    StorePosition, UpdateChange, UpdateHead, UpdatePayload,
 };
 use hawthornwall_core::config::{Change, Patch};
 use hawthornwall_core::keys::Key;
@@ -189,7 +189,7 @@
 }
 
 fn store_update() -> impl Strategy<Value = StoreUpdate> {
-    let head = (micros(), prop::option::of(micros()), any::<u64>());
+    let head = (micros(), prop::option::of(micros()), revision());
     (payload(), head).prop_map(|(payload, (age, outage, revision))| StoreUpdate {
         head: UpdateHead {
             age,
@@ -200,9 +200,13 @@
     })
 }
 
+fn revision() -> impl Strategy<Value = Revision> {
+    any::<(u64, u64)>().prop_map(|(era, number)| Revision::new(era, number))
+}
+
 fn position() -> impl Strategy<Value = StorePosition> {
     let age = prop::option::of(micros());
-    (age, any::<u64>()).prop_map(|(age, revision)| StorePosition { age, revision })
+    (age, revision()).prop_map(|(age, revision)| StorePosition { age, revision })
 }
 
 fn request() -> impl Strategy<Value = Request> {
