--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -61,6 +61,10 @@
 /// A change of the catalog, for logs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CatalogEvent {
+    /// The targets of a failure domain take no requests from now on.
+    Evacuated(String),
+    /// The evacuation of a failure domain was revoked.
+    EvacuationEnded(String),
     /// Routes older than those in force were received and ignored.
     OlderRoutes(Version),
     /// Routes of a new version are in force.
@@ -79,6 +83,8 @@
 /// The contents of the store at one revision.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Snapshot {
+    /// Failure domains that are evacuated.
+    pub evacuated: BTreeSet<String>,
     /// The routes; `None` if none are published or they can't be decoded.
     pub routes: Option<PublishedRoutes>,
     /// Entries of all targets by name.
@@ -98,7 +104,10 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
+    evacuated: BTreeSet<String>,
     limits: Option<RequestLimits>,
+    /// Evacuations in force that are missing since the store's return from an older copy.
+    lost_evacuations: BTreeSet<String>,
     next_target: u32,
     /// End of the time in which everybody writes again what the store has lost; `None` if it hasn't returned
     /// from an older copy.
@@ -120,11 +129,15 @@
             Change::Routes(published) => self.adopt(published),
             Change::Target { name, target } => self.upsert(&name, target, now),
             Change::TargetGone { name } => self.mark_missing(&name, absence, now),
+            Change::Evacuated { domain } => self.evacuate(domain),
+            Change::EvacuationEnded { domain } => self.end_evacuation(domain),
         }
     }
 
-    /// Replaces routes and targets by the contents of a snapshot. Targets that the snapshot lacks are
-    /// handled according to `absence`.
+    /// Replaces routes, targets and evacuations by the contents of a snapshot. Targets that the snapshot
+    /// lacks are handled according to `absence`. Evacuations that it lacks are revoked, since their keys don't
+    /// lapse during an outage of the store; after the store's return from an older copy only once the operators
+    /// have had time to write them again.
     pub fn replace(
         &mut self,
         snapshot: Snapshot,
@@ -147,12 +160,25 @@
             events.extend(self.upsert(&name, target, now));
         }
         events.extend(snapshot.routes.and_then(|routes| self.adopt(routes)));
+        let ended: Vec<_> = self
+            .evacuated
+            .difference(&snapshot.evacuated)
+            .cloned()
+            .collect();
+        if self.restored_until.is_some_and(|until| now < until) {
+            self.lost_evacuations.extend(ended);
+        } else {
+            let ended = ended.into_iter();
+            events.extend(ended.filter_map(|domain| self.end_evacuation(domain)));
+        }
+        let current = snapshot.evacuated.into_iter();
+        events.extend(current.filter_map(|domain| self.evacuate(domain)));
         events
     }
 
     /// Records that the store has returned from an older copy of its contents at a time. Until [`RETURN_GRACE`]
-    /// has passed, an entry that is missing doesn't show that its target has left, and one that is present
-    /// doesn't show that its target, which has left, takes work again.
+    /// has passed, an entry that is missing doesn't show that its target has left, one that is present doesn't show
+    /// that its target, which has left, takes work again, and an evacuation that is missing isn't revoked.
     pub fn begin_era(&mut self, at: Time) {
         let until = at + RETURN_GRACE;
         let until = self.restored_until.map_or(until, |held| held.max(until));
@@ -183,6 +209,9 @@
         let mut events: Vec<_> = left.collect();
         if self.restored_until.is_some_and(|until| until <= now) {
             self.restored_until = None;
+            for domain in std::mem::take(&mut self.lost_evacuations) {
+                events.extend(self.end_evacuation(domain));
+            }
             events.extend(self.release_held_back(now));
         }
         events
@@ -207,6 +236,11 @@
         }
     }
 
+    /// Failure domains whose targets take no requests.
+    pub fn evacuated(&self) -> &BTreeSet<String> {
+        &self.evacuated
+    }
+
     /// Whether a target takes work.
     pub fn is_active(&self, name: &str) -> bool {
         self.targets.get(name).is_some_and(|r| r.left_at.is_none())
@@ -305,6 +339,11 @@
                 faults.push(format!("{name} is held back for no reason"));
             }
         }
+        for domain in self.lost_evacuations.difference(&self.evacuated) {
+            faults.push(format!(
+                "the evacuation of {domain} is missing and not in force"
+            ));
+        }
         faults
     }
 
@@ -324,6 +363,18 @@
         Some(CatalogEvent::Routes(self.version))
     }
 
+    fn evacuate(&mut self, domain: String) -> Option<CatalogEvent> {
+        self.lost_evacuations.remove(&domain);
+        let fresh = self.evacuated.insert(domain.clone());
+        fresh.then_some(CatalogEvent::Evacuated(domain))
+    }
+
+    fn end_evacuation(&mut self, domain: String) -> Option<CatalogEvent> {
+        self.lost_evacuations.remove(&domain);
+        let ended = self.evacuated.remove(&domain);
+        ended.then_some(CatalogEvent::EvacuationEnded(domain))
+    }
+
     fn upsert(&mut self, name: &str, entry: PublishedTarget, now: Time) -> Option<CatalogEvent> {
         assign_id(&mut self.services, &entry.service);
         let restoring = self.restored_until.is_some_and(|until| now < until);
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -1,6 +1,6 @@
 //! Target selection for one daemon, based on load reports and the results of its own attempts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -11,6 +11,7 @@
 use super::{Estimate, LatencyWindow, Policy};
 use crate::config::Configuration;
 use crate::ids::{InstanceId, ServiceId, TargetId};
+use crate::link::OUTSTANDING;
 use crate::load::LoadReport;
 use crate::outcome::{AttemptResult, Loss, Refusal};
 use crate::time::Time;
@@ -34,6 +35,9 @@
 /// Hedge delay with fewer than [`HEDGE_MIN_SAMPLES`] samples.
 const HEDGE_DEFAULT: Duration = Duration::from_millis(100);
 const HEDGE_MIN: Duration = Duration::from_millis(2);
+/// Time for which a target gets no large bodies after its daemon has refused one for its link: the bodies that
+/// were granted before have arrived then.
+const LINK_BUSY: Duration = OUTSTANDING;
 /// Maximum age of a report that is included in the mean of a service.
 const MEAN_WINDOW: Duration = Duration::from_secs(1);
 
@@ -46,6 +50,9 @@
 pub struct PickRequest<'a> {
     /// The service whose targets are eligible.
     pub service: ServiceId,
+    /// Time that the request's body takes on the way to a target of another machine. A large body that
+    /// moves from target to target saturates the links, so that it waits longer before it moves.
+    pub transfer: Duration,
     /// Targets of earlier attempts of the same call; they are excluded.
     pub tried: &'a [TargetId],
 }
@@ -101,6 +108,8 @@
 #[derive(Debug)]
 pub struct Balancer {
     domain: String,
+    /// Failure domains whose targets are not eligible.
+    evacuated: BTreeSet<String>,
     issued: BTreeMap<Ticket, TargetId>,
     latency: BTreeMap<ServiceId, LatencyWindow>,
     next_ticket: u64,
@@ -117,6 +126,7 @@
     pub fn new(domain: &str, policy: Policy, seed: u64) -> Self {
         Self {
             domain: domain.to_owned(),
+            evacuated: BTreeSet::new(),
             issued: BTreeMap::new(),
             latency: BTreeMap::new(),
             next_ticket: 0,
@@ -151,6 +161,11 @@
         }
     }
 
+    /// Replaces the set of evacuated failure domains, whose targets get no attempts.
+    pub fn evacuate(&mut self, domains: &BTreeSet<String>) {
+        self.evacuated.clone_from(domains);
+    }
+
     /// Applies changed entries of the member list. Unknown targets are ignored.
     pub fn update_members(&mut self, members: &[Membership], now: Time) {
         for member in members {
@@ -174,16 +189,54 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::NoTarget`] if no target of the service is eligible.
+    /// [`Refusal::Evacuated`] if all targets that would accept the request are in evacuated failure domains,
+    /// [`Refusal::NoTarget`] if no target of the service is eligible for another reason.
     pub fn pick(&mut self, request: &PickRequest<'_>, now: Time) -> Result<Choice, Refusal> {
+        let eligible = self.eligible(request, now);
+        self.pick_among(&eligible.clone(), eligible, request, now)
+    }
+
+    /// Picks a target for a request with a large body: `own`, the target of this daemon, if it has a free
+    /// slot, since the body then crosses no further link; else one whose daemon's link isn't known as busy.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoTarget`] if no target of the service is eligible.
+    pub fn pick_for_body(
+        &mut self,
+        request: &PickRequest<'_>,
+        own: Option<TargetId>,
+        now: Time,
+    ) -> Result<Choice, Refusal> {
         let eligible = self.eligible(request, now);
+        let mean = self.mean(request.service, now);
+        let has_room = |id: &TargetId| self.views[id].has_free_slot(&mean, now);
+        let own = own.filter(|id| eligible.contains(id) && has_room(id));
+        let link_free = |id: &TargetId| self.views[id].link_busy_until <= now;
+        let free: Vec<_> = eligible.iter().copied().filter(link_free).collect();
+        let candidates = match own {
+            Some(own) => vec![own],
+            None if free.is_empty() => eligible.clone(),
+            None => free,
+        };
+        self.pick_among(&candidates, eligible, request, now)
+    }
+
+    /// Picks one of `candidates`; the other eligible targets are its alternatives.
+    fn pick_among(
+        &mut self,
+        candidates: &[TargetId],
+        eligible: Vec<TargetId>,
+        request: &PickRequest<'_>,
+        now: Time,
+    ) -> Result<Choice, Refusal> {
         let mean = self.mean(request.service, now);
         let target = self
-            .choose(&eligible, &mean, now)
-            .ok_or(Refusal::NoTarget)?;
+            .choose(candidates, &mean, now)
+            .ok_or_else(|| self.refusal(request.service, now))?;
         let estimate = self.views[&target].estimate(&mean, now);
         let others: Vec<_> = eligible.into_iter().filter(|id| *id != target).collect();
-        let max_wait = self.max_wait(target, &others, &mean, now);
+        let max_wait = self.max_wait(target, &others, &mean, now) + request.transfer;
         let alternatives = others.len();
         let hedge = self.hedge_delay(request.service);
         let ticket = self.issue(target, now);
@@ -269,7 +322,7 @@
     /// the one whose backoff ends first, since refusing every request would be worse.
     fn eligible(&self, request: &PickRequest<'_>, now: Time) -> Vec<TargetId> {
         let accepting = |id: &TargetId, v: &View| {
-            v.service == request.service && v.accepts_work(now) && !request.tried.contains(id)
+            v.service == request.service && self.accepts_work(v, now) && !request.tried.contains(id)
         };
         let all: Vec<_> = self
             .views
@@ -288,6 +341,24 @@
         first.map(|(id, _)| **id).into_iter().collect()
     }
 
+    /// Whether a target accepts new work and its failure domain isn't evacuated.
+    fn accepts_work(&self, view: &View, now: Time) -> bool {
+        !self.evacuated.contains(&view.domain) && view.accepts_work(now)
+    }
+
+    /// Why no target of a service is eligible. What the targets of an evacuated domain last reported doesn't
+    /// matter: their gates report them as draining.
+    fn refusal(&self, service: ServiceId, now: Time) -> Refusal {
+        let of_service = || self.views.values().filter(|v| v.service == service);
+        let accepting = of_service().any(|v| self.accepts_work(v, now));
+        let evacuated = of_service().any(|v| !v.leaving && self.evacuated.contains(&v.domain));
+        if evacuated && !accepting {
+            Refusal::Evacuated
+        } else {
+            Refusal::NoTarget
+        }
+    }
+
     fn choose(&mut self, eligible: &[TargetId], mean: &Mean, now: Time) -> Option<TargetId> {
         match self.policy {
             Policy::Expected => {
@@ -405,6 +476,7 @@
         | Refusal::WrongTarget => {
             view.record_failure(now);
         }
+        Refusal::PeerLink => view.link_busy_until = now + LINK_BUSY,
         Refusal::Budget
         | Refusal::Cancelled
         | Refusal::Cold
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -35,15 +35,26 @@
 
     pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
         match line.verb {
+            "evacuate" => {
+                let domains = line.text("domains").unwrap_or_default().split(',');
+                let domains = domains.filter(|d| !d.is_empty()).map(str::to_owned);
+                self.balancer.evacuate(&domains.collect());
+            }
             "member" => self.member(line),
             "observe" => self.observe(line),
-            "pick" => {
+            "pick" | "pick-for-body" => {
                 let tried = tried(line);
                 let request = PickRequest {
                     service: ServiceId(0),
+                    transfer: line.span("transfer", Duration::ZERO),
                     tried: &tried,
                 };
-                let picked = self.balancer.pick(&request, line.now);
+                let own = line.text("own").map(|own| own.parse().unwrap());
+                let picked = if line.verb == "pick" {
+                    self.balancer.pick(&request, line.now)
+                } else {
+                    self.balancer.pick_for_body(&request, own, line.now)
+                };
                 if let (Ok(choice), Some(name)) = (&picked, line.text("as")) {
                     self.tickets.insert(name.to_owned(), choice.ticket);
                 }
@@ -136,6 +147,7 @@
         for _ in 0..line.word(0) {
             let request = PickRequest {
                 service: ServiceId(0),
+                transfer: Duration::ZERO,
                 tried: &[],
             };
             let choice = self.balancer.pick(&request, line.now).unwrap();
--- a/crates/node/src/catalog/decode.rs
+++ b/crates/node/src/catalog/decode.rs
@@ -10,7 +10,7 @@
 /// routes that can't be decoded are ignored.
 pub(super) fn decode_event(event: Event, unknown: &mut UnknownValues) -> Option<Change> {
     match event {
-        Event::Deleted { key, .. } => target_gone(&key),
+        Event::Deleted { key, .. } => evacuation_ended(&key).or_else(|| target_gone(&key)),
         Event::Written(item) => match decode_change(&item) {
             Ok(decoded) => decoded.map(|decoded| unknown.take(decoded)),
             Err(fault) => {
@@ -30,7 +30,10 @@
             Change::Target { name, target } => {
                 snapshot.targets.insert(name, target);
             }
-            Change::TargetGone { .. } => {}
+            Change::Evacuated { domain } => {
+                snapshot.evacuated.insert(domain);
+            }
+            Change::EvacuationEnded { .. } | Change::TargetGone { .. } => {}
         }
     }
     snapshot
@@ -41,7 +44,16 @@
         KeyKind::Target(name) => Some(Change::TargetGone {
             name: name.to_owned(),
         }),
-        KeyKind::Other | KeyKind::Routes => None,
+        KeyKind::Evacuation(_) | KeyKind::Other | KeyKind::Routes => None,
+    }
+}
+
+fn evacuation_ended(key: &str) -> Option<Change> {
+    match KeyKind::of(key) {
+        KeyKind::Evacuation(domain) => Some(Change::EvacuationEnded {
+            domain: domain.to_owned(),
+        }),
+        KeyKind::Other | KeyKind::Routes | KeyKind::Target(_) => None,
     }
 }
 
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -73,7 +73,7 @@
 #[derive(Debug)]
 enum Pending {
     /// A check of the store; the update is applied once it ends.
-    Check(ReceivedUpdate),
+    Check(Box<ReceivedUpdate>),
     Nothing,
     Peer(SentQuery),
     /// A read of the store.
@@ -108,7 +108,11 @@
         let limit = clock.until(query.until).max(MIN_SLEEP);
         match monoio::time::timeout(limit, &mut query.reply).await {
             Ok(Ok(Ok(Reply::StoreUpdate(update)))) => Some(*update),
-            Ok(Ok(Ok(Reply::Exchange(_) | Reply::Run(_)) | Err(_)) | Err(_)) | Err(_) => None,
+            Ok(
+                Ok(Ok(Reply::BodyGranted(_) | Reply::Exchange(_) | Reply::Run(_)) | Err(_))
+                | Err(_),
+            )
+            | Err(_) => None,
         }
     }
 }
@@ -294,7 +298,7 @@
         let received = ReceivedUpdate { at, update, peer };
         if self.removes_active_target(&received.update.payload) && self.store_sync.must_check(at) {
             self.call_store(StoreCall::Check);
-            self.pending = Pending::Check(received);
+            self.pending = Pending::Check(Box::new(received));
         } else {
             self.apply_update(received, at);
         }
@@ -305,7 +309,9 @@
         match payload {
             UpdatePayload::Changes(changes) => changes.iter().any(|(_, change)| match change {
                 UpdateChange::TargetGone { name } => self.catalog.is_active(name),
-                UpdateChange::RouteDelta(_)
+                UpdateChange::Evacuated { .. }
+                | UpdateChange::EvacuationEnded { .. }
+                | UpdateChange::RouteDelta(_)
                 | UpdateChange::Routes(_)
                 | UpdateChange::Target { .. } => false,
             }),
@@ -371,7 +377,7 @@
             Err(fault) => self.record_failure(&fault, now),
         }
         match pending {
-            Pending::Check(received) => self.apply_update(received, now),
+            Pending::Check(received) => self.apply_update(*received, now),
             Pending::Nothing | Pending::Peer(_) | Pending::Store => {}
         }
     }
@@ -522,6 +528,7 @@
         debug_assert_eq!(self.catalog.verify(), Vec::<String>::new());
         self.routing = Rc::new(RoutingState {
             config: self.catalog.configuration(&SERVICE_RULES),
+            evacuated: self.catalog.evacuated().clone(),
             limits: self.catalog.limits(),
             members: self.members(),
             own: self.catalog.target_at(self.start.own_target),
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -126,11 +126,14 @@
     ) -> Result<Peers, Report<StartError>> {
         let caller = &self.settings.caller;
         Peers::start(PeersStart {
+            clock: self.clock,
             control: self.senders.control.clone(),
             gate: self.senders.gate.clone(),
             limit: caller.body_limit + caller.head_limit + MESSAGE_OVERHEAD,
+            link_mbps: self.settings.machine.link_mbps,
             receiver,
             settings: &self.settings.peer,
+            telemetry: self.senders.telemetry.clone(),
         })
     }
 
@@ -144,6 +147,7 @@
             dialect: self.dialect,
             drained,
             gate: self.senders.gate.clone(),
+            link_mbps: self.settings.machine.link_mbps,
             peers: self.senders.peers.clone(),
             router: self.senders.router.clone(),
             seed: rand::rng().random(),
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -9,7 +9,9 @@
 use futures::channel::oneshot;
 use futures::future::FutureExt;
 use futures::{pin_mut, select_biased};
+use hawthornwall_core::calls::ReturnDelays;
 use hawthornwall_core::ids::RequestId;
+use hawthornwall_core::outcome::Refusal;
 use hawthornwall_core::pipeline;
 use hawthornwall_core::stop::StopPlan;
 use hawthornwall_settings::CallerSettings;
@@ -30,6 +32,8 @@
 /// signal, also the interval at which the number of open connections is polled.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+const BITS_PER_MEGABIT: f64 = 1e6;
+
 /// Shared dependencies of all connections.
 #[derive(Clone, Debug)]
 pub(super) struct Backend {
@@ -37,11 +41,15 @@
     pub default_limits: Limits,
     pub dialect: Dialect,
     pub gate: GateSender,
+    /// Rate of the machine's network link in megabits per second; `None` if it counts as unlimited.
+    pub link_mbps: Option<f64>,
     pub peers: PeersSender,
     /// Bounds on the requests in flight of one connection.
     pub pipeline: pipeline::Limits,
     /// The next request id, shared by all connections.
     pub requests: Rc<Cell<u64>>,
+    /// Delays for the callers of refused requests, shared by all connections.
+    pub return_delays: Rc<Cell<ReturnDelays>>,
     pub router: RouterSender,
     /// Identifies this run of the daemon as the sender of requests.
     pub sender: u32,
@@ -61,6 +69,23 @@
         self.requests.set(id.wrapping_add(1));
         RequestId(id)
     }
+
+    /// Time after which the caller of a refused request may send it again.
+    pub fn return_delay(&self, refusal: Refusal) -> Duration {
+        let mut delays = self.return_delays.get();
+        let delay = delays.next(refusal);
+        self.return_delays.set(delays);
+        delay
+    }
+
+    /// Time that a body takes on this machine's link and on an equal one at the target.
+    pub fn transfer_time(&self, body_length: usize) -> Duration {
+        let bits = body_length as f64 * f64::from(u8::BITS);
+        let one_link = self
+            .link_mbps
+            .map_or(0.0, |mbps| bits / (mbps * BITS_PER_MEGABIT));
+        Duration::from_secs_f64(2.0 * one_link)
+    }
 }
 
 /// Parameters of [`Ingress::start`].
@@ -74,6 +99,8 @@
     pub drained: oneshot::Receiver<()>,
     /// Sender to the gate of the local target.
     pub gate: GateSender,
+    /// Rate of the machine's network link in megabits per second; `None` if it counts as unlimited.
+    pub link_mbps: Option<f64>,
     /// Sender to the task that exchanges messages with other daemons.
     pub peers: PeersSender,
     /// Sender to the router, which picks targets.
@@ -138,12 +165,14 @@
             },
             dialect: start.dialect,
             gate: start.gate,
+            link_mbps: start.link_mbps,
             peers: start.peers,
             pipeline: pipeline::Limits {
                 bytes: settings.pipeline_bytes,
                 requests: settings.pipeline_requests,
             },
             requests: Rc::new(Cell::new(start.seed)),
+            return_delays: Rc::default(),
             router: start.router,
             sender: (start.seed >> u32::BITS) as u32,
             service: start.service.map(Rc::from),
