Test returns of the store at random, and describe store eras

Change: a property test drives two daemons, three targets and an operator through random returns of the store from older copies. The store fake returns from a copy that it kept.

--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod body_grants;
 mod call;
+mod eras;
 mod evacuation;
 mod gate;
 mod ledger;
--- a/crates/testkit/src/store/contents.rs
+++ b/crates/testkit/src/store/contents.rs
@@ -1,7 +1,7 @@
 //! Items of the store and the history of their changes.
 //!
 //! Invariants: each change increments the revision by one, and the history after revision
-//! [`Contents::compacted`] is complete.
+//! [`Contents::compacted`] is complete. After a return from an older copy the revisions continue from the copy's.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -39,6 +39,8 @@
 pub struct Contents {
     /// Changes up to this revision are no longer in the history.
     pub compacted: u64,
+    /// How often the store has returned from an older copy.
+    pub era: u64,
     history: VecDeque<Change>,
     items: BTreeMap<String, Item>,
     revision: u64,
@@ -79,6 +81,14 @@
         self.revision
     }
 
+    /// Returns to an older copy; what was written since is lost.
+    pub fn return_to(&mut self, copy: &Self) {
+        *self = Self {
+            era: self.era + 1,
+            ..copy.clone()
+        };
+    }
+
     /// Clears the history.
     pub fn compact(&mut self) {
         self.history.clear();
@@ -100,9 +110,9 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the history no longer reaches back to `after`.
+    /// Returns an error if the history no longer reaches back to `after`, or not yet up to it.
     pub fn changes(&self, prefix: &str, after: u64) -> Result<Vec<&Change>, Compacted> {
-        if after < self.compacted {
+        if after < self.compacted || after > self.revision {
             return Err(Compacted);
         }
         let all = self.history.iter();
--- a/crates/testkit/src/store/serve.rs
+++ b/crates/testkit/src/store/serve.rs
@@ -23,6 +23,9 @@
 /// Age at which the copy that answers stale reads is renewed.
 const STALE_AGE: Duration = Duration::from_secs(1);
 
+/// Header that states how often the store has returned from an older copy.
+const ERA_HEADER: &str = "store-era";
+
 /// Fault in the store's answers to a reader.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Fault {
@@ -58,7 +61,9 @@
     Compact,
     Delete(String),
     Fault(Option<usize>, Fault),
+    KeepCopy,
     Put(String, Vec<u8>),
+    ReturnToCopy,
 }
 
 /// Changes the contents and faults of a running store.
@@ -86,6 +91,16 @@
         let _ = self.0.unbounded_send(Message::Compact);
     }
 
+    /// Keeps a copy of the contents for [`StoreHandle::return_to_copy`].
+    pub fn keep_copy(&self) {
+        let _ = self.0.unbounded_send(Message::KeepCopy);
+    }
+
+    /// Returns to the copy last kept, with the next era, and closes the connections of all watches.
+    pub fn return_to_copy(&self) {
+        let _ = self.0.unbounded_send(Message::ReturnToCopy);
+    }
+
     /// Sets the fault for one reader, or for all if `reader` is `None`. A fault for all takes
     /// precedence until it is [`Fault::None`].
     pub fn fail(&self, reader: Option<usize>, fault: Fault) {
@@ -95,6 +110,8 @@
 
 struct Store {
     contents: Contents,
+    /// The contents that the store returns to.
+    copy: Contents,
     faults: BTreeMap<usize, Fault>,
     receiver: mpsc::UnboundedReceiver<Message>,
     shared_fault: Fault,
@@ -120,6 +137,7 @@
     }
     let store = Store {
         contents: Contents::default(),
+        copy: Contents::default(),
         faults: BTreeMap::new(),
         receiver,
         shared_fault: Fault::None,
@@ -177,6 +195,12 @@
                     self.answer_watches();
                 }
                 Some(Message::Fault(reader, fault)) => self.set_fault(reader, fault),
+                Some(Message::KeepCopy) => self.copy = self.contents.clone(),
+                Some(Message::ReturnToCopy) => {
+                    self.contents.return_to(&self.copy);
+                    self.stale = self.contents.clone();
+                    self.watches.clear();
+                }
                 Some(Message::Put(key, value)) => {
                     self.contents.put(&key, value);
                     self.answer_watches();
@@ -221,8 +245,8 @@
 
     fn call(&mut self, call: Call) {
         match self.fault_of(call.reader) {
-            Fault::Busy => respond(call, answer(StatusCode::SERVICE_UNAVAILABLE, "")),
-            Fault::Limited => respond(call, answer(StatusCode::TOO_MANY_REQUESTS, "")),
+            Fault::Busy => self.respond(call, answer(StatusCode::SERVICE_UNAVAILABLE, "")),
+            Fault::Limited => self.respond(call, answer(StatusCode::TOO_MANY_REQUESTS, "")),
             Fault::Reset => drop(call),
             // Dropping the sender would close the reader's connection.
             Fault::Silent => std::mem::forget(call.reply),
@@ -237,7 +261,12 @@
     }
 
     /// Answers a call, after the delay of [`Fault::Slow`] if it is set for the reader.
-    fn respond(&self, call: Call, response: Response<Bytes>) {
+    fn respond(&self, call: Call, mut response: Response<Bytes>) {
+        // Before its first return the store answers as one that knows no eras.
+        if self.contents.era > 0 {
+            let headers = response.headers_mut();
+            headers.insert(ERA_HEADER, self.contents.era.into());
+        }
         let delay = match self.fault_of(call.reader) {
             Fault::Slow(delay) => delay,
             Fault::Busy
--- a/crates/testkit/tests/store.rs
+++ b/crates/testkit/tests/store.rs
@@ -34,7 +34,12 @@
             };
             let (items, events) = (listed("items"), listed("events"));
             let (more, revision) = (&body["hasMore"], &body["storeRevision"]);
-            format!("{status} items [{items}] events [{events}] more {more} revision {revision}")
+            let era = answer.headers().get("store-era");
+            let era = era.map(|e| format!(" era {}", e.to_str().unwrap_or("?")));
+            let era = era.unwrap_or_default();
+            format!(
+                "{status} items [{items}] events [{events}] more {more} revision {revision}{era}"
+            )
         }
     }
 }
@@ -110,3 +115,31 @@
     });
     assert_snapshot!(seen);
 }
+
+/// Guards against a fake whose return from an older copy differs from that of the real store: revisions go back and
+/// are assigned again, all answers state the era, and a watch from a revision that was lost is rejected.
+#[test]
+fn return_from_older_copy() {
+    let seen = run_scenario(async |store, [reader, _]| {
+        store.put("servers/a", &json!(1));
+        store.keep_copy();
+        store.put("servers/b", &json!(2));
+        store.put("servers/c", &json!(3));
+        let range = "/api/kv-range?prefix=servers%2F";
+        let watch = "/api/kv-watch?prefix=&after=3&waitMs=100";
+        let mut seen = vec![format!("before\n  {}", get(reader, range).await)];
+        store.return_to_copy();
+        for path in [range, "/api/kv-range?prefix=&allowStale=1", watch] {
+            seen.push(format!("returned, {path}\n  {}", get(reader, path).await));
+        }
+        store.put("servers/d", &json!(4));
+        seen.push(format!("written, {range}\n  {}", get(reader, range).await));
+        store.fail(None, Fault::Busy);
+        seen.push(format!("busy\n  {}", get(reader, range).await));
+        store.fail(None, Fault::None);
+        store.return_to_copy();
+        seen.push(format!("again\n  {}", get(reader, range).await));
+        seen
+    });
+    assert_snapshot!(seen);
+}
