Log answers of an earlier era once, and test refusals without usable targets

Cause: a store that keeps answering from an earlier era filled the log with one line a call.

Change: such an answer is a failed read with its own fault, which is logged once as other faults are. A test shows that requests for a service all of whose targets are unusable, as with an unknown protocol, are refused immediately.

--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -147,11 +147,6 @@
     log::warn!("the store has returned from an older copy of its contents", kv: { before:, revision:, source: });
 }
 
-/// Logs an answer of the store that is of an earlier era than the contents held.
-pub(super) fn earlier_era(era: u64, known: Revision) {
-    log::warn!("ignored an answer of the store of an earlier era", kv: { era, known: });
-}
-
 /// Logs when reads of the store start to fail, fail in another way, or succeed again.
 #[derive(Debug)]
 pub(super) struct StoreHealthLog {
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -367,11 +367,7 @@
         let pending = std::mem::replace(&mut self.pending, Pending::Nothing);
         let now = self.start.clock.now();
         let StoreEnd { era, result } = end;
-        let held = self.store_sync.revision();
         let order = era.map_or(EraOrder::Same, |era| self.store_sync.receive_era(era, now));
-        if let (EraOrder::Earlier, Some(era)) = (order, era) {
-            report::earlier_era(era, held);
-        }
         match result {
             Ok(read) => self.apply_read(read, order, now),
             Err(fault) => self.record_failure(&fault, now),
@@ -390,8 +386,8 @@
                 StoreRead::Changes { .. } | StoreRead::Contents { .. } | StoreRead::HistoryGone,
                 EraOrder::Earlier,
             ) => {
-                self.failing_since.get_or_insert(now);
-                self.store_sync.end(CallEnd::Refused, now);
+                let fault = ReadFault::Content("the answer is of an earlier era".to_owned());
+                self.record_failure(&fault, now);
             }
             (
                 StoreRead::Contents {
--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -43,6 +43,8 @@
     CloseSending,
     /// These failure domains are evacuated; any other evacuation is revoked.
     Evacuate(&'static [&'static str]),
+    /// All targets count as leaving, or none does.
+    Leaving(bool),
     /// States whether at most this time was left of the request for this path when it was passed on.
     LeftAtMost(&'static str, Duration),
     /// The caller sends these bytes; `|` stands for CR LF.
@@ -90,6 +92,14 @@
                 let message = RouterMessage::RoutingState(Rc::new(routing));
                 let _ = self.router.unbounded_send(message);
             }
+            Step::Leaving(leaving) => {
+                let mut routing = routing_state();
+                for member in routing.members.values_mut() {
+                    member.leaving = leaving;
+                }
+                let message = RouterMessage::RoutingState(Rc::new(routing));
+                let _ = self.router.unbounded_send(message);
+            }
             Step::LeftAtMost(path, limit) => {
                 let within = self.passed.get(path).is_some_and(|left| *left <= limit);
                 self.log.push(format!("    {within}"));
@@ -364,3 +374,17 @@
     ];
     assert_snapshot!(transcript("", &steps));
 }
+
+/// Guards against requests that wait for a service whose targets can't be used, as those of a service with an unknown
+/// protocol, which all count as leaving.
+#[test]
+fn service_without_usable_targets() {
+    let steps = [
+        Step::Leaving(true),
+        Step::Send("GET /read/1 HTTP/1.1|host: h||"),
+        Step::Send("POST /order/2 HTTP/1.1|host: h|content-length: 0||"),
+        Step::Leaving(false),
+        Step::Send("GET /read/3 HTTP/1.1|host: h||"),
+    ];
+    assert_snapshot!(transcript("", &steps));
+}
