Judge a load by the era of its last page

Cause: a load that met several eras stated the latest of all its pages, so that contents of an earlier era, read again from a replica that lags, would have been applied as those of the later one.

Change: the end of a call states the era of its last response, which is that of the contents. A test covers a return between two pages.

--- a/crates/node/src/platform/store.rs
+++ b/crates/node/src/platform/store.rs
@@ -90,7 +90,7 @@
 /// The result of a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreEnd {
-    /// Latest era that a response to the call stated, also if it was a rejection; `None` without a response.
+    /// Era that the last response to the call stated, also if it was a rejection; `None` without a response.
     pub era: Option<u64>,
     /// What the call returned.
     pub result: Result<StoreRead, ReadFault>,
@@ -127,7 +127,7 @@
 struct StoreClient {
     address: SocketAddr,
     connection: Option<Connection>,
-    /// Latest era that a response to the current call stated.
+    /// Era that the last response to the current call stated.
     era: Option<u64>,
 }
 
@@ -255,7 +255,7 @@
         let exchange = connection.get(path, self.address);
         let response = monoio::time::timeout(limit, exchange).await;
         let response = response.map_err(|_| connection.timeout_fault())??;
-        self.era = self.era.max(response.era);
+        self.era = response.era.or(self.era);
         if response.reusable {
             self.connection = Some(connection);
         }
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -348,6 +348,27 @@
     assert_snapshot!(name, text);
 }
 
+/// Guards against contents of which a part is of an earlier era, since the store has returned from an older copy
+/// between two pages.
+#[test]
+fn load_across_eras() {
+    let entry = entry(children().next().expect("half of all addresses come after"));
+    let items = format!(r#"[{{"key":"op/config","value":"{ROUTES_9}","revision":40}}]"#);
+    let first = ok(&format!(
+        r#"{{"items":{items},"hasMore":true,"storeRevision":40}}"#
+    ));
+    let responses = vec![
+        in_era(1, &first),
+        in_era(2, &page(&[("servers/i-1", &entry)], 30)),
+        in_era(
+            2,
+            &page(&[("op/config", ROUTES_2), ("servers/i-1", &entry)], 30),
+        ),
+        in_era(2, &events(&[], 30)),
+    ];
+    assert_snapshot!(run_script(vec![Connection::silent_after(responses)], 1));
+}
+
 /// Guards against missing the changes that the store dropped from its history.
 #[test]
 fn history_gone() {
