--- a/crates/core/tests/scenarios/catalog.rs
+++ b/crates/core/tests/scenarios/catalog.rs
@@ -43,6 +43,10 @@
                 let snapshot = std::mem::take(&mut self.snapshot);
                 self.catalog.replace(snapshot, absence, line.now)
             }
+            "begin-era" => {
+                self.catalog.begin_era(line.now);
+                Vec::new()
+            }
             "reconnect" => {
                 self.catalog.reconnect(line.now);
                 Vec::new()
@@ -90,6 +94,8 @@
 fn entry(line: &Line<'_>) -> (String, PublishedTarget) {
     let state = if line.flag("draining") {
         PublishedState::Draining
+    } else if line.flag("unknown-state") {
+        PublishedState::Unknown
     } else {
         PublishedState::Ready
     };
