Limit the requests that a cold target gets

A target that is cold crashes if it gets many more requests a second than its operators allow, and states whether it is cold only in answers to load checks. The gate now keeps the limit of the service's configuration in a sliding window of a second, counts requests that a target may have received before it was found cold, after a pause, or from a predecessor of the gate, and asks the target before it starts anything. Requests over the rate wait or are refused as target-cold; the load report shows no free slots meanwhile. Placement counts only the capacity that a cold target has.

The test answer_that_stops_at_any_byte sends about 100 requests at once to a gate without a configuration whose load checks fail.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -1,8 +1,10 @@
 //! Admission control for one target: which requests start, which wait, and which are refused.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::cold::{self, Cold};
 use super::event::{Arrival, Effect, Event, Limits, Priority, RunEnd, WorkId};
 use super::holdover::Holdover;
 use super::name::StatedName;
@@ -11,6 +13,7 @@
 use super::saturation::{Occupancy, Saturation};
 use super::service::ServiceTimes;
 use super::strain::{Strain, Verdict};
+use crate::catalog::ServiceLimits;
 use crate::ids::InstanceId;
 use crate::load::{LEAVING_MAX_AGE, LoadReport, RateLimit, TargetLoad, TargetState};
 use crate::outcome::Refusal;
@@ -66,6 +69,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Gate {
+    cold: Cold,
     draining: bool,
     failure_share: f64,
     holdover: Holdover,
@@ -93,6 +97,7 @@
     /// Creates a gate without requests, for a target that is reachable and not draining.
     pub fn new(instance: InstanceId, limits: Limits) -> Self {
         Self {
+            cold: Cold::default(),
             draining: false,
             failure_share: 0.0,
             holdover: Holdover::default(),
@@ -118,6 +123,7 @@
     /// performed.
     pub fn on(&mut self, event: &Event, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.cold.observe_time(now);
         self.drop_expired(now, &mut effects);
         match *event {
             Event::Abandon(id) => self.abandon(id, now),
@@ -130,6 +136,7 @@
                 if let Some(load) = load {
                     self.holdover.observe(load, self.running.len(), now);
                 }
+                self.cold.fail_check(now);
                 self.strain.finish_check(load, now);
             }
             Event::Stop(plan) => self.stop = Some(plan),
@@ -139,7 +146,10 @@
                 self.leaving = Some(now);
                 self.refuse_waiting(Refusal::Draining, &mut effects);
             }
-            Event::TargetReplaced => self.replace_target(now),
+            Event::TargetReplaced => {
+                self.replace_target(now);
+                self.cold.replace_target(now);
+            }
             Event::Tick => {}
         }
         self.start_waiting(now, &mut effects);
@@ -154,6 +164,36 @@
         self.strain.enable();
     }
 
+    /// Keeps requests back until the first [`Self::limit_cold`], as far as any limit on cold targets could
+    /// require it, since the configuration hasn't been read.
+    pub fn expect_cold_limit(&mut self) {
+        self.cold.expect_limit();
+    }
+
+    /// Sets or lifts the limit on requests per second while the target is cold, from the configuration.
+    pub fn limit_cold(&mut self, limits: Option<ServiceLimits>, now: Time) {
+        self.cold.set_limit(limits, now);
+    }
+
+    /// Records the end of the cold time that the target's entry in the store states.
+    pub fn observe_cold_entry(&mut self, until: Time, now: Time) {
+        self.cold.observe_entry(until, now);
+    }
+
+    /// Records for how long the target stays cold according to its answer to a load check, zero if it is warm;
+    /// `None` if the answer doesn't state it. The [`Event::LoadAnswer`] of that check follows.
+    pub fn observe_cold(&mut self, remaining: Option<Duration>, now: Time) {
+        match remaining {
+            Some(remaining) => self.cold.observe(remaining, now),
+            None => self.cold.observe_unstated(now),
+        }
+    }
+
+    /// Whether the target was last stated to be cold, and its service limits the requests to cold targets.
+    pub fn is_cold(&self) -> bool {
+        self.cold.is_cold()
+    }
+
     /// Records the load that the target reported along with an answer.
     pub fn observe_load(&mut self, load: TargetLoad, now: Time) {
         // The answer's own request still counts as running here and no longer at the target.
@@ -171,10 +211,14 @@
     /// Records the name that the target stated in an answer; returns whether it differs from the last
     /// one. Another name is that of another run, to which nothing applies that the earlier run stated.
     pub fn observe_name(&mut self, name: &str, now: Time) -> bool {
+        let known = self.stated_name.is_known();
         let changed = self.stated_name.record(name, now);
         if changed {
             self.replace_target(now);
         }
+        if changed && known {
+            self.cold.replace_target(now);
+        }
         changed
     }
 
@@ -185,10 +229,11 @@
     }
 
     /// Creates the load report for the next reply and advances the sequence number. Slots that the
-    /// rate limit keeps free now count as taken.
+    /// rate limit or the limit on cold targets keeps free now count as taken.
     pub fn report(&mut self, now: Time) -> LoadReport {
         self.seq += 1;
-        let limited = !self.rate.wait(self.queue.len(), now).is_zero();
+        let queued = self.queue.len();
+        let limited = !(self.rate.wait(queued, now) + self.cold.wait(queued, now)).is_zero();
         let withheld = if limited { self.usable } else { 0 };
         // What the target reports isn't bounded; it takes no more slots than there are.
         let reported = self.occupied(now).min(self.usable as usize);
@@ -248,7 +293,8 @@
             }
         }
         let free = self.running.len() < self.usable as usize;
-        let holding = self.strain.holding || self.rate.holding || self.holdover.holding;
+        let holding =
+            self.strain.holding || self.cold.holding || self.rate.holding || self.holdover.holding;
         if !self.queue.is_empty() && free && !holding {
             faults.push("a request is queued while a slot is free".to_owned());
         }
@@ -285,20 +331,33 @@
         if self.outlasts_daemon(arrival, now, now) {
             return Err(Refusal::Draining);
         }
-        let wait = self.expected_wait(arrival, now);
+        let cold_wait = self.cold_wait(arrival, now);
+        let wait = self.expected_wait(arrival, now).max(cold_wait);
         if wait.is_zero() {
             return Ok(());
         }
-        let allowed = arrival
-            .max_wait
-            .min(self.limits.queue_wait)
-            .min(arrival.deadline - now);
+        let allowed = self.allowed_wait(arrival).min(arrival.deadline - now);
+        if cold_wait > allowed {
+            return Err(Refusal::Cold);
+        }
         if self.queue.len() >= self.queue_limit() || wait > allowed {
             return Err(Refusal::Full);
         }
         Ok(())
     }
 
+    /// Longest time from its arrival for which a request may wait.
+    fn allowed_wait(&self, arrival: &Arrival) -> Duration {
+        arrival.max_wait.min(self.limits.queue_wait)
+    }
+
+    /// Expected time until the limit on cold targets lets a request start that arrives now.
+    fn cold_wait(&self, arrival: &Arrival, now: Time) -> Duration {
+        let usual = |p| self.service_times.usual(p);
+        let ahead = self.queue.ahead_of(arrival, usual, now).len();
+        self.cold.wait(ahead, now)
+    }
+
     /// Expected time until a request starts that arrives now; zero if it can start at once.
     fn expected_wait(&self, arrival: &Arrival, now: Time) -> Duration {
         let ahead = self
@@ -358,6 +417,7 @@
         let Some(running) = self.running.remove(&id) else {
             return;
         };
+        self.cold.end(id, now);
         match end {
             RunEnd::Completed => {
                 self.record_failure_sample(0.0);
@@ -478,9 +538,11 @@
     fn start_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.strain.holding = false;
         self.rate.holding = false;
+        self.cold.holding = false;
         while self.occupied(now) < self.usable as usize && !self.queue.is_empty() {
             self.rate.holding = !self.rate.wait(0, now).is_zero();
-            if self.rate.holding || !self.may_start(now, effects) {
+            if self.rate.holding || !self.cold_allows(now, effects) || !self.may_start(now, effects)
+            {
                 break;
             }
             let Some(waiting) = self.queue.pop() else {
@@ -504,6 +566,7 @@
             };
             self.running.insert(id, running);
             self.rate.take(now);
+            self.cold.start(id, now);
             effects.push(Effect::Start(id));
         }
         let usable = self.usable as usize;
@@ -532,8 +595,10 @@
                 }
             }
             Verdict::Unknown => {
-                if self.strain.begin_check(now) {
-                    effects.push(Effect::CheckLoad);
+                self.begin_check(now, effects);
+                // The limit on load checks of a target that may be cold leaves an older answer in force.
+                if !self.strain.is_checking() && !self.strain.is_strained() {
+                    return true;
                 }
             }
         }
@@ -541,6 +606,46 @@
         false
     }
 
+    /// Whether the limit on cold targets lets the first request in the queue start. Requests that would wait
+    /// for it for too long are refused, so that their senders can try another target.
+    fn cold_allows(&mut self, now: Time, effects: &mut Vec<Effect>) -> bool {
+        if self.cold.check_due(now) {
+            self.begin_check(now, effects);
+        }
+        match self.cold.verdict(now) {
+            cold::Verdict::Start => return true,
+            cold::Verdict::Ask => {}
+            cold::Verdict::Hold => self.refuse_cold(now, effects),
+        }
+        self.cold.holding = true;
+        false
+    }
+
+    fn refuse_cold(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let ahead = Cell::new(0);
+        let mut queue = std::mem::take(&mut self.queue);
+        let too_late = |_: usize, waiting: &Waiting| {
+            let wait = self.cold.wait(ahead.get(), now);
+            let late = now - waiting.arrived + wait > self.allowed_wait(&waiting.arrival);
+            if late && !wait.is_zero() {
+                return Some(Refusal::Cold);
+            }
+            ahead.set(ahead.get() + 1);
+            None
+        };
+        refuse(queue.remove_if(too_late), effects);
+        self.queue = queue;
+    }
+
+    /// Sends a load check, unless one is in progress or the last one to a target that may be cold was sent too
+    /// recently.
+    fn begin_check(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.cold.may_check(now) && self.strain.begin_check(now) {
+            self.cold.begin_check(now);
+            effects.push(Effect::CheckLoad);
+        }
+    }
+
     fn refuse_short_max_wait(&mut self, refusal: Refusal, effects: &mut Vec<Effect>) {
         let short_max_wait = |_: usize, waiting: &Waiting| {
             (waiting.arrival.max_wait < STRAIN_RECOVERY_WAIT).then_some(refusal)
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! - at most `slots` requests run at once, and fewer while the target completes more work with
 //!   fewer;
 //! - while the target states a limit on requests per second, no more start than it allows;
+//! - while the target is cold, no more start than the operators allow for a cold target;
 //! - a request whose deadline has passed is never started;
 //! - waiting requests start in order of priority; within a kind, those that can still meet their
 //!   objective start before those that can't;
@@ -15,6 +16,7 @@
 //! - after the target has stated that it leaves, no request is started;
 //! - only a request that has not been started is refused.
 
+pub mod cold;
 mod event;
 mod gate;
 mod holdover;
--- a/crates/core/src/admission/name.rs
+++ b/crates/core/src/admission/name.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Whether the target has stated a name.
+    pub fn is_known(&self) -> bool {
+        self.0.is_some()
+    }
+
     /// Whether the target recently stated another name.
     pub fn differs_from(&self, expected: &str, now: Time) -> bool {
         let known = self.0.as_ref();
--- a/crates/core/src/admission/strain.rs
+++ b/crates/core/src/admission/strain.rs
@@ -96,6 +96,11 @@
         begin_check
     }
 
+    /// Whether a load check is in progress.
+    pub fn is_checking(&self) -> bool {
+        self.check_sent.is_some()
+    }
+
     /// Whether the last reported load shows a strained machine.
     pub fn is_strained(&self) -> bool {
         self.latest
--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -22,9 +22,15 @@
 /// Time for which a target that left stays in the catalog, so that its last answers are still processed.
 const LEFT_RETENTION: Duration = Duration::from_secs(30);
 
+/// Difference between two stated ends of a target's cold time up to which they are the same one. Entries take up
+/// to a second from the target to this daemon.
+const COLD_STEP: Duration = Duration::from_secs(1);
+
 /// The state of one target.
 #[derive(Clone, Debug)]
 struct TargetRecord {
+    /// End of the cold time according to the entry; [`Time::ZERO`] if it states none.
+    cold_until: Time,
     entry: PublishedTarget,
     id: TargetId,
     /// When the target started to leave; it takes no new work from then on.
@@ -61,6 +67,9 @@
     OlderRoutes(Version),
     /// Routes of a new version are in force.
     Routes(Version),
+    /// The end of a target's cold time is another one than was known, and its service limits requests to cold
+    /// targets.
+    TargetCold(String),
     /// A target takes no new work from now on.
     TargetLeaving(String),
     /// The entry of a target is missing; the target is used until its removal is confirmed.
@@ -209,6 +218,15 @@
             .collect()
     }
 
+    /// When the cold time of targets ends according to their entries. Targets whose service doesn't limit the
+    /// requests to cold ones are left out.
+    pub fn cold_until(&self) -> BTreeMap<TargetId, Time> {
+        let all = self.targets.values();
+        all.filter(|r| r.cold_until > Time::ZERO && self.limits_cold(&r.entry.service))
+            .map(|r| (r.id, r.cold_until))
+            .collect()
+    }
+
     /// Services and targets in the form that the other aggregates take.
     pub fn configuration(&self, rules: &Rules) -> Configuration {
         let services = self.services.iter().map(|(name, id)| {
@@ -291,8 +309,13 @@
         let was_leaving = before.map(|r| r.left_at.is_some());
         let id = before.map_or(TargetId(self.next_target + 1), |r| r.id);
         let left_at = before.and_then(|r| r.left_at).unwrap_or(now);
+        let known = before.map(|r| r.cold_until);
+        let cold_until = cold_until(before, &entry, now);
+        let cold_changed =
+            known.is_some_and(|known| known != cold_until) && self.limits_cold(&entry.service);
         self.next_target = self.next_target.max(id.0);
         let record = TargetRecord {
+            cold_until,
             entry,
             id,
             left_at: leaving.then_some(left_at),
@@ -301,13 +324,18 @@
         self.targets.insert(name.to_owned(), record);
         self.retire_replaced(name, now);
         let leaves = self.targets[name].left_at.is_some();
-        (was_leaving != Some(leaves)).then(|| {
-            if leaves {
-                CatalogEvent::TargetLeaving(name.to_owned())
-            } else {
-                CatalogEvent::TargetReady(name.to_owned())
-            }
-        })
+        let name = name.to_owned();
+        match (was_leaving == Some(leaves), leaves) {
+            (false, true) => Some(CatalogEvent::TargetLeaving(name)),
+            (false, false) => Some(CatalogEvent::TargetReady(name)),
+            (true, _) => cold_changed.then_some(CatalogEvent::TargetCold(name)),
+        }
+    }
+
+    /// Whether the operators limit the requests to cold targets of a service.
+    fn limits_cold(&self, service: &str) -> bool {
+        let limits = self.service_limits.get(service);
+        limits.is_some_and(|limits| !limits.cold_interval.is_zero())
     }
 
     /// Marks all targets at the address of `name` as left except the one that started last, since only
@@ -364,6 +392,26 @@
     a.started_ms == b.started_ms && a.address == b.address && a.service == b.service
 }
 
+/// End of the cold time after an entry was read. An entry that is read once more states nothing new, and nearly
+/// the same end is kept, since it differs only by the time that the entries took.
+fn cold_until(before: Option<&TargetRecord>, entry: &PublishedTarget, now: Time) -> Time {
+    let stated = if entry.cold.is_zero() {
+        Time::ZERO
+    } else {
+        now + entry.cold
+    };
+    let Some(before) = before else {
+        return stated;
+    };
+    let known = before.cold_until;
+    let step = stated.max(now) - known.max(now) + (known.max(now) - stated.max(now));
+    if before.entry == *entry || step <= COLD_STEP {
+        known
+    } else {
+        stated
+    }
+}
+
 fn assign_id(services: &mut BTreeMap<String, ServiceId>, name: &str) {
     if !services.contains_key(name) {
         let id = ServiceId(services.len() as u16);
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::view::{Mean, View};
+use super::view::{ColdTarget, Mean, View};
 use super::{Estimate, LatencyWindow, Policy};
 use crate::config::Configuration;
 use crate::ids::{InstanceId, ServiceId, TargetId};
@@ -151,6 +151,13 @@
         }
     }
 
+    /// Replaces what the store states about cold targets. Those that aren't named are warm.
+    pub fn set_cold(&mut self, cold: &BTreeMap<TargetId, ColdTarget>) {
+        for (id, view) in &mut self.views {
+            view.cold = cold.get(id).copied();
+        }
+    }
+
     /// Applies changed entries of the member list. Unknown targets are ignored.
     pub fn update_members(&mut self, members: &[Membership], now: Time) {
         for member in members {
@@ -301,16 +308,27 @@
                             .service
                             .mul_f64(if remote { REMOTE_COST_SHARE } else { 0.0 })
                 };
-                let mut candidates: Vec<_> = eligible
+                let (cold, warm): (Vec<_>, Vec<_>) =
+                    eligible.iter().partition(|id| views[id].is_cold(now));
+                // A cold target is picked over warm ones only when it is expected to answer earlier.
+                let (preferred, other) = if warm.is_empty() {
+                    (cold, warm)
+                } else {
+                    (warm, cold)
+                };
+                let mut candidates: Vec<&TargetId> = preferred
                     .choose_multiple(&mut self.rng, CANDIDATES)
+                    .copied()
                     .collect();
                 if self.prefers_local {
-                    let local: Vec<_> = eligible
+                    let local: Vec<_> = preferred
                         .iter()
                         .filter(|id| views[id].domain == *local_domain)
                         .collect();
-                    candidates.extend(local.choose_multiple(&mut self.rng, LOCAL_CANDIDATES));
+                    let local = local.choose_multiple(&mut self.rng, LOCAL_CANDIDATES);
+                    candidates.extend(local.map(|id| **id));
                 }
+                candidates.extend(other.choose(&mut self.rng));
                 candidates.into_iter().min_by_key(|id| cost(id)).copied()
             }
             Policy::LeastOutstanding => {
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -52,6 +52,13 @@
 /// queued, since the occupancy on arrival is uncertain.
 const BUSY_COST: f64 = 0.5;
 
+/// Service time of a cold target as a multiple of the usual one, as its operators state it.
+const COLD_SLOWDOWN: f64 = 2.0;
+/// Time after the end of the cold time in which the capacity that is counted rises to all slots.
+const COLD_RAMP: Duration = Duration::from_millis(1_500);
+/// Lower bound of the counted capacity, in slots, so that the expected wait stays finite.
+const MIN_CAPACITY: f64 = 0.05;
+
 /// The slowdown of a machine that runs at its normal speed, in percent.
 const NORMAL_SLOWDOWN: u32 = 100;
 /// Time in which the weight of a reported slowdown falls by a factor of e.
@@ -81,6 +88,15 @@
     pub service: Duration,
 }
 
+/// What the store states about a target that is cold or was so recently.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ColdTarget {
+    /// Least time between two requests that the target bears on average while cold.
+    pub interval: Duration,
+    /// End of the cold time.
+    pub until: Time,
+}
+
 /// The recorded state of one target.
 #[derive(Clone, Debug)]
 pub(super) struct View {
@@ -88,6 +104,8 @@
     /// change that.
     pub announced_leaving: Option<Time>,
     pub backoff_until: Time,
+    /// Set while the store states an end of the target's cold time, also one that has passed.
+    pub cold: Option<ColdTarget>,
     pub domain: String,
     /// Time of the last failure; `None` after a success.
     pub failed_at: Option<Time>,
@@ -114,6 +132,7 @@
         Self {
             announced_leaving: None,
             backoff_until: Time::ZERO,
+            cold: None,
             domain: domain.to_owned(),
             failed_at: None,
             failures: 0,
@@ -235,7 +254,7 @@
 
     pub fn estimate(&self, mean: &Mean, now: Time) -> Estimate {
         let service = self.service_time(mean, now);
-        let slots = f64::from(self.slots);
+        let slots = self.capacity(service, now);
         let occupancy = self.expected_occupancy(mean, service, now);
         let waiting = (occupancy + 1.0 - slots).max(0.0) / slots;
         let busy = BUSY_COST * (occupancy / slots).min(1.0).powi(2);
@@ -259,7 +278,35 @@
         self.service_time(mean, now).mul_f64(1.0 + BUSY_COST)
     }
 
+    /// Whether the target is cold according to the store.
+    pub fn is_cold(&self, now: Time) -> bool {
+        self.cold.is_some_and(|cold| now < cold.until)
+    }
+
+    /// Number of requests that the target runs at once. A cold target bears only as many as its rate yields in
+    /// a service time; when the cold time ends, the number rises to all slots in [`COLD_RAMP`].
+    fn capacity(&self, service: Duration, now: Time) -> f64 {
+        let slots = f64::from(self.slots);
+        let Some(cold) = self.cold else {
+            return slots;
+        };
+        let at_rate = service.as_secs_f64() / cold.interval.as_secs_f64().max(f64::EPSILON);
+        let at_rate = at_rate.clamp(MIN_CAPACITY, slots.max(MIN_CAPACITY));
+        let elapsed = (now - cold.until).as_secs_f64() / COLD_RAMP.as_secs_f64();
+        at_rate + (slots - at_rate) * elapsed.min(1.0)
+    }
+
     fn service_time(&self, mean: &Mean, now: Time) -> Duration {
+        let usual = self.usual_service_time(mean, now);
+        // A report from before the cold time doesn't show how long the work takes now.
+        if self.is_cold(now) {
+            usual.max(mean.service.mul_f64(COLD_SLOWDOWN))
+        } else {
+            usual
+        }
+    }
+
+    fn usual_service_time(&self, mean: &Mean, now: Time) -> Duration {
         let reported = self.reported_service(mean, now);
         let mean_band = mean.service.div_f64(SERVICE_BAND)..mean.service.mul_f64(SERVICE_BAND);
         let first = if mean_band.contains(&reported) {
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -4,6 +4,7 @@
 mod active;
 mod balancer;
 mod call;
+mod cold;
 mod gate;
 mod ledger;
 mod members;
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -48,7 +48,8 @@
     revision: u64,
     source: EventSource,
 ) {
-    let (mut leaving, mut missing, mut ready) = (
+    let (mut cold, mut leaving, mut missing, mut ready) = (
+        TargetNames::default(),
         TargetNames::default(),
         TargetNames::default(),
         TargetNames::default(),
@@ -63,6 +64,7 @@
                 let routes = catalog.routes().len();
                 log::info!("routes in force", kv: { version:, routes, revision, source: });
             }
+            CatalogEvent::TargetCold(target) => cold.0.push(target),
             CatalogEvent::TargetLeaving(target) => leaving.0.push(target),
             CatalogEvent::TargetMissing(target) => missing.0.push(target),
             CatalogEvent::TargetReady(target) => ready.0.push(target),
@@ -76,6 +78,10 @@
         let targets = missing.joined();
         log::warn!("entries of targets are missing; the targets stay in use until their removal is confirmed", kv: { targets, revision, source: });
     }
+    if !cold.0.is_empty() {
+        let targets = cold.joined();
+        log::info!("cold time of targets changed", kv: { targets, revision, source: });
+    }
     if !leaving.0.is_empty() {
         let targets = leaving.joined();
         log::info!("targets take no new work", kv: { targets, revision, source: });
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -466,6 +466,7 @@
         }
         debug_assert_eq!(self.catalog.verify(), Vec::<String>::new());
         self.routing = Rc::new(RoutingState {
+            cold_until: self.catalog.cold_until(),
             config: self.catalog.configuration(&SERVICE_RULES),
             limits: self.catalog.limits(),
             members: self.members(),
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -1,5 +1,7 @@
 //! The two sets of HTTP conventions between a daemon and its callers and targets.
 
+use std::time::Duration;
+
 use hawthornwall_core::load::{RateLimit, TargetLoad};
 use hawthornwall_settings::Source;
 use hawthornwall_wire::names::{self, HeaderNames};
@@ -39,6 +41,15 @@
         }
     }
 
+    /// Decodes the time for which a target states that it stays cold; `None` if it is malformed or the
+    /// conventions have no such header.
+    pub fn cold(self, text: &str) -> Option<Duration> {
+        match self {
+            Self::Own => None,
+            Self::Platform => hawthornwall_platform::decode_cold(text),
+        }
+    }
+
     /// Decodes the limit on requests per second that a target states in a header; `None` if it is malformed
     /// or the conventions have no such header.
     pub fn rate_limit(self, text: &str) -> Option<RateLimit> {
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -69,6 +69,8 @@
 pub struct GateTask {
     address: TargetAddress,
     clock: Clock,
+    /// Whether the target was last found cold.
+    cold: bool,
     conn_events: mpsc::UnboundedReceiver<ConnEvent>,
     drain_replies: Vec<oneshot::Sender<()>>,
     last_expiry: Time,
@@ -80,6 +82,8 @@
     probe: ProbeSender,
     receiver: mpsc::UnboundedReceiver<GateMessage>,
     service: Option<ServiceId>,
+    /// Name of the target's service in the settings, used until the configuration contains the target.
+    service_name: Option<String>,
     target: Option<TargetId>,
     telemetry: Telemetry,
     transit: TransitTimes,
@@ -104,7 +108,10 @@
         let mut gate = Gate::new(start.instance, gate_limits);
         match start.dialect {
             Dialect::Own => {}
-            Dialect::Platform => gate.enable_load_checks(),
+            Dialect::Platform => {
+                gate.enable_load_checks();
+                gate.expect_cold_limit();
+            }
         }
         Self {
             address: TargetAddress {
@@ -114,6 +121,7 @@
                 limits,
             },
             clock: start.clock,
+            cold: false,
             conn_events,
             drain_replies: Vec::new(),
             last_expiry: Time::ZERO,
@@ -125,6 +133,7 @@
             probe: start.probe,
             receiver: start.receiver,
             service: None,
+            service_name: settings.target.service.clone(),
             target: None,
             telemetry: start.telemetry,
             transit: TransitTimes::default(),
@@ -185,6 +194,7 @@
             GateMessage::LoadAnswer(report) => {
                 if let Some(report) = &report {
                     self.record_report(report);
+                    self.record_cold(report);
                 }
                 self.apply(&Event::LoadAnswer(report.and_then(|r| r.load)));
             }
@@ -218,6 +228,7 @@
             .probe
             .unbounded_send(ProbeMessage::RoutingState(Rc::clone(routing)));
         let config = &routing.config;
+        self.limit_cold(routing);
         let target = routing
             .own
             .and_then(|id| Some((id, config.targets.get(&id)?)));
@@ -242,12 +253,31 @@
             slots: target.slots,
         };
         self.apply(&Event::Configure(limits));
+        if let Some(until) = routing.cold_until.get(&id) {
+            self.gate.observe_cold_entry(*until, self.clock.now());
+            self.report_cold();
+        }
         let published = routing.members.get(&id).filter(|m| m.expect.is_some());
         if let Some(member) = published {
             self.apply(&Event::TargetDrains(member.leaving));
         }
     }
 
+    /// Passes the limit on requests to a cold target to the gate, once the configuration has been read.
+    fn limit_cold(&mut self, routing: &RoutingState) {
+        let config = &routing.config;
+        if config.version == Version(0) {
+            return;
+        }
+        let own = routing.own.and_then(|id| config.targets.get(&id));
+        let named = || config.service_id_by_name(self.service_name.as_deref()?);
+        let Some(service) = own.map(|target| target.service).or_else(named) else {
+            return;
+        };
+        let limits = routing.service_limits.get(&service).copied();
+        self.gate.limit_cold(limits, self.clock.now());
+    }
+
     fn record_probe(&mut self, result: &ProbeResult) {
         self.apply(&Event::Reachable(result.reachable));
         if let Some(draining) = result.draining {
--- a/crates/node/src/gate/task/ends.rs
+++ b/crates/node/src/gate/task/ends.rs
@@ -86,6 +86,26 @@
         }
     }
 
+    /// Passes what the answer to a load check states about the cold time to the gate.
+    pub(super) fn record_cold(&mut self, report: &SelfReport) {
+        self.gate.observe_cold(report.cold, self.clock.now());
+        self.report_cold();
+    }
+
+    /// Logs and counts that the target is cold, or is warm again.
+    pub(super) fn report_cold(&mut self) {
+        let cold = self.gate.is_cold();
+        if cold == std::mem::replace(&mut self.cold, cold) {
+            return;
+        }
+        if cold {
+            self.telemetry.record(Count::TargetCold);
+            log::info!("the target was found cold");
+        } else {
+            log::info!("the target is warm again");
+        }
+    }
+
     /// Passes the reported load to the gate. Without a configured target, the reported number of
     /// slots becomes the limit.
     fn record_load(&mut self, load: TargetLoad) {
--- a/crates/node/src/messages/routing.rs
+++ b/crates/node/src/messages/routing.rs
@@ -27,6 +27,9 @@
 /// The configuration in force and the members, published to the tasks that route and admit requests.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingState {
+    /// End of the cold time of targets, as the store states it. Targets whose service doesn't limit the requests
+    /// to cold ones are left out.
+    pub cold_until: BTreeMap<TargetId, Time>,
     /// The configuration in force.
     pub config: Configuration,
     /// What callers may send; `None` if only the settings limit it.
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -15,7 +15,7 @@
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::{AnswerTimes, Route, Splitter, UsualBudgets};
 use hawthornwall_core::routing::{
-    Balancer, Choice, Membership, Observation, PickRequest, Policy, Ticket,
+    Balancer, Choice, ColdTarget, Membership, Observation, PickRequest, Policy, Ticket,
 };
 
 use crate::clock::Clock;
@@ -134,6 +134,7 @@
             })
             .collect();
         self.balancer.update_members(&members, self.clock.now());
+        self.balancer.set_cold(&cold_targets(&routing));
         self.budgets
             .retain(|id, _| routing.config.services.contains_key(id));
         for (id, service) in &routing.config.services {
@@ -274,3 +275,18 @@
         self.balancer.observe(&observation, self.clock.now());
     }
 }
+
+/// The targets that the store states to be cold, with the limits of their services.
+fn cold_targets(routing: &RoutingState) -> BTreeMap<TargetId, ColdTarget> {
+    let stated = routing.cold_until.iter();
+    let cold = stated.filter_map(|(id, until)| {
+        let service = routing.config.targets.get(id)?.service;
+        let limits = routing.service_limits.get(&service)?;
+        let cold = ColdTarget {
+            interval: limits.cold_interval,
+            until: *until,
+        };
+        Some((*id, cold))
+    });
+    cold.collect()
+}
--- a/crates/node/src/self_report.rs
+++ b/crates/node/src/self_report.rs
@@ -1,5 +1,7 @@
 //! What a target states about itself in the head of an answer.
 
+use std::time::Duration;
+
 use hawthornwall_core::load::{RateLimit, TargetLoad};
 use http::HeaderMap;
 
@@ -12,6 +14,8 @@
 /// nothing.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SelfReport {
+    /// Time for which the target stays cold, zero if it is warm; stated only in answers to health checks.
+    pub cold: Option<Duration>,
     /// Whether the target is draining.
     pub draining: bool,
     /// Whether the target leaves: it ends soon and takes no more requests.
@@ -40,9 +44,11 @@
     pub fn from_headers(dialect: Dialect, headers: &HeaderMap) -> Self {
         let names = dialect.names();
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let cold = names.cold.and_then(text);
         let load = names.load.and_then(text);
         let rate_limit = names.rate_limit.and_then(text);
         Self {
+            cold: cold.and_then(|cold| dialect.cold(cold)),
             draining: text(STATE_HEADER).is_some_and(|s| s.eq_ignore_ascii_case("draining")),
             leaving: dialect.states_leaving(text),
             load: load.and_then(|load| dialect.load(load)),
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -34,6 +34,8 @@
     },
     /// An attempt was sent.
     Sent(PickKind),
+    /// The local target was found cold.
+    TargetCold,
 }
 
 /// Totals of the events since the start. All names are outward: on the status page and in statsd.
@@ -65,6 +67,9 @@
     pub requests: BTreeMap<&'static str, u64>,
     /// Attempts sent, by kind of pick: `first`, `hedge`, `reroute`, `retry`.
     pub sent: BTreeMap<&'static str, u64>,
+    /// Number of times that the local target was found cold.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target_cold: u64,
 }
 
 impl Counters {
@@ -84,6 +89,7 @@
                 }
             }
             Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
+            Event::TargetCold => self.target_cold += 1,
         }
     }
 
@@ -102,21 +108,30 @@
                 (format!("{group}.{name}"), count - before)
             })
         });
-        let probes = [
+        let single = [
+            ("target.cold", self.target_cold - earlier.target_cold),
             (
                 "probes.skipped",
                 self.probes_skipped - earlier.probes_skipped,
             ),
             ("probes.spent", self.probes_spent - earlier.probes_spent),
         ];
-        let probes = probes.map(|(name, count)| (name.to_owned(), count));
+        let single = single.map(|(name, count)| (name.to_owned(), count));
         named
-            .chain(probes)
+            .chain(single)
             .filter(|(_, count)| *count > 0)
             .collect()
     }
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 fn add(counts: &mut BTreeMap<&'static str, u64>, name: &'static str) {
     *counts.entry(name).or_default() += 1;
 }
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -43,6 +43,7 @@
     request_time: Histogram,
     requests: Counters,
     sent: Counters,
+    target_states: Counters,
 }
 
 impl Default for Metrics {
@@ -59,6 +60,10 @@
         let refusals = counters("refusals", "Requests told to be refused, by reason");
         let requests = counters("requests", "Requests of callers by outcome");
         let sent = counters("sent", "Attempts sent, by why");
+        let target_states = counters(
+            "target_states",
+            "Changes of the target's state, by the new one",
+        );
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BOUNDS);
             registry.register(name, help, histogram.clone());
@@ -76,6 +81,7 @@
             request_time,
             requests,
             sent,
+            target_states,
         }
     }
 }
@@ -100,6 +106,7 @@
                 }
             }
             Event::Sent(kind) => count(&self.sent, "why", pick_name(kind)),
+            Event::TargetCold => count(&self.target_states, "state", "cold"),
         }
     }
 
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -125,7 +125,8 @@
         | Event::GateRefused(_)
         | Event::ProbeSkipped
         | Event::ProbeSpent
-        | Event::Sent(_) => {}
+        | Event::Sent(_)
+        | Event::TargetCold => {}
     }
 }
 
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -18,6 +18,7 @@
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::gate::{GateStart, GateTask};
 use hawthornwall_node::messages::{GateMessage, ProbeMessage, RoutingState};
+use hawthornwall_node::self_report::SelfReport;
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{Header, HttpRequest, RequestId, RunReply, RunRequest, RunResult};
@@ -123,6 +124,9 @@
 fn results_every(address: SocketAddr, count: u64, pause: Duration) -> Vec<String> {
     block_on(async {
         let gate = start_gate(address);
+        // Targets of services without a limit for cold ones don't state whether they are cold. A gate that knows
+        // neither this nor the configuration would keep requests back.
+        let _ = gate.unbounded_send(GateMessage::LoadAnswer(Some(SelfReport::default())));
         let mut results = Vec::new();
         for id in 0..count {
             results.push(run_once(&gate, id, request()).await);
--- a/crates/wire/src/names.rs
+++ b/crates/wire/src/names.rs
@@ -5,6 +5,8 @@
 pub struct HeaderNames {
     /// Set on requests to a target: name of the service that made the request.
     pub caller: Option<&'static str>,
+    /// Set on a target's answers to health checks: time for which the target stays cold, in milliseconds.
+    pub cold: Option<&'static str>,
     /// Set on requests: time left until the deadline, in milliseconds.
     pub deadline: &'static str,
     /// Set on requests to a target: name of the only target that may run the request.
@@ -30,6 +32,7 @@
 /// Names used on platforms that don't define their own headers.
 pub const HAWTHORNWALL: HeaderNames = HeaderNames {
     caller: None,
+    cold: None,
     deadline: "hawthornwall-deadline",
     expected_target: None,
     leaving: None,
