--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod call;
 mod cold;
+mod evacuation;
 mod gate;
 mod ledger;
 mod members;
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -35,12 +35,18 @@
 
     pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
         match line.verb {
+            "evacuate" => {
+                let domains = line.text("domains").unwrap_or_default().split(',');
+                let domains = domains.filter(|d| !d.is_empty()).map(str::to_owned);
+                self.balancer.evacuate(&domains.collect());
+            }
             "member" => self.member(line),
             "observe" => self.observe(line),
             "pick" => {
                 let tried = tried(line);
                 let request = PickRequest {
                     service: ServiceId(0),
+                    transfer: line.span("transfer", Duration::ZERO),
                     tried: &tried,
                 };
                 let picked = self.balancer.pick(&request, line.now);
@@ -136,6 +142,7 @@
         for _ in 0..line.word(0) {
             let request = PickRequest {
                 service: ServiceId(0),
+                transfer: Duration::ZERO,
                 tried: &[],
             };
             let choice = self.balancer.pick(&request, line.now).unwrap();
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -297,7 +297,9 @@
         match payload {
             UpdatePayload::Changes(changes) => changes.iter().any(|(_, change)| match change {
                 UpdateChange::TargetGone { name } => self.catalog.is_active(name),
-                UpdateChange::RouteDelta(_)
+                UpdateChange::Evacuated { .. }
+                | UpdateChange::EvacuationEnded { .. }
+                | UpdateChange::RouteDelta(_)
                 | UpdateChange::Routes(_)
                 | UpdateChange::Target { .. } => false,
             }),
@@ -468,6 +470,7 @@
         self.routing = Rc::new(RoutingState {
             cold_until: self.catalog.cold_until(),
             config: self.catalog.configuration(&SERVICE_RULES),
+            evacuated: self.catalog.evacuated().clone(),
             limits: self.catalog.limits(),
             members: self.members(),
             own: self.catalog.target_at(self.start.own_target),
--- a/crates/node/src/messages/routing.rs
+++ b/crates/node/src/messages/routing.rs
@@ -1,6 +1,6 @@
 //! What the tasks that route and admit requests know of the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -32,6 +32,8 @@
     pub cold_until: BTreeMap<TargetId, Time>,
     /// The configuration in force.
     pub config: Configuration,
+    /// Failure domains whose targets take no requests.
+    pub evacuated: BTreeSet<String>,
     /// What callers may send; `None` if only the settings limit it.
     pub limits: Option<RequestLimits>,
     /// The members by target; a target without a member can't be reached.
