--- a/crates/core/src/admission/cold.rs
+++ b/crates/core/src/admission/cold.rs
@@ -5,7 +5,7 @@
 //! gate learns of it. All its requests pass through the gate beside it, which keeps the limit alone.
 //!
 //! Two counts are kept:
-//! - *starts*: requests started in the last second. While the target is cold they are limited to the rate, and
+//! - *starts*: requests started in the last second and not proved warm. While the target is cold they are limited to the rate, and
 //!   to [`BURST`] at a time, so that a request of a high rank soon gets its turn;
 //! - *exposed* requests: those that the target may have received in the last second while cold, because it has
 //!   not been proved warm since. A request may reach the target at any time between its start and its end, so
@@ -505,5 +505,7 @@
             let received = e.ended.is_some_and(|at| at <= sent) || e.received_by <= sent;
             e.started < since || !received
         });
+        // Otherwise a target that turns cold would get nothing for a second after many warm requests.
+        self.starts = self.exposed.iter().map(|e| e.started).collect();
     }
 }
