--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -3,11 +3,13 @@
 
 mod active;
 mod balancer;
+mod body_grants;
 mod call;
 mod cold;
 mod evacuation;
 mod gate;
 mod ledger;
 mod members;
+mod own_link;
 mod pipeline;
 mod probing;
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -3,19 +3,31 @@
 use std::net::SocketAddr;
 
 use futures::channel::{mpsc, oneshot};
+use hawthornwall_core::link::Rate;
 use hawthornwall_wire::peer::{Reply, Request};
 
+use crate::clock::Clock;
 use crate::messages::PeerFault;
 
 /// A request to a peer, with the channel for its reply.
 #[derive(Debug)]
 pub(super) struct Delivery {
+    /// Whether a large body is offered before it is sent.
+    pub offers: bool,
     /// Receives the reply; dropping the receiver cancels the request.
     pub reply: oneshot::Sender<Result<Reply, PeerFault>>,
     pub request: Request,
     pub to: SocketAddr,
 }
 
+/// The clock and the network link of this daemon's machine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnMachine {
+    pub clock: Clock,
+    /// Rate of the link in each direction; `None` if it isn't set.
+    pub link: Option<Rate>,
+}
+
 /// Payload bytes of one control request and its reply.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ExchangeSize {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -110,6 +110,7 @@
                 }
                 RouterMessage::Pick {
                     kind,
+                    large,
                     reply,
                     service,
                     transfer,
@@ -120,7 +121,7 @@
                         transfer,
                         tried: &tried,
                     };
-                    let picked = self.pick(kind, &request);
+                    let picked = self.pick(kind, &request, large);
                     let _ = reply.send(picked.map(|choice| self.picked(choice)));
                 }
                 RouterMessage::Pin { reply, target } => {
@@ -249,7 +250,12 @@
         }
     }
 
-    fn pick(&mut self, kind: PickKind, request: &PickRequest<'_>) -> Result<Choice, Refusal> {
+    fn pick(
+        &mut self,
+        kind: PickKind,
+        request: &PickRequest<'_>,
+        large: bool,
+    ) -> Result<Choice, Refusal> {
         let budget = self
             .budgets
             .get_mut(&request.service)
@@ -263,7 +269,12 @@
                 }
             }
         }
-        let picked = self.balancer.pick(request, self.clock.now());
+        let now = self.clock.now();
+        let picked = if large {
+            self.balancer.pick_for_body(request, self.routing.own, now)
+        } else {
+            self.balancer.pick(request, now)
+        };
         if picked == Err(Refusal::Evacuated) {
             self.evacuated_refusals += 1;
         }
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -1,170 +1,30 @@
 //! Requests between daemons over plain TCP, to the peers task of another daemon and to misbehaving peers
 //! that are scripted over loopback.
 
+#[path = "common/peer_daemon.rs"]
+mod peer_daemon;
 #[path = "common/runtime.rs"]
 mod runtime;
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::AtomicU8;
-use std::sync::atomic::Ordering::Relaxed;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use futures::StreamExt;
-use futures::channel::{mpsc, oneshot};
-use hawthornwall_core::prelude::*;
-use hawthornwall_node::messages::{
-    GateMessage, GateSender, PeerAddress, PeerFault, PeersMessage, PeersSender, PeersStatus,
-};
-use hawthornwall_node::peers::{Peers, PeersStart};
-use hawthornwall_settings::{LinkKind, PeerSettings};
-use hawthornwall_wire::peer::{
-    HttpRequest, Reply, Request, RequestId, RunReply, RunRequest, RunResult, encode_reply,
-};
+use futures::channel::oneshot;
+use hawthornwall_node::messages::{GateMessage, PeersMessage, PeersStatus};
+use hawthornwall_wire::peer::{Reply, RequestId, encode_reply};
 use insta::assert_snapshot;
 use rstest::rstest;
 
+use peer_daemon::{Daemon, LIMIT, SILENCE, daemon, end, frame, free_address, reply};
 use runtime::block_on;
 
-/// Silence timeout of the daemons under test.
-const SILENCE: Duration = Duration::from_millis(150);
-/// Maximum time to wait for an expected event.
-const LIMIT: Duration = Duration::from_secs(3);
-/// Maximum message size in bytes.
-const MESSAGE_LIMIT: usize = 1 << 16;
-
-/// Lowest second octet of the loopback addresses of the daemons under test.
-const FIRST_NETWORK: u8 = 128;
-/// Number of second octets; the process id selects one, so that two runs at once use different addresses.
-const NETWORKS: u8 = 64;
-
-type PendingReply = oneshot::Receiver<Result<Reply, PeerFault>>;
-
-/// Returns an address whose port stays free until a daemon binds it: no other socket of this machine uses
-/// the IP address, neither to listen nor as the source of a connection.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(
-        127,
-        FIRST_NETWORK + high % NETWORKS,
-        low,
-        NEXT.fetch_add(1, Relaxed),
-    );
-    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
-    listener.local_addr().expect("the listener is bound")
-}
-
-/// A peers task, and the messages that it sends to its gate.
-struct Daemon {
-    address: SocketAddr,
-    gate: mpsc::UnboundedReceiver<GateMessage>,
-    peers: PeersSender,
-}
-
-fn daemon() -> Daemon {
-    let address = free_address();
-    let (control, _) = mpsc::unbounded();
-    let (gate, gate_receiver) = mpsc::unbounded();
-    let (peers, receiver) = mpsc::unbounded();
-    let settings = PeerSettings {
-        advertise: None,
-        link: LinkKind::Tcp,
-        listen: address,
-        secret: None,
-        seeds: Vec::new(),
-        silence: SILENCE,
-    };
-    let started = Peers::start(PeersStart {
-        control,
-        gate: GateSender::new(gate),
-        limit: MESSAGE_LIMIT,
-        receiver,
-        settings: &settings,
-    });
-    monoio::spawn(started.expect("the address is free").run());
-    Daemon {
-        address,
-        gate: gate_receiver,
-        peers,
-    }
-}
-
-impl Daemon {
-    fn send(&self, to: SocketAddr, id: u64) -> PendingReply {
-        let (reply, receiver) = oneshot::channel();
-        let message = PeersMessage::Send {
-            reply,
-            request: Request::Run(RequestId(id), Box::new(run())),
-            to: PeerAddress::Socket(to),
-        };
-        self.peers.unbounded_send(message).expect("the task runs");
-        receiver
-    }
-
-    async fn status(&self) -> PeersStatus {
-        let (reply, receiver) = oneshot::channel();
-        let message = PeersMessage::Status(reply);
-        self.peers.unbounded_send(message).expect("the task runs");
-        receiver.await.expect("the task replies")
-    }
-
-    /// Returns the next message to the gate.
-    async fn gate_message(&mut self) -> GateMessage {
-        let next = monoio::time::timeout(LIMIT, self.gate.next()).await;
-        next.expect("a message arrives").expect("the task runs")
-    }
-
-    /// Waits for a request and returns its id and the channel for its reply.
-    async fn request(&mut self) -> (RequestId, oneshot::Sender<RunReply>) {
-        match self.gate_message().await {
-            GateMessage::Run { id, reply, .. } => (id, reply),
-            other => panic!("no request arrived but {other:?}"),
-        }
-    }
-}
-
-fn run() -> RunRequest {
-    RunRequest {
-        expected_target: None,
-        http: HttpRequest {
-            body: vec![7; 100],
-            headers: Vec::new(),
-            method: "GET".to_owned(),
-            path: "/a".to_owned(),
-        },
-        key: None,
-        time_left: Duration::from_secs(1),
-        objective: Duration::ZERO,
-        run_once: false,
-        max_wait: Duration::MAX,
-        rank: 0,
-        first_instance: None,
-        service: ServiceId(0),
-        target: TargetId(1),
-        trace: None,
-        objective_left: None,
-    }
-}
-
-fn reply(id: RequestId) -> RunReply {
-    RunReply {
-        result: RunResult::Refused(Refusal::Full),
-        held: Duration::ZERO,
-        id,
-        report: LoadReport::default(),
-    }
-}
-
-async fn end(sent: PendingReply) -> String {
-    match monoio::time::timeout(LIMIT, sent).await {
-        Err(_) => "no end".to_owned(),
-        Ok(Err(_)) => "dropped".to_owned(),
-        Ok(Ok(Err(fault))) => format!("{fault:?}"),
-        Ok(Ok(Ok(Reply::Run(reply)))) => format!("reply to {}: {:?}", reply.id, reply.result),
-        Ok(Ok(Ok(Reply::Exchange(_) | Reply::StoreUpdate(_)))) => "another reply".to_owned(),
-    }
+async fn status(daemon: &Daemon) -> PeersStatus {
+    let (reply, receiver) = oneshot::channel();
+    let message = PeersMessage::Status(reply);
+    daemon.peers.unbounded_send(message).expect("the task runs");
+    receiver.await.expect("the task replies")
 }
 
 /// Guards against replies that are delivered to another requester, and against a new connection for each
@@ -186,7 +46,7 @@
                 observed.push(end(one).await);
             }
         }
-        let (ours, theirs) = (ours.status().await, theirs.status().await);
+        let (ours, theirs) = (status(&ours).await, status(&theirs).await);
         observed.push(format!(
             "{} and {} open",
             ours.connections, theirs.connections
@@ -251,9 +111,7 @@
 
 fn misbehave(mut stream: TcpStream, misbehaviour: Misbehaviour) {
     let _ = stream.read(&mut [0; 4096]);
-    let message = encode_reply(&Reply::Run(Box::new(reply(RequestId(1)))));
-    let mut frame = (message.len() as u32).to_be_bytes().to_vec();
-    frame.extend_from_slice(&message);
+    let frame = frame(&encode_reply(&Reply::Run(Box::new(reply(RequestId(1))))));
     match misbehaviour {
         Misbehaviour::Close => {}
         Misbehaviour::Truncate => {
