--- a/crates/testkit/tests/system/daemon.rs
+++ b/crates/testkit/tests/system/daemon.rs
@@ -20,9 +20,20 @@
 
 /// Starts a daemon that reads the store of `instance` 0.
 pub fn start_daemon(folder: &Folder, case: u8, instance: u8, service: &str) -> Child {
+    start_daemon_with(folder, case, instance, service, "")
+}
+
+/// Starts a daemon with further sections of its settings, each followed by a comma.
+pub fn start_daemon_with(
+    folder: &Folder,
+    case: u8,
+    instance: u8,
+    service: &str,
+    sections: &str,
+) -> Child {
     let at = |port| address(case, instance, port);
     let text = format!(
-        r#"{{ "name": "daemon-{instance}", "domain": "a", "caller": {{ "listen": "{}" }},
+        r#"{{ "name": "daemon-{instance}", "domain": "a", {sections}"caller": {{ "listen": "{}" }},
         "target": {{ "address": "{}", "service": "{service}" }},
         "peer": {{ "listen": "{}", "link": "tcp" }}, "platform": {{ "store": "{}" }},
         "admin": {{ "listen": "{}" }}, "probe": {{ "per_100s": 5000, "slot_share": 10000 }} }}"#,
--- a/crates/testkit/tests/system/main.rs
+++ b/crates/testkit/tests/system/main.rs
@@ -4,3 +4,4 @@
 mod daemon;
 mod endless;
 mod link;
+mod untrusted;
