Share bodies between a message and the bytes that it was decoded from

Cause: a body was copied when it was read, for each attempt, and when a message was encoded, framed and decoded, so that a body of the configured maximum took several times its length. Change: bodies of HttpRequest and HttpAnswer are bytes::Bytes. A buffer that held a long body leaves the connection with it. The encoding is unchanged, which a property test compares with that of a list of bytes.

--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::admission::WorkId;
@@ -238,8 +239,8 @@
         expect: Option<&str>,
     ) -> Served {
         let host = self.target.address.to_string();
-        let bytes = encode_request(request, &host, extra);
-        if self.stream.writer.write(bytes).await.is_err() {
+        let message = encode_request(request, &host, extra);
+        if self.stream.writer.write(message).await.is_err() {
             return Served::failed(JobEnd::Lost(Loss::Closed));
         }
         match self.read_answer(request, expect).await {
@@ -316,10 +317,10 @@
         request: &HttpRequest,
         head: &AnswerHead,
         framing: Framing,
-    ) -> Result<(Vec<u8>, bool), ReadFault> {
+    ) -> Result<(Bytes, bool), ReadFault> {
         let bodiless = request.method == "HEAD" || matches!(head.status.as_u16(), 204 | 304);
         match (bodiless, framing) {
-            (true, _) => Ok((Vec::new(), true)),
+            (true, _) => Ok((Bytes::new(), true)),
             (false, Framing::None) => match self.target.dialect {
                 // A body that ends with the connection can't be distinguished from a truncated one.
                 Dialect::Own => Err(ReadFault::Malformed("no length".to_owned())),
@@ -353,7 +354,7 @@
 fn job_end(
     names: &HeaderNames,
     head: &AnswerHead,
-    body: Vec<u8>,
+    body: Bytes,
     request: &HttpRequest,
     report: &SelfReport,
 ) -> JobEnd {
--- a/crates/node/src/http/convert.rs
+++ b/crates/node/src/http/convert.rs
@@ -1,5 +1,6 @@
 //! Conversions between message heads of the `http` crate, messages of the peer protocol, and bytes.
 
+use bytes::Bytes;
 use hawthornwall_wire::peer::{Header, HttpAnswer, HttpRequest};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName};
 use http::request::Parts as RequestHead;
@@ -20,8 +21,32 @@
     "upgrade",
 ];
 
+/// An encoded message, whose body is shared with the original.
+#[derive(Clone, Debug, Default)]
+pub struct HttpMessage {
+    /// The body; empty if none is sent.
+    pub body: Bytes,
+    /// Everything before the body.
+    pub head: Vec<u8>,
+}
+
+impl HttpMessage {
+    /// A message that consists of a head only.
+    pub fn without_body(head: &[u8]) -> Self {
+        Self {
+            body: Bytes::new(),
+            head: head.to_vec(),
+        }
+    }
+
+    /// Length of the message, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+}
+
 /// Converts a request to the form that daemons forward; hop-by-hop headers are removed.
-pub fn from_request_head(head: &RequestHead, body: Vec<u8>) -> HttpRequest {
+pub fn from_request_head(head: &RequestHead, body: Bytes) -> HttpRequest {
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     HttpRequest {
         body,
@@ -35,7 +60,7 @@
 ///
 /// With `to_head`, the answer is to a `HEAD` request; its `Content-Length` is kept, since that header
 /// describes a body that is not sent.
-pub fn from_answer_head(head: &AnswerHead, body: Vec<u8>, to_head: bool) -> HttpAnswer {
+pub fn from_answer_head(head: &AnswerHead, body: Bytes, to_head: bool) -> HttpAnswer {
     let mut headers = end_to_end(&head.headers);
     let length = head.headers.get(CONTENT_LENGTH).filter(|_| to_head);
     headers.extend(length.map(|value| Header {
@@ -60,7 +85,7 @@
 ///
 /// Headers in `extra` replace those of the same name. `host` is used if the request has no `Host`
 /// header.
-pub fn encode_request(request: &HttpRequest, host: &str, extra: &[Header]) -> Vec<u8> {
+pub fn encode_request(request: &HttpRequest, host: &str, extra: &[Header]) -> HttpMessage {
     let mut out = format!("{} {} HTTP/1.1\r\n", request.method, request.path).into_bytes();
     if header_text(&request.headers, "host").is_none() {
         push_header(&mut out, "host", host.as_bytes());
@@ -82,8 +107,10 @@
         );
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&request.body);
-    out
+    HttpMessage {
+        body: request.body.clone(),
+        head: out,
+    }
 }
 
 /// Encodes an answer to a request of the given method, with a `Content-Length`.
@@ -95,7 +122,7 @@
     method: &Method,
     extra: &[Header],
     close: bool,
-) -> Vec<u8> {
+) -> HttpMessage {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let reason = status.canonical_reason().unwrap_or("Unknown");
     let mut out = format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).into_bytes();
@@ -115,10 +142,12 @@
         );
     }
     out.extend_from_slice(b"\r\n");
-    if !bodiless {
-        out.extend_from_slice(&answer.body);
-    }
-    out
+    let body = if bodiless {
+        Bytes::new()
+    } else {
+        answer.body.clone()
+    };
+    HttpMessage { body, head: out }
 }
 
 fn push_header(out: &mut Vec<u8>, name: &str, value: &[u8]) {
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -13,10 +13,11 @@
 mod writer;
 
 pub use convert::{
-    encode_answer, encode_request, from_answer_head, from_request_head, header_text,
+    HttpMessage, encode_answer, encode_request, from_answer_head, from_request_head, header_text,
 };
 pub use limits::{Limits, ReadFault};
 pub use persistence::{answer_keeps_open, request_keeps_open};
 pub use reader::HttpReader;
+pub(crate) use reader::take_front;
 pub use stream::HttpStream;
 pub use writer::HttpWriter;
--- a/crates/node/src/http/reader.rs
+++ b/crates/node/src/http/reader.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use hawthornwall_wire::chunks::{ChunkDecoder, ChunkFault};
 use hawthornwall_wire::head::{Framing, HeadFault, HeadKind, check_head, head_length};
 use http::request::Parts as RequestHead;
@@ -80,9 +80,9 @@
     /// # Errors
     ///
     /// If no complete body was read. The connection can't be used afterwards.
-    pub async fn read_body(&mut self, framing: Framing) -> Result<Vec<u8>, ReadFault> {
+    pub async fn read_body(&mut self, framing: Framing) -> Result<Bytes, ReadFault> {
         match framing {
-            Framing::None => Ok(Vec::new()),
+            Framing::None => Ok(Bytes::new()),
             Framing::Length(length) => self.read_fixed(length).await,
             Framing::Chunked => self.read_chunked().await,
         }
@@ -117,12 +117,12 @@
     /// # Errors
     ///
     /// If the connection fails, no bytes arrive within [`Limits::idle`], or the body is too large.
-    pub async fn read_to_end(&mut self) -> Result<Vec<u8>, ReadFault> {
+    pub async fn read_to_end(&mut self) -> Result<Bytes, ReadFault> {
         loop {
             match self.fill_timed().await {
                 Ok(()) if self.buf.len() > self.limits.body => return Err(ReadFault::TooLarge),
                 Ok(()) => {}
-                Err(ReadFault::Incomplete) => return Ok(self.buf.split().to_vec()),
+                Err(ReadFault::Incomplete) => return Ok(std::mem::take(&mut self.buf).freeze()),
                 Err(fault) => return Err(fault),
             }
         }
@@ -167,24 +167,26 @@
         }
     }
 
-    async fn read_fixed(&mut self, length: usize) -> Result<Vec<u8>, ReadFault> {
+    async fn read_fixed(&mut self, length: usize) -> Result<Bytes, ReadFault> {
         if length > self.limits.body {
             return Err(ReadFault::TooLarge);
         }
         while self.buf.len() < length {
+            // Avoids copies when the buffer grows. Pages that are never written take no memory.
+            self.buf.reserve(length - self.buf.len());
             self.fill_timed().await?;
         }
-        Ok(self.buf.split_to(length).to_vec())
+        Ok(take_front(&mut self.buf, length))
     }
 
-    async fn read_chunked(&mut self) -> Result<Vec<u8>, ReadFault> {
+    async fn read_chunked(&mut self) -> Result<Bytes, ReadFault> {
         let mut body = Vec::new();
         let mut chunks = ChunkDecoder::new(self.limits.body);
         loop {
             let used = chunks.decode(&self.buf, &mut body).map_err(chunk_fault)?;
             self.buf.advance(used);
             if chunks.is_done() {
-                return Ok(body);
+                return Ok(body.into());
             }
             self.fill_timed().await?;
         }
@@ -212,6 +214,18 @@
     }
 }
 
+/// Takes the first `length` bytes off a buffer. A long body leaves with its allocation, which would otherwise stay
+/// with the connection.
+pub(crate) fn take_front(buf: &mut BytesMut, length: usize) -> Bytes {
+    if length <= READ_SIZE {
+        return buf.split_to(length).freeze();
+    }
+    let rest = BytesMut::from(&buf[length..]);
+    let mut front = std::mem::replace(buf, rest);
+    front.truncate(length);
+    front.freeze()
+}
+
 fn complete_head<T>(decoded: Result<Decoded<T>, String>) -> Result<T, ReadFault> {
     let malformed = |reason: String| ReadFault::Head(HeadFault::Malformed(reason));
     match decoded.map_err(malformed)? {
--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -18,7 +18,7 @@
 use super::reply::{self, Reply};
 use super::serve::{self, OpenedCall};
 use super::stop::{ConnectionUse, Phase, Phases};
-use crate::http::{HttpStream, HttpWriter, ReadFault};
+use crate::http::{HttpMessage, HttpStream, HttpWriter, ReadFault};
 use crate::telemetry::log;
 
 /// Interim response for callers that send `Expect: 100-continue` before the body.
@@ -81,11 +81,11 @@
 /// Writes what it receives, one message after the other, and reports the end of each write.
 async fn write_all(
     writer: &mut HttpWriter,
-    mut messages: mpsc::UnboundedReceiver<Vec<u8>>,
+    mut messages: mpsc::UnboundedReceiver<HttpMessage>,
     written: mpsc::UnboundedSender<io::Result<()>>,
 ) {
-    while let Some(bytes) = messages.next().await {
-        let _ = written.unbounded_send(writer.write(bytes).await);
+    while let Some(message) = messages.next().await {
+        let _ = written.unbounded_send(writer.write(message).await);
     }
 }
 
@@ -132,7 +132,7 @@
     /// Calls that wait until they may be passed on.
     opened: BTreeMap<Position, Box<OpenedCall<'a>>>,
     orders: mpsc::UnboundedSender<Order>,
-    outgoing: mpsc::UnboundedSender<Vec<u8>>,
+    outgoing: mpsc::UnboundedSender<HttpMessage>,
     pipeline: Pipeline,
     unopened: Option<Unopened>,
     written: mpsc::UnboundedReceiver<io::Result<()>>,
@@ -230,7 +230,7 @@
         match effect {
             Effect::Close => {}
             Effect::Continue => {
-                self.send(CONTINUE.to_vec());
+                self.send(HttpMessage::without_body(CONTINUE));
                 self.order(Order::Continue);
             }
             Effect::Discard(at) => self.discard(at),
@@ -246,8 +246,8 @@
         let _ = self.orders.unbounded_send(order);
     }
 
-    fn send(&self, bytes: Vec<u8>) {
-        let _ = self.outgoing.unbounded_send(bytes);
+    fn send(&self, message: HttpMessage) {
+        let _ = self.outgoing.unbounded_send(message);
     }
 
     fn discard(&mut self, at: Position) {
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -5,7 +5,7 @@
 use hawthornwall_wire::peer::{Header, HttpAnswer};
 use http::Method;
 
-use crate::http::{ReadFault, encode_answer};
+use crate::http::{HttpMessage, ReadFault, encode_answer};
 
 /// Value of the `Retry-After` header of refused requests, in seconds.
 const RETRY_AFTER_SECONDS: &str = "1";
@@ -34,7 +34,7 @@
 
     /// Returns an issued idempotency key to the caller.
     pub fn issued(key: &str) -> Self {
-        let body = format!("{{\"key\":\"{key}\"}}\n").into_bytes();
+        let body = format!("{{\"key\":\"{key}\"}}\n").into_bytes().into();
         let extra = vec![
             header("hawthornwall-outcome", Outcome::Answered.name()),
             header("cache-control", "no-store"),
@@ -78,7 +78,7 @@
     }
 
     fn error(status: u16, outcome: Outcome, text: &str) -> Self {
-        let body = format!("{text}\n").into_bytes();
+        let body = format!("{text}\n").into_bytes().into();
         let extra = vec![
             header("hawthornwall-outcome", outcome.name()),
             header("hawthornwall-reason", outcome.reason().unwrap_or_default()),
@@ -102,7 +102,7 @@
 
     /// Encodes the answer to a request of the given method; `close` announces that the connection
     /// closes after it.
-    pub fn encode(&self, method: &Method, close: bool) -> Vec<u8> {
+    pub fn encode(&self, method: &Method, close: bool) -> HttpMessage {
         encode_answer(&self.answer, method, &self.extra, close)
     }
 }
--- a/crates/node/src/peers/quic/outbound.rs
+++ b/crates/node/src/peers/quic/outbound.rs
@@ -166,7 +166,7 @@
         mut writer: MessageWriter,
         mut recv: RecvStream,
         message: &[u8],
-    ) -> Result<Vec<u8>, PeerFault> {
+    ) -> Result<Bytes, PeerFault> {
         let lost = PeerFault::Lost(Loss::Closed);
         let exchange = async {
             writer.write(message).await.map_err(|_| lost)?;
--- a/crates/node/src/peers/quic/stream.rs
+++ b/crates/node/src/peers/quic/stream.rs
@@ -3,6 +3,7 @@
 //! Invariant: a stream whose message was not written completely is reset, never ended by FIN. quinn
 //! sends FIN when a stream is dropped, so that a truncated message would appear complete.
 
+use bytes::Bytes;
 use quinn::{RecvStream, SendStream, VarInt};
 
 /// Error code of streams whose message was cancelled.
@@ -45,6 +46,6 @@
 }
 
 /// Reads a message up to FIN; `None` if the stream fails, is reset, or exceeds `limit` bytes.
-pub(super) async fn read_message(stream: &mut RecvStream, limit: usize) -> Option<Vec<u8>> {
-    stream.read_to_end(limit).await.ok()
+pub(super) async fn read_message(stream: &mut RecvStream, limit: usize) -> Option<Bytes> {
+    stream.read_to_end(limit).await.ok().map(Bytes::from)
 }
--- a/crates/node/src/peers/tcp/accept.rs
+++ b/crates/node/src/peers/tcp/accept.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::channel::oneshot;
 use futures::future::{FutureExt, Shared};
 use futures::{pin_mut, select_biased};
-use hawthornwall_wire::peer::{Reply, Request, decode_request, encode_reply};
+use hawthornwall_wire::peer::{Reply, Request, decode_request, reply_parts};
 use monoio::net::{TcpListener, TcpStream};
 
 use super::super::inbound::Inbound;
@@ -80,11 +81,11 @@
 
     /// Handles one request; `None` if the connection must be closed. A malformed request closes its
     /// connection, so that the sender counts it as lost.
-    async fn serve_request(&self, stream: &mut FrameStream, bytes: &[u8]) -> Option<()> {
+    async fn serve_request(&self, stream: &mut FrameStream, bytes: &Bytes) -> Option<()> {
         let request = decode_request(bytes).ok()?;
         let is_control = matches!(request, Request::StoreUpdate(_) | Request::Exchange(_));
         let reply = self.answer(stream, request).await?;
-        let message = encode_reply(&reply);
+        let message = reply_parts(&reply);
         if is_control {
             let _ = self.exchange_reports.unbounded_send(ExchangeSize {
                 received: bytes.len(),
--- a/crates/node/src/peers/tcp/conn.rs
+++ b/crates/node/src/peers/tcp/conn.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::channel::mpsc;
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::outcome::Loss;
-use hawthornwall_wire::peer::{Reply, Request, decode_reply, encode_request};
+use hawthornwall_wire::peer::{Reply, Request, decode_reply, request_parts};
 use monoio::net::TcpStream;
 
 use super::super::link::{Delivery, ExchangeReports, ExchangeSize};
@@ -152,7 +153,7 @@
 
     async fn exchange(&mut self, request: &Request) -> Result<Reply, PeerFault> {
         let lost = PeerFault::Lost(Loss::Closed);
-        let message = encode_request(request);
+        let message = request_parts(request);
         let written = self.stream.write(&message, self.start.silence).await;
         written.map_err(|_| lost)?;
         let bytes = self.read_reply().await.ok_or(lost)?;
@@ -170,7 +171,7 @@
 
     /// Reads the reply; `None` if the connection failed or nothing arrived within the silence timeout
     /// in spite of the keep-alive frames sent.
-    async fn read_reply(&mut self) -> Option<Vec<u8>> {
+    async fn read_reply(&mut self) -> Option<Bytes> {
         let check_interval = self.start.silence / SILENCE_CHECKS;
         let (mut last, mut silent_checks) = (self.stream.received(), 0);
         loop {
--- a/crates/node/src/peers/tcp/frame.rs
+++ b/crates/node/src/peers/tcp/frame.rs
@@ -4,10 +4,14 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use hawthornwall_wire::peer::MessageParts;
+use monoio::buf::IoBuf;
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 
+use crate::http::take_front;
+
 /// Size of the length prefix in bytes.
 const LENGTH_SIZE: usize = 4;
 /// Maximum number of bytes per read from the socket.
@@ -22,7 +26,7 @@
 /// A received frame.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Frame {
-    Message(Vec<u8>),
+    Message(Bytes),
     KeepAlive,
 }
 
@@ -83,17 +87,31 @@
     /// # Errors
     ///
     /// If the connection fails or a part is not written within `write_timeout`.
-    pub async fn write(&mut self, message: &[u8], write_timeout: Duration) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(LENGTH_SIZE + message.len());
+    pub async fn write(
+        &mut self,
+        message: &MessageParts,
+        write_timeout: Duration,
+    ) -> io::Result<()> {
         let length = u32::try_from(message.len()).map_err(|_| io::ErrorKind::InvalidInput)?;
-        bytes.extend_from_slice(&length.to_be_bytes());
-        bytes.extend_from_slice(message);
-        if bytes.len() <= WRITE_SIZE {
+        let mut bytes = length.to_be_bytes().to_vec();
+        bytes.extend_from_slice(&message.head);
+        // One write for a small message, so that it is sent as one segment.
+        if bytes.len() + message.body.len() + message.tail.len() <= WRITE_SIZE {
+            bytes.extend_from_slice(&message.body);
+            bytes.extend_from_slice(&message.tail);
             return self.write_part(bytes, write_timeout).await;
         }
         for part in bytes.chunks(WRITE_SIZE) {
             self.write_part(part.to_vec(), write_timeout).await?;
         }
+        let mut body = message.body.clone();
+        while !body.is_empty() {
+            let part = body.split_to(body.len().min(WRITE_SIZE));
+            self.write_part(part, write_timeout).await?;
+        }
+        for part in message.tail.chunks(WRITE_SIZE) {
+            self.write_part(part.to_vec(), write_timeout).await?;
+        }
         Ok(())
     }
 
@@ -113,8 +131,12 @@
         }
     }
 
-    async fn write_part(&mut self, part: Vec<u8>, write_timeout: Duration) -> io::Result<()> {
-        let size = part.len() as u64;
+    async fn write_part<T: IoBuf + 'static>(
+        &mut self,
+        part: T,
+        write_timeout: Duration,
+    ) -> io::Result<()> {
+        let size = part.bytes_init() as u64;
         let written = monoio::time::timeout(write_timeout, self.tcp.write_all(part)).await;
         written.map_err(|_| io::ErrorKind::TimedOut)?.0?;
         self.sent += size;
@@ -130,11 +152,13 @@
             return Err(io::ErrorKind::InvalidData.into());
         }
         if self.buf.len() < LENGTH_SIZE + length {
+            // Avoids copies when the buffer grows. Pages that are never written take no memory.
+            self.buf.reserve(LENGTH_SIZE + length - self.buf.len());
             return Ok(None);
         }
         self.buf.advance(LENGTH_SIZE);
         if length > 0 {
-            return Ok(Some(Frame::Message(self.buf.split_to(length).to_vec())));
+            return Ok(Some(Frame::Message(take_front(&mut self.buf, length))));
         }
         self.keep_alives += 1;
         if self.keep_alives > MAX_KEEP_ALIVES {
--- a/crates/node/src/probe/endpoint.rs
+++ b/crates/node/src/probe/endpoint.rs
@@ -3,6 +3,7 @@
 //! Invariant: a connection that holds bytes which belong to no answer isn't used again. A target may send an
 //! answer twice, and each later read would get the answer to the read before it.
 
+use bytes::Bytes;
 use std::net::SocketAddr;
 
 use futures::FutureExt;
@@ -85,15 +86,15 @@
         quiet.then_some(stream)
     }
 
-    async fn exchange(&self, stream: &mut HttpStream) -> Option<(AnswerHead, Vec<u8>)> {
+    async fn exchange(&self, stream: &mut HttpStream) -> Option<(AnswerHead, Bytes)> {
         let request = HttpRequest {
-            body: Vec::new(),
+            body: Bytes::new(),
             headers: Vec::new(),
             method: "GET".to_owned(),
             path: self.paths[0].clone(),
         };
-        let bytes = encode_request(&request, &self.address.to_string(), &[]);
-        stream.writer.write(bytes).await.ok()?;
+        let message = encode_request(&request, &self.address.to_string(), &[]);
+        stream.writer.write(message).await.ok()?;
         let (head, framing) = stream.reader.read_answer_head().await.ok()?;
         let body = stream.reader.read_body(framing).await.ok()?;
         Some((head, body))
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -129,7 +129,7 @@
     RunRequest {
         expected_target: None,
         http: HttpRequest {
-            body: vec![7; 100],
+            body: vec![7; 100].into(),
             headers: Vec::new(),
             method: "GET".to_owned(),
             path: "/a".to_owned(),
--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -102,7 +102,7 @@
     fn answer(&mut self, path: &str) {
         let running = self.running.remove(path).expect("the request runs");
         let answer = HttpAnswer {
-            body: path.as_bytes().to_vec(),
+            body: bytes::Bytes::copy_from_slice(path.as_bytes()),
             headers: Vec::new(),
             status: 200,
         };
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -66,7 +66,7 @@
         monoio::spawn(async move {
             sleep(Duration::from_millis(length.unwrap_or(0))).await;
             let answer = HttpAnswer {
-                body: b"done".to_vec(),
+                body: bytes::Bytes::from_static(b"done"),
                 headers: Vec::new(),
                 status: 200,
             };
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -47,7 +47,7 @@
     RunRequest {
         expected_target: Some("i-1".to_owned()),
         http: HttpRequest {
-            body: Vec::new(),
+            body: bytes::Bytes::new(),
             headers: vec![Header {
                 name: "x-request-id".to_owned(),
                 value: b"7".to_vec(),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,9 @@
 //! Messages between daemons. Each request and each reply is one postcard value on a stream that is
 //! closed with FIN. The order of fields and variants is part of the format.
 //!
+//! Bodies are shared, not copied: a decoded message refers to the bytes that it was decoded from, and an encoded
+//! message refers to the body of the original. `B` is the type of a body, which is a view only during decoding.
+//!
 //! Invariant: a reply to a run request contains the id of that request, so that an answer can't
 //! reach the wrong caller.
 
@@ -8,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hawthornwall_core::catalog::{StorePosition, UpdateHead, UpdatePayload};
 use hawthornwall_core::config::{Configuration, Patch};
 pub use hawthornwall_core::ids::RequestId;
@@ -31,9 +35,9 @@
 
 /// A caller's HTTP request without hop-by-hop headers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HttpRequest {
+pub struct HttpRequest<B = Bytes> {
     /// The complete body.
-    pub body: Vec<u8>,
+    pub body: B,
     /// End-to-end headers.
     pub headers: Vec<Header>,
     /// Method, such as `GET`.
@@ -44,9 +48,9 @@
 
 /// A target's HTTP answer without hop-by-hop headers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HttpAnswer {
+pub struct HttpAnswer<B = Bytes> {
     /// The complete body.
-    pub body: Vec<u8>,
+    pub body: B,
     /// End-to-end headers.
     pub headers: Vec<Header>,
     /// Status code.
@@ -56,11 +60,11 @@
 /// A request to run at the local target of the receiving daemon.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct RunRequest {
+pub struct RunRequest<B = Bytes> {
     /// Name of the only target that may run the request; `None` if targets don't check their name.
     pub expected_target: Option<String>,
     /// The caller's request.
-    pub http: HttpRequest,
+    pub http: HttpRequest<B>,
     /// Idempotency key of the request; `None` if it has none.
     pub key: Option<Key>,
     /// Time left until the deadline.
@@ -144,7 +148,7 @@
 
 /// A request from one daemon to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Request {
+pub enum Request<B = Bytes> {
     /// Get the store contents after a position. The reply is delayed until the receiver has any.
     StoreUpdate(StorePosition),
     /// Compare configuration and membership and exchange what either side lacks.
@@ -159,14 +163,14 @@
         target: TargetId,
     },
     /// Run a request at the receiver's local target.
-    Run(RequestId, Box<RunRequest>),
+    Run(RequestId, Box<RunRequest<B>>),
 }
 
 /// Result of [`Request::Run`] or [`Request::IssueKey`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum RunResult {
+pub enum RunResult<B = Bytes> {
     /// The target's complete answer.
-    Answered(HttpAnswer),
+    Answered(HttpAnswer<B>),
     /// The idempotency key that was issued.
     KeyIssued(Key),
     /// The request may have run, but there is no answer.
@@ -178,9 +182,9 @@
 /// Reply to [`Request::Run`] or [`Request::IssueKey`].
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct RunReply {
+pub struct RunReply<B = Bytes> {
     /// Result of the request.
-    pub result: RunResult,
+    pub result: RunResult<B>,
     /// Time from the request's arrival at the daemon to this reply.
     #[serde_as(as = "Micros")]
     pub held: Duration,
@@ -192,13 +196,13 @@
 
 /// A reply from one daemon to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Reply {
+pub enum Reply<B = Bytes> {
     /// Reply to [`Request::Exchange`].
     Exchange(Box<Exchange>),
     /// Reply to [`Request::StoreUpdate`].
     StoreUpdate(Box<StoreUpdate>),
     /// Reply to [`Request::Run`] and [`Request::IssueKey`].
-    Run(Box<RunReply>),
+    Run(Box<RunReply<B>>),
 }
 
 /// Received bytes that are not a message of the expected type, with the reason.
@@ -231,22 +235,197 @@
     postcard::to_stdvec(reply).expect("peer messages hold only types that postcard encodes")
 }
 
-/// Decodes a request.
+/// An encoded message, whose body is shared with the original.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MessageParts {
+    /// Everything before the body.
+    pub head: Vec<u8>,
+    /// The body; empty if the message has none.
+    pub body: Bytes,
+    /// Everything after the body.
+    pub tail: Vec<u8>,
+}
+
+impl MessageParts {
+    /// Length of the whole message, in bytes.
+    pub fn len(&self) -> usize {
+        self.head.len() + self.body.len() + self.tail.len()
+    }
+
+    /// Whether the message is empty, which no message of a daemon is.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Encodes a request without copying its body.
+///
+/// # Panics
+///
+/// Never: no message holds a type that postcard can't encode.
+pub fn request_parts(request: &Request) -> MessageParts {
+    let body = match request {
+        Request::Run(_, run) => run.http.body.clone(),
+        Request::Exchange(_) | Request::IssueKey { .. } | Request::StoreUpdate(_) => Bytes::new(),
+    };
+    parts(request, body)
+}
+
+/// Encodes a reply without copying its body.
+///
+/// # Panics
+///
+/// Never: no message holds a type that postcard can't encode.
+pub fn reply_parts(reply: &Reply) -> MessageParts {
+    let body = match reply {
+        Reply::Run(run) => match &run.result {
+            RunResult::Answered(answer) => answer.body.clone(),
+            RunResult::KeyIssued(_) | RunResult::Lost(_) | RunResult::Refused(_) => Bytes::new(),
+        },
+        Reply::Exchange(_) | Reply::StoreUpdate(_) => Bytes::new(),
+    };
+    parts(reply, body)
+}
+
+fn parts<T: Serialize>(message: &T, body: Bytes) -> MessageParts {
+    let gathering = Gathering {
+        body,
+        head: Vec::new(),
+        tail: None,
+    };
+    let encoded = postcard::serialize_with_flavor(message, gathering);
+    encoded.expect("peer messages hold only types that postcard encodes")
+}
+
+/// Collects an encoded message and leaves out its body.
+struct Gathering {
+    body: Bytes,
+    head: Vec<u8>,
+    /// Everything after the body; `None` before it.
+    tail: Option<Vec<u8>>,
+}
+
+impl Gathering {
+    /// Whether these bytes are the body itself, not equal ones elsewhere in the message.
+    fn is_body(&self, data: &[u8]) -> bool {
+        !data.is_empty() && std::ptr::eq(data, &raw const *self.body)
+    }
+
+    fn current(&mut self) -> &mut Vec<u8> {
+        self.tail.as_mut().unwrap_or(&mut self.head)
+    }
+}
+
+impl postcard::ser_flavors::Flavor for Gathering {
+    type Output = MessageParts;
+
+    fn try_extend(&mut self, data: &[u8]) -> postcard::Result<()> {
+        if self.is_body(data) {
+            self.tail = Some(Vec::new());
+        } else {
+            self.current().extend_from_slice(data);
+        }
+        Ok(())
+    }
+
+    fn try_push(&mut self, data: u8) -> postcard::Result<()> {
+        self.current().push(data);
+        Ok(())
+    }
+
+    fn finalize(self) -> postcard::Result<MessageParts> {
+        let Self { body, head, tail } = self;
+        Ok(MessageParts {
+            body: tail.as_ref().map_or_else(Bytes::new, |_| body),
+            head,
+            tail: tail.unwrap_or_default(),
+        })
+    }
+}
+
+/// Decodes a request, whose body refers to `frame`.
 ///
 /// # Errors
 ///
 /// Returns an error if the bytes are not exactly one request.
-pub fn decode_request(bytes: &[u8]) -> Result<Request, DecodeError> {
-    decode(postcard::take_from_bytes(bytes))
+pub fn decode_request(frame: &Bytes) -> Result<Request, DecodeError> {
+    let request: Request<&[u8]> = decode(postcard::take_from_bytes(frame))?;
+    Ok(match request {
+        Request::StoreUpdate(position) => Request::StoreUpdate(position),
+        Request::Exchange(exchange) => Request::Exchange(exchange),
+        Request::IssueKey {
+            id,
+            service,
+            target,
+        } => Request::IssueKey {
+            id,
+            service,
+            target,
+        },
+        Request::Run(id, run) => Request::Run(id, Box::new(run.within(frame))),
+    })
 }
 
-/// Decodes a reply.
+/// Decodes a reply, whose body refers to `frame`.
 ///
 /// # Errors
 ///
 /// Returns an error if the bytes are not exactly one reply.
-pub fn decode_reply(bytes: &[u8]) -> Result<Reply, DecodeError> {
-    decode(postcard::take_from_bytes(bytes))
+pub fn decode_reply(frame: &Bytes) -> Result<Reply, DecodeError> {
+    let reply: Reply<&[u8]> = decode(postcard::take_from_bytes(frame))?;
+    Ok(match reply {
+        Reply::Exchange(exchange) => Reply::Exchange(exchange),
+        Reply::StoreUpdate(update) => Reply::StoreUpdate(update),
+        Reply::Run(run) => Reply::Run(Box::new(run.within(frame))),
+    })
+}
+
+impl RunRequest<&[u8]> {
+    /// Refers to the frame that the request was decoded from.
+    fn within(self, frame: &Bytes) -> RunRequest {
+        RunRequest {
+            expected_target: self.expected_target,
+            http: HttpRequest {
+                body: frame.slice_ref(self.http.body),
+                headers: self.http.headers,
+                method: self.http.method,
+                path: self.http.path,
+            },
+            key: self.key,
+            time_left: self.time_left,
+            run_once: self.run_once,
+            objective: self.objective,
+            max_wait: self.max_wait,
+            rank: self.rank,
+            first_instance: self.first_instance,
+            service: self.service,
+            target: self.target,
+            trace: self.trace,
+            objective_left: self.objective_left,
+        }
+    }
+}
+
+impl RunReply<&[u8]> {
+    /// Refers to the frame that the reply was decoded from.
+    fn within(self, frame: &Bytes) -> RunReply {
+        let result = match self.result {
+            RunResult::Answered(answer) => RunResult::Answered(HttpAnswer {
+                body: frame.slice_ref(answer.body),
+                headers: answer.headers,
+                status: answer.status,
+            }),
+            RunResult::KeyIssued(key) => RunResult::KeyIssued(key),
+            RunResult::Lost(loss) => RunResult::Lost(loss),
+            RunResult::Refused(refusal) => RunResult::Refused(refusal),
+        };
+        RunReply {
+            result,
+            held: self.held,
+            id: self.id,
+            report: self.report,
+        }
+    }
 }
 
 fn decode<T>(taken: Result<(T, &[u8]), postcard::Error>) -> Result<T, DecodeError> {
--- a/crates/wire/src/sent.rs
+++ b/crates/wire/src/sent.rs
@@ -30,7 +30,7 @@
 /// use hawthornwall_wire::sent::{set_sent, take_sent};
 ///
 /// let mut request = HttpRequest {
-///     body: Vec::new(),
+///     body: bytes::Bytes::new(),
 ///     headers: Vec::new(),
 ///     method: "GET".to_owned(),
 ///     path: "/".to_owned(),
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -77,7 +77,7 @@
 fn encoded_size(exchange: &Exchange) -> usize {
     let request = Request::Exchange(Box::new(exchange.clone()));
     let bytes = encode_request(&request);
-    assert_eq!(decode_request(&bytes), Ok(request));
+    assert_eq!(decode_request(&bytes.clone().into()), Ok(request));
     bytes.len()
 }
 
@@ -158,7 +158,7 @@
     }));
     let bytes = encode_reply(&reply);
     assert_snapshot!("checkpoint", format!("{} bytes", bytes.len()));
-    assert_eq!(decode_reply(&bytes), Ok(reply));
+    assert_eq!(decode_reply(&bytes.into()), Ok(reply));
     let mut active = ActiveConfig::default();
     let _ = active.offer_configuration(&config);
     assert_eq!(active.config(), &config);
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hawthornwall_core::catalog::{
     self, PublishedRoutes, PublishedState, PublishedTarget, RouteDelta, Snapshot, StorePosition,
     UpdateChange, UpdateHead, UpdatePayload,
@@ -11,8 +12,9 @@
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::{Destination, Repeatability, Route, RouteTable};
 use hawthornwall_wire::peer::{
-    Exchange, Header, HttpAnswer, HttpRequest, Reply, Request, RequestId, RunReply, RunRequest,
-    RunResult, StoreUpdate, decode_reply, decode_request, encode_reply, encode_request,
+    Exchange, Header, HttpAnswer, HttpRequest, MessageParts, Reply, Request, RequestId, RunReply,
+    RunRequest, RunResult, StoreUpdate, decode_reply, decode_request, encode_reply, encode_request,
+    reply_parts, request_parts,
 };
 use proptest::prelude::*;
 
@@ -39,7 +41,7 @@
     let http =
         (bytes(), headers(), ".{0,9}", ".{0,40}").prop_map(|(body, headers, method, path)| {
             HttpRequest {
-                body,
+                body: body.into(),
                 headers,
                 method,
                 path,
@@ -221,7 +223,7 @@
     let result = prop_oneof![
         (bytes(), headers(), any::<u16>()).prop_map(|(body, headers, status)| {
             RunResult::Answered(HttpAnswer {
-                body,
+                body: body.into(),
                 headers,
                 status,
             })
@@ -252,16 +254,23 @@
     ]
 }
 
+/// A message that is encoded in parts, as it is sent.
+fn joined(parts: &MessageParts) -> Vec<u8> {
+    [&parts.head[..], &parts.body, &parts.tail].concat()
+}
+
 proptest! {
     /// Guards against requests that decode to a different value, and against accepting truncated
     /// requests or extra bytes.
     #[test]
     fn requests_round_trip(request in request(), cut in any::<prop::sample::Index>()) {
         let mut encoded = encode_request(&request);
-        prop_assert!(decode_request(&encoded[..cut.index(encoded.len())]).is_err());
-        prop_assert_eq!(decode_request(&encoded), Ok(request));
+        prop_assert_eq!(&joined(&request_parts(&request)), &encoded);
+        let cut = Bytes::copy_from_slice(&encoded[..cut.index(encoded.len())]);
+        prop_assert!(decode_request(&cut).is_err());
+        prop_assert_eq!(decode_request(&encoded.clone().into()), Ok(request));
         encoded.push(0);
-        prop_assert!(decode_request(&encoded).is_err());
+        prop_assert!(decode_request(&encoded.into()).is_err());
     }
 
     /// Guards against replies that decode to a different value, and against accepting truncated
@@ -269,10 +278,12 @@
     #[test]
     fn replies_round_trip(reply in reply(), cut in any::<prop::sample::Index>()) {
         let mut encoded = encode_reply(&reply);
-        prop_assert!(decode_reply(&encoded[..cut.index(encoded.len())]).is_err());
-        prop_assert_eq!(decode_reply(&encoded), Ok(reply));
+        prop_assert_eq!(&joined(&reply_parts(&reply)), &encoded);
+        let cut = Bytes::copy_from_slice(&encoded[..cut.index(encoded.len())]);
+        prop_assert!(decode_reply(&cut).is_err());
+        prop_assert_eq!(decode_reply(&encoded.clone().into()), Ok(reply));
         encoded.push(0);
-        prop_assert!(decode_reply(&encoded).is_err());
+        prop_assert!(decode_reply(&encoded.into()).is_err());
     }
 
     /// Guards against updates that builds without differences between routes can't read, or read as something
@@ -287,6 +298,7 @@
     /// Guards against a panic or a huge allocation on arbitrary bytes.
     #[test]
     fn no_bytes_panic(bytes in bytes()) {
+        let bytes = bytes.into();
         let _ = decode_request(&bytes);
         let _ = decode_reply(&bytes);
     }
@@ -301,6 +313,14 @@
         let mut encoded = encode_request(&request);
         let at = at.index(encoded.len());
         encoded[at] = byte;
-        let _ = decode_request(&encoded);
+        let _ = decode_request(&encoded.into());
+    }
+
+    /// Guards against bodies that daemons of earlier builds can't decode: they encode a body as a list of bytes.
+    #[test]
+    fn bodies_keep_their_encoding(body in bytes()) {
+        let list = postcard::to_stdvec(&body).expect("lists are encoded");
+        let shared = postcard::to_stdvec(&Bytes::from(body)).expect("bodies are encoded");
+        prop_assert_eq!(list, shared);
     }
 }
--- a/crates/wire/tests/peer_units.rs
+++ b/crates/wire/tests/peer_units.rs
@@ -11,7 +11,7 @@
 #[test]
 fn unlimited_max_wait_is_encoded() {
     let http = HttpRequest {
-        body: Vec::new(),
+        body: bytes::Bytes::new(),
         headers: Vec::new(),
         method: "GET".to_owned(),
         path: "/".to_owned(),
@@ -32,7 +32,7 @@
         objective_left: None,
     };
     let bytes = encode_request(&Request::Run(RequestId(3), Box::new(run)));
-    let Ok(Request::Run(_, run)) = decode_request(&bytes) else {
+    let Ok(Request::Run(_, run)) = decode_request(&bytes.into()) else {
         panic!("the message decodes to a request to run")
     };
     assert_eq!(run.max_wait, Duration::from_micros(u64::MAX));
