Decide in one budget who may buffer how much

Cause: limits on each connection admit 3,000 connections of 1 MiB each; nothing bounds what the process holds as a whole. Change: core::memory, an aggregate without sockets: bytes and connections of callers, peers and the target under one limit each, a quota for a caller address, a reservation for an ordinary request, and an order in which connections give way: stalled messages, connections that never had a request, then idle ones. Not used by the daemon yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod keys;
 pub mod load;
 pub mod members;
+pub mod memory;
 pub mod outcome;
 pub mod pause;
 pub mod pipeline;
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -7,5 +7,6 @@
 mod gate;
 mod ledger;
 mod members;
+mod memory;
 mod pipeline;
 mod probing;
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod line;
 mod members;
+mod memory;
 mod pipeline;
 mod routing;
 mod store_sync;
@@ -32,6 +33,7 @@
     Gate(admission::Run),
     Ledger(keys::Run),
     Members(members::Run),
+    Memory(memory::Run),
     Gossip(gossip::Run),
     Pipeline(pipeline::Run),
 }
@@ -49,6 +51,7 @@
             "store_sync" => (Self::StoreSync(store_sync::Run::new(line)), Vec::new()),
             "gate" => (Self::Gate(admission::Run::new(line)), Vec::new()),
             "ledger" => (Self::Ledger(keys::Run::new(line)), Vec::new()),
+            "budget" => (Self::Memory(memory::Run::new(line)), Vec::new()),
             "members" => (Self::Members(members::Run::new(line)), Vec::new()),
             "gossip" => (Self::Gossip(gossip::Run::new(line)), Vec::new()),
             "pipeline" => {
@@ -69,6 +72,7 @@
             Self::StoreSync(run) => run.apply(line),
             Self::Ledger(run) => run.apply(line),
             Self::Members(run) => run.apply(line),
+            Self::Memory(run) => run.apply(line),
             Self::Gossip(run) => run.apply(line),
             Self::Pipeline(run) => run.apply(line),
         }
@@ -84,6 +88,7 @@
             Self::StoreSync(_) => Vec::new(),
             Self::Ledger(run) => run.ledger.verify(),
             Self::Members(run) => run.members.verify(),
+            Self::Memory(run) => run.budget.verify(),
             Self::Gossip(run) => run.gossip.verify(),
             Self::Pipeline(run) => run.pipeline.verify(),
         }
@@ -99,6 +104,7 @@
             Self::StoreSync(run) => run.state(),
             Self::Ledger(run) => format!("{:?}", run.ledger),
             Self::Members(run) => run.state(),
+            Self::Memory(run) => run.state(),
             Self::Gossip(run) => run.state(),
             Self::Pipeline(run) => format!("{:?}", run.pipeline),
         }
