--- a/crates/core/src/memory/aggregate.rs
+++ b/crates/core/src/memory/aggregate.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use super::{
-    Activity, BufferLimits, CONNECTION_BYTES, ClaimId, Effect, Event, HolderId, KERNEL_BYTES,
-    ORDINARY_BYTES, Owner, STALL_TIME,
+    Activity, BufferLimits, CONNECTION_BYTES, ClaimId, Effect, Event, FRESH_TIME, HolderId,
+    KERNEL_BYTES, ORDINARY_BYTES, Owner, STALL_TIME,
 };
 use crate::time::Time;
 
@@ -416,13 +416,21 @@
     }
 }
 
+/// Whether a caller has had time for a first request and sent none.
+fn is_silent_caller(holder: &Holder, now: Time) -> bool {
+    match holder.owner {
+        Owner::Caller(_) => !holder.served && holder.stalled_for(now) >= FRESH_TIME,
+        Owner::Peer | Owner::Target => false,
+    }
+}
+
 /// The order in which connections give way; `None` for one that doesn't. What runs is finished, and a message that
 /// makes progress is received or sent to its end.
 fn rank(holder: &Holder, now: Time) -> Option<u8> {
     let stalled = holder.stalled_for(now) >= STALL_TIME;
     match holder.activity {
         Activity::Receiving | Activity::Sending if stalled => Some(0),
-        Activity::Idle if !holder.served && holder.owner != Owner::Target => Some(1),
+        Activity::Idle if is_silent_caller(holder, now) => Some(1),
         Activity::Idle if stalled => Some(2),
         Activity::Idle | Activity::Receiving | Activity::Running | Activity::Sending => None,
     }
--- a/crates/core/src/memory/limits.rs
+++ b/crates/core/src/memory/limits.rs
@@ -28,6 +28,9 @@
 pub const KERNEL_BYTES: usize = 64 << 10;
 /// Length of an ordinary request, in bytes: one with an average large body.
 pub const ORDINARY_BYTES: usize = 64 << 10;
+/// Time that a new caller has for its first request before its connection may be closed for another one. Without it,
+/// connections that are opened at the same time would close each other.
+pub const FRESH_TIME: Duration = Duration::from_millis(100);
 /// Time without progress after which a connection may be closed if there is no room. A caller that sends 64 KiB in
 /// this time makes progress.
 pub const STALL_TIME: Duration = Duration::from_secs(2);
--- a/crates/core/src/memory/mod.rs
+++ b/crates/core/src/memory/mod.rs
@@ -10,4 +10,6 @@
 
 pub use aggregate::Budget;
 pub use event::{Activity, ClaimId, Effect, Event, HolderId, Owner};
-pub use limits::{BufferLimits, CONNECTION_BYTES, KERNEL_BYTES, ORDINARY_BYTES, STALL_TIME};
+pub use limits::{
+    BufferLimits, CONNECTION_BYTES, FRESH_TIME, KERNEL_BYTES, ORDINARY_BYTES, STALL_TIME,
+};
--- a/crates/core/src/pipeline/aggregate.rs
+++ b/crates/core/src/pipeline/aggregate.rs
@@ -125,6 +125,17 @@
         self.entries.len()
     }
 
+    /// Bytes of the requests in flight and of the answers that wait.
+    pub fn bytes(&self) -> usize {
+        self.entries.iter().map(|e| e.bytes).sum()
+    }
+
+    /// Whether an answer is being written.
+    pub fn is_writing(&self) -> bool {
+        let first = self.entries.front();
+        first.is_some_and(|e| e.stage == Stage::Writing)
+    }
+
     /// Checks the invariants and returns a description of each violation.
     pub fn verify(&self) -> Vec<String> {
         let mut faults = Vec::new();
@@ -265,10 +276,9 @@
     }
 
     fn may_read(&self) -> bool {
-        let bytes: usize = self.entries.iter().map(|e| e.bytes).sum();
         self.intake == Intake::Idle
             && self.entries.len() < self.limits.requests
-            && bytes < self.limits.bytes
+            && self.bytes() < self.limits.bytes
     }
 
     fn start_held(&mut self, effects: &mut Vec<Effect>) {
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -14,6 +14,7 @@
 
 use self::http::Connection;
 use crate::clock::Clock;
+use crate::memory::Memory;
 use crate::messages::{ControlSender, GateSender, PeersSender};
 use crate::telemetry::{Telemetry, log};
 
@@ -44,6 +45,8 @@
     pub gate: GateSender,
     /// Names and id of this daemon, shown on the status page.
     pub identity: Identity,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     /// Channel to the `peers` task.
     pub peers: PeersSender,
     /// Handle of the `telemetry` task.
--- a/crates/node/src/admin/pages.rs
+++ b/crates/node/src/admin/pages.rs
@@ -13,7 +13,8 @@
 use super::Admin;
 use super::http::{Content, Request, RequestFault, Response};
 use crate::messages::{
-    ControlMessage, ControlStatus, GateMessage, GateStatus, PeersMessage, PeersStatus, RoutingState,
+    ControlMessage, ControlStatus, GateMessage, GateStatus, MemoryStatus, PeersMessage,
+    PeersStatus, RoutingState,
 };
 use crate::telemetry::{Counters, log};
 
@@ -92,6 +93,8 @@
     domain: &'a str,
     gate: Option<GateStatus>,
     instance: String,
+    /// Null if the settings don't state what the machine has.
+    memory: Option<MemoryStatus>,
     name: &'a str,
     peers: Option<PeersStatus>,
     program: &'static str,
@@ -195,11 +198,13 @@
     let peers = query(|reply| {
         let _ = admin.peers.unbounded_send(PeersMessage::Status(reply));
     });
+    let memory = query(|reply| admin.memory.status(reply));
     let counters = async {
         let counters = timeout(QUERY_TIMEOUT, admin.telemetry.counters()).await;
         counters.ok().flatten()
     };
-    let (control, gate, peers, counters) = futures::join!(control, gate, peers, counters);
+    let (control, gate, peers, memory, counters) =
+        futures::join!(control, gate, peers, memory, counters);
     let status = if control.as_ref().is_some_and(is_ready) {
         StatusCode::OK
     } else {
@@ -213,6 +218,7 @@
         domain: &admin.identity.domain,
         gate,
         instance: admin.identity.instance.to_string(),
+        memory,
         name: &admin.identity.name,
         peers,
         program: env!("CARGO_PKG_VERSION"),
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -21,8 +21,8 @@
 use super::report::{self, EventSource, StoreHealthLog};
 use crate::clock::Clock;
 use crate::messages::{
-    ControlMessage, ControlStatus, GateMessage, GateSender, Member, PeerAddress, PeerFault,
-    PeersMessage, PeersSender, RouterMessage, RouterSender, RoutingState,
+    ControlMessage, ControlStatus, GateMessage, GateSender, IngressMessage, IngressSender, Member,
+    PeerAddress, PeerFault, PeersMessage, PeersSender, RouterMessage, RouterSender, RoutingState,
 };
 use crate::platform::ReadFault;
 use crate::platform::store::{self, StoreCall, StoreEnd, StoreRead};
@@ -49,6 +49,8 @@
     pub domain: String,
     /// The `gate` task.
     pub gate: GateSender,
+    /// The `ingress` task.
+    pub ingress: IngressSender,
     /// Address of the target beside this daemon.
     pub own_target: SocketAddr,
     /// Port on which every daemon accepts requests of its peers.
@@ -479,6 +481,10 @@
             .router
             .unbounded_send(RouterMessage::RoutingState(routing()));
         self.start.gate.send(GateMessage::RoutingState(routing()));
+        let _ = self
+            .start
+            .ingress
+            .unbounded_send(IngressMessage::RoutingState(routing()));
         let _ = self
             .start
             .peers
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -14,6 +14,7 @@
 use futures::{FutureExt, pin_mut, select_biased};
 use hawthornwall_core::ids::InstanceId;
 use hawthornwall_core::members::Identity;
+use hawthornwall_core::memory::BufferLimits;
 use hawthornwall_core::stop::StopPlan;
 use hawthornwall_settings::{Settings, Source};
 use monoio::net::{ListenerOpts, TcpListener};
@@ -27,9 +28,10 @@
 use crate::dialect::Dialect;
 use crate::gate::{GateStart, GateTask};
 use crate::ingress::{Ingress, IngressStart};
+use crate::memory::{Memory, MemoryTask};
 use crate::messages::{
-    ControlMessage, ControlSender, GateMessage, GateSender, PeersMessage, PeersSender,
-    ProbeMessage, ProbeSender, RouterMessage, RouterSender,
+    ControlMessage, ControlSender, GateMessage, GateSender, IngressMessage, IngressSender,
+    PeersMessage, PeersSender, ProbeMessage, ProbeSender, RouterMessage, RouterSender,
 };
 use crate::peers::{Peers, PeersStart};
 use crate::probe::{Probe, ProbeStart};
@@ -67,6 +69,7 @@
 struct Senders {
     control: ControlSender,
     gate: GateSender,
+    ingress: IngressSender,
     peers: PeersSender,
     probe: ProbeSender,
     router: RouterSender,
@@ -78,6 +81,7 @@
 struct Receivers {
     control: mpsc::UnboundedReceiver<ControlMessage>,
     gate: mpsc::UnboundedReceiver<GateMessage>,
+    ingress: mpsc::UnboundedReceiver<IngressMessage>,
     peers: mpsc::UnboundedReceiver<PeersMessage>,
     probe: mpsc::UnboundedReceiver<ProbeMessage>,
     router: mpsc::UnboundedReceiver<RouterMessage>,
@@ -87,6 +91,7 @@
 fn channels() -> (Senders, Receivers) {
     let (control, control_receiver) = mpsc::unbounded();
     let (gate, gate_receiver) = mpsc::unbounded();
+    let (ingress, ingress_receiver) = mpsc::unbounded();
     let (peers, peers_receiver) = mpsc::unbounded();
     let (probe, probe_receiver) = mpsc::unbounded();
     let (router, router_receiver) = mpsc::unbounded();
@@ -94,6 +99,7 @@
     let senders = Senders {
         control,
         gate: GateSender::new(gate),
+        ingress,
         peers,
         probe,
         router,
@@ -102,6 +108,7 @@
     let receivers = Receivers {
         control: control_receiver,
         gate: gate_receiver,
+        ingress: ingress_receiver,
         peers: peers_receiver,
         probe: probe_receiver,
         router: router_receiver,
@@ -116,6 +123,7 @@
     dialect: Dialect,
     instance: InstanceId,
     senders: Senders,
+    memory: Memory,
     settings: &'a Settings,
 }
 
@@ -128,7 +136,8 @@
         Peers::start(PeersStart {
             control: self.senders.control.clone(),
             gate: self.senders.gate.clone(),
-            limit: caller.body_limit + caller.head_limit + MESSAGE_OVERHEAD,
+            limit: self.settings.body_limit() + caller.head_limit + MESSAGE_OVERHEAD,
+            memory: self.memory.clone(),
             receiver,
             settings: &self.settings.peer,
         })
@@ -138,13 +147,17 @@
         &self,
         stop: oneshot::Receiver<StopPlan>,
         drained: oneshot::Receiver<()>,
+        receiver: mpsc::UnboundedReceiver<IngressMessage>,
     ) -> Result<Ingress, Report<StartError>> {
         Ingress::start(IngressStart {
+            body_limit: self.settings.body_limit(),
             clock: self.clock,
             dialect: self.dialect,
             drained,
             gate: self.senders.gate.clone(),
+            memory: self.memory.clone(),
             peers: self.senders.peers.clone(),
+            receiver,
             router: self.senders.router.clone(),
             seed: rand::rng().random(),
             service: self.settings.target.service.as_deref(),
@@ -173,6 +186,7 @@
             clock: self.clock,
             dialect: self.dialect,
             instance: self.instance,
+            memory: self.memory.clone(),
             probe: self.senders.probe.clone(),
             receiver,
             settings: self.settings,
@@ -213,6 +227,7 @@
             clock: self.clock,
             domain: self.settings.domain.clone(),
             gate: self.senders.gate.clone(),
+            ingress: self.senders.ingress.clone(),
             own_target: self.settings.target.address,
             peer_port: self.settings.peer.listen.port(),
             peers: self.senders.peers.clone(),
@@ -262,6 +277,7 @@
                 instance: self.instance,
                 name: self.settings.name.clone(),
             },
+            memory: self.memory.clone(),
             peers: self.senders.peers.clone(),
             telemetry: self.senders.telemetry.clone(),
         }
@@ -288,10 +304,13 @@
         let source = settings.platform.source().ok_or(StartError::Source)?;
         let (senders, receivers) = channels();
         let instance = InstanceId(rand::rng().random());
+        let clock = Clock::start();
+        let memory = start_memory(settings, clock, &senders.telemetry);
         let parts = Parts {
-            clock: Clock::start(),
+            clock,
             dialect: Dialect::of(&source),
             instance,
+            memory,
             senders,
             settings,
         };
@@ -301,7 +320,7 @@
         let listener = bind(settings.admin.listen)?;
         let ready = settings.admin.ready.map(bind).transpose()?;
         let peers = parts.peers(receivers.peers)?;
-        let ingress = parts.ingress(stopped, target_drained)?;
+        let ingress = parts.ingress(stopped, target_drained, receivers.ingress)?;
 
         monoio::spawn(telemetry::run(receivers.telemetry, open_statsd(settings)));
         monoio::spawn(peers.run());
@@ -379,6 +398,19 @@
     }
 }
 
+/// Starts the task that limits buffered bytes and connections, if the settings state what the machine has.
+fn start_memory(settings: &Settings, clock: Clock, telemetry: &Telemetry) -> Memory {
+    let machine = &settings.machine;
+    if machine.memory_mib.is_none() && machine.files.is_none() {
+        return Memory::default();
+    }
+    let limits = BufferLimits::for_machine(machine.memory_mib, machine.files);
+    let (sender, receiver) = mpsc::unbounded();
+    let task = MemoryTask::new(limits, clock, receiver, telemetry.clone());
+    monoio::spawn(task.run());
+    Memory::limited(sender)
+}
+
 /// Rereads the settings on each reload signal; ends on a stop signal.
 async fn wait_for_stop(signals: &mut Signals, reload: &Reload) {
     loop {
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -1,12 +1,14 @@
 //! The task that owns one persistent connection to the local target.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::admission::WorkId;
+use hawthornwall_core::memory::Owner;
 use hawthornwall_core::outcome::{Loss, Refusal};
 use hawthornwall_core::time::Time;
 use hawthornwall_wire::head::Framing;
@@ -22,6 +24,7 @@
     HttpStream, Limits, ReadFault, answer_keeps_open, encode_request, from_answer_head, header_text,
 };
 use crate::keepalive;
+use crate::memory::{Lease, Memory, Serving};
 use crate::self_report::SelfReport;
 use crate::telemetry::trace::HopSpan;
 
@@ -99,35 +102,43 @@
 /// Opens a connection, sends `first` on it, then serves further jobs until the connection closes.
 pub(super) async fn run(
     target: TargetAddress,
+    memory: Memory,
     first: Job,
     events: mpsc::UnboundedSender<ConnEvent>,
 ) {
     let work = first.work;
-    let Some(conn) = connect(target).await else {
-        let finished = Finished::unsent(work, Refusal::Down);
-        let _ = events.unbounded_send(ConnEvent::Finished(finished));
-        return;
-    };
-    conn.run(Some(first), &events).await;
+    match connect(target, &memory).await {
+        Ok(conn) => conn.run(Some(first), &events).await,
+        Err(refusal) => {
+            let finished = Finished::unsent(work, refusal);
+            let _ = events.unbounded_send(ConnEvent::Finished(finished));
+        }
+    }
 }
 
 /// Opens a connection in advance and serves jobs on it until it closes.
-pub(super) async fn preconnect(target: TargetAddress, events: mpsc::UnboundedSender<ConnEvent>) {
-    if let Some(conn) = connect(target).await {
+pub(super) async fn preconnect(
+    target: TargetAddress,
+    memory: Memory,
+    events: mpsc::UnboundedSender<ConnEvent>,
+) {
+    if let Ok(conn) = connect(target, &memory).await {
         conn.run(None, &events).await;
     }
 }
 
-async fn connect(target: TargetAddress) -> Option<Conn> {
+async fn connect(target: TargetAddress, memory: &Memory) -> Result<Conn, Refusal> {
+    let lease = memory.open(Owner::Target).await.ok_or(Refusal::Memory)?;
     let connect = TcpStream::connect_addr(target.address);
-    let tcp = monoio::time::timeout(CONNECT_TIMEOUT, connect)
-        .await
-        .ok()?
-        .ok()?;
-    keepalive::enable(&tcp).ok()?;
-    Some(Conn {
+    let connected = monoio::time::timeout(CONNECT_TIMEOUT, connect).await;
+    let tcp = connected
+        .map_err(|_| Refusal::Down)?
+        .map_err(|_| Refusal::Down)?;
+    keepalive::enable(&tcp).map_err(|_| Refusal::Down)?;
+    Ok(Conn {
         reused: false,
-        stream: HttpStream::new(tcp, target.limits),
+        stream: HttpStream::leased(tcp, target.limits, &lease),
+        lease,
         target,
     })
 }
@@ -161,6 +172,8 @@
             report,
             reusable,
         } = self.serve(job).await;
+        // From now on the answer counts for the connection that it goes to.
+        let _ = self.lease.read(0).await;
         let idle = reusable.then(|| sender.clone());
         (
             Finished {
@@ -175,6 +188,7 @@
 }
 
 struct Conn {
+    lease: Rc<Lease>,
     /// Whether the target has answered a request on this connection.
     reused: bool,
     stream: HttpStream,
@@ -204,21 +218,26 @@
     async fn next_job(&mut self, jobs: &mut mpsc::UnboundedReceiver<Job>) -> Option<Job> {
         let closed = self.stream.reader.readable_or_closed().fuse();
         let next = jobs.next().fuse();
-        pin_mut!(closed, next);
+        let evicted = self.lease.evicted().fuse();
+        pin_mut!(closed, next, evicted);
         select_biased! {
             job = next => job,
             () = closed => None,
+            () = evicted => None,
         }
     }
 
     async fn serve(&mut self, mut job: Job) -> Served {
         let left = self.target.clock.until(job.deadline);
         let trace = job.span.traceparent();
+        let lease = Rc::clone(&self.lease);
+        let _ = lease.hold(0, Serving::Running).await;
         let extra = self.extra_headers(left, job.expect.as_deref(), trace.as_deref());
         let exchange = self.exchange(&job.request, &extra, job.expect.as_deref());
         let exchange = monoio::time::timeout(left, exchange);
         let exchange = exchange.fuse();
-        pin_mut!(exchange);
+        let evicted = lease.evicted().fuse();
+        pin_mut!(exchange, evicted);
         // `select_biased!` skips terminated futures. Without `fuse`, the receiver counts as terminated
         // once its sender is dropped, so a cancellation would be missed. The fused receiver counts as
         // terminated only after it has been polled to completion.
@@ -229,6 +248,8 @@
                 Err(_) => Served::failed(JobEnd::Lost(Loss::Expired)),
             },
             _ = cancel => Served::failed(JobEnd::Lost(Loss::Cancelled)),
+            // The target has stalled within its answer.
+            () = evicted => Served::failed(JobEnd::Lost(Loss::Closed)),
         }
     }
 
@@ -266,6 +287,8 @@
             if head.status.is_informational() {
                 continue;
             }
+            // From now on the connection may give way if the answer stalls.
+            let _ = self.lease.hold(0, Serving::Nothing).await;
             let (body, delimited) = self.read_answer_body(request, &head, framing).await?;
             let report = SelfReport::from_headers(self.target.dialect, &head.headers);
             if !self.is_own_answer(request, expect, &head, &report) {
@@ -388,9 +411,11 @@
 
 fn loss_of(fault: &ReadFault) -> Loss {
     match fault {
-        ReadFault::Closed | ReadFault::Incomplete | ReadFault::Idle | ReadFault::Io(_) => {
-            Loss::Closed
-        }
+        ReadFault::Closed
+        | ReadFault::Incomplete
+        | ReadFault::Idle
+        | ReadFault::Io(_)
+        | ReadFault::Memory => Loss::Closed,
         ReadFault::Head(_) | ReadFault::Malformed(_) | ReadFault::TooLarge => Loss::Malformed,
     }
 }
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -22,6 +22,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::http;
+use crate::memory::Memory;
 use crate::messages::{
     GateMessage, GateStatus, ProbeMessage, ProbeResult, ProbeSender, RoutingState,
 };
@@ -47,6 +48,8 @@
     pub dialect: Dialect,
     /// Identifies this run of the daemon; part of issued keys and of load reports.
     pub instance: InstanceId,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     /// Sender to the probe task, which also receives each configuration from the gate.
     pub probe: ProbeSender,
     /// Messages from other tasks. The task ends when all senders are dropped.
@@ -75,6 +78,7 @@
     conn_sender: mpsc::UnboundedSender<ConnEvent>,
     gate: Gate,
     idle: Vec<mpsc::UnboundedSender<Job>>,
+    memory: Memory,
     records: RequestRecords,
     pauses: PauseDetector,
     probe: ProbeSender,
@@ -93,7 +97,7 @@
         let settings = start.settings;
         let (conn_sender, conn_events) = mpsc::unbounded();
         let limits = http::Limits {
-            body: settings.caller.body_limit,
+            body: settings.body_limit(),
             head: settings.caller.head_limit,
             idle: settings.target.silence,
         };
@@ -120,6 +124,7 @@
             conn_sender,
             gate,
             idle: Vec::new(),
+            memory: start.memory,
             records: RequestRecords::new(start.instance, &settings.keys),
             pauses: PauseDetector::new(TICK_IDLE, start.clock.now()),
             probe: start.probe,
@@ -412,7 +417,8 @@
     /// delayed: a target takes about a millisecond to accept each connection.
     fn preconnect(&self, slots: u32) {
         for _ in 0..slots.min(MAX_PRECONNECTS) {
-            monoio::spawn(conn::preconnect(self.address, self.conn_sender.clone()));
+            let (memory, events) = (self.memory.clone(), self.conn_sender.clone());
+            monoio::spawn(conn::preconnect(self.address, memory, events));
         }
     }
 
@@ -425,7 +431,8 @@
                 Err(unsent) => job = unsent.into_inner(),
             }
         }
-        monoio::spawn(conn::run(self.address, job, self.conn_sender.clone()));
+        let (memory, events) = (self.memory.clone(), self.conn_sender.clone());
+        monoio::spawn(conn::run(self.address, memory, job, events));
     }
 
     fn status(&mut self) -> GateStatus {
--- a/crates/node/src/http/limits.rs
+++ b/crates/node/src/http/limits.rs
@@ -32,6 +32,8 @@
     Io(io::Error),
     /// The body or its framing is invalid.
     Malformed(String),
+    /// The memory for requests in progress is in use.
+    Memory,
     /// The body exceeds [`Limits::body`].
     TooLarge,
 }
@@ -45,6 +47,7 @@
             Self::Idle => f.write_str("nothing arrived within the idle time"),
             Self::Io(e) => write!(f, "the connection failed: {e}"),
             Self::Malformed(reason) => write!(f, "malformed body: {reason}"),
+            Self::Memory => f.write_str("the memory for requests in progress is in use"),
             Self::TooLarge => f.write_str("the body exceeds the size limit"),
         }
     }
--- a/crates/node/src/http/reader.rs
+++ b/crates/node/src/http/reader.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -15,6 +16,7 @@
 use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
 
 use super::{Limits, ReadFault};
+use crate::memory::Lease;
 
 /// Size of one read from the socket, in bytes.
 const READ_SIZE: usize = 8 << 10;
@@ -29,6 +31,7 @@
     buf: BytesMut,
     /// When bytes last arrived.
     filled: Option<Instant>,
+    lease: Rc<Lease>,
     limits: Limits,
     scratch: Vec<u8>,
     tcp: OwnedReadHalf<TcpStream>,
@@ -43,10 +46,11 @@
 }
 
 impl HttpReader {
-    pub(super) fn new(tcp: OwnedReadHalf<TcpStream>, limits: Limits) -> Self {
+    pub(super) fn new(tcp: OwnedReadHalf<TcpStream>, limits: Limits, lease: Rc<Lease>) -> Self {
         Self {
             buf: BytesMut::new(),
             filled: None,
+            lease,
             limits,
             scratch: Vec::new(),
             tcp,
@@ -91,7 +95,7 @@
     /// Completes when the peer closes the connection. Bytes that arrive earlier, such as further requests,
     /// are buffered up to `limit`; after that nothing more is read, and a close isn't noticed.
     pub async fn closed(&mut self, limit: usize) {
-        while self.buf.len() < limit {
+        while self.buf.len() < limit && self.lease.read(self.buf.len()).await {
             match self.fill().await {
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
@@ -119,7 +123,7 @@
     /// If the connection fails, no bytes arrive within [`Limits::idle`], or the body is too large.
     pub async fn read_to_end(&mut self) -> Result<Bytes, ReadFault> {
         loop {
-            match self.fill_timed().await {
+            match self.fill_timed(0).await {
                 Ok(()) if self.buf.len() > self.limits.body => return Err(ReadFault::TooLarge),
                 Ok(()) => {}
                 Err(ReadFault::Incomplete) => return Ok(std::mem::take(&mut self.buf).freeze()),
@@ -143,6 +147,11 @@
         let _ = monoio::time::timeout(LINGER_TIMEOUT, discard).await;
     }
 
+    /// Applies other limits from the next message on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Maximum size of a body, in bytes.
     pub fn body_limit(&self) -> usize {
         self.limits.body
@@ -160,7 +169,7 @@
                 return check_head(&self.buf[..length], kind).map_err(ReadFault::Head);
             }
             let at_start = self.buf.is_empty();
-            self.fill_timed().await.map_err(|fault| match fault {
+            self.fill_timed(0).await.map_err(|fault| match fault {
                 ReadFault::Incomplete if at_start => ReadFault::Closed,
                 other => other,
             })?;
@@ -174,7 +183,7 @@
         while self.buf.len() < length {
             // Avoids copies when the buffer grows. Pages that are never written take no memory.
             self.buf.reserve(length - self.buf.len());
-            self.fill_timed().await?;
+            self.fill_timed(0).await?;
         }
         Ok(take_front(&mut self.buf, length))
     }
@@ -188,11 +197,15 @@
             if chunks.is_done() {
                 return Ok(body.into());
             }
-            self.fill_timed().await?;
+            self.fill_timed(body.len()).await?;
         }
     }
 
-    async fn fill_timed(&mut self) -> Result<(), ReadFault> {
+    /// Reads the next bytes of a message of which `decoded` bytes are outside of the buffer.
+    async fn fill_timed(&mut self, decoded: usize) -> Result<(), ReadFault> {
+        if !self.lease.read(self.buf.len() + decoded).await {
+            return Err(ReadFault::Memory);
+        }
         let idle = self.limits.idle;
         match monoio::time::timeout(idle, self.fill()).await {
             Err(_) => Err(ReadFault::Idle),
--- a/crates/node/src/http/writer.rs
+++ b/crates/node/src/http/writer.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use monoio::net::TcpStream;
 
 use super::HttpMessage;
+use crate::memory::Lease;
 
 /// Maximum number of bytes per write; the time limit applies to each write, not to whole messages.
 const WRITE_SIZE: usize = 64 << 10;
@@ -18,6 +20,7 @@
 pub struct HttpWriter {
     /// Maximum time of one write, of at most [`WRITE_SIZE`] bytes.
     idle: Duration,
+    lease: Rc<Lease>,
     tcp: OwnedWriteHalf<TcpStream>,
 }
 
@@ -28,8 +31,8 @@
 }
 
 impl HttpWriter {
-    pub(super) fn new(tcp: OwnedWriteHalf<TcpStream>, idle: Duration) -> Self {
-        Self { idle, tcp }
+    pub(super) fn new(tcp: OwnedWriteHalf<TcpStream>, idle: Duration, lease: Rc<Lease>) -> Self {
+        Self { idle, lease, tcp }
     }
 
     /// Writes a message to the socket, in parts.
@@ -53,7 +56,9 @@
     async fn write_part<T: IoBuf + 'static>(&mut self, part: T) -> io::Result<()> {
         let write = self.tcp.write_all(part);
         let written = monoio::time::timeout(self.idle, write).await;
-        written.map_err(|_| io::ErrorKind::TimedOut)?.0.map(|_| ())
+        written.map_err(|_| io::ErrorKind::TimedOut)?.0?;
+        self.lease.progress();
+        Ok(())
     }
 
     /// Ends the sending side of the connection.
--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::rc::Rc;
 
 use futures::channel::mpsc;
 use futures::future::LocalBoxFuture;
@@ -19,6 +20,7 @@
 use super::serve::{self, OpenedCall};
 use super::stop::{ConnectionUse, Phase, Phases};
 use crate::http::{HttpMessage, HttpStream, HttpWriter, ReadFault};
+use crate::memory::{Lease, Serving};
 use crate::telemetry::log;
 
 /// Interim response for callers that send `Expect: 100-continue` before the body.
@@ -26,8 +28,14 @@
 
 /// Serves the requests of a connection until it closes. While the daemon stops, requests in progress are
 /// still answered.
-pub(super) async fn run(tcp: TcpStream, backend: Backend, phases: Phases, usage: ConnectionUse) {
-    let mut stream = HttpStream::new(tcp, backend.default_limits);
+pub(super) async fn run(
+    tcp: TcpStream,
+    backend: Backend,
+    phases: Phases,
+    usage: ConnectionUse,
+    lease: Rc<Lease>,
+) {
+    let mut stream = HttpStream::leased(tcp, backend.limits.request(), &lease);
     let end = {
         let (incoming_sender, incoming) = mpsc::unbounded();
         let (orders, order_receiver) = mpsc::unbounded();
@@ -36,6 +44,8 @@
         let receiver = Receiver {
             buffer: backend.pipeline.bytes,
             incoming: incoming_sender,
+            lease: Rc::clone(&lease),
+            limits: &backend.limits,
             orders: order_receiver,
             reader: &mut stream.reader,
         };
@@ -50,6 +60,7 @@
             backend: &backend,
             calls: FuturesUnordered::new(),
             incoming,
+            lease: &lease,
             methods: BTreeMap::new(),
             opened: BTreeMap::new(),
             orders,
@@ -63,9 +74,11 @@
             ConnectionUse::Single => phases.ended,
         };
         let serving = connection.run(effects, stop).fuse();
-        pin_mut!(serving, reading, writing);
+        let evicted = lease.evicted().fuse();
+        pin_mut!(serving, reading, writing, evicted);
         loop {
             select_biased! {
+                () = evicted => break ConnectionEnd::Drop,
                 end = serving => break end,
                 () = reading => {}
                 () = writing => {}
@@ -127,6 +140,7 @@
     backend: &'a Backend,
     calls: FuturesUnordered<LocalBoxFuture<'a, CallEvent<'a>>>,
     incoming: mpsc::UnboundedReceiver<Incoming>,
+    lease: &'a Lease,
     /// Methods of the requests in flight.
     methods: BTreeMap<Position, Method>,
     /// Calls that wait until they may be passed on.
@@ -144,6 +158,9 @@
         let mut stop = stop.fuse();
         let mut effects = effects;
         loop {
+            if !self.hold().await {
+                return ConnectionEnd::Drop;
+            }
             for effect in effects {
                 if effect == Effect::Close {
                     return ConnectionEnd::Close;
@@ -166,6 +183,18 @@
         }
     }
 
+    /// Accounts for the requests in flight and their answers; false if there is no memory for them.
+    async fn hold(&self) -> bool {
+        let serving = if self.pipeline.is_writing() {
+            Serving::Sending
+        } else if self.pipeline.in_flight() > 0 {
+            Serving::Running
+        } else {
+            Serving::Nothing
+        };
+        self.lease.hold(self.pipeline.bytes(), serving).await
+    }
+
     /// The event of an input, if it is one for the pipeline.
     fn event(&mut self, input: Input<'a>) -> Result<Option<Event>, ConnectionEnd> {
         let event = match input {
@@ -201,7 +230,7 @@
 
     /// Completes after the idle time; never while a request is in flight.
     fn idle_time(&self) -> impl Future<Output = ()> + use<> {
-        let idle = (self.pipeline.in_flight() == 0).then_some(self.backend.default_limits.idle);
+        let idle = (self.pipeline.in_flight() == 0).then(|| self.backend.limits.idle());
         async move {
             match idle {
                 Some(idle) => monoio::time::sleep(idle).await,
--- a/crates/node/src/ingress/incoming.rs
+++ b/crates/node/src/ingress/incoming.rs
@@ -3,6 +3,7 @@
 //! Invariant: a request is read only on an order, so that the pipeline's bounds hold. In between, bytes are
 //! buffered up to a limit, and a caller that closes the connection is noticed.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use futures::channel::mpsc;
@@ -13,7 +14,9 @@
 use http::request::Parts as RequestHead;
 use http::{Method, Version};
 
+use super::limits::CallerLimits;
 use crate::http::{HttpReader, ReadFault, from_request_head, request_keeps_open};
+use crate::memory::Lease;
 
 /// What the connection's task asks its reader to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -64,6 +67,8 @@
 /// The receiving side of a connection and its channels.
 #[derive(Debug)]
 pub(super) struct Receiver<'a> {
+    pub lease: Rc<Lease>,
+    pub limits: &'a CallerLimits,
     /// Number of bytes that are buffered between two orders.
     pub buffer: usize,
     pub incoming: mpsc::UnboundedSender<Incoming>,
@@ -89,7 +94,10 @@
                 // The request of these orders has been read in the meantime.
                 Some(Order::Continue | Order::End) => continue,
                 Some(Order::Next) => match self.read().await {
-                    Ok(Some(request)) => Incoming::Request(Box::new(request)),
+                    Ok(Some(request)) => {
+                        self.lease.deliver(request.bytes());
+                        Incoming::Request(Box::new(request))
+                    }
                     Ok(None) => Incoming::Ended,
                     Err(ReadFault::Closed | ReadFault::Incomplete | ReadFault::Io(_)) => break,
                     Err(fault) => Incoming::Fault(fault),
@@ -105,7 +113,9 @@
         if !self.await_request().await? {
             return Ok(None);
         }
-        let (head, framing) = self.reader.read_request_head().await?;
+        // Limits may have changed since the last request on the connection.
+        self.reader.set_limits(self.limits.request());
+        let (head, framing) = self.read_head().await?;
         if expects_continue(&head, framing, self.reader) {
             let _ = self.incoming.unbounded_send(Incoming::Expects);
             self.await_continue().await;
@@ -119,6 +129,17 @@
         }))
     }
 
+    async fn read_head(&mut self) -> Result<(RequestHead, Framing), ReadFault> {
+        let head = self.reader.read_request_head();
+        match self.limits.head_time() {
+            Some(limit) => match monoio::time::timeout(limit, head).await {
+                Ok(head) => head,
+                Err(_) => Err(ReadFault::Idle),
+            },
+            None => head.await,
+        }
+    }
+
     /// Waits for the first bytes of the next request; false if the read has been ended.
     async fn await_request(&mut self) -> Result<bool, ReadFault> {
         loop {
--- a/crates/node/src/ingress/listener.rs
+++ b/crates/node/src/ingress/listener.rs
@@ -1,26 +1,29 @@
 //! The task that owns the listener for callers.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use futures::channel::oneshot;
+use futures::channel::{mpsc, oneshot};
 use futures::future::FutureExt;
 use futures::{pin_mut, select_biased};
 use hawthornwall_core::ids::RequestId;
+use hawthornwall_core::memory::Owner;
 use hawthornwall_core::pipeline;
 use hawthornwall_core::stop::StopPlan;
 use hawthornwall_settings::CallerSettings;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
 use super::connection;
+use super::limits::CallerLimits;
 use super::stop::{self, ConnectionUse, PhaseSenders, Phases, StopNotice};
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::http::Limits;
-use crate::messages::{GateSender, PeersSender, RouterSender};
+use crate::memory::Memory;
+use crate::messages::{GateSender, IngressMessage, PeersSender, RouterSender};
 use crate::open_count::OpenCount;
 use crate::start::StartError;
 use crate::telemetry::Telemetry;
@@ -30,13 +33,17 @@
 /// signal, also the interval at which the number of open connections is polled.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Size of the kernel's receive and send buffer of a connection where memory is limited, in bytes. The kernel doubles
+/// it for its own bookkeeping, and otherwise lets a buffer grow to several megabytes.
+const KERNEL_BUFFER: usize = 64 << 10;
+
 /// Shared dependencies of all connections.
 #[derive(Clone, Debug)]
 pub(super) struct Backend {
     pub clock: Clock,
-    pub default_limits: Limits,
     pub dialect: Dialect,
     pub gate: GateSender,
+    pub limits: CallerLimits,
     pub peers: PeersSender,
     /// Bounds on the requests in flight of one connection.
     pub pipeline: pipeline::Limits,
@@ -66,6 +73,8 @@
 /// Parameters of [`Ingress::start`].
 #[derive(Debug)]
 pub struct IngressStart<'a> {
+    /// Maximum length of a body, in bytes.
+    pub body_limit: usize,
     /// Clock of the process.
     pub clock: Clock,
     /// Header names and conventions that callers use.
@@ -74,8 +83,12 @@
     pub drained: oneshot::Receiver<()>,
     /// Sender to the gate of the local target.
     pub gate: GateSender,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     /// Sender to the task that exchanges messages with other daemons.
     pub peers: PeersSender,
+    /// Messages from other tasks.
+    pub receiver: mpsc::UnboundedReceiver<IngressMessage>,
     /// Sender to the router, which picks targets.
     pub router: RouterSender,
     /// First request id; random, so that ids differ between two runs.
@@ -105,6 +118,7 @@
     backend: Backend,
     limit: usize,
     listener: TcpListener,
+    memory: Memory,
     open: Rc<OpenCount>,
     phases: Phases,
 }
@@ -126,18 +140,26 @@
     pub fn start(start: IngressStart<'_>) -> Result<Self, Report<StartError>> {
         let settings = start.settings;
         // With a shared port, the kernel would silently divide the callers between two daemons.
-        let options = ListenerOpts::new().reuse_port(false);
+        let mut options = ListenerOpts::new().reuse_port(false);
+        if start.memory.is_limited() {
+            // Accepted connections inherit the sizes.
+            options = options
+                .recv_buf_size(KERNEL_BUFFER)
+                .send_buf_size(KERNEL_BUFFER);
+        }
         let listener = TcpListener::bind_with_config(settings.listen, &options)
             .change_context(StartError::Bind(settings.listen))?;
+        let limits = CallerLimits::new(Limits {
+            body: start.body_limit,
+            head: settings.head_limit,
+            idle: settings.idle,
+        });
+        monoio::spawn(limits.clone().follow(start.receiver));
         let backend = Backend {
             clock: start.clock,
-            default_limits: Limits {
-                body: settings.body_limit,
-                head: settings.head_limit,
-                idle: settings.idle,
-            },
             dialect: start.dialect,
             gate: start.gate,
+            limits: limits.clone(),
             peers: start.peers,
             pipeline: pipeline::Limits {
                 bytes: settings.pipeline_bytes,
@@ -158,6 +180,7 @@
                 backend,
                 limit: settings.connections,
                 listener,
+                memory: start.memory,
                 open,
                 phases,
             },
@@ -208,7 +231,7 @@
             pin_mut!(accept);
             select_biased! {
                 accepted = accept => match accepted {
-                    Ok((tcp, _)) => self.admit(tcp, usage),
+                    Ok((tcp, caller)) => self.admit(tcp, caller.ip(), usage).await,
                     Err(_) => monoio::time::sleep(ACCEPT_BACKOFF).await,
                 },
                 output = end => return output,
@@ -216,15 +239,18 @@
         }
     }
 
-    fn admit(&self, tcp: TcpStream, usage: ConnectionUse) {
+    async fn admit(&self, tcp: TcpStream, caller: IpAddr, usage: ConnectionUse) {
         if self.open.get() >= self.limit {
             // Dropping the connection is safe for the caller, since no request was read from it.
             return;
         }
+        let Some(lease) = self.memory.open(Owner::Caller(caller)).await else {
+            return;
+        };
         let count = self.open.enter();
         let (backend, phases) = (self.backend.clone(), self.phases.clone());
         monoio::spawn(async move {
-            connection::run(tcp, backend, phases, usage).await;
+            connection::run(tcp, backend, phases, usage, lease).await;
             drop(count);
         });
     }
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod driver;
 mod identity;
 mod incoming;
+mod limits;
 mod listener;
 mod reply;
 mod request;
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -124,6 +124,9 @@
             | HeadFault::TransferCoding,
         )
         | ReadFault::Malformed(_) => (400, Refusal::Malformed),
+        ReadFault::Memory => {
+            return Some(Reply::unanswered(Outcome::Refused(Refusal::Memory)));
+        }
         ReadFault::TooLarge => (413, Refusal::TooLarge),
     };
     let text = format!("The request was not run: {fault}.");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod ingress;
 mod keepalive;
+pub mod memory;
 pub mod messages;
 mod open_count;
 pub mod peers;
--- a/crates/node/src/messages/mod.rs
+++ b/crates/node/src/messages/mod.rs
@@ -5,6 +5,7 @@
 
 mod control;
 mod gate;
+mod memory;
 mod peers;
 mod probe;
 mod router;
@@ -12,9 +13,10 @@
 
 pub use control::{ControlMessage, ControlSender, ControlStatus};
 pub use gate::{GateMessage, GateSender, GateStatus};
+pub use memory::{MemoryMessage, MemorySender, MemoryStatus};
 pub use peers::{PeerAddress, PeerFault, PeersMessage, PeersSender, PeersStatus};
 pub use probe::{ProbeMessage, ProbeResult, ProbeSender};
 pub use router::{
     InFlightRequest, Observed, OpenTicket, Opened, Picked, Routed, RouterMessage, RouterSender,
 };
-pub use routing::{Member, RoutingState};
+pub use routing::{IngressMessage, IngressSender, Member, RoutingState};
--- a/crates/node/src/messages/peers.rs
+++ b/crates/node/src/messages/peers.rs
@@ -15,6 +15,8 @@
 pub enum PeerFault {
     /// Nothing was sent: the limit of requests in flight to the peer is reached.
     Busy,
+    /// Nothing was sent: there is no room for a further connection.
+    Memory,
     /// The request was sent, at least in part, and may have run.
     Lost(Loss),
     /// Nothing was sent: no connection could be opened, or the address is unknown.
@@ -28,8 +30,9 @@
     /// sent says nothing about that attempt.
     pub fn attempt_result(self, is_repeat: bool) -> AttemptResult {
         match self {
-            Self::Busy if is_repeat => AttemptResult::Refused(Refusal::Unreachable),
+            Self::Busy | Self::Memory if is_repeat => AttemptResult::Refused(Refusal::Unreachable),
             Self::Busy => AttemptResult::Refused(Refusal::Full),
+            Self::Memory => AttemptResult::Refused(Refusal::Memory),
             Self::Lost(loss) => AttemptResult::Lost(loss),
             Self::Unreachable => AttemptResult::Refused(Refusal::Unreachable),
         }
--- a/crates/node/src/messages/routing.rs
+++ b/crates/node/src/messages/routing.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use futures::channel::mpsc;
 use hawthornwall_core::catalog::{RequestLimits, ServiceLimits};
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::RouteTable;
@@ -24,6 +25,16 @@
     pub peer: SocketAddr,
 }
 
+/// A message to the `ingress` task.
+#[derive(Clone, Debug)]
+pub enum IngressMessage {
+    /// The configuration or the members changed.
+    RoutingState(Rc<RoutingState>),
+}
+
+/// A sender to the `ingress` task.
+pub type IngressSender = mpsc::UnboundedSender<IngressMessage>;
+
 /// The configuration in force and the members, published to the tasks that route and admit requests.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingState {
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -5,6 +5,7 @@
 use hawthornwall_core::ids::{ServiceId, TargetId};
 use hawthornwall_wire::peer::{Reply, Request, RequestId, RunReply, RunRequest};
 
+use crate::memory::Memory;
 use crate::messages::{ControlMessage, ControlSender, GateMessage, GateSender};
 
 /// The tasks that handle requests from peers.
@@ -14,6 +15,8 @@
     pub gate: GateSender,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
 }
 
 impl Inbound {
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -13,6 +13,7 @@
 use super::link::{Delivery, ExchangeSize};
 use super::quic::QuicLink;
 use super::tcp::TcpLink;
+use crate::memory::Memory;
 use crate::messages::{
     ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RoutingState,
 };
@@ -47,6 +48,8 @@
     pub gate: GateSender,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     /// Messages from other tasks.
     pub receiver: mpsc::UnboundedReceiver<PeersMessage>,
     /// Addresses, kind of link, secret and silence timeout.
@@ -84,6 +87,7 @@
             control: start.control,
             gate: start.gate,
             limit: start.limit,
+            memory: start.memory,
         };
         let link = match settings.link {
             LinkKind::Quic => Link::Quic(Box::new(QuicLink::start(settings, inbound, sender)?)),
--- a/crates/node/src/peers/tcp/accept.rs
+++ b/crates/node/src/peers/tcp/accept.rs
@@ -7,6 +7,7 @@
 use futures::channel::oneshot;
 use futures::future::{FutureExt, Shared};
 use futures::{pin_mut, select_biased};
+use hawthornwall_core::memory::Owner;
 use hawthornwall_wire::peer::{Reply, Request, decode_request, reply_parts};
 use monoio::net::{TcpListener, TcpStream};
 
@@ -14,6 +15,7 @@
 use super::super::link::{ExchangeReports, ExchangeSize};
 use super::conn::IDLE_TIMEOUT;
 use super::frame::{Frame, FrameStream};
+use crate::memory::{Lease, Serving};
 use crate::open_count::OpenCount;
 
 /// Time before the next accept if the connection limit is reached or accepting has failed.
@@ -43,25 +45,37 @@
                 monoio::time::sleep(ACCEPT_BACKOFF).await;
                 continue;
             }
+            // The room for a connection is reserved before it is accepted; see [`CONNECTION_LIMIT`].
+            let Some(lease) = self.inbound.memory.open(Owner::Peer).await else {
+                monoio::time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            };
             let accept = listener.accept().fuse();
             let mut stop = stop.clone();
-            pin_mut!(accept);
+            let evicted = lease.evicted().fuse();
+            pin_mut!(accept, evicted);
             select_biased! {
                 accepted = accept => match accepted {
-                    Ok((tcp, _)) => self.spawn_serve(tcp),
+                    Ok((tcp, _)) => self.spawn_serve(tcp, Rc::clone(&lease)),
                     // Usually the limit of open file descriptors is reached.
                     Err(_) => monoio::time::sleep(ACCEPT_BACKOFF).await,
                 },
+                () = evicted => {}
                 _ = stop => return,
             }
         }
     }
 
-    fn spawn_serve(&self, tcp: TcpStream) {
+    fn spawn_serve(&self, tcp: TcpStream, lease: Rc<Lease>) {
         let (accept, open) = (self.clone(), self.open.enter());
         monoio::spawn(async move {
-            let stream = FrameStream::new(tcp, accept.inbound.limit);
-            accept.serve(stream).await;
+            let stream = FrameStream::new(tcp, accept.inbound.limit, Rc::clone(&lease));
+            let (serve, evicted) = (accept.serve(stream).fuse(), lease.evicted().fuse());
+            pin_mut!(serve, evicted);
+            select_biased! {
+                () = serve => {}
+                () = evicted => {}
+            }
             drop(open);
         });
     }
@@ -83,6 +97,7 @@
     /// connection, so that the sender counts it as lost.
     async fn serve_request(&self, stream: &mut FrameStream, bytes: &Bytes) -> Option<()> {
         let request = decode_request(bytes).ok()?;
+        let _ = stream.hold(bytes.len(), Serving::Running).await;
         let is_control = matches!(request, Request::StoreUpdate(_) | Request::Exchange(_));
         let reply = self.answer(stream, request).await?;
         let message = reply_parts(&reply);
@@ -92,7 +107,14 @@
                 sent: message.len(),
             });
         }
-        stream.write(&message, self.silence).await.ok()
+        if !stream
+            .hold(bytes.len() + message.len(), Serving::Sending)
+            .await
+        {
+            return None;
+        }
+        stream.write(&message, self.silence).await.ok()?;
+        stream.hold(0, Serving::Nothing).await.then_some(())
     }
 
     /// Returns the reply; `None` if the connection must be closed, since it failed, the peer closed it or
--- a/crates/node/src/peers/tcp/conn.rs
+++ b/crates/node/src/peers/tcp/conn.rs
@@ -6,12 +6,14 @@
 use bytes::Bytes;
 use futures::channel::mpsc;
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
+use hawthornwall_core::memory::Owner;
 use hawthornwall_core::outcome::Loss;
 use hawthornwall_wire::peer::{Reply, Request, decode_reply, request_parts};
 use monoio::net::TcpStream;
 
 use super::super::link::{Delivery, ExchangeReports, ExchangeSize};
 use super::frame::{Frame, FrameStream};
+use crate::memory::{Memory, Serving};
 use crate::messages::PeerFault;
 
 /// Maximum time to open a connection. A machine that is down doesn't reply at all, and another target
@@ -49,6 +51,8 @@
     pub exchange_reports: ExchangeReports,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     pub peer: SocketAddr,
     pub reports: mpsc::UnboundedSender<ConnReport>,
     /// Time without received bytes, while a reply is expected, after which the connection is closed.
@@ -64,7 +68,15 @@
         sent: 0,
     };
     if let Some((mut conn, first)) = open(start, first).await {
-        conn.serve(first).await;
+        {
+            let lease = conn.stream.lease();
+            let (serve, evicted) = (conn.serve(first).fuse(), lease.evicted().fuse());
+            pin_mut!(serve, evicted);
+            select_biased! {
+                () = serve => {}
+                () = evicted => {}
+            }
+        }
         end.received = conn.stream.received();
         end.sent = conn.stream.sent();
     }
@@ -72,6 +84,10 @@
 }
 
 async fn open(start: ConnStart, mut first: Delivery) -> Option<(Conn, Delivery)> {
+    let Some(lease) = start.memory.open(Owner::Peer).await else {
+        let _ = first.reply.send(Err(PeerFault::Memory));
+        return None;
+    };
     let connected = {
         let connect = TcpStream::connect_addr(start.peer);
         let connect = monoio::time::timeout(CONNECT_TIMEOUT, connect).fuse();
@@ -86,7 +102,7 @@
         let _ = first.reply.send(Err(PeerFault::Unreachable));
         return None;
     };
-    let stream = FrameStream::new(tcp, start.limit);
+    let stream = FrameStream::new(tcp, start.limit, lease);
     Some((Conn { start, stream }, first))
 }
 
@@ -148,11 +164,14 @@
         };
         let open = result.is_ok();
         let _ = reply.send(result);
+        // From now on the reply counts for the connection that it goes to.
+        let _ = self.stream.hold(0, Serving::Nothing).await;
         open
     }
 
     async fn exchange(&mut self, request: &Request) -> Result<Reply, PeerFault> {
         let lost = PeerFault::Lost(Loss::Closed);
+        let _ = self.stream.hold(0, Serving::Running).await;
         let message = request_parts(request);
         let written = self.stream.write(&message, self.start.silence).await;
         written.map_err(|_| lost)?;
--- a/crates/node/src/peers/tcp/frame.rs
+++ b/crates/node/src/peers/tcp/frame.rs
@@ -2,6 +2,7 @@
 //! length of zero is a keep-alive frame.
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -11,6 +12,7 @@
 use monoio::net::TcpStream;
 
 use crate::http::take_front;
+use crate::memory::{Lease, Serving};
 
 /// Size of the length prefix in bytes.
 const LENGTH_SIZE: usize = 4;
@@ -35,6 +37,7 @@
     buf: BytesMut,
     /// Keep-alive frames since the last read from the socket.
     keep_alives: u32,
+    lease: Rc<Lease>,
     /// Maximum message size in bytes.
     limit: usize,
     received: u64,
@@ -43,11 +46,12 @@
 }
 
 impl FrameStream {
-    pub fn new(tcp: TcpStream, limit: usize) -> Self {
+    pub fn new(tcp: TcpStream, limit: usize, lease: Rc<Lease>) -> Self {
         let _ = tcp.set_nodelay(true);
         Self {
             buf: BytesMut::new(),
             keep_alives: 0,
+            lease,
             limit,
             received: 0,
             sent: 0,
@@ -55,6 +59,16 @@
         }
     }
 
+    /// What the connection holds of the budget.
+    pub fn lease(&self) -> Rc<Lease> {
+        Rc::clone(&self.lease)
+    }
+
+    /// Accounts for the messages in progress; false if there is no memory for them.
+    pub async fn hold(&self, bytes: usize, serving: Serving) -> bool {
+        self.lease.hold(bytes, serving).await
+    }
+
     /// Number of bytes received since the connection opened.
     pub fn received(&self) -> u64 {
         self.received
@@ -69,13 +83,20 @@
     ///
     /// # Errors
     ///
-    /// If the connection closes or fails, the length of a message exceeds the limit, or keep-alive frames come
-    /// without pause.
+    /// If the connection closes or fails, the length of a message exceeds the limit, there is no memory for it, or
+    /// keep-alive frames come without pause.
     pub async fn read(&mut self) -> io::Result<Frame> {
         loop {
             if let Some(frame) = self.take()? {
+                match &frame {
+                    Frame::KeepAlive => {}
+                    Frame::Message(bytes) => self.lease.deliver(bytes.len()),
+                }
                 return Ok(frame);
             }
+            if !self.lease.read(self.buf.len()).await {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
             if self.fill().await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
@@ -140,6 +161,7 @@
         let written = monoio::time::timeout(write_timeout, self.tcp.write_all(part)).await;
         written.map_err(|_| io::ErrorKind::TimedOut)?.0?;
         self.sent += size;
+        self.lease.progress();
         Ok(())
     }
 
--- a/crates/node/src/peers/tcp/link.rs
+++ b/crates/node/src/peers/tcp/link.rs
@@ -44,6 +44,7 @@
         let (pool, receiver) = mpsc::unbounded();
         let accepted = Rc::new(OpenCount::default());
         let (limit, silence) = (inbound.limit, settings.silence);
+        let memory = inbound.memory.clone();
         let accept = Accept {
             exchange_reports: exchange_reports.clone(),
             inbound,
@@ -51,7 +52,7 @@
             silence,
         };
         monoio::spawn(accept.run(listener, stopped.shared()));
-        monoio::spawn(Pool::new(receiver, exchange_reports, limit, silence).run());
+        monoio::spawn(Pool::new(receiver, exchange_reports, memory, limit, silence).run());
         Ok(Self {
             accepted,
             pool,
--- a/crates/node/src/peers/tcp/pool.rs
+++ b/crates/node/src/peers/tcp/pool.rs
@@ -11,6 +11,7 @@
 
 use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
 use super::conn::{self, ConnEnd, ConnReport, ConnStart};
+use crate::memory::Memory;
 use crate::messages::PeerFault;
 
 /// Maximum number of connections to one peer. A target runs and queues far fewer requests of one daemon.
@@ -37,6 +38,7 @@
 pub(super) struct Pool {
     exchange_reports: ExchangeReports,
     limit: usize,
+    memory: Memory,
     peers: HashMap<SocketAddr, Peer>,
     receiver: mpsc::UnboundedReceiver<PoolMessage>,
     reports: mpsc::UnboundedReceiver<ConnReport>,
@@ -49,6 +51,7 @@
     pub fn new(
         receiver: mpsc::UnboundedReceiver<PoolMessage>,
         exchange_reports: ExchangeReports,
+        memory: Memory,
         limit: usize,
         silence: Duration,
     ) -> Self {
@@ -56,6 +59,7 @@
         Self {
             exchange_reports,
             limit,
+            memory,
             peers: HashMap::new(),
             receiver,
             reports,
@@ -126,6 +130,7 @@
         let start = ConnStart {
             exchange_reports: self.exchange_reports.clone(),
             limit: self.limit,
+            memory: self.memory.clone(),
             peer: address,
             reports: self.sender.clone(),
             silence: self.silence,
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -19,6 +19,10 @@
         /// How the attempt ended.
         result: AttemptResult,
     },
+    /// A connection was refused, or got no further bytes of the memory for requests in progress.
+    ClaimRefused,
+    /// A connection was closed to make room for others.
+    Evicted,
     /// The gate refused a request of this daemon or of another one.
     GateRefused(Refusal),
     /// A probe was due, but the measurement budget was used up.
@@ -51,6 +55,10 @@
 /// ```
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Counters {
+    /// Claims to connections and buffered bytes that were refused.
+    pub claims_refused: u64,
+    /// Connections that were closed to make room for others.
+    pub evicted: u64,
     /// Ended attempts by result: `answered`, `target-failed`, or the reason of a refusal or loss.
     pub attempts: BTreeMap<&'static str, u64>,
     /// Refusals by the local gate, by reason.
@@ -73,6 +81,8 @@
         match *event {
             Event::Abandoned => add(&mut self.requests, "abandoned"),
             Event::Attempt { result, .. } => add(&mut self.attempts, attempt_name(result)),
+            Event::ClaimRefused => self.claims_refused += 1,
+            Event::Evicted => self.evicted += 1,
             Event::GateRefused(refusal) => add(&mut self.gate_refusals, refusal.name()),
             Event::ProbeSkipped => self.probes_skipped += 1,
             Event::ProbeSpent => self.probes_spent += 1,
@@ -102,16 +112,21 @@
                 (format!("{group}.{name}"), count - before)
             })
         });
-        let probes = [
+        let totals = [
+            (
+                "memory.claims_refused",
+                self.claims_refused - earlier.claims_refused,
+            ),
+            ("memory.evicted", self.evicted - earlier.evicted),
             (
                 "probes.skipped",
                 self.probes_skipped - earlier.probes_skipped,
             ),
             ("probes.spent", self.probes_spent - earlier.probes_spent),
         ];
-        let probes = probes.map(|(name, count)| (name.to_owned(), count));
+        let totals = totals.map(|(name, count)| (name.to_owned(), count));
         named
-            .chain(probes)
+            .chain(totals)
             .filter(|(_, count)| *count > 0)
             .collect()
     }
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -37,6 +37,7 @@
     attempt_time: Histogram,
     attempts: Counters,
     gate_refusals: Counters,
+    memory: Counters,
     probes: Counters,
     refusals: Counters,
     registry: Registry,
@@ -55,6 +56,10 @@
         };
         let attempts = counters("attempts", "Ended attempts by result");
         let gate_refusals = counters("gate_refusals", "Requests that the gate refused, by reason");
+        let memory = counters(
+            "memory",
+            "Connections closed to make room, and refused claims to connections and buffered bytes",
+        );
         let probes = counters("probes", "Questions to the target, by what became of them");
         let refusals = counters("refusals", "Requests told to be refused, by reason");
         let requests = counters("requests", "Requests of callers by outcome");
@@ -70,6 +75,7 @@
             attempt_time,
             attempts,
             gate_refusals,
+            memory,
             probes,
             refusals,
             registry,
@@ -89,6 +95,8 @@
                 count(&self.attempts, "result", attempt_name(result));
                 observe(&self.attempt_time, elapsed);
             }
+            Event::ClaimRefused => count(&self.memory, "end", "refused"),
+            Event::Evicted => count(&self.memory, "end", "evicted"),
             Event::GateRefused(refusal) => count(&self.gate_refusals, "reason", refusal.name()),
             Event::ProbeSkipped => count(&self.probes, "end", "skipped"),
             Event::ProbeSpent => count(&self.probes, "end", "spent"),
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -122,6 +122,8 @@
         Event::Attempt { elapsed, .. } => statsd.time("attempt", *elapsed),
         Event::Request { elapsed, .. } => statsd.time("request", *elapsed),
         Event::Abandoned
+        | Event::ClaimRefused
+        | Event::Evicted
         | Event::GateRefused(_)
         | Event::ProbeSkipped
         | Event::ProbeSpent
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -154,6 +154,7 @@
             instance: InstanceId(0x9f),
             name: "calendar-1".to_owned(),
         },
+        memory: hawthornwall_node::memory::Memory::default(),
         peers: peers_sender,
         telemetry,
     };
--- a/crates/node/tests/common/ingress.rs
+++ b/crates/node/tests/common/ingress.rs
@@ -14,7 +14,9 @@
 use hawthornwall_node::clock::Clock;
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::ingress::{Ingress, IngressStart};
-use hawthornwall_node::messages::{GateMessage, GateSender, Member, RouterMessage, RoutingState};
+use hawthornwall_node::messages::{
+    GateMessage, GateSender, IngressSender, Member, RouterMessage, RoutingState,
+};
 use hawthornwall_node::router::{Router, RouterStart};
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_node::telemetry::trace::Tracer;
@@ -101,6 +103,7 @@
     pub address: SocketAddr,
     pub drained: oneshot::Sender<()>,
     pub gate: mpsc::UnboundedReceiver<GateMessage>,
+    pub ingress: IngressSender,
     pub stop: oneshot::Sender<StopPlan>,
 }
 
@@ -124,12 +127,16 @@
     });
     monoio::spawn(task.run());
     let _ = router.unbounded_send(RouterMessage::RoutingState(Rc::new(routing_state())));
+    let (ingress_sender, receiver) = mpsc::unbounded();
     let ingress = Ingress::start(IngressStart {
+        body_limit: settings.body_limit(),
+        memory: hawthornwall_node::memory::Memory::default(),
         clock,
         dialect: Dialect::Platform,
         drained: target_drained,
         gate: GateSender::new(gate_sender),
         peers,
+        receiver,
         router,
         seed: 0,
         service: None,
@@ -145,6 +152,7 @@
         address,
         drained,
         gate,
+        ingress: ingress_sender,
         stop,
     }
 }
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -77,6 +77,7 @@
         silence: SILENCE,
     };
     let started = Peers::start(PeersStart {
+        memory: hawthornwall_node::memory::Memory::default(),
         control,
         gate: GateSender::new(gate),
         limit: MESSAGE_LIMIT,
--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -7,14 +7,16 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
+use hawthornwall_core::catalog::RequestLimits;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::stop::StopPlan;
 use hawthornwall_node::clock::Clock;
-use hawthornwall_node::messages::GateMessage;
+use hawthornwall_node::messages::{GateMessage, IngressMessage, IngressSender, RoutingState};
 use hawthornwall_wire::peer::{HttpAnswer, RequestId, RunReply, RunResult};
 use insta::assert_snapshot;
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
@@ -42,6 +44,13 @@
     CloseSending,
     /// States whether at most this time was left of the request for this path when it was passed on.
     LeftAtMost(&'static str, Duration),
+    /// A version of the configuration allows bodies and heads of this many bytes, and this time for a head and between
+    /// two requests.
+    Limits {
+        body: usize,
+        head: usize,
+        time: Duration,
+    },
     /// The caller sends these bytes; `|` stands for CR LF.
     Send(&'static str),
     /// The caller sends this many bytes of a body.
@@ -62,6 +71,7 @@
     caller: Option<TcpStream>,
     clock: Clock,
     gate: mpsc::UnboundedReceiver<GateMessage>,
+    ingress: IngressSender,
     log: Vec<String>,
     passed: BTreeMap<String, Duration>,
     running: BTreeMap<String, Running>,
@@ -84,6 +94,20 @@
             }
             Step::Send(text) => self.send(text.replace('|', "\r\n").into_bytes()).await,
             Step::SendBody(length) => self.send(vec![b'x'; length]).await,
+            Step::Limits { body, head, time } => {
+                let limits = RequestLimits {
+                    body,
+                    head,
+                    head_time: time,
+                    idle: time,
+                };
+                let routing = RoutingState {
+                    limits: Some(limits),
+                    ..RoutingState::default()
+                };
+                let message = IngressMessage::RoutingState(Rc::new(routing));
+                let _ = self.ingress.unbounded_send(message);
+            }
             Step::Stop => {
                 let plan_sender = self.stop.take().expect("the daemon runs");
                 let now = self.clock.now();
@@ -199,6 +223,7 @@
             address,
             drained: _drained,
             gate,
+            ingress,
             stop,
         } = start(&settings, clock);
         let connected: io::Result<TcpStream> = TcpStream::connect_addr(address).await;
@@ -206,6 +231,7 @@
             caller: Some(connected.expect("the daemon accepts")),
             clock,
             gate,
+            ingress,
             log: Vec::new(),
             passed: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -322,6 +348,44 @@
     Step::Answer("/read/1"),
     Step::Wait(ms(300)),
 ])]
+// The limits of a new version apply to the next request on a connection that is kept.
+#[case::body_limit_changes("body_limit_changes", "", &[
+    Step::Limits { body: 10, head: 8_000, time: ms(1_000) },
+    Step::Send("POST /order/1 HTTP/1.1|host: h|content-length: 10||0123456789"),
+    Step::Answer("/order/1"),
+    Step::Limits { body: 20, head: 8_000, time: ms(1_000) },
+    Step::Send("POST /order/2 HTTP/1.1|host: h|content-length: 11||0123456789a"),
+    Step::Answer("/order/2"),
+    Step::Limits { body: 5, head: 8_000, time: ms(1_000) },
+    Step::Send("POST /order/3 HTTP/1.1|host: h|content-length: 6||012345"),
+])]
+#[case::body_limit_of_the_settings("body_limit_of_the_settings", r#""body_limit": 5"#, &[
+    Step::Limits { body: 10, head: 8_000, time: ms(1_000) },
+    Step::Send("POST /order/1 HTTP/1.1|host: h|content-length: 6||012345"),
+])]
+#[case::head_limit_changes("head_limit_changes", "", &[
+    Step::Send("GET /read/1 HTTP/1.1|host: h|x: 0123456789||"),
+    Step::Answer("/read/1"),
+    Step::Limits { body: 10, head: 30, time: ms(1_000) },
+    Step::Send("GET /read/2 HTTP/1.1|host: h|x: 0123456789||"),
+])]
+// Parts of the head arrive all the time, but it isn't complete in time.
+#[case::slow_head("slow_head", "", &[
+    Step::Limits { body: 10, head: 8_000, time: ms(400) },
+    Step::Send("GET /read/1 HTTP/1.1|"),
+    Step::Wait(ms(250)),
+    Step::Send("host: h|"),
+    Step::Wait(ms(250)),
+])]
+#[case::idle_limit_changes("idle_limit_changes", "", &[
+    Step::Limits { body: 10, head: 8_000, time: ms(500) },
+    Step::Send("GET /read/1 HTTP/1.1|host: h||"),
+    Step::Answer("/read/1"),
+    Step::Wait(ms(350)),
+    Step::Send("GET /read/2 HTTP/1.1|host: h||"),
+    Step::Answer("/read/2"),
+    Step::Wait(ms(650)),
+])]
 fn requests_of_one_connection(#[case] name: &str, #[case] extra: &str, #[case] steps: &[Step]) {
     assert_snapshot!(name, transcript(extra, steps));
 }
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -129,6 +129,7 @@
             address,
             drained,
             gate,
+            ingress: _ingress,
             stop,
         } = start(&settings(""), clock);
         let passed = Passed::default();
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -84,12 +84,14 @@
 fn daemon(store: SocketAddr) -> Daemon {
     let (control, receiver) = mpsc::unbounded();
     let (gate, _) = mpsc::unbounded();
+    let (ingress, _) = mpsc::unbounded();
     let (peers, peer_messages) = mpsc::unbounded();
     let (router, router_messages) = mpsc::unbounded();
     monoio::spawn(run(CatalogStart {
         clock: Clock::start(),
         domain: "a".to_owned(),
         gate: GateSender::new(gate),
+        ingress,
         own_target: ([127, 0, 0, 1], 9).into(),
         peer_port: PEER_PORT,
         peers,
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -90,6 +90,7 @@
     let (telemetry, events) = Telemetry::channel();
     let settings = settings(address);
     let task = GateTask::new(GateStart {
+        memory: hawthornwall_node::memory::Memory::default(),
         clock: Clock::start(),
         dialect: Dialect::Platform,
         instance: InstanceId(1),
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -46,6 +46,24 @@
     pub trace: TraceSettings,
 }
 
+/// Maximum length of a body if the settings state neither it nor the memory of the machine, in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+/// Maximum length of a body if the settings state the memory of the machine, in bytes. The largest body that an
+/// operators' configuration is known to allow.
+const BODY_LIMIT_WITH_BUDGET: usize = 64 << 20;
+
+impl Settings {
+    /// Maximum length of the body of a request or answer, in bytes. Without a budget of buffered bytes, long bodies
+    /// are accepted only if the settings ask for it.
+    pub fn body_limit(&self) -> usize {
+        let default = match self.machine.memory_mib {
+            None => BODY_LIMIT,
+            Some(_) => BODY_LIMIT_WITH_BUDGET,
+        };
+        self.caller.body_limit.unwrap_or(default)
+    }
+}
+
 /// Listeners for operators.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -65,8 +83,8 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "announce_ms")]
     pub announce: Duration,
-    /// Maximum length of the body of a request or answer, in bytes.
-    pub body_limit: usize,
+    /// Maximum length of the body of a request or answer, in bytes; see [`Settings::body_limit`] if it is absent.
+    pub body_limit: Option<usize>,
     /// Maximum number of open connections with callers.
     pub connections: usize,
     /// Time between a stop signal and the end of the process, if need be by force.
--- a/crates/testkit/src/launcher/settings.rs
+++ b/crates/testkit/src/launcher/settings.rs
@@ -38,7 +38,7 @@
             },
             caller: CallerSettings {
                 announce: Duration::from_secs(1),
-                body_limit: 1 << 20,
+                body_limit: None,
                 connections: 1_000,
                 grace: Duration::from_mins(10),
                 head_limit: 16 << 10,
--- a/crates/testkit/tests/system/untrusted/mod.rs
+++ b/crates/testkit/tests/system/untrusted/mod.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod connections;
+mod largest;
 mod peer;
 mod requests;
 mod target;
@@ -52,10 +53,25 @@
     Sound,
 }
 
+/// The machine and what the operators' configuration allows on it.
+#[derive(Clone, Copy, Debug)]
+struct Machine {
+    /// Longest body of a request, in bytes.
+    body: usize,
+    memory_mib: u64,
+}
+
+/// The machine of all tests but that of the largest body.
+const SMALL: Machine = Machine {
+    body: 1 << 20,
+    memory_mib: MEMORY_MIB,
+};
+
 /// A daemon on a small machine, with a store and a target.
 struct Site {
     case: u8,
     daemon: Child,
+    machine: Machine,
     _alone: MutexGuard<'static, ()>,
     _folder: Folder,
 }
@@ -63,16 +79,22 @@
 impl Site {
     /// Starts the daemon and waits until it serves. A server of the test's own listens already.
     fn start(case: u8, target: Target) -> Self {
+        Self::start_on(case, target, SMALL)
+    }
+
+    fn start_on(case: u8, target: Target, machine: Machine) -> Self {
         let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
         let folder = Folder::create(false).expect("the folder is created");
-        thread::spawn(move || run(serve_others(case, target)));
-        let machine = format!(r#""machine": {{ "memory_mib": {MEMORY_MIB}, "files": {FILES} }}, "#);
-        let mut daemon = start_daemon_with(&folder, case, 0, "sound", &machine);
+        thread::spawn(move || run(serve_others(case, target, machine.body)));
+        let memory_mib = machine.memory_mib;
+        let section = format!(r#""machine": {{ "memory_mib": {memory_mib}, "files": {FILES} }}, "#);
+        let mut daemon = start_daemon_with(&folder, case, 0, "sound", &section);
         let started = daemon.wait_ready(START_LIMIT, || status(case, "sound", 0) == Some(200));
         started.expect("the daemon serves");
         Self {
             case,
             daemon,
+            machine,
             _alone: alone,
             _folder: folder,
         }
@@ -82,7 +104,7 @@
     /// been answered. What `misbehave` returns is kept until then.
     fn check<T>(mut self, misbehave: impl FnOnce(u8) -> T) {
         let case = self.case;
-        let watch = Watch::start(self.daemon.pid(), address(case, 0, 0).ip());
+        let watch = Watch::start(self.daemon.pid());
         let connections = misbehave(case);
         thread::sleep(HOLD);
         let ordinary = || status(case, "sound", 1) == Some(200);
@@ -92,19 +114,18 @@
         let alive = self.daemon.wait(Duration::ZERO).is_ok_and(|e| e.is_none());
         println!("case {case}: {peak}, answered {}", answered.is_ok());
         assert!(alive, "the daemon has ended; {peak}");
-        assert!(peak.memory_kib <= MEMORY_MIB << 10, "{peak}");
+        assert!(peak.memory_kib <= self.machine.memory_mib << 10, "{peak}");
         assert!(peak.files <= FILES, "{peak}");
         assert!(answered.is_ok(), "no ordinary request is answered; {peak}");
     }
 }
 
 /// Serves the store, and the target if it is a sound one, until the test ends.
-async fn serve_others(case: u8, target: Target) {
+async fn serve_others(case: u8, target: Target, body: usize) {
     let store = serve_store(&[address(case, 0, 8500)]).expect("the address is free");
-    store.put(
-        "op/config",
-        &configuration(1, HOST, &[route("sound"), route("own")]),
-    );
+    let mut document = configuration(1, HOST, &[route("sound"), route("own")]);
+    document["limits"]["maxBodyBytes"] = body.into();
+    store.put("op/config", &document);
     let entry = Entry {
         address: address(case, 0, 9000),
         born: 1,
--- a/crates/testkit/tests/system/untrusted/usage.rs
+++ b/crates/testkit/tests/system/untrusted/usage.rs
@@ -1,8 +1,8 @@
 //! Highest memory and number of descriptors of a process while a test runs.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -48,14 +48,14 @@
 }
 
 impl Watch {
-    /// Samples the process `pid`, whose sockets have the address `ip`.
-    pub fn start(pid: u32, ip: IpAddr) -> Self {
+    /// Samples the process `pid`.
+    pub fn start(pid: u32) -> Self {
         let ended = Arc::new(AtomicBool::new(false));
         let end = Arc::clone(&ended);
         let sampling = thread::spawn(move || {
             let mut peak = Peak::default();
             while !end.load(Ordering::Relaxed) {
-                sample(pid, ip, &mut peak);
+                sample(pid, &mut peak);
                 thread::sleep(INTERVAL);
             }
             peak
@@ -70,34 +70,45 @@
     }
 }
 
-fn sample(pid: u32, ip: IpAddr, peak: &mut Peak) {
+fn sample(pid: u32, peak: &mut Peak) {
     let Ok(usage) = Usage::of(pid) else {
         return;
     };
     let files = fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
-    let queued = queued_bytes(ip) >> 10;
+    let queued = queued_bytes(pid) >> 10;
     peak.files = peak.files.max(files);
     peak.memory_kib = peak.memory_kib.max(usage.memory_kib + queued);
     peak.queued_kib = peak.queued_kib.max(queued);
     peak.resident_kib = peak.resident_kib.max(usage.memory_kib);
 }
 
-/// Bytes in the queues of all sockets with this local address, which the daemon's listeners and accepted
-/// connections have.
-fn queued_bytes(ip: IpAddr) -> u64 {
+/// Bytes in the queues of the TCP sockets of the process. A socket that another process shares the address with, such
+/// as that of a target, isn't its own.
+fn queued_bytes(pid: u32) -> u64 {
+    let Ok(files) = fs::read_dir(format!("/proc/{pid}/fd")) else {
+        return 0;
+    };
+    let links = files.flatten().filter_map(|f| fs::read_link(f.path()).ok());
+    let inodes: BTreeSet<u64> = links
+        .filter_map(|link| {
+            link.to_str()?
+                .strip_prefix("socket:[")?
+                .strip_suffix(']')?
+                .parse()
+                .ok()
+        })
+        .collect();
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let sockets = table.lines().skip(1).filter_map(socket);
-    let own = sockets.filter(|(local, _)| IpAddr::V4(*local) == ip);
+    let own = sockets.filter(|(inode, _)| inodes.contains(inode));
     own.map(|(_, queued)| queued).sum()
 }
 
-/// Local address and length of both queues in a line of the table of sockets, which is in hexadecimal.
-fn socket(line: &str) -> Option<(Ipv4Addr, u64)> {
-    let mut fields = line.split_whitespace().skip(1);
-    let (local, _) = fields.next()?.split_once(':')?;
-    let local = u32::from_str_radix(local, 16).ok()?;
-    let mut queues = fields.nth(2)?.split(':');
-    let mut length = || u64::from_str_radix(queues.next()?, 16).ok();
-    let both = length()? + length()?;
-    Some((Ipv4Addr::from(local.to_le_bytes()), both))
+/// Inode and length of both queues in a line of the table of sockets. The lengths are in hexadecimal.
+fn socket(line: &str) -> Option<(u64, u64)> {
+    let fields: Vec<_> = line.split_whitespace().collect();
+    let (sent, received) = fields.get(4)?.split_once(':')?;
+    let length = |text| u64::from_str_radix(text, 16).ok();
+    let inode = fields.get(9)?.parse().ok()?;
+    Some((inode, length(sent)? + length(received)?))
 }
