--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -3,10 +3,13 @@
 
 mod active;
 mod balancer;
+mod body_grants;
 mod call;
+mod evacuation;
 mod gate;
 mod ledger;
 mod members;
 mod memory;
+mod own_link;
 mod pipeline;
 mod probing;
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -106,7 +106,11 @@
         let limit = clock.until(query.until).max(MIN_SLEEP);
         match monoio::time::timeout(limit, &mut query.reply).await {
             Ok(Ok(Ok(Reply::StoreUpdate(update)))) => Some(*update),
-            Ok(Ok(Ok(Reply::Exchange(_) | Reply::Run(_)) | Err(_)) | Err(_)) | Err(_) => None,
+            Ok(
+                Ok(Ok(Reply::BodyGranted(_) | Reply::Exchange(_) | Reply::Run(_)) | Err(_))
+                | Err(_),
+            )
+            | Err(_) => None,
         }
     }
 }
@@ -299,7 +303,9 @@
         match payload {
             UpdatePayload::Changes(changes) => changes.iter().any(|(_, change)| match change {
                 UpdateChange::TargetGone { name } => self.catalog.is_active(name),
-                UpdateChange::RouteDelta(_)
+                UpdateChange::Evacuated { .. }
+                | UpdateChange::EvacuationEnded { .. }
+                | UpdateChange::RouteDelta(_)
                 | UpdateChange::Routes(_)
                 | UpdateChange::Target { .. } => false,
             }),
@@ -469,6 +475,7 @@
         debug_assert_eq!(self.catalog.verify(), Vec::<String>::new());
         self.routing = Rc::new(RoutingState {
             config: self.catalog.configuration(&SERVICE_RULES),
+            evacuated: self.catalog.evacuated().clone(),
             limits: self.catalog.limits(),
             members: self.members(),
             own: self.catalog.target_at(self.start.own_target),
@@ -512,6 +519,7 @@
         let members = names
             .filter_map(|(id, t)| Some((t.name.clone(), self.routing.members.get(id)?.clone())));
         ControlStatus {
+            evacuated: self.routing.evacuated.clone(),
             members: members.collect(),
             platform_reads: self.reads,
             ready: self.is_ready(),
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -134,12 +134,15 @@
     ) -> Result<Peers, Report<StartError>> {
         let caller = &self.settings.caller;
         Peers::start(PeersStart {
+            clock: self.clock,
             control: self.senders.control.clone(),
             gate: self.senders.gate.clone(),
             limit: self.settings.body_limit() + caller.head_limit + MESSAGE_OVERHEAD,
+            link_mbps: self.settings.machine.link_mbps,
             memory: self.memory.clone(),
             receiver,
             settings: &self.settings.peer,
+            telemetry: self.senders.telemetry.clone(),
         })
     }
 
@@ -156,6 +159,7 @@
             drained,
             gate: self.senders.gate.clone(),
             memory: self.memory.clone(),
+            link_mbps: self.settings.machine.link_mbps,
             peers: self.senders.peers.clone(),
             receiver,
             router: self.senders.router.clone(),
--- a/crates/node/src/messages/peers.rs
+++ b/crates/node/src/messages/peers.rs
@@ -17,6 +17,8 @@
     Busy,
     /// Nothing was sent: there is no room for a further connection.
     Memory,
+    /// Nothing was sent: the own link transports nothing in time.
+    Link,
     /// The request was sent, at least in part, and may have run.
     Lost(Loss),
     /// Nothing was sent: no connection could be opened, or the address is unknown.
@@ -30,8 +32,11 @@
     /// sent says nothing about that attempt.
     pub fn attempt_result(self, is_repeat: bool) -> AttemptResult {
         match self {
-            Self::Busy | Self::Memory if is_repeat => AttemptResult::Refused(Refusal::Unreachable),
+            Self::Busy | Self::Link | Self::Memory if is_repeat => {
+                AttemptResult::Refused(Refusal::Unreachable)
+            }
             Self::Busy => AttemptResult::Refused(Refusal::Full),
+            Self::Link => AttemptResult::Refused(Refusal::Link),
             Self::Memory => AttemptResult::Refused(Refusal::Memory),
             Self::Lost(loss) => AttemptResult::Lost(loss),
             Self::Unreachable => AttemptResult::Refused(Refusal::Unreachable),
--- a/crates/node/src/messages/router.rs
+++ b/crates/node/src/messages/router.rs
@@ -171,10 +171,14 @@
     Pick {
         /// The reason for the attempt; hedges and retries use the retry budget.
         kind: PickKind,
+        /// Whether the request has a large body and the rate of the own link is set.
+        large: bool,
         /// Receives the picked target, or the refusal.
         reply: oneshot::Sender<Result<Picked, Refusal>>,
         /// The service whose targets are eligible.
         service: ServiceId,
+        /// Time that the request's body takes on the way to a target of another machine.
+        transfer: Duration,
         /// Targets that the call has already tried.
         tried: Vec<TargetId>,
     },
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -38,6 +38,7 @@
     attempts: Counters,
     gate_refusals: Counters,
     memory: Counters,
+    link: Counters,
     probes: Counters,
     refusals: Counters,
     registry: Registry,
@@ -60,6 +61,7 @@
             "memory",
             "Connections closed to make room, and refused claims to connections and buffered bytes",
         );
+        let link = counters("link", "Events of the own link");
         let probes = counters("probes", "Questions to the target, by what became of them");
         let refusals = counters("refusals", "Requests told to be refused, by reason");
         let requests = counters("requests", "Requests of callers by outcome");
@@ -76,6 +78,7 @@
             attempts,
             gate_refusals,
             memory,
+            link,
             probes,
             refusals,
             registry,
@@ -98,6 +101,7 @@
             Event::ClaimRefused => count(&self.memory, "end", "refused"),
             Event::Evicted => count(&self.memory, "end", "evicted"),
             Event::GateRefused(refusal) => count(&self.gate_refusals, "reason", refusal.name()),
+            Event::Link(event) => count(&self.link, "event", event.name()),
             Event::ProbeSkipped => count(&self.probes, "end", "skipped"),
             Event::ProbeSpent => count(&self.probes, "end", "spent"),
             Event::Request { elapsed, outcome } => {
--- a/crates/node/tests/common/ingress.rs
+++ b/crates/node/tests/common/ingress.rs
@@ -15,7 +15,7 @@
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::ingress::{Ingress, IngressStart};
 use hawthornwall_node::messages::{
-    GateMessage, GateSender, IngressSender, Member, RouterMessage, RoutingState,
+    GateMessage, GateSender, IngressSender, Member, RouterMessage, RouterSender, RoutingState,
 };
 use hawthornwall_node::router::{Router, RouterStart};
 use hawthornwall_node::telemetry::Telemetry;
@@ -50,7 +50,7 @@
 }
 
 /// One service with one local target, and a route for each kind of request.
-fn routing_state() -> RoutingState {
+pub fn routing_state() -> RoutingState {
     let (service, target) = (ServiceId(0), TargetId(0));
     let rules = Rules {
         deadline: Duration::from_secs(5),
@@ -104,6 +104,7 @@
     pub drained: oneshot::Sender<()>,
     pub gate: mpsc::UnboundedReceiver<GateMessage>,
     pub ingress: IngressSender,
+    pub router: RouterSender,
     pub stop: oneshot::Sender<StopPlan>,
 }
 
@@ -135,9 +136,10 @@
         dialect: Dialect::Platform,
         drained: target_drained,
         gate: GateSender::new(gate_sender),
+        link_mbps: settings.machine.link_mbps,
         peers,
         receiver,
-        router,
+        router: router.clone(),
         seed: 0,
         service: None,
         settings: &settings.caller,
@@ -153,6 +155,7 @@
         drained,
         gate,
         ingress: ingress_sender,
+        router,
         stop,
     }
 }
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -130,6 +130,7 @@
             drained,
             gate,
             ingress: _ingress,
+            router: _router,
             stop,
         } = start(&settings(""), clock);
         let passed = Passed::default();
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -146,7 +146,30 @@
     pub payload: UpdatePayload,
 }
 
-/// A request from one daemon to another.
+/// A large body that the sender wants to send, with what decides on its admission.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BodyOffer {
+    /// Maximum queueing delay that the sender accepts; see [`RunRequest::max_wait`].
+    #[serde_as(as = "Micros")]
+    pub max_wait: Duration,
+    /// Latency objective of the route; zero if it has none.
+    #[serde_as(as = "Micros")]
+    pub objective: Duration,
+    /// Time left to meet the latency objective: zero if it has passed, `None` if it is unknown.
+    #[serde_as(as = "Option<Micros>")]
+    pub objective_left: Option<Duration>,
+    /// Rank of the request's route.
+    pub rank: u8,
+    /// Size of the body in bytes.
+    pub size: u64,
+    /// Time left until the deadline.
+    #[serde_as(as = "Micros")]
+    pub time_left: Duration,
+}
+
+/// A request from one daemon to another. Builds before a variant was added can't decode it and close the
+/// connection; new variants go last.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Request<B = Bytes> {
     /// Get the store contents after a position. The reply is delayed until the receiver has any.
@@ -164,6 +187,9 @@
     },
     /// Run a request at the receiver's local target.
     Run(RequestId, Box<RunRequest<B>>),
+    /// Ask for permission to send a request with a large body on the same connection. The reply is delayed
+    /// until the receiver's link has room.
+    OfferBody(RequestId, BodyOffer),
 }
 
 /// Result of [`Request::Run`] or [`Request::IssueKey`].
@@ -201,8 +227,10 @@
     Exchange(Box<Exchange>),
     /// Reply to [`Request::StoreUpdate`].
     StoreUpdate(Box<StoreUpdate>),
-    /// Reply to [`Request::Run`] and [`Request::IssueKey`].
+    /// Reply to [`Request::Run`] and [`Request::IssueKey`], and to a refused [`Request::OfferBody`].
     Run(Box<RunReply<B>>),
+    /// The body of [`Request::OfferBody`] may be sent.
+    BodyGranted(RequestId),
 }
 
 /// Received bytes that are not a message of the expected type, with the reason.
@@ -266,7 +294,10 @@
 pub fn request_parts(request: &Request) -> MessageParts {
     let body = match request {
         Request::Run(_, run) => run.http.body.clone(),
-        Request::Exchange(_) | Request::IssueKey { .. } | Request::StoreUpdate(_) => Bytes::new(),
+        Request::Exchange(_)
+        | Request::IssueKey { .. }
+        | Request::OfferBody(..)
+        | Request::StoreUpdate(_) => Bytes::new(),
     };
     parts(request, body)
 }
@@ -282,7 +313,7 @@
             RunResult::Answered(answer) => answer.body.clone(),
             RunResult::KeyIssued(_) | RunResult::Lost(_) | RunResult::Refused(_) => Bytes::new(),
         },
-        Reply::Exchange(_) | Reply::StoreUpdate(_) => Bytes::new(),
+        Reply::BodyGranted(_) | Reply::Exchange(_) | Reply::StoreUpdate(_) => Bytes::new(),
     };
     parts(reply, body)
 }
@@ -362,6 +393,7 @@
             service,
             target,
         },
+        Request::OfferBody(id, offer) => Request::OfferBody(id, offer),
         Request::Run(id, run) => Request::Run(id, Box::new(run.within(frame))),
     })
 }
@@ -376,6 +408,7 @@
     Ok(match reply {
         Reply::Exchange(exchange) => Reply::Exchange(exchange),
         Reply::StoreUpdate(update) => Reply::StoreUpdate(update),
+        Reply::BodyGranted(id) => Reply::BodyGranted(id),
         Reply::Run(run) => Reply::Run(Box::new(run.within(frame))),
     })
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -12,9 +12,9 @@
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::{Destination, Repeatability, Route, RouteTable};
 use hawthornwall_wire::peer::{
-    Exchange, Header, HttpAnswer, HttpRequest, MessageParts, Reply, Request, RequestId, RunReply,
-    RunRequest, RunResult, StoreUpdate, decode_reply, decode_request, encode_reply, encode_request,
-    reply_parts, request_parts,
+    BodyOffer, Exchange, Header, HttpAnswer, HttpRequest, MessageParts, Reply, Request, RequestId,
+    RunReply, RunRequest, RunResult, StoreUpdate, decode_reply, decode_request, encode_reply,
+    encode_request, reply_parts, request_parts,
 };
 use proptest::prelude::*;
 
@@ -163,12 +163,18 @@
     })
 }
 
+fn evacuated() -> impl Strategy<Value = catalog::Change> {
+    ".{0,9}".prop_map(|domain| catalog::Change::Evacuated { domain })
+}
+
 fn payload() -> impl Strategy<Value = UpdatePayload> {
     let gone = ".{0,9}".prop_map(|name| catalog::Change::TargetGone { name });
-    let whole = prop_oneof![gone, routes(), target()].prop_map(UpdateChange::from);
+    let ended = ".{0,9}".prop_map(|domain| catalog::Change::EvacuationEnded { domain });
+    let whole = prop_oneof![gone, routes(), target(), evacuated(), ended];
+    let whole = whole.prop_map(UpdateChange::from);
     let change = prop_oneof![whole, route_delta()];
     let changes = prop::collection::vec((any::<u64>(), change), 0..4);
-    let contents = prop::collection::vec(prop_oneof![routes(), target()], 0..4);
+    let contents = prop::collection::vec(prop_oneof![routes(), target(), evacuated()], 0..4);
     let contents = contents.prop_map(|changes| {
         let mut contents = Snapshot::default();
         for change in changes {
@@ -177,7 +183,10 @@
                 catalog::Change::Target { name, target } => {
                     contents.targets.insert(name, target);
                 }
-                catalog::Change::TargetGone { .. } => {}
+                catalog::Change::Evacuated { domain } => {
+                    contents.evacuated.insert(domain);
+                }
+                catalog::Change::EvacuationEnded { .. } | catalog::Change::TargetGone { .. } => {}
             }
         }
         contents
@@ -206,6 +215,21 @@
     (age, any::<u64>()).prop_map(|(age, revision)| StorePosition { age, revision })
 }
 
+fn body_offer() -> impl Strategy<Value = BodyOffer> {
+    let times = (micros(), micros(), prop::option::of(micros()), micros());
+    (times, any::<(u8, u64)>()).prop_map(|(times, (rank, size))| {
+        let (max_wait, objective, objective_left, time_left) = times;
+        BodyOffer {
+            max_wait,
+            objective,
+            objective_left,
+            rank,
+            size,
+            time_left,
+        }
+    })
+}
+
 fn request() -> impl Strategy<Value = Request> {
     prop_oneof![
         position().prop_map(Request::StoreUpdate),
@@ -216,6 +240,8 @@
             target: TargetId(target),
         }),
         (any::<u64>(), run()).prop_map(|(id, run)| Request::Run(RequestId(id), Box::new(run))),
+        (any::<u64>(), body_offer())
+            .prop_map(|(id, offer)| Request::OfferBody(RequestId(id), offer)),
     ]
 }
 
@@ -250,7 +276,8 @@
     prop_oneof![
         exchange().prop_map(|e| Reply::Exchange(Box::new(e))),
         store_update().prop_map(|u| Reply::StoreUpdate(Box::new(u))),
-        run
+        run,
+        any::<u64>().prop_map(|id| Reply::BodyGranted(RequestId(id))),
     ]
 }
 
