Count answers in transit, and name the limits of the machine in the check of settings

What had been read of a refused body still counted, so that there was no room for the refusal, and the connection closed without it. Change: a connection hands an answer over, and the one that it goes to claims it from there.

--- a/crates/cli/src/print/mod.rs
+++ b/crates/cli/src/print/mod.rs
@@ -8,7 +8,9 @@
 use hawthornwall_wire::document::{print_document, print_patch};
 use serde_json::{Value, json};
 
-use crate::run::{Artifact, ChangeReport, ConfigCheck, Entry, Outcome, SettingsCheck};
+use crate::run::{
+    Artifact, ChangeReport, ConfigCheck, Entry, MachineLimits, Outcome, SettingsCheck,
+};
 
 use self::table::{lines, table};
 
@@ -79,12 +81,23 @@
 fn settings(check: &SettingsCheck) -> String {
     let file = &check.file;
     if check.faults.is_empty() {
-        return format!("{file}: no faults\n");
+        let limits = check.limits.as_ref().map(machine_limits);
+        return format!("{file}: no faults{}\n", limits.unwrap_or_default());
     }
     let faults = check.faults.iter().map(|fault| format!("{file}: {fault}"));
     lines(faults.chain([count(check.faults.len(), "fault")]))
 }
 
+fn machine_limits(limits: &MachineLimits) -> String {
+    let body = Some(format!("; bodies up to {} bytes", limits.body));
+    let buffered = limits.buffered.map(|n| format!(", {n} bytes buffered"));
+    let connections = limits.connections.map(|n| format!(", {n} connections"));
+    [body, buffered, connections]
+        .into_iter()
+        .flatten()
+        .collect()
+}
+
 fn config(check: &ConfigCheck) -> String {
     let file = &check.file;
     let faults = check.faults.iter().map(|fault| format!("{file}: {fault}"));
--- a/crates/cli/src/run/check.rs
+++ b/crates/cli/src/run/check.rs
@@ -2,6 +2,7 @@
 
 use error_stack::Report;
 use hawthornwall_core::ids::Version;
+use hawthornwall_core::memory::BufferLimits;
 use hawthornwall_settings::{Fault, Settings};
 use hawthornwall_wire::document::parse_document;
 use serde::Serialize;
@@ -18,6 +19,35 @@
     pub faults: Vec<Fault>,
     /// The file as named on the command line.
     pub file: String,
+    /// What follows from the machine; `None` if the settings have faults or don't state what it has.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limits: Option<MachineLimits>,
+}
+
+/// Limits that are derived from what the settings state of the machine. An absent one isn't limited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct MachineLimits {
+    /// Longest body of a request or response, in bytes.
+    pub body: usize,
+    /// Bytes that are buffered for all connections together.
+    pub buffered: Option<usize>,
+    /// Connections of callers, peers and the target together.
+    pub connections: Option<usize>,
+}
+
+impl MachineLimits {
+    fn of(settings: &Settings) -> Option<Self> {
+        let machine = &settings.machine;
+        if machine.memory_mib.is_none() && machine.files.is_none() {
+            return None;
+        }
+        let limits = BufferLimits::for_machine(machine.memory_mib, machine.files);
+        Some(Self {
+            body: settings.body_limit().min(limits.longest_message()),
+            buffered: machine.memory_mib.map(|_| limits.total),
+            connections: machine.files.map(|_| limits.connections),
+        })
+    }
 }
 
 /// Size and version of the configuration that results from a document.
@@ -54,12 +84,16 @@
 /// Checks the settings of a daemon.
 pub(super) fn settings(input: &Input) -> Result<SettingsCheck, Report<Failure>> {
     let bytes = source::read_bytes(input)?;
-    let faults = match Settings::parse(&String::from_utf8_lossy(&bytes)) {
-        Ok(_) => Vec::new(),
-        Err(faults) => faults.0,
+    let (faults, limits) = match Settings::parse(&String::from_utf8_lossy(&bytes)) {
+        Ok(settings) => (Vec::new(), MachineLimits::of(&settings)),
+        Err(faults) => (faults.0, None),
     };
     let file = input.to_string();
-    Ok(SettingsCheck { faults, file })
+    Ok(SettingsCheck {
+        faults,
+        file,
+        limits,
+    })
 }
 
 /// Checks the checkpoint of a document and all patches.
--- a/crates/cli/src/run/mod.rs
+++ b/crates/cli/src/run/mod.rs
@@ -10,7 +10,7 @@
 use error_stack::Report;
 use hawthornwall_core::config::Configuration;
 
-pub use check::{ConfigCheck, ConfigSummary, SettingsCheck};
+pub use check::{ConfigCheck, ConfigSummary, MachineLimits, SettingsCheck};
 pub use daemon::DaemonStatus;
 pub use patch::{Artifact, ChangeReport, Entry, WithText};
 
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -59,6 +59,8 @@
 #[case::check_malformed("check_malformed", "check --config malformed.json")]
 #[case::check_json("check_json", "check --config now.json --json")]
 #[case::check_settings_json("check_settings_json", "check --settings settings.json --json")]
+#[case::check_machine("check_machine", "check --settings machine.json")]
+#[case::check_machine_json("check_machine_json", "check --settings machine.json --json")]
 #[case::show("show", "show --config now.json")]
 #[case::show_json("show_json", "show --config now.json --json")]
 #[case::log("log", "log --config now.json")]
--- a/crates/core/src/memory/aggregate.rs
+++ b/crates/core/src/memory/aggregate.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Activity, BufferLimits, CONNECTION_BYTES, ClaimId, Effect, Event, FRESH_TIME, HolderId,
-    KERNEL_BYTES, ORDINARY_BYTES, Owner, STALL_TIME,
+    KERNEL_BYTES, ORDINARY_BYTES, Owner, STALL_TIME, TRANSIT_TIME,
 };
 use crate::time::Time;
 
@@ -54,6 +54,8 @@
 /// What is claimed.
 #[derive(Clone, Copy, Debug)]
 enum Need {
+    /// Bytes of an answer.
+    Answer(usize),
     Bytes(usize),
     Connection(Owner),
 }
@@ -81,6 +83,8 @@
     limits: BufferLimits,
     /// When the last claim found no room; `None` if there has been room for a while.
     pressed: Option<Time>,
+    /// Lengths of the answers that have been passed on and not yet claimed, with the time of each.
+    transit: VecDeque<(Time, usize)>,
     used: usize,
     waiting: VecDeque<Waiting>,
 }
@@ -92,6 +96,7 @@
             holders: BTreeMap::new(),
             limits,
             pressed: None,
+            transit: VecDeque::new(),
             used: 0,
             waiting: VecDeque::new(),
         }
@@ -110,21 +115,27 @@
     /// Applies one event and returns what follows.
     pub fn on(&mut self, event: Event, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.expire_transit(now, &mut effects);
         match event {
             Event::Active(holder, activity) => self.set_activity(holder, activity, now),
             Event::Claim {
+                answer,
                 bytes,
                 claim,
                 holder,
-            } => self.claim(
-                Waiting {
+            } => {
+                let need = if answer {
+                    Need::Answer(bytes)
+                } else {
+                    Need::Bytes(bytes)
+                };
+                let waiting = Waiting {
                     claim,
                     holder,
-                    need: Need::Bytes(bytes),
-                },
-                now,
-                &mut effects,
-            ),
+                    need,
+                };
+                self.claim(waiting, now, &mut effects);
+            }
             Event::Closed(holder) => {
                 if let Some(closed) = self.holders.remove(&holder) {
                     self.used -= closed.cost();
@@ -132,6 +143,12 @@
                 self.refuse_waiting(holder, &mut effects);
                 self.settle(now, &mut effects);
             }
+            Event::HandOver { bytes, holder } => {
+                let moved = self.release(holder, bytes);
+                self.transit.push_back((now, moved));
+                self.used += moved;
+                self.settle(now, &mut effects);
+            }
             Event::Open {
                 claim,
                 holder,
@@ -151,11 +168,7 @@
                 }
             }
             Event::Release { bytes, holder } => {
-                if let Some(holder) = self.holders.get_mut(&holder) {
-                    let before = holder.cost();
-                    holder.bytes = holder.bytes.saturating_sub(bytes);
-                    self.used -= before - holder.cost();
-                }
+                self.release(holder, bytes);
                 self.settle(now, &mut effects);
             }
             Event::Tick => self.calm(now, &mut effects),
@@ -166,7 +179,8 @@
     /// Checks the invariants and returns a description of each violation.
     pub fn verify(&self) -> Vec<String> {
         let mut faults = Vec::new();
-        let used: usize = self.holders.values().map(Holder::cost).sum();
+        let held: usize = self.holders.values().map(Holder::cost).sum();
+        let used = held + self.in_transit();
         if used != self.used {
             faults.push(format!("{used} bytes are held, {} counted", self.used));
         }
@@ -199,7 +213,7 @@
         let claim = waiting.claim;
         let is_evicted = self.holders.get(&waiting.holder).is_some_and(|h| h.evicted);
         let is_known = match waiting.need {
-            Need::Bytes(_) => self.holders.contains_key(&waiting.holder),
+            Need::Answer(_) | Need::Bytes(_) => self.holders.contains_key(&waiting.holder),
             Need::Connection(_) => true,
         };
         if is_evicted || !is_known {
@@ -223,9 +237,13 @@
     fn lack(&self, waiting: &Waiting) -> Option<Lack> {
         match waiting.need {
             Need::Connection(owner) => self.lack_of_connection(owner),
+            Need::Answer(bytes) => {
+                let holder = self.holders.get(&waiting.holder)?;
+                self.lack_of_bytes(holder, bytes, self.in_transit().min(bytes))
+            }
             Need::Bytes(bytes) => {
                 let holder = self.holders.get(&waiting.holder)?;
-                self.lack_of_bytes(holder, bytes)
+                self.lack_of_bytes(holder, bytes, 0)
             }
         }
     }
@@ -249,7 +267,8 @@
         (over > 0).then_some(Lack::Total(over))
     }
 
-    fn lack_of_bytes(&self, holder: &Holder, bytes: usize) -> Option<Lack> {
+    /// What a claim lacks of which `counted` bytes are in use already.
+    fn lack_of_bytes(&self, holder: &Holder, bytes: usize, counted: usize) -> Option<Lack> {
         let after = holder.bytes.saturating_add(bytes);
         let more = cost(after) - holder.cost();
         let ordinary = after <= ORDINARY_BYTES;
@@ -258,7 +277,8 @@
         } else {
             self.limits.total - self.limits.reserve
         };
-        let over = self.used.saturating_add(more).saturating_sub(limit);
+        let used = (self.used - counted).saturating_add(more);
+        let over = used.saturating_sub(limit);
         if over > 0 {
             return Some(Lack::Total(over));
         }
@@ -292,14 +312,65 @@
                 self.used += holder.cost();
                 self.holders.insert(waiting.holder, holder);
             }
-            Need::Bytes(bytes) => {
-                if let Some(holder) = self.holders.get_mut(&waiting.holder) {
-                    let before = holder.cost();
-                    holder.bytes += bytes;
-                    holder.progress = now;
-                    self.used += holder.cost() - before;
-                }
+            Need::Answer(bytes) => {
+                self.take_transit(bytes);
+                self.add_bytes(waiting.holder, bytes, now);
             }
+            Need::Bytes(bytes) => self.add_bytes(waiting.holder, bytes, now),
+        }
+    }
+
+    fn add_bytes(&mut self, id: HolderId, bytes: usize, now: Time) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            let before = holder.cost();
+            holder.bytes += bytes;
+            holder.progress = now;
+            self.used += holder.cost() - before;
+        }
+    }
+
+    /// Takes bytes from a connection and returns how many it had of them.
+    fn release(&mut self, id: HolderId, bytes: usize) -> usize {
+        let Some(holder) = self.holders.get_mut(&id) else {
+            return 0;
+        };
+        let before = holder.cost();
+        let released = bytes.min(holder.bytes);
+        holder.bytes -= released;
+        self.used -= before - holder.cost();
+        released
+    }
+
+    fn in_transit(&self) -> usize {
+        self.transit.iter().map(|(_, bytes)| bytes).sum()
+    }
+
+    /// Answers are taken in their order; which of them a claim is for makes no difference to the sum.
+    fn take_transit(&mut self, mut bytes: usize) {
+        while bytes > 0
+            && let Some((_, first)) = self.transit.front_mut()
+        {
+            let taken = bytes.min(*first);
+            *first -= taken;
+            bytes -= taken;
+            self.used -= taken;
+            if *first == 0 {
+                self.transit.pop_front();
+            }
+        }
+    }
+
+    fn expire_transit(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let mut expired = false;
+        while let Some(&(since, bytes)) = self.transit.front()
+            && now - since >= TRANSIT_TIME
+        {
+            self.transit.pop_front();
+            self.used -= bytes;
+            expired = true;
+        }
+        if expired {
+            self.settle(now, effects);
         }
     }
 
@@ -314,7 +385,8 @@
         let useful = |h: &Holder| match (lack, waiting.need) {
             (Lack::Address(address, _), _) => h.owner == Owner::Caller(address),
             (Lack::OfKind, Need::Connection(owner)) => same_kind(h.owner, owner),
-            (Lack::OfKind, Need::Bytes(_)) | (Lack::Connection | Lack::Total(_), _) => true,
+            (Lack::OfKind, Need::Answer(_) | Need::Bytes(_))
+            | (Lack::Connection | Lack::Total(_), _) => true,
         };
         let mut needed = match lack {
             Lack::Address(_, bytes) | Lack::Total(bytes) => bytes,
@@ -359,13 +431,13 @@
     /// What a waiting claim will take of that which another one lacks.
     fn weight(&self, waiting: &Waiting, lack: Lack) -> usize {
         match (lack, waiting.need) {
-            (Lack::Address(..) | Lack::Total(_), Need::Bytes(bytes)) => {
+            (Lack::Address(..) | Lack::Total(_), Need::Answer(bytes) | Need::Bytes(bytes)) => {
                 let held = self.holders.get(&waiting.holder).map_or(0, |h| h.bytes);
                 cost(held + bytes) - cost(held)
             }
             (Lack::Address(..) | Lack::Total(_), Need::Connection(_)) => CONNECTION_BYTES,
             (Lack::Connection | Lack::OfKind, Need::Connection(_)) => 1,
-            (Lack::Connection | Lack::OfKind, Need::Bytes(_)) => 0,
+            (Lack::Connection | Lack::OfKind, Need::Answer(_) | Need::Bytes(_)) => 0,
         }
     }
 
--- a/crates/core/src/memory/event.rs
+++ b/crates/core/src/memory/event.rs
@@ -41,6 +41,8 @@
     Active(HolderId, Activity),
     /// A connection asks for further bytes.
     Claim {
+        /// Whether they are for an answer, which another connection may have handed over.
+        answer: bool,
         /// Bytes in addition to those that it has.
         bytes: usize,
         /// Identifies the request.
@@ -50,6 +52,13 @@
     },
     /// A connection has closed and holds nothing any more.
     Closed(HolderId),
+    /// A connection has passed an answer on to another one, which is about to claim it.
+    HandOver {
+        /// Length of the answer, in bytes.
+        bytes: usize,
+        /// The connection that has held it.
+        holder: HolderId,
+    },
     /// A connection has been opened or accepted and asks to be kept.
     Open {
         /// Identifies the request.
--- a/crates/core/src/memory/limits.rs
+++ b/crates/core/src/memory/limits.rs
@@ -31,6 +31,9 @@
 /// Time that a new caller has for its first request before its connection may be closed for another one. Without it,
 /// connections that are opened at the same time would close each other.
 pub const FRESH_TIME: Duration = Duration::from_millis(100);
+/// Longest time from the moment at which a connection passes an answer on to the claim of the one that it goes to. An
+/// answer whose request has been cancelled meanwhile is never claimed.
+pub const TRANSIT_TIME: Duration = Duration::from_millis(100);
 /// Time without progress after which a connection may be closed if there is no room. A caller that sends 64 KiB in
 /// this time makes progress.
 pub const STALL_TIME: Duration = Duration::from_secs(2);
@@ -72,6 +75,13 @@
             total,
         }
     }
+
+    /// Length of the longest message that one connection may hold, in bytes.
+    pub fn longest_message(&self) -> usize {
+        self.address
+            .min(self.total - self.reserve)
+            .saturating_sub(CONNECTION_BYTES + KERNEL_BYTES)
+    }
 }
 
 /// A share of a number; an unlimited number stays so.
--- a/crates/core/src/memory/mod.rs
+++ b/crates/core/src/memory/mod.rs
@@ -12,4 +12,5 @@
 pub use event::{Activity, ClaimId, Effect, Event, HolderId, Owner};
 pub use limits::{
     BufferLimits, CONNECTION_BYTES, FRESH_TIME, KERNEL_BYTES, ORDINARY_BYTES, STALL_TIME,
+    TRANSIT_TIME,
 };
--- a/crates/core/tests/properties/memory.rs
+++ b/crates/core/tests/properties/memory.rs
@@ -1,13 +1,13 @@
 //! Properties of the budget of buffered bytes under random sequences of events, compared with a plain model of what
 //! the connections hold.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 use hawthornwall_core::memory::{
     Activity, Budget, BufferLimits, CONNECTION_BYTES, ClaimId, Effect, Event, HolderId,
-    KERNEL_BYTES, ORDINARY_BYTES, Owner, STALL_TIME,
+    KERNEL_BYTES, ORDINARY_BYTES, Owner, STALL_TIME, TRANSIT_TIME,
 };
 use hawthornwall_core::time::Time;
 use proptest::prelude::*;
@@ -29,6 +29,8 @@
     Close(usize),
     /// The nth of the evicted connections closes.
     CloseEvicted(usize),
+    /// A connection passes an answer on.
+    HandOver(usize, usize),
     Open(Owner),
     Progress(usize),
     Release(usize, usize),
@@ -58,6 +60,7 @@
         8 => (0..8usize, 1..400_000usize).prop_map(|(n, bytes)| Step::Claim(n, bytes)),
         2 => (0..8usize).prop_map(Step::Close),
         4 => (0..4usize).prop_map(Step::CloseEvicted),
+        2 => (0..8usize, 1..400_000usize).prop_map(|(n, bytes)| Step::HandOver(n, bytes)),
         6 => owner().prop_map(Step::Open),
         1 => (0..8usize).prop_map(Step::Progress),
         3 => (0..8usize, 1..400_000usize).prop_map(|(n, bytes)| Step::Release(n, bytes)),
@@ -68,6 +71,7 @@
 /// What a claim asks for.
 #[derive(Clone, Copy, Debug)]
 enum Asked {
+    Answer(HolderId, usize),
     Bytes(HolderId, usize),
     Connection(HolderId),
 }
@@ -80,6 +84,8 @@
     held: BTreeMap<HolderId, usize>,
     next: u64,
     now: Time,
+    /// Answers that have been passed on and not claimed.
+    transit: VecDeque<(Time, usize)>,
 }
 
 impl Model {
@@ -91,6 +97,7 @@
             held: BTreeMap::new(),
             next: 0,
             now: Time::ZERO,
+            transit: VecDeque::new(),
         }
     }
 
@@ -125,6 +132,14 @@
                     self.close(holder);
                 }
             }
+            Step::HandOver(n, bytes) => {
+                if let Some(holder) = self.holder(n) {
+                    let bytes = bytes.min(self.held[&holder]);
+                    *self.held.get_mut(&holder).expect("it is open") -= bytes;
+                    self.transit.push_back((self.now, bytes));
+                    self.on(Event::HandOver { bytes, holder });
+                }
+            }
             Step::Open(owner) => {
                 let (holder, claim) = (HolderId(self.next()), ClaimId(self.next()));
                 self.asked.insert(claim, Asked::Connection(holder));
@@ -156,8 +171,15 @@
     /// Claims bytes and returns the claim.
     fn claim(&mut self, holder: HolderId, bytes: usize) -> ClaimId {
         let claim = ClaimId(self.next());
-        self.asked.insert(claim, Asked::Bytes(holder, bytes));
+        let answer = self.next.is_multiple_of(2);
+        let asked = if answer {
+            Asked::Answer(holder, bytes)
+        } else {
+            Asked::Bytes(holder, bytes)
+        };
+        self.asked.insert(claim, asked);
         self.on(Event::Claim {
+            answer,
             bytes,
             claim,
             holder,
@@ -171,7 +193,18 @@
         self.on(Event::Closed(holder));
     }
 
+    /// Claims `bytes` of the answers in transit, the oldest first.
+    fn take_transit(&mut self, mut bytes: usize) {
+        for (_, left) in &mut self.transit {
+            let taken = bytes.min(*left);
+            *left -= taken;
+            bytes -= taken;
+        }
+    }
+
     fn on(&mut self, event: Event) {
+        self.transit
+            .retain(|(since, _)| self.now - *since < TRANSIT_TIME);
         for effect in self.budget.on(event, self.now) {
             match effect {
                 Effect::Evict(holder) => {
@@ -179,6 +212,10 @@
                     assert!(self.evicted.insert(holder), "{holder:?} is evicted twice");
                 }
                 Effect::Grant(claim) => match self.asked.remove(&claim).expect("it was asked") {
+                    Asked::Answer(holder, bytes) => {
+                        self.take_transit(bytes);
+                        *self.held.get_mut(&holder).expect("it is open") += bytes;
+                    }
                     Asked::Bytes(holder, bytes) => {
                         *self.held.get_mut(&holder).expect("it is open") += bytes;
                     }
@@ -195,7 +232,8 @@
         assert_eq!(self.budget.verify(), Vec::<String>::new());
         let costs = self.held.values();
         let costs = costs.map(|&b| CONNECTION_BYTES + b + if b > 0 { KERNEL_BYTES } else { 0 });
-        let used: usize = costs.sum();
+        let in_transit: usize = self.transit.iter().map(|(_, bytes)| bytes).sum();
+        let used = costs.sum::<usize>() + in_transit;
         assert_eq!(used, self.budget.used());
         assert!(used <= LIMITS.total && self.held.len() <= LIMITS.connections);
     }
@@ -217,6 +255,7 @@
             model.apply(step);
         }
         model.close_all();
+        model.apply(Step::Wait(TRANSIT_TIME.as_millis() as u64));
         prop_assert_eq!(model.budget.used(), 0);
         prop_assert_eq!(model.budget.connections(), 0);
         prop_assert!(model.asked.is_empty(), "{:?}", model.asked);
--- a/crates/core/tests/scenarios/memory.rs
+++ b/crates/core/tests/scenarios/memory.rs
@@ -28,11 +28,13 @@
         let bytes = line.value("kib", 0_usize) << 10;
         let event = match line.verb {
             "claim" => Event::Claim {
+                answer: line.flag("answer"),
                 bytes,
                 claim: self.claim(),
                 holder,
             },
             "closed" => Event::Closed(holder),
+            "hand-over" => Event::HandOver { bytes, holder },
             "idle" => Event::Active(holder, Activity::Idle),
             "open" => Event::Open {
                 claim: self.claim(),
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -409,6 +409,10 @@
         return Memory::default();
     }
     let limits = BufferLimits::for_machine(machine.memory_mib, machine.files);
+    let BufferLimits {
+        connections, total, ..
+    } = limits;
+    log::info!("limits of the machine", kv: { buffered = total, connections });
     let (sender, receiver) = mpsc::unbounded();
     let task = MemoryTask::new(limits, clock, receiver, telemetry.clone());
     monoio::spawn(task.run());
--- a/crates/node/src/gate/conn.rs
+++ b/crates/node/src/gate/conn.rs
@@ -173,7 +173,7 @@
             reusable,
         } = self.serve(job).await;
         // From now on the answer counts for the connection that it goes to.
-        let _ = self.lease.read(0).await;
+        self.lease.hand_over();
         let idle = reusable.then(|| sender.clone());
         (
             Finished {
--- a/crates/node/src/http/reader.rs
+++ b/crates/node/src/http/reader.rs
@@ -152,6 +152,12 @@
         self.limits = limits;
     }
 
+    /// Drops what has been read of a message that won't be completed, so that there is room for its refusal.
+    pub async fn clear(&mut self) {
+        self.buf = BytesMut::new();
+        let _ = self.lease.read(0).await;
+    }
+
     /// Maximum size of a body, in bytes.
     pub fn body_limit(&self) -> usize {
         self.limits.body
--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -247,9 +247,11 @@
 
     /// Some faults have an answer; after the others the connection closes without one.
     fn faulty(&mut self, fault: &ReadFault) -> Event {
-        let Some(reply) = reply::for_read_fault(fault) else {
+        let Some(mut reply) = reply::for_read_fault(fault) else {
             return Event::ReadEnded;
         };
+        let backend = self.backend;
+        reply.set_retry_after(|refusal| backend.return_delay(refusal), backend.dialect);
         let bytes = reply.body_length();
         self.unopened = Some(Unopened::Reply(reply));
         Event::Read { bytes, close: true }
--- a/crates/node/src/ingress/incoming.rs
+++ b/crates/node/src/ingress/incoming.rs
@@ -100,7 +100,10 @@
                     }
                     Ok(None) => Incoming::Ended,
                     Err(ReadFault::Closed | ReadFault::Incomplete | ReadFault::Io(_)) => break,
-                    Err(fault) => Incoming::Fault(fault),
+                    Err(fault) => {
+                        self.reader.clear().await;
+                        Incoming::Fault(fault)
+                    }
                 },
             };
             let _ = self.incoming.unbounded_send(incoming);
--- a/crates/node/src/memory/lease.rs
+++ b/crates/node/src/memory/lease.rs
@@ -119,7 +119,22 @@
         if before == 0 || bytes == 0 {
             self.update_activity();
         }
-        self.settle().await
+        self.settle(false).await
+    }
+
+    /// An answer has been passed on to another connection, which is about to claim it. Nothing else is held.
+    pub fn hand_over(&self) {
+        self.reading.set(0);
+        self.held.set(0);
+        self.serving.set(Serving::Nothing);
+        self.update_activity();
+        let bytes = self.granted.replace(0);
+        if let Some(link) = &self.link
+            && bytes > 0
+        {
+            let message = MemoryMessage::HandOver(link.holder, bytes);
+            let _ = link.sender.unbounded_send(message);
+        }
     }
 
     /// A message has been read: its bytes are held, and none are being read.
@@ -135,7 +150,7 @@
         if self.serving.replace(serving) != serving {
             self.update_activity();
         }
-        self.settle().await
+        self.settle(true).await
     }
 
     /// The other side has taken a part of an answer.
@@ -156,7 +171,7 @@
     }
 
     /// Claims what is missing, or releases what is no longer needed.
-    async fn settle(&self) -> bool {
+    async fn settle(&self, answer: bool) -> bool {
         let Some(link) = &self.link else {
             return true;
         };
@@ -175,6 +190,7 @@
         let (reply, granted) = oneshot::channel();
         self.claimed.set(self.claimed.get() + bytes);
         let _ = link.sender.unbounded_send(MemoryMessage::Claim {
+            answer,
             bytes,
             claim: ClaimId(link.memory.next_id()),
             holder: link.holder,
--- a/crates/node/src/memory/task.rs
+++ b/crates/node/src/memory/task.rs
@@ -71,6 +71,7 @@
         Some(match message {
             MemoryMessage::Active(holder, activity) => Event::Active(holder, activity),
             MemoryMessage::Claim {
+                answer,
                 bytes,
                 claim,
                 holder,
@@ -78,6 +79,7 @@
             } => {
                 self.replies.insert(claim, reply);
                 Event::Claim {
+                    answer,
                     bytes,
                     claim,
                     holder,
@@ -87,6 +89,7 @@
                 self.evictions.remove(&holder);
                 Event::Closed(holder)
             }
+            MemoryMessage::HandOver(holder, bytes) => Event::HandOver { bytes, holder },
             MemoryMessage::Open {
                 claim,
                 evict,
--- a/crates/node/src/messages/memory.rs
+++ b/crates/node/src/messages/memory.rs
@@ -11,6 +11,8 @@
     Active(HolderId, Activity),
     /// A connection asks for further bytes.
     Claim {
+        /// Whether they are for an answer, which another connection may have handed over.
+        answer: bool,
         /// Number of bytes.
         bytes: usize,
         /// Identifies the request.
@@ -22,6 +24,8 @@
     },
     /// A connection has closed.
     Closed(HolderId),
+    /// A connection has passed an answer of this length on to another one.
+    HandOver(HolderId, usize),
     /// A connection has been opened or accepted and asks to be kept.
     Open {
         /// Identifies the request.
--- a/crates/node/src/peers/tcp/conn.rs
+++ b/crates/node/src/peers/tcp/conn.rs
@@ -361,7 +361,7 @@
         let open = result.is_ok();
         let _ = delivery.reply.send(result);
         // From now on the reply counts for the connection that it goes to.
-        let _ = self.stream.hold(0, Serving::Nothing).await;
+        self.stream.lease().hand_over();
         open
     }
 
--- a/crates/node/tests/common/ingress.rs
+++ b/crates/node/tests/common/ingress.rs
@@ -7,6 +7,7 @@
 
 use futures::channel::{mpsc, oneshot};
 use hawthornwall_core::config::Rules;
+use hawthornwall_core::memory::BufferLimits;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::{Destination, Repeatability, Route, RouteTable};
 use hawthornwall_core::routing::Policy;
@@ -14,6 +15,7 @@
 use hawthornwall_node::clock::Clock;
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::ingress::{Ingress, IngressStart};
+use hawthornwall_node::memory::{Memory, MemoryTask};
 use hawthornwall_node::messages::{
     GateMessage, GateSender, IngressSender, Member, RouterMessage, RouterSender, RoutingState,
 };
@@ -24,8 +26,13 @@
 
 /// Settings with further ones for callers.
 pub fn settings(extra: &str) -> Settings {
+    settings_with("", extra)
+}
+
+/// Settings with further sections, each followed by a comma, and further ones for callers.
+pub fn settings_with(sections: &str, extra: &str) -> Settings {
     let text = format!(
-        r#"{{ "name": "t1", "domain": "a", "caller": {{ "listen": "127.0.0.1:0", {extra} }},
+        r#"{{ "name": "t1", "domain": "a", {sections} "caller": {{ "listen": "127.0.0.1:0", {extra} }},
         "target": {{ "address": "127.0.0.1:1" }},
         "peer": {{ "listen": "127.0.0.1:2", "secret": "{}" }},
         "platform": {{ "store": "127.0.0.1:3" }}, "admin": {{ "listen": "127.0.0.1:4" }} }}"#,
@@ -108,6 +115,18 @@
     pub stop: oneshot::Sender<StopPlan>,
 }
 
+/// Starts the budget of buffered bytes, if the settings state the memory of the machine.
+fn memory(settings: &Settings, clock: Clock, telemetry: &Telemetry) -> Memory {
+    if settings.machine.memory_mib.is_none() {
+        return Memory::default();
+    }
+    let limits = BufferLimits::for_machine(settings.machine.memory_mib, None);
+    let (sender, receiver) = mpsc::unbounded();
+    let task = MemoryTask::new(limits, clock, receiver, telemetry.clone());
+    monoio::spawn(task.run());
+    Memory::limited(sender)
+}
+
 /// Starts the tasks between a caller and the gate.
 pub fn start(settings: &Settings, clock: Clock) -> Started {
     let (router, receiver) = mpsc::unbounded();
@@ -131,7 +150,7 @@
     let (ingress_sender, receiver) = mpsc::unbounded();
     let ingress = Ingress::start(IngressStart {
         body_limit: settings.body_limit(),
-        memory: hawthornwall_node::memory::Memory::default(),
+        memory: memory(settings, clock, &telemetry),
         clock,
         dialect: Dialect::Platform,
         drained: target_drained,
--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -25,7 +25,8 @@
 use monoio::net::TcpStream;
 use rstest::rstest;
 
-use ingress::{Started, routing_state, settings, start};
+use hawthornwall_settings::Settings;
+use ingress::{Started, routing_state, settings, settings_with, start};
 use runtime::block_on;
 
 /// Time within which everything that a step leads to has happened.
@@ -237,9 +238,8 @@
 }
 
 /// Performs the steps and returns what the caller and the gate have seen.
-fn transcript(extra: &str, steps: &[Step]) -> String {
+fn transcript(settings: &Settings, steps: &[Step]) -> String {
     block_on(async {
-        let settings = settings(extra);
         let clock = Clock::start();
         let Started {
             address,
@@ -248,7 +248,7 @@
             ingress,
             router,
             stop,
-        } = start(&settings, clock);
+        } = start(settings, clock);
         let connected: io::Result<TcpStream> = TcpStream::connect_addr(address).await;
         let mut harness = Harness {
             caller: Some(connected.expect("the daemon accepts")),
@@ -411,7 +411,7 @@
     Step::Wait(ms(650)),
 ])]
 fn requests_of_one_connection(#[case] name: &str, #[case] extra: &str, #[case] steps: &[Step]) {
-    assert_snapshot!(name, transcript(extra, steps));
+    assert_snapshot!(name, transcript(&settings(extra), steps));
 }
 
 /// Guards against requests that are placed in an evacuated failure domain, or wait there, although the daemon
@@ -427,5 +427,16 @@
         Step::Evacuate(&["b"]),
         Step::Send("GET /read/4 HTTP/1.1|host: h||"),
     ];
-    assert_snapshot!(transcript("", &steps));
+    assert_snapshot!(transcript(&settings(""), &steps));
+}
+
+/// Guards against a body without room that is read on, or refused without telling the caller when to send it again.
+#[test]
+fn body_without_room() {
+    let settings = settings_with(r#""machine": { "memory_mib": 32 },"#, "");
+    let steps = [
+        Step::Send("POST /order/1 HTTP/1.1|host: h|content-length: 9000000||"),
+        Step::SendBody(5_000_000),
+    ];
+    assert_snapshot!(transcript(&settings, &steps));
 }
