--- a/crates/testkit/tests/system/main.rs
+++ b/crates/testkit/tests/system/main.rs
@@ -4,4 +4,5 @@
 mod daemon;
 mod endless;
 mod link;
+mod older_copy;
 mod untrusted;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -24,6 +24,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
+use crate::head::FINAL_STATUSES;
+
 /// An HTTP header. Its value need not be UTF-8.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
@@ -53,7 +55,7 @@
     pub body: B,
     /// End-to-end headers.
     pub headers: Vec<Header>,
-    /// Status code.
+    /// Status code, one of [`FINAL_STATUSES`].
     pub status: u16,
 }
 
@@ -402,9 +404,16 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes are not exactly one reply.
+/// Returns an error if the bytes are not exactly one reply, or if the status of an answer isn't one of
+/// [`FINAL_STATUSES`].
 pub fn decode_reply(frame: &Bytes) -> Result<Reply, DecodeError> {
     let reply: Reply<&[u8]> = decode(postcard::take_from_bytes(frame))?;
+    if let Reply::Run(run) = &reply
+        && let RunResult::Answered(HttpAnswer { status, .. }) = run.result
+        && !FINAL_STATUSES.contains(&status)
+    {
+        return Err(DecodeError(format!("status {status}")));
+    }
     Ok(match reply {
         Reply::Exchange(exchange) => Reply::Exchange(exchange),
         Reply::StoreUpdate(update) => Reply::StoreUpdate(update),
