Let workers of the soak turn cold

The soak had no cold workers. Its plans now contain up to three cold times a round, drawn from a seed of their own so that the other steps of a seed stay the same; workers state them in answers to health checks; and its configurations limit cold workers to 4 requests a second, of about 40 that each worker gets. The new invariant Cold is violated by more than 4 x 1.5 + 8 requests in a second.

--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -19,6 +19,12 @@
     pub budget_slack: usize,
     /// Window in which runs and requests are counted.
     pub budget_window: Duration,
+    /// Requests per second that a cold worker bears, as configurations state it. Each worker gets about 40.
+    pub cold_rate: f64,
+    /// Requests in a second that a cold worker may get, as a multiple of `cold_rate`.
+    pub cold_over: f64,
+    /// Requests in a second that a cold worker may get in addition.
+    pub cold_slack: f64,
     /// Time within which a written configuration must be in force.
     pub config: Duration,
     /// Maximum time by which the deadline that a worker receives may be later than the caller's.
@@ -44,6 +50,9 @@
             budget_ratio: 0.2,
             budget_slack: 62,
             budget_window: Duration::from_secs(10),
+            cold_rate: 4.0,
+            cold_over: 1.5,
+            cold_slack: 8.0,
             config: Duration::from_millis(2_500),
             deadline_excess: Duration::from_millis(500),
             drain: Duration::from_millis(2_500),
@@ -66,6 +75,8 @@
     Answer,
     /// Repeated runs stay within the budget.
     Budget,
+    /// A cold worker gets only the requests that it bears.
+    Cold,
     /// A written configuration is in force in time.
     Configuration,
     /// Workers receive a deadline that isn't later than the caller's.
@@ -167,6 +178,8 @@
 pub struct History {
     bounds: Bounds,
     calm: Vec<(Instant, Instant)>,
+    /// When each cold worker started requests in the last second.
+    cold_runs: BTreeMap<String, Vec<Instant>>,
     configured: BTreeMap<u64, Instant>,
     /// Begin and end of each evacuation, by index of each instance of the zone.
     evacuations: BTreeMap<usize, Vec<(Instant, Option<Instant>)>>,
@@ -190,6 +203,7 @@
         Self {
             bounds,
             calm: calm.collect(),
+            cold_runs: BTreeMap::new(),
             configured: BTreeMap::new(),
             evacuations: BTreeMap::new(),
             served_versions: BTreeMap::new(),
@@ -287,6 +301,9 @@
             );
             self.add_violation(Invariant::Evacuation, at, text);
         }
+        if run.cold {
+            self.check_cold(run);
+        }
         let overdue = self.leaving.get(&run.worker).copied();
         let overdue = overdue.filter(|left| at > *left + self.bounds.drain);
         if let Some(left) = overdue.filter(|left| self.is_calm(*left, at)) {
@@ -299,6 +316,27 @@
         }
     }
 
+    fn check_cold(&mut self, run: &WorkerRun) {
+        let at = run.started;
+        let runs = self.cold_runs.entry(run.worker.clone()).or_default();
+        runs.retain(|earlier| at.saturating_duration_since(*earlier) < Duration::from_secs(1));
+        runs.push(at);
+        let Bounds {
+            cold_over,
+            cold_rate,
+            cold_slack,
+            ..
+        } = self.bounds;
+        let (count, allowed) = (runs.len(), cold_rate * cold_over + cold_slack);
+        if count as f64 > allowed {
+            let text = format!(
+                "{} received {count} requests in a second while cold; {allowed} are allowed",
+                run.worker
+            );
+            self.add_violation(Invariant::Cold, at, text);
+        }
+    }
+
     /// Records how a request ended for its caller.
     pub fn record_end(&mut self, id: &str, ended: RequestEnd, at: Instant) {
         let Some(record) = self.records.get_mut(id) else {
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -43,6 +43,8 @@
 const FAULTY_PERCENT: u32 = 25;
 /// Factor by which a burst raises the request rate.
 const BURST_FACTOR: u32 = 3;
+/// Cold time after a start that configurations state, in seconds. Workers are warm when they start.
+const COLD_START_S: u32 = 1;
 /// Number of newest versions whose routes a configuration contains.
 const KEPT_VERSIONS: usize = 6;
 
@@ -258,6 +260,7 @@
             }
             Step::ResetPeers(index) => nodes[index].proxy.reset(),
             Step::StallPeers(index) => nodes[index].proxy.stall(),
+            Step::CoolWorker(index, time) => self.cool_worker(index, time),
             Step::SlowWorker(index, time) => {
                 let slow = WorkerBehaviour {
                     answer_fault: AnswerFault::None,
@@ -308,7 +311,11 @@
         ];
         let newest = versions.iter().rev().take(KEPT_VERSIONS);
         routes.extend(newest.map(|v| route(format!("/v{v}/"), true, &[("views", 1)])));
-        let document = configuration(version, HOST, &routes);
+        let mut document = configuration(version, HOST, &routes);
+        for cluster in document["clusters"].as_array_mut().into_iter().flatten() {
+            cluster["coldPerS"] = Bounds::default().cold_rate.into();
+            cluster["coldStartS"] = COLD_START_S.into();
+        }
         self.fleet.store.put("op/config", &document);
         let mut history = self.traffic.history.borrow_mut();
         history.record_configuration(version, Instant::now());
@@ -355,6 +362,12 @@
         self.replace_worker(index, &name, Duration::ZERO).await;
     }
 
+    fn cool_worker(&self, index: usize, time: Duration) {
+        if let Some(worker) = &*self.fleet.nodes[index].worker.borrow() {
+            worker.cold_until.set(Some(Instant::now() + time));
+        }
+    }
+
     async fn kill_worker(&self, index: usize) {
         let name = self.fleet.worker_name(index);
         self.replace_worker(index, &name, ENTRY_EXPIRY).await;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -23,6 +23,12 @@
 const MAX_FAULT_MS: u64 = 3_000;
 /// Maximum number of faults in a round.
 const MAX_FAULTS: usize = 7;
+/// Maximum number of cold times in a round.
+const MAX_COLD_TIMES: usize = 3;
+/// Minimum duration of a cold time in milliseconds; see `SHORTEST_COLD` of the gate.
+const MIN_COLD_MS: u64 = 1_000;
+/// Derives the seed of the cold times from that of the plan, whose other steps stay the same.
+const COLD_SEED: u64 = 0xC01D;
 /// Maximum number of planned changes in a round.
 const MAX_PLANNED: usize = 3;
 
@@ -59,6 +65,8 @@
     Burst(Duration),
     /// A new configuration is written to the store.
     Configure,
+    /// The worker turns cold without a restart.
+    CoolWorker(usize, Duration),
     /// Connections from other daemons to this one carry no data in one or both directions.
     CutPeer(usize, Direction, Duration),
     /// The zone with this index is evacuated for a time.
@@ -115,6 +123,7 @@
             | Self::Kill(index)
             | Self::KillWorker(index)
             | Self::Pause(index, _)
+            | Self::CoolWorker(index, _)
             | Self::ResetPeers(index)
             | Self::SlowPeer(index, _)
             | Self::SlowWorker(index, _)
@@ -168,6 +177,7 @@
     pub fn generate(seed: u64, daemons: usize, length: Duration) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut evacuations = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
+        let mut cold = StdRng::seed_from_u64(seed ^ COLD_SEED);
         let (mut calm, mut steps) = (Vec::new(), Vec::new());
         let mut start = Duration::from_secs(1);
         while calm.is_empty() || start < length {
@@ -191,6 +201,7 @@
                     step,
                 });
             }
+            steps.extend(random_cold_times(&mut cold, daemons, start));
             steps.extend(random_evacuations(&mut evacuations, start));
             steps.extend(calm_evacuation(&mut evacuations, from, daemons, &planned));
             steps.extend(planned);
@@ -255,6 +266,20 @@
     )
 }
 
+/// Cold times of workers that begin among the faults.
+fn random_cold_times(rng: &mut StdRng, daemons: usize, start: Duration) -> Vec<TimedStep> {
+    let count = rng.random_range(0..=MAX_COLD_TIMES);
+    let cold_time = |_| {
+        let time = Duration::from_millis(rng.random_range(MIN_COLD_MS..=MAX_FAULT_MS));
+        TimedStep {
+            at: start + FAULT_PERIOD.mul_f64(rng.random()),
+            planned: false,
+            step: Step::CoolWorker(rng.random_range(0..daemons), time),
+        }
+    };
+    (0..count).map(cold_time).collect()
+}
+
 /// Evacuations that begin among the faults and are revoked before the calm period; several may be in force at
 /// once.
 fn random_evacuations(rng: &mut StdRng, start: Duration) -> Vec<TimedStep> {
--- a/crates/soak/tests/history.rs
+++ b/crates/soak/tests/history.rs
@@ -51,6 +51,7 @@
         WorkerRun {
             body: Bytes::from_static(b"b"),
             caller: "views".to_owned(),
+            cold: worker.ends_with("-cold"),
             deadline: Some(Duration::from_millis(1_500)),
             id: id.to_owned(),
             line: line.to_owned(),
@@ -184,6 +185,16 @@
     scenario.sent("b", GET, 2_500).ran("b", "w1", GET, 2_501);
 }
 
+fn run_on_cold_worker(scenario: &mut Scenario) {
+    // 4 x 1.5 + 8 requests are allowed in a second.
+    for number in 0..15 {
+        let id = format!("cold{number}");
+        let at = 3_000 + number * 60;
+        scenario.sent(&id, "GET /get/1", at);
+        scenario.ran(&id, "w0-cold", "GET /get/1", at + 5);
+    }
+}
+
 fn run_in_an_evacuated_zone(scenario: &mut Scenario) {
     let (begin, end) = (scenario.at(0), scenario.at(3_000));
     scenario
@@ -256,6 +267,7 @@
 
 /// Guards against violations that aren't reported, and against reports of violations that didn't occur.
 #[rstest]
+#[case::run_on_cold_worker("run_on_cold_worker", run_on_cold_worker)]
 #[case::valid("valid", valid)]
 #[case::wrong_answer("wrong_answer", wrong_answer)]
 #[case::truncated_answer("truncated_answer", truncated_answer)]
--- a/crates/testkit/src/worker/serve.rs
+++ b/crates/testkit/src/worker/serve.rs
@@ -29,6 +29,8 @@
     pub body: Bytes,
     /// Calling service according to `x-caller-service`; empty without the header.
     pub caller: String,
+    /// Whether the worker was cold.
+    pub cold: bool,
     /// Remaining time according to `x-deadline-ms`.
     pub deadline: Option<Duration>,
     /// Request id according to `x-request-id`.
@@ -66,6 +68,8 @@
 pub struct Worker {
     /// Behaviour, which can be changed at any time.
     pub behaviour: Rc<Cell<WorkerBehaviour>>,
+    /// End of the cold time. Until then `/health` states the remaining time in `x-cold-ms`.
+    pub cold_until: Rc<Cell<Option<Instant>>>,
     /// Whether `/health` answers with status 503. Requests are still run.
     pub draining: Rc<Cell<bool>>,
     /// Number of running requests.
@@ -76,6 +80,7 @@
 #[derive(Clone)]
 struct WorkerState {
     behaviour: Rc<Cell<WorkerBehaviour>>,
+    cold_until: Rc<Cell<Option<Instant>>>,
     draining: Rc<Cell<bool>>,
     options: Rc<WorkerOptions>,
     random: Rc<RefCell<Random>>,
@@ -100,6 +105,7 @@
     let (stop, stopped) = oneshot::channel();
     let state = WorkerState {
         behaviour: Rc::default(),
+        cold_until: Rc::default(),
         draining: Rc::default(),
         random: Rc::new(RefCell::new(Random::new(options.seed))),
         options: Rc::new(options),
@@ -110,6 +116,7 @@
     };
     let worker = Worker {
         behaviour: Rc::clone(&state.behaviour),
+        cold_until: Rc::clone(&state.cold_until),
         draining: Rc::clone(&state.draining),
         running: Rc::clone(&state.running),
         _stop: stop,
@@ -212,12 +219,7 @@
 
     async fn work(&self, request: &Request<Bytes>) -> (Response<Bytes>, AnswerFault) {
         if request.uri().path() == "/health" {
-            let status = if self.draining.get() {
-                StatusCode::SERVICE_UNAVAILABLE
-            } else {
-                StatusCode::OK
-            };
-            return (answer(status, ""), AnswerFault::None);
+            return (self.health(), AnswerFault::None);
         }
         let not_run = |status: StatusCode| {
             let mut refusal = answer(status, "not run\n");
@@ -285,10 +287,33 @@
         true
     }
 
+    fn health(&self) -> Response<Bytes> {
+        let status = if self.draining.get() {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::OK
+        };
+        let mut health = answer(status, "");
+        if let Some(left) = self.cold_left() {
+            // Rounded up, since zero would state a warm worker.
+            let left = HeaderValue::from(left.as_millis() as u64 + 1);
+            health.headers_mut().insert("x-cold-ms", left);
+        }
+        health
+    }
+
+    /// Remaining cold time; `None` while the worker is warm.
+    fn cold_left(&self) -> Option<Duration> {
+        let until = self.cold_until.get()?;
+        let left = until.saturating_duration_since(Instant::now());
+        (!left.is_zero()).then_some(left)
+    }
+
     fn report_run(&self, request: &Request<Bytes>, deadline: Option<Duration>) {
         let run = WorkerRun {
             body: request.body().clone(),
             caller: header_text(request, "x-caller-service"),
+            cold: self.cold_left().is_some(),
             deadline,
             id: header_text(request, "x-request-id"),
             line: format!("{} {}", request.method(), request.uri()),
