--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -6,6 +6,7 @@
 mod body_grants;
 mod call;
 mod cold;
+mod eras;
 mod evacuation;
 mod gate;
 mod ledger;
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -45,6 +45,8 @@
     requests: Counters,
     sent: Counters,
     target_states: Counters,
+    store_eras: Counters,
+    unknown_values: Counters,
 }
 
 impl Default for Metrics {
@@ -66,6 +68,11 @@
             "target_states",
             "Changes of the target's state, by the new one",
         );
+        let store_eras = counters(
+            "store_eras",
+            "Returns of the store from an older copy, by source",
+        );
+        let unknown_values = counters("unknown_values", "Unknown values in the store, by field");
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BOUNDS);
             registry.register(name, help, histogram.clone());
@@ -85,6 +92,8 @@
             requests,
             sent,
             target_states,
+            store_eras,
+            unknown_values,
         }
     }
 }
@@ -111,6 +120,8 @@
             }
             Event::Sent(kind) => count(&self.sent, "why", pick_name(kind)),
             Event::TargetCold => count(&self.target_states, "state", "cold"),
+            Event::StoreEra(source) => count(&self.store_eras, "source", source),
+            Event::UnknownValue(field) => count(&self.unknown_values, "field", field),
         }
     }
 
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -127,7 +127,9 @@
         | Event::ProbeSkipped
         | Event::ProbeSpent
         | Event::Sent(_)
-        | Event::TargetCold => {}
+        | Event::TargetCold
+        | Event::StoreEra(_)
+        | Event::UnknownValue(_) => {}
     }
 }
 
