--- a/crates/core/src/admission/cold.rs
+++ b/crates/core/src/admission/cold.rs
@@ -8,9 +8,8 @@
 //! - *starts*: requests started in the last second and not proved warm. While the target is cold they are limited to the rate, and
 //!   to [`BURST`] at a time, so that a request of a high rank soon gets its turn;
 //! - *exposed* requests: those that the target may have received in the last second while cold, because it has
-//!   not been proved warm since. A request may reach the target at any time between its start and its end, so
-//!   that it counts until a second after its end; a pause of this process or of the target can't bunch more
-//!   requests than this.
+//!   not been proved warm since. A request counts from its start until a second after the target must have
+//!   received it, which a pause of this process delays. The target shares the machine of this process.
 //!
 //! A request is proved warm by two load checks: one answered before its start, one sent after it. This requires
 //! that a target that turns cold stays so for [`SHORTEST_COLD`].
@@ -269,8 +268,7 @@
                 (exposed.received_by, exposed.delayed) = (now + TRANSIT, true);
             }
         }
-        self.exposed
-            .retain(|e| e.ended.is_none_or(|at| now - at <= WINDOW));
+        self.exposed.retain(|e| now - e.received_by <= WINDOW);
         let counted = self
             .quota()
             .map_or(WINDOW, |q| q.window.max(q.burst_period()));
--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -285,6 +285,12 @@
             .collect()
     }
 
+    /// Whether targets of a service can get requests: the configuration in force gives it no protocol that
+    /// this build doesn't speak.
+    pub fn is_supported(&self, service: &str) -> bool {
+        !self.unsupported.contains(service)
+    }
+
     /// When the cold time of targets ends according to their entries. Targets whose service doesn't limit the
     /// requests to cold ones are left out.
     pub fn cold_until(&self) -> BTreeMap<TargetId, Time> {
@@ -294,12 +300,6 @@
             .collect()
     }
 
-    /// Whether targets of a service can get requests: the configuration in force gives it no protocol that
-    /// this build doesn't speak.
-    pub fn is_supported(&self, service: &str) -> bool {
-        !self.unsupported.contains(service)
-    }
-
     /// Services and targets in the form that the other aggregates take.
     pub fn configuration(&self, rules: &Rules) -> Configuration {
         let services = self.services.iter().map(|(name, id)| {
@@ -425,11 +425,11 @@
         self.targets.insert(name.to_owned(), record);
         self.retire_replaced(name, now);
         let record = &self.targets[name];
-        let name = name.to_owned();
         if record.held_back {
-            return (!was_held_back).then_some(CatalogEvent::TargetHeldBack(name));
+            return (!was_held_back).then(|| CatalogEvent::TargetHeldBack(name.to_owned()));
         }
         let leaves = record.left_at.is_some();
+        let name = name.to_owned();
         match (was_leaving == Some(leaves), leaves) {
             (false, true) => Some(CatalogEvent::TargetLeaving(name)),
             (false, false) => Some(CatalogEvent::TargetReady(name)),
@@ -526,6 +526,11 @@
     a.started_ms == b.started_ms && a.address == b.address && a.service == b.service
 }
 
+/// Whether `a` describes an earlier run than `b` of a target that keeps its name.
+fn is_earlier_run(a: &PublishedTarget, b: &PublishedTarget) -> bool {
+    a.started_ms.is_some() && a.started_ms < b.started_ms
+}
+
 /// End of the cold time after an entry was read. An entry that is read once more states nothing new, and nearly
 /// the same end is kept, since it differs only by the time that the entries took.
 fn cold_until(before: Option<&TargetRecord>, entry: &PublishedTarget, now: Time) -> Time {
@@ -546,11 +551,6 @@
     }
 }
 
-/// Whether `a` describes an earlier run than `b` of a target that keeps its name.
-fn is_earlier_run(a: &PublishedTarget, b: &PublishedTarget) -> bool {
-    a.started_ms.is_some() && a.started_ms < b.started_ms
-}
-
 fn assign_id(services: &mut BTreeMap<String, ServiceId>, name: &str) {
     if !services.contains_key(name) {
         let id = ServiceId(services.len() as u16);
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -86,8 +86,8 @@
                 let routes = catalog.routes().len();
                 log::info!("routes in force", kv: { version:, routes, era, revision = number, source: });
             }
-            CatalogEvent::TargetCold(target) => cold.0.push(target),
             CatalogEvent::TargetHeldBack(target) => held_back.0.push(target),
+            CatalogEvent::TargetCold(target) => cold.0.push(target),
             CatalogEvent::TargetLeaving(target) => leaving.0.push(target),
             CatalogEvent::TargetMissing(target) => missing.0.push(target),
             CatalogEvent::TargetReady(target) => ready.0.push(target),
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -36,12 +36,12 @@
     },
     /// An attempt was sent.
     Sent(PickKind),
-    /// The local target was found cold.
-    TargetCold,
     /// Contents of the store after its return from an older copy are in use, from this source.
     StoreEra(&'static str),
     /// Content of the store has a value that this build doesn't know, in this field.
     UnknownValue(&'static str),
+    /// The local target was found cold.
+    TargetCold,
 }
 
 /// An event of the own link that is counted.
@@ -107,13 +107,13 @@
     pub requests: BTreeMap<&'static str, u64>,
     /// Attempts sent, by kind of pick: `first`, `hedge`, `reroute`, `retry`.
     pub sent: BTreeMap<&'static str, u64>,
-    /// Number of times that the local target was found cold.
-    #[serde(skip_serializing_if = "is_zero")]
-    pub target_cold: u64,
     /// Returns of the store from an older copy, by where their contents came from.
     pub store_eras: BTreeMap<&'static str, u64>,
     /// Values in decoded content of the store that this build doesn't know, by field.
     pub unknown_values: BTreeMap<&'static str, u64>,
+    /// Number of times that the local target was found cold.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target_cold: u64,
 }
 
 impl Counters {
@@ -134,9 +134,9 @@
                 }
             }
             Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
-            Event::TargetCold => self.target_cold += 1,
             Event::StoreEra(source) => add(&mut self.store_eras, source),
             Event::UnknownValue(field) => add(&mut self.unknown_values, field),
+            Event::TargetCold => self.target_cold += 1,
         }
     }
 
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -44,9 +44,9 @@
     request_time: Histogram,
     requests: Counters,
     sent: Counters,
-    target_states: Counters,
     store_eras: Counters,
     unknown_values: Counters,
+    target_states: Counters,
 }
 
 impl Default for Metrics {
@@ -64,15 +64,15 @@
         let refusals = counters("refusals", "Requests told to be refused, by reason");
         let requests = counters("requests", "Requests of callers by outcome");
         let sent = counters("sent", "Attempts sent, by why");
-        let target_states = counters(
-            "target_states",
-            "Changes of the target's state, by the new one",
-        );
         let store_eras = counters(
             "store_eras",
             "Returns of the store from an older copy, by source",
         );
         let unknown_values = counters("unknown_values", "Unknown values in the store, by field");
+        let target_states = counters(
+            "target_states",
+            "Changes of the target's state, by the new one",
+        );
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BOUNDS);
             registry.register(name, help, histogram.clone());
@@ -91,9 +91,9 @@
             request_time,
             requests,
             sent,
-            target_states,
             store_eras,
             unknown_values,
+            target_states,
         }
     }
 }
@@ -119,9 +119,9 @@
                 }
             }
             Event::Sent(kind) => count(&self.sent, "why", pick_name(kind)),
-            Event::TargetCold => count(&self.target_states, "state", "cold"),
             Event::StoreEra(source) => count(&self.store_eras, "source", source),
             Event::UnknownValue(field) => count(&self.unknown_values, "field", field),
+            Event::TargetCold => count(&self.target_states, "state", "cold"),
         }
     }
 
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -127,8 +127,8 @@
         | Event::ProbeSkipped
         | Event::ProbeSpent
         | Event::Sent(_)
-        | Event::TargetCold
         | Event::StoreEra(_)
+        | Event::TargetCold
         | Event::UnknownValue(_) => {}
     }
 }
