Let the store return from an older copy in the soak

Change: in three of ten rounds the store returns from a copy that is up to 1.2 s old, after 0.3 s without answers, and what was lost is written again 1.5 s later. The store fake writes it, except for keys that were touched since.

--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -33,6 +33,10 @@
 const ADDRESS_REUSE: Duration = Duration::from_secs(2);
 /// Time for which watches receive no events before the store compacts its history.
 const WATCH_OUTAGE: Duration = Duration::from_secs(1);
+/// Time for which the store gives no answer before it returns from an older copy.
+const RETURN_OUTAGE: Duration = Duration::from_millis(300);
+/// Time from the store's return until what it has lost is written again.
+const REWRITE_TIME: Duration = Duration::from_millis(1_500);
 /// Delay of each answer of a slow store.
 const STORE_DELAY: Duration = Duration::from_millis(200);
 /// Delay of data on a slow connection between daemons.
@@ -266,6 +270,7 @@
                 };
                 self.set_behaviour_for(index, slow, time).await;
             }
+            Step::ReturnStore(age) => self.return_store(age).await,
             Step::Store(fault, time) => self.fail_store(None, fault, time).await,
             Step::StorePart(fault, time) => {
                 for reader in (0..nodes.len()).step_by(3) {
@@ -398,6 +403,19 @@
         set(WorkerBehaviour::default());
     }
 
+    /// Lets the store return from a copy of this age after a moment without answers.
+    async fn return_store(&self, age: Duration) {
+        let store = &self.fleet.store;
+        store.keep_copy();
+        monoio::time::sleep(age).await;
+        store.fail(None, Fault::Reset);
+        monoio::time::sleep(RETURN_OUTAGE).await;
+        store.return_to_copy();
+        store.fail(None, Fault::None);
+        monoio::time::sleep(REWRITE_TIME).await;
+        store.rewrite_lost();
+    }
+
     async fn fail_store(&self, reader: Option<usize>, fault: StoreFault, time: Duration) {
         let store = &self.fleet.store;
         match fault {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -35,6 +35,13 @@
 /// Distinguishes the random choices of evacuations from all others of a seed, which thus stay the same as before
 /// there were evacuations.
 const EVACUATION_SEED: u64 = 0x65_7661_6375;
+/// Share of rounds in which the store returns from an older copy.
+const RETURN_SHARE: f64 = 0.3;
+/// Maximum age of the copy in milliseconds. With the time until what is lost is written again, the step is no
+/// longer than a fault.
+const MAX_COPY_AGE_MS: u64 = 1_200;
+/// Distinguishes the random choices of returns of the store from all others of a seed.
+const RETURN_SEED: u64 = 0x65_7261;
 
 /// Failure mode of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -81,6 +88,8 @@
     StallPeers(usize),
     /// The service times of the worker are longer.
     SlowWorker(usize, Duration),
+    /// The store returns from a copy of its contents that is this old; what it has lost is written again.
+    ReturnStore(Duration),
     /// The store fails for all daemons.
     Store(StoreFault, Duration),
     /// The store fails for every third daemon.
@@ -107,6 +116,7 @@
             Self::Burst(_)
             | Self::Configure
             | Self::Evacuate(..)
+            | Self::ReturnStore(_)
             | Self::Store(..)
             | Self::StorePart(..) => None,
             Self::CutPeer(index, ..)
@@ -168,6 +178,7 @@
     pub fn generate(seed: u64, daemons: usize, length: Duration) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut evacuations = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
+        let mut returns = StdRng::seed_from_u64(seed ^ RETURN_SEED);
         let (mut calm, mut steps) = (Vec::new(), Vec::new());
         let mut start = Duration::from_secs(1);
         while calm.is_empty() || start < length {
@@ -191,6 +202,7 @@
                     step,
                 });
             }
+            steps.extend(random_return(&mut returns, start));
             steps.extend(random_evacuations(&mut evacuations, start));
             steps.extend(calm_evacuation(&mut evacuations, from, daemons, &planned));
             steps.extend(planned);
@@ -270,6 +282,18 @@
     (0..count).map(evacuation).collect()
 }
 
+/// A return of the store from an older copy among the faults, in a share of the rounds.
+fn random_return(rng: &mut StdRng, start: Duration) -> Option<TimedStep> {
+    let returns = rng.random_bool(RETURN_SHARE);
+    returns.then(|| TimedStep {
+        at: start + FAULT_PERIOD.mul_f64(rng.random()),
+        planned: false,
+        step: Step::ReturnStore(Duration::from_millis(
+            rng.random_range(200..=MAX_COPY_AGE_MS),
+        )),
+    })
+}
+
 /// The evacuation of a calm period, which begins in it or among the faults before it. Each service keeps a target
 /// that neither the evacuation nor a planned change affects; `None` if there is no such zone.
 fn calm_evacuation(
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -23,6 +23,8 @@
 #[case::held_first_request(831, 2, 6, 12)]
 // Three domains are evacuated at once while the store fails and a daemon is killed; one of them stays so.
 #[case::evacuations(181, 3, 5, 1)]
+// The store returns from an older copy between the ends of two daemons, while a worker leaves.
+#[case::older_copy(538, 4, 5, 1)]
 fn invariants_hold(
     #[case] seed: u64,
     #[case] number: u8,
--- a/crates/testkit/src/store/serve.rs
+++ b/crates/testkit/src/store/serve.rs
@@ -1,6 +1,6 @@
 //! Tasks of the store: one that owns the contents and one for each connection.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -64,6 +64,7 @@
     KeepCopy,
     Put(String, Vec<u8>),
     ReturnToCopy,
+    RewriteLost,
 }
 
 /// Changes the contents and faults of a running store.
@@ -101,6 +102,12 @@
         let _ = self.0.unbounded_send(Message::ReturnToCopy);
     }
 
+    /// Writes again what was lost by the last return to a copy, as operators and targets do, except for keys that
+    /// were written or deleted since.
+    pub fn rewrite_lost(&self) {
+        let _ = self.0.unbounded_send(Message::RewriteLost);
+    }
+
     /// Sets the fault for one reader, or for all if `reader` is `None`. A fault for all takes
     /// precedence until it is [`Fault::None`].
     pub fn fail(&self, reader: Option<usize>, fault: Fault) {
@@ -113,12 +120,16 @@
     /// The contents that the store returns to.
     copy: Contents,
     faults: BTreeMap<usize, Fault>,
+    /// The contents before the last return to a copy.
+    lost: Contents,
     receiver: mpsc::UnboundedReceiver<Message>,
     shared_fault: Fault,
     /// Copy of the contents that answers stale reads.
     stale: Contents,
     /// Time at which `stale` was copied.
     stale_at: Instant,
+    /// Keys written or deleted since the last return to a copy.
+    touched: BTreeSet<String>,
     watches: Vec<Call>,
 }
 
@@ -139,10 +150,12 @@
         contents: Contents::default(),
         copy: Contents::default(),
         faults: BTreeMap::new(),
+        lost: Contents::default(),
         receiver,
         shared_fault: Fault::None,
         stale: Contents::default(),
         stale_at: Instant::now(),
+        touched: BTreeSet::new(),
         watches: Vec::new(),
     };
     monoio::spawn(store.run());
@@ -192,17 +205,25 @@
                 }
                 Some(Message::Delete(key)) => {
                     self.contents.delete(&key);
+                    self.touched.insert(key);
                     self.answer_watches();
                 }
                 Some(Message::Fault(reader, fault)) => self.set_fault(reader, fault),
                 Some(Message::KeepCopy) => self.copy = self.contents.clone(),
                 Some(Message::ReturnToCopy) => {
+                    self.lost = self.contents.clone();
+                    self.touched.clear();
                     self.contents.return_to(&self.copy);
                     self.stale = self.contents.clone();
                     self.watches.clear();
                 }
                 Some(Message::Put(key, value)) => {
                     self.contents.put(&key, value);
+                    self.touched.insert(key);
+                    self.answer_watches();
+                }
+                Some(Message::RewriteLost) => {
+                    self.rewrite_lost();
                     self.answer_watches();
                 }
                 None => return,
@@ -210,6 +231,24 @@
         }
     }
 
+    fn rewrite_lost(&mut self) {
+        let is_lost = |key: &&String| !self.touched.contains(*key);
+        let only_in_copy = self.contents.range("", "").map(|(key, _)| key);
+        let only_in_copy = only_in_copy.filter(|key| self.lost.get(key).is_none());
+        let deleted: Vec<_> = only_in_copy.filter(is_lost).cloned().collect();
+        let values = self.lost.range("", "").filter(|(key, _)| is_lost(key));
+        let written: Vec<_> = values
+            .filter(|(key, item)| self.contents.get(key).map(|i| &i.value) != Some(&item.value))
+            .map(|(key, item)| (key.clone(), item.value.clone()))
+            .collect();
+        for key in deleted {
+            self.contents.delete(&key);
+        }
+        for (key, value) in written {
+            self.contents.put(&key, value);
+        }
+    }
+
     fn set_fault(&mut self, reader: Option<usize>, fault: Fault) {
         match reader {
             Some(reader) => {
--- a/crates/testkit/tests/store.rs
+++ b/crates/testkit/tests/store.rs
@@ -133,7 +133,12 @@
             seen.push(format!("returned, {path}\n  {}", get(reader, path).await));
         }
         store.put("servers/d", &json!(4));
-        seen.push(format!("written, {range}\n  {}", get(reader, range).await));
+        store.delete("servers/a");
+        store.rewrite_lost();
+        seen.push(format!(
+            "rewritten, {range}\n  {}",
+            get(reader, range).await
+        ));
         store.fail(None, Fault::Busy);
         seen.push(format!("busy\n  {}", get(reader, range).await));
         store.fail(None, Fault::None);
