--- a/crates/node/src/messages/routing.rs
+++ b/crates/node/src/messages/routing.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use futures::channel::mpsc;
 use hawthornwall_core::catalog::{RequestLimits, ServiceLimits};
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::RouteTable;
@@ -24,9 +25,22 @@
     pub peer: SocketAddr,
 }
 
+/// A message to the `ingress` task.
+#[derive(Clone, Debug)]
+pub enum IngressMessage {
+    /// The configuration or the members changed.
+    RoutingState(Rc<RoutingState>),
+}
+
+/// A sender to the `ingress` task.
+pub type IngressSender = mpsc::UnboundedSender<IngressMessage>;
+
 /// The configuration in force and the members, published to the tasks that route and admit requests.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingState {
+    /// End of the cold time of targets, as the store states it. Targets whose service doesn't limit the requests
+    /// to cold ones are left out.
+    pub cold_until: BTreeMap<TargetId, Time>,
     /// The configuration in force.
     pub config: Configuration,
     /// Failure domains whose targets take no requests.
--- a/crates/node/src/peers/tcp/conn.rs
+++ b/crates/node/src/peers/tcp/conn.rs
@@ -4,18 +4,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::channel::{mpsc, oneshot};
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::link::{CONNECT_TIMEOUT, Contact, LARGE_BODY, LATE_CONNECT_TIMEOUT};
+use hawthornwall_core::memory::Owner;
 use hawthornwall_core::outcome::Loss;
 use hawthornwall_core::time::Time;
-use hawthornwall_wire::peer::{BodyOffer, Reply, Request, RequestId, decode_reply, encode_request};
+use hawthornwall_wire::peer::{BodyOffer, Reply, Request, RequestId, decode_reply, request_parts};
 use monoio::net::TcpStream;
 
 use super::super::bodies::Bodies;
 use super::super::link::{Delivery, ExchangeReports, ExchangeSize};
 use super::frame::{Frame, FrameStream};
 use crate::clock::Clock;
+use crate::memory::{Memory, Serving};
 use crate::messages::PeerFault;
 
 /// Time before the deadline of a request at which the wait for a late connection ends, so that the refusal
@@ -76,6 +79,8 @@
     pub exchange_reports: ExchangeReports,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     /// Orders large bodies on the own link; `None` if its rate isn't set.
     pub outgoing: Option<Bodies>,
     pub peer: SocketAddr,
@@ -93,7 +98,15 @@
         sent: 0,
     };
     if let Some((mut conn, first)) = open(start, first).await {
-        conn.serve(first).await;
+        {
+            let lease = conn.stream.lease();
+            let (serve, evicted) = (conn.serve(first).fuse(), lease.evicted().fuse());
+            pin_mut!(serve, evicted);
+            select_biased! {
+                () = serve => {}
+                () = evicted => {}
+            }
+        }
         end.received = conn.stream.received();
         end.sent = conn.stream.sent();
     }
@@ -101,6 +114,10 @@
 }
 
 async fn open(start: ConnStart, mut delivery: Delivery) -> Option<(Conn, Delivery)> {
+    let Some(lease) = start.memory.open(Owner::Peer).await else {
+        let _ = delivery.reply.send(Err(PeerFault::Memory));
+        return None;
+    };
     let connected = {
         let connect = start.connect(wait_limit(&delivery.request)).fuse();
         let cancelled = delivery.reply.cancellation().fuse();
@@ -112,7 +129,7 @@
     };
     match connected {
         Connected::Opened(tcp) => {
-            let stream = FrameStream::new(tcp, start.limit);
+            let stream = FrameStream::new(tcp, start.limit, lease);
             Some((Conn { start, stream }, delivery))
         }
         Connected::Failed(fault) => {
@@ -353,6 +370,8 @@
         };
         let open = result.is_ok();
         let _ = delivery.reply.send(result);
+        // From now on the reply counts for the connection that it goes to.
+        self.stream.lease().hand_over();
         open
     }
 
@@ -395,7 +414,8 @@
     }
 
     async fn exchange(&mut self, request: &Request) -> Result<Reply, ExchangeFault> {
-        let message = encode_request(request);
+        let _ = self.stream.hold(0, Serving::Running).await;
+        let message = request_parts(request);
         let sent = self.start.clock.now();
         let written = self.stream.write(&message, self.start.silence).await;
         written.map_err(|_| ExchangeFault::Closed)?;
@@ -425,7 +445,7 @@
 
     /// Reads the reply. Fails as silent if nothing arrived within the silence timeout in spite of the
     /// keep-alive frames sent.
-    async fn read_reply(&mut self) -> Result<Vec<u8>, ExchangeFault> {
+    async fn read_reply(&mut self) -> Result<Bytes, ExchangeFault> {
         let check_interval = self.start.silence / SILENCE_CHECKS;
         let (mut last, mut silent_checks) = (self.stream.received(), 0);
         let (mut heard, mut asked) = (self.start.clock.now(), None);
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -19,6 +19,10 @@
         /// How the attempt ended.
         result: AttemptResult,
     },
+    /// A connection was refused, or got no further bytes of the memory for requests in progress.
+    ClaimRefused,
+    /// A connection was closed to make room for others.
+    Evicted,
     /// The gate refused a request of this daemon or of another one.
     GateRefused(Refusal),
     /// A change of the own link, or a decision on a large body that was to cross it.
@@ -40,6 +44,8 @@
     StoreEra(&'static str),
     /// Content of the store has a value that this build doesn't know, in this field.
     UnknownValue(&'static str),
+    /// The local target was found cold.
+    TargetCold,
 }
 
 /// An event of the own link that is counted.
@@ -88,6 +94,10 @@
 /// ```
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Counters {
+    /// Claims to connections and buffered bytes that were refused.
+    pub claims_refused: u64,
+    /// Connections that were closed to make room for others.
+    pub evicted: u64,
     /// Ended attempts by result: `answered`, `target-failed`, or the reason of a refusal or loss.
     pub attempts: BTreeMap<&'static str, u64>,
     /// Refusals by the local gate, by reason.
@@ -109,6 +119,9 @@
     pub store_eras: BTreeMap<&'static str, u64>,
     /// Values in decoded content of the store that this build doesn't know, by field.
     pub unknown_values: BTreeMap<&'static str, u64>,
+    /// Number of times that the local target was found cold.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target_cold: u64,
 }
 
 impl Counters {
@@ -117,6 +130,8 @@
         match *event {
             Event::Abandoned => add(&mut self.requests, "abandoned"),
             Event::Attempt { result, .. } => add(&mut self.attempts, attempt_name(result)),
+            Event::ClaimRefused => self.claims_refused += 1,
+            Event::Evicted => self.evicted += 1,
             Event::GateRefused(refusal) => add(&mut self.gate_refusals, refusal.name()),
             Event::Link(event) => add(&mut self.link, event.name()),
             Event::ProbeSkipped => self.probes_skipped += 1,
@@ -131,6 +146,7 @@
             Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
             Event::StoreEra(source) => add(&mut self.store_eras, source),
             Event::UnknownValue(field) => add(&mut self.unknown_values, field),
+            Event::TargetCold => self.target_cold += 1,
         }
     }
 
@@ -156,21 +172,35 @@
                 (format!("{group}.{name}"), count - before)
             })
         });
-        let probes = [
+        let totals = [
+            ("target.cold", self.target_cold - earlier.target_cold),
+            (
+                "memory.claims_refused",
+                self.claims_refused - earlier.claims_refused,
+            ),
+            ("memory.evicted", self.evicted - earlier.evicted),
             (
                 "probes.skipped",
                 self.probes_skipped - earlier.probes_skipped,
             ),
             ("probes.spent", self.probes_spent - earlier.probes_spent),
         ];
-        let probes = probes.map(|(name, count)| (name.to_owned(), count));
+        let totals = totals.map(|(name, count)| (name.to_owned(), count));
         named
-            .chain(probes)
+            .chain(totals)
             .filter(|(_, count)| *count > 0)
             .collect()
     }
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 fn add(counts: &mut BTreeMap<&'static str, u64>, name: &'static str) {
     *counts.entry(name).or_default() += 1;
 }
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -37,6 +37,7 @@
     attempt_time: Histogram,
     attempts: Counters,
     gate_refusals: Counters,
+    memory: Counters,
     link: Counters,
     probes: Counters,
     refusals: Counters,
@@ -46,6 +47,7 @@
     sent: Counters,
     store_eras: Counters,
     unknown_values: Counters,
+    target_states: Counters,
 }
 
 impl Default for Metrics {
@@ -58,6 +60,10 @@
         };
         let attempts = counters("attempts", "Ended attempts by result");
         let gate_refusals = counters("gate_refusals", "Requests that the gate refused, by reason");
+        let memory = counters(
+            "memory",
+            "Connections closed to make room, and refused claims to connections and buffered bytes",
+        );
         let link = counters("link", "Events of the own link");
         let probes = counters("probes", "Questions to the target, by what became of them");
         let refusals = counters("refusals", "Requests told to be refused, by reason");
@@ -68,6 +74,10 @@
             "Returns of the store from an older copy, by source",
         );
         let unknown_values = counters("unknown_values", "Unknown values in the store, by field");
+        let target_states = counters(
+            "target_states",
+            "Changes of the target's state, by the new one",
+        );
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BOUNDS);
             registry.register(name, help, histogram.clone());
@@ -79,6 +89,7 @@
             attempt_time,
             attempts,
             gate_refusals,
+            memory,
             link,
             probes,
             refusals,
@@ -88,6 +99,7 @@
             sent,
             store_eras,
             unknown_values,
+            target_states,
         }
     }
 }
@@ -101,6 +113,8 @@
                 count(&self.attempts, "result", attempt_name(result));
                 observe(&self.attempt_time, elapsed);
             }
+            Event::ClaimRefused => count(&self.memory, "end", "refused"),
+            Event::Evicted => count(&self.memory, "end", "evicted"),
             Event::GateRefused(refusal) => count(&self.gate_refusals, "reason", refusal.name()),
             Event::Link(event) => count(&self.link, "event", event.name()),
             Event::ProbeSkipped => count(&self.probes, "end", "skipped"),
@@ -115,6 +129,7 @@
             Event::Sent(kind) => count(&self.sent, "why", pick_name(kind)),
             Event::StoreEra(source) => count(&self.store_eras, "source", source),
             Event::UnknownValue(field) => count(&self.unknown_values, "field", field),
+            Event::TargetCold => count(&self.target_states, "state", "cold"),
         }
     }
 
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -122,12 +122,15 @@
         Event::Attempt { elapsed, .. } => statsd.time("attempt", *elapsed),
         Event::Request { elapsed, .. } => statsd.time("request", *elapsed),
         Event::Abandoned
+        | Event::ClaimRefused
+        | Event::Evicted
         | Event::GateRefused(_)
         | Event::Link(_)
         | Event::ProbeSkipped
         | Event::ProbeSpent
         | Event::Sent(_)
         | Event::StoreEra(_)
+        | Event::TargetCold
         | Event::UnknownValue(_) => {}
     }
 }
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -18,6 +18,7 @@
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::gate::{GateStart, GateTask};
 use hawthornwall_node::messages::{GateMessage, ProbeMessage, RoutingState};
+use hawthornwall_node::self_report::SelfReport;
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{Header, HttpRequest, RequestId, RunReply, RunRequest, RunResult};
@@ -47,7 +48,7 @@
     RunRequest {
         expected_target: Some("i-1".to_owned()),
         http: HttpRequest {
-            body: Vec::new(),
+            body: bytes::Bytes::new(),
             headers: vec![Header {
                 name: "x-request-id".to_owned(),
                 value: b"7".to_vec(),
@@ -90,6 +91,7 @@
     let (telemetry, events) = Telemetry::channel();
     let settings = settings(address);
     let task = GateTask::new(GateStart {
+        memory: hawthornwall_node::memory::Memory::default(),
         clock: Clock::start(),
         dialect: Dialect::Platform,
         instance: InstanceId(1),
@@ -130,6 +132,9 @@
 fn results_every(address: SocketAddr, count: u64, pause: Duration) -> Vec<String> {
     block_on(async {
         let gate = start_gate(address);
+        // Targets of services without a limit for cold ones don't state whether they are cold. A gate that knows
+        // neither this nor the configuration would keep requests back.
+        let _ = gate.unbounded_send(GateMessage::LoadAnswer(Some(SelfReport::default())));
         let mut results = Vec::new();
         for id in 0..count {
             results.push(run_once(&gate, id, request()).await);
