--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -63,7 +63,8 @@
     source: EventSource,
 ) {
     let Revision { era, number } = revision;
-    let (mut held_back, mut leaving, mut missing, mut ready) = (
+    let (mut cold, mut held_back, mut leaving, mut missing, mut ready) = (
+        TargetNames::default(),
         TargetNames::default(),
         TargetNames::default(),
         TargetNames::default(),
@@ -86,6 +87,7 @@
                 log::info!("routes in force", kv: { version:, routes, era, revision = number, source: });
             }
             CatalogEvent::TargetHeldBack(target) => held_back.0.push(target),
+            CatalogEvent::TargetCold(target) => cold.0.push(target),
             CatalogEvent::TargetLeaving(target) => leaving.0.push(target),
             CatalogEvent::TargetMissing(target) => missing.0.push(target),
             CatalogEvent::TargetReady(target) => ready.0.push(target),
@@ -103,6 +105,10 @@
         let targets = missing.joined();
         log::warn!("entries of targets are missing; the targets stay in use until their removal is confirmed", kv: { targets, era, revision = number, source: });
     }
+    if !cold.0.is_empty() {
+        let targets = cold.joined();
+        log::info!("cold time of targets changed", kv: { targets, era, revision = number, source: });
+    }
     if !leaving.0.is_empty() {
         let targets = leaving.joined();
         log::info!("targets take no new work", kv: { targets, era, revision = number, source: });
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -525,6 +525,7 @@
         }
         debug_assert_eq!(self.catalog.verify(), Vec::<String>::new());
         self.routing = Rc::new(RoutingState {
+            cold_until: self.catalog.cold_until(),
             config: self.catalog.configuration(&SERVICE_RULES),
             evacuated: self.catalog.evacuated().clone(),
             limits: self.catalog.limits(),
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -44,6 +44,8 @@
     StoreEra(&'static str),
     /// Content of the store has a value that this build doesn't know, in this field.
     UnknownValue(&'static str),
+    /// The local target was found cold.
+    TargetCold,
 }
 
 /// An event of the own link that is counted.
@@ -117,6 +119,9 @@
     pub store_eras: BTreeMap<&'static str, u64>,
     /// Values in decoded content of the store that this build doesn't know, by field.
     pub unknown_values: BTreeMap<&'static str, u64>,
+    /// Number of times that the local target was found cold.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target_cold: u64,
 }
 
 impl Counters {
@@ -141,6 +146,7 @@
             Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
             Event::StoreEra(source) => add(&mut self.store_eras, source),
             Event::UnknownValue(field) => add(&mut self.unknown_values, field),
+            Event::TargetCold => self.target_cold += 1,
         }
     }
 
@@ -166,26 +172,35 @@
                 (format!("{group}.{name}"), count - before)
             })
         });
-        let totals = [
+        let single = [
             (
                 "memory.claims_refused",
                 self.claims_refused - earlier.claims_refused,
             ),
             ("memory.evicted", self.evicted - earlier.evicted),
+            ("target.cold", self.target_cold - earlier.target_cold),
             (
                 "probes.skipped",
                 self.probes_skipped - earlier.probes_skipped,
             ),
             ("probes.spent", self.probes_spent - earlier.probes_spent),
         ];
-        let totals = totals.map(|(name, count)| (name.to_owned(), count));
+        let single = single.map(|(name, count)| (name.to_owned(), count));
         named
-            .chain(totals)
+            .chain(single)
             .filter(|(_, count)| *count > 0)
             .collect()
     }
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 fn add(counts: &mut BTreeMap<&'static str, u64>, name: &'static str) {
     *counts.entry(name).or_default() += 1;
 }
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -47,6 +47,7 @@
     sent: Counters,
     store_eras: Counters,
     unknown_values: Counters,
+    target_states: Counters,
 }
 
 impl Default for Metrics {
@@ -73,6 +74,10 @@
             "Returns of the store from an older copy, by source",
         );
         let unknown_values = counters("unknown_values", "Unknown values in the store, by field");
+        let target_states = counters(
+            "target_states",
+            "Changes of the target's state, by the new one",
+        );
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BOUNDS);
             registry.register(name, help, histogram.clone());
@@ -94,6 +99,7 @@
             sent,
             store_eras,
             unknown_values,
+            target_states,
         }
     }
 }
@@ -123,6 +129,7 @@
             Event::Sent(kind) => count(&self.sent, "why", pick_name(kind)),
             Event::StoreEra(source) => count(&self.store_eras, "source", source),
             Event::UnknownValue(field) => count(&self.unknown_values, "field", field),
+            Event::TargetCold => count(&self.target_states, "state", "cold"),
         }
     }
 
