--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -172,22 +172,22 @@
                 (format!("{group}.{name}"), count - before)
             })
         });
-        let single = [
+        let totals = [
+            ("target.cold", self.target_cold - earlier.target_cold),
             (
                 "memory.claims_refused",
                 self.claims_refused - earlier.claims_refused,
             ),
             ("memory.evicted", self.evicted - earlier.evicted),
-            ("target.cold", self.target_cold - earlier.target_cold),
             (
                 "probes.skipped",
                 self.probes_skipped - earlier.probes_skipped,
             ),
             ("probes.spent", self.probes_spent - earlier.probes_spent),
         ];
-        let single = single.map(|(name, count)| (name.to_owned(), count));
+        let totals = totals.map(|(name, count)| (name.to_owned(), count));
         named
-            .chain(single)
+            .chain(totals)
             .filter(|(_, count)| *count > 0)
             .collect()
     }
