Send second copies of late idempotent requests within a share

Change: the setting routing.hedge_percent (0 to 20, default 0) turns them on for idempotent routes, and limits them further where rules allow them. The policy in core decides from the answer times of the route, its own budget, the retry budget, the load, evacuations, the own link, the body and the time left. The copy goes to a target with room in another failure domain. A single cancelled loser no longer counts as a stalled target while the setting is on. With 0, nothing changes.

--- a/crates/core/src/calls/budget.rs
+++ b/crates/core/src/calls/budget.rs
@@ -31,6 +31,8 @@
 pub struct RetryBudget {
     /// Available retries, in hundredths of a retry.
     balance: u32,
+    /// Least number of retries that the limit allows.
+    least: u32,
     /// Upper bound of the balance, in hundredths of a retry.
     limit: u32,
     /// Retries allowed per hundred requests, which each request adds to the balance.
@@ -47,11 +49,17 @@
         };
         Self {
             balance: initial,
+            least: 1,
             limit: MAX_SAVED_RETRIES * RETRY_COST,
             percent,
         }
     }
 
+    /// Lets the budget save a second retry, however many daemons share it, so that a hedge can leave one.
+    pub fn allow_hedges(&mut self) {
+        self.least = 2;
+    }
+
     /// Divides the maximum balance evenly among `daemons` daemons. The limit stays at one retry or
     /// more, so that each daemon's own requests can always add up to a retry.
     ///
@@ -65,7 +73,7 @@
     /// ```
     pub fn share(&mut self, daemons: usize) {
         let daemons = u32::try_from(daemons.max(1)).unwrap_or(u32::MAX);
-        self.limit = (MAX_FLEET_RETRIES * RETRY_COST / daemons).max(RETRY_COST);
+        self.limit = (MAX_FLEET_RETRIES * RETRY_COST / daemons).max(self.least * RETRY_COST);
         self.balance = self.balance.min(MAX_FLEET_RETRIES * RETRY_COST / daemons);
     }
 
@@ -79,6 +87,11 @@
         self.balance = (self.balance + self.percent).min(self.limit);
     }
 
+    /// Takes one retry for a hedge, if another one is left then for a failure; returns `false` otherwise.
+    pub fn withdraw_surplus(&mut self) -> bool {
+        self.balance >= 2 * RETRY_COST && self.withdraw()
+    }
+
     /// Takes one retry from the balance; returns `false` if less than one is left.
     pub fn withdraw(&mut self) -> bool {
         let enough = self.balance >= RETRY_COST;
--- a/crates/core/src/calls/call.rs
+++ b/crates/core/src/calls/call.rs
@@ -4,7 +4,7 @@
 
 use super::refusal::{keyed_outcome, may_reroute, reroute_kind};
 use super::resend::Resend;
-use super::{AttemptId, Effect, Event, PickKind, Spec};
+use super::{AttemptId, Effect, Event, Hedge, PickKind, Spec};
 use crate::ids::{InstanceId, TargetId};
 use crate::outcome::{AttemptResult, Loss, Outcome, Refusal};
 use crate::routing::Choice;
@@ -93,6 +93,7 @@
         match *event {
             Event::CallerClosed => self.abort(Loss::Cancelled, Refusal::Cancelled, &mut effects),
             Event::Ended(attempt, result) => self.on_ended(attempt, result, now, &mut effects),
+            Event::HedgeSuppressed => self.on_hedge_suppressed(now, &mut effects),
             Event::NotPicked(refusal) => self.on_not_picked(refusal, now, &mut effects),
             Event::Picked(choice) => self.on_picked(&choice, now, &mut effects),
             Event::Stop(limits) => self.stop = Some(limits),
@@ -234,21 +235,46 @@
     }
 
     fn on_picked(&mut self, choice: &Choice, now: Time, effects: &mut Vec<Effect>) {
+        let copy =
+            self.picking == Some(PickKind::Hedge) && matches!(self.spec.hedge, Hedge::After(_));
         self.picking = None;
         // After the process was paused, the pick may be handled before the deadline timer.
         if now >= self.send_end() {
             return self.finish_unless_open(self.send_refusal(now), effects);
         }
         let can_reroute = self.sends_left() > 1 && choice.alternatives > 0;
-        let max_wait = if can_reroute {
+        let max_wait = if can_reroute || copy {
             choice.max_wait
         } else {
             Duration::MAX
         };
         let first = self.attempts.is_empty();
         self.send(choice.target, choice.instance, max_wait, effects);
-        if first && self.spec.hedge && self.spec.idempotent && choice.alternatives > 0 {
-            self.hedge = Some(now + choice.hedge);
+        if first && self.spec.idempotent && choice.alternatives > 0 {
+            self.hedge = match self.spec.hedge {
+                Hedge::After(delay) => Some(now + delay),
+                Hedge::AfterChoice => Some(now + choice.hedge),
+                Hedge::Never => None,
+            };
+        }
+    }
+
+    /// Continues without the hedge. If the last attempt ended while the hedge was being picked, the call
+    /// goes on as it would have without a hedge.
+    fn on_hedge_suppressed(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.picking != Some(PickKind::Hedge) {
+            return;
+        }
+        self.picking = None;
+        match self.attempts.last().and_then(|a| a.result) {
+            Some(AttemptResult::Failed | AttemptResult::Lost(_)) => {
+                self.pick_again(PickKind::Retry, Refusal::Budget, now, effects);
+            }
+            Some(AttemptResult::Refused(refusal)) if may_reroute(refusal) => {
+                self.pick_again(reroute_kind(refusal), refusal, now, effects);
+            }
+            Some(AttemptResult::Refused(refusal)) => self.finish_unless_open(refusal, effects),
+            Some(AttemptResult::Answered) | None => {}
         }
     }
 
--- a/crates/core/src/calls/event.rs
+++ b/crates/core/src/calls/event.rs
@@ -27,8 +27,8 @@
     pub attempts: usize,
     /// Time after which the caller has no use for an answer.
     pub deadline: Time,
-    /// Whether a second attempt may be sent while the first one is late.
-    pub hedge: bool,
+    /// Whether and when a second attempt may be sent while the first one is late.
+    pub hedge: Hedge,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// The target named by the idempotency key; `None` without a key. No other target may run the
@@ -36,6 +36,18 @@
     pub pinned: Option<TargetId>,
 }
 
+/// When a second attempt is due while the first one is late.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Hedge {
+    /// After this delay. The second attempt doesn't wait for a slot longer than its choice states.
+    After(Duration),
+    /// After the delay of the choice of the first target. The second attempt is treated like a first one.
+    AfterChoice,
+    /// No second attempt.
+    #[default]
+    Never,
+}
+
 /// Why a call requests a target from the router.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum PickKind {
@@ -56,6 +68,8 @@
     CallerClosed,
     /// An attempt ended; a second end of the same attempt is ignored.
     Ended(AttemptId, AttemptResult),
+    /// The requested hedge is not sent. Retries are not affected.
+    HedgeSuppressed,
     /// The requested pick was denied, or no target was eligible.
     NotPicked(Refusal),
     /// The requested pick returned a target.
--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -16,12 +16,14 @@
 mod budget;
 mod call;
 mod event;
+mod hedging;
 mod refusal;
 mod resend;
 mod return_delay;
 
 pub use budget::RetryBudget;
 pub use call::{Call, MAX_ATTEMPTS, MAX_SENDS};
-pub use event::{AttemptId, Effect, Event, PickKind, Spec};
+pub use event::{AttemptId, Effect, Event, Hedge, PickKind, Spec};
+pub use hedging::{HedgeConditions, Hedging, MIN_SAMPLES as MIN_HEDGE_SAMPLES, Suppression};
 pub use refusal::keyed_outcome;
 pub use return_delay::ReturnDelays;
--- a/crates/core/src/routes/times.rs
+++ b/crates/core/src/routes/times.rs
@@ -92,6 +92,20 @@
         }
     }
 
+    /// The time that a share `quantile` of the ended requests of a route didn't exceed; `None` with fewer than
+    /// `samples` of them.
+    pub fn quantile(
+        &mut self,
+        host: &str,
+        prefix: &str,
+        quantile: f64,
+        samples: u32,
+    ) -> Option<Duration> {
+        let times = self.routes.get_mut(host, prefix)?;
+        let ended = Some(&times.ended).filter(|ended| ended.samples() >= samples);
+        ended.and_then(|ended| ended.quantile(quantile))
+    }
+
     /// How long requests of a route take; `None` if too few have ended to tell.
     pub fn usual(&mut self, host: &str, prefix: &str, now: Time) -> Option<UsualTimes> {
         let times = self.routes.get_mut(host, prefix)?;
--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -114,11 +114,13 @@
     latency: BTreeMap<ServiceId, LatencyWindow>,
     next_ticket: u64,
     policy: Policy,
+    /// Whether the losers of hedged requests are normal, so that one alone isn't taken for a stalled target.
+    hedges: bool,
     /// Whether targets in other failure domains are charged an extra cost.
     prefers_local: bool,
     rng: Pcg64Mcg,
     rotation: usize,
-    views: BTreeMap<TargetId, View>,
+    pub(super) views: BTreeMap<TargetId, View>,
 }
 
 impl Balancer {
@@ -127,6 +129,7 @@
         Self {
             domain: domain.to_owned(),
             evacuated: BTreeSet::new(),
+            hedges: false,
             issued: BTreeMap::new(),
             latency: BTreeMap::new(),
             next_ticket: 0,
@@ -144,6 +147,26 @@
         self.prefers_local = true;
     }
 
+    /// Tells that late requests are sent to a second target as a rule. The cancelled loser is then mostly an
+    /// ordinary slow request; only several of them without a report show a stalled target.
+    pub fn expect_hedges(&mut self) {
+        self.hedges = true;
+    }
+
+    /// The service of a target; `None` if the target isn't configured.
+    pub fn service_of(&self, ticket: Ticket) -> Option<ServiceId> {
+        let target = self.issued.get(&ticket)?;
+        self.views.get(target).map(|v| v.service)
+    }
+
+    /// The latency that a share `quantile` of a service's recent answers didn't exceed; `None` with fewer than
+    /// `samples` of them.
+    pub fn latency(&self, service: ServiceId, quantile: f64, samples: u32) -> Option<Duration> {
+        let window = self.latency.get(&service)?;
+        let known = Some(window).filter(|w| w.samples() >= samples);
+        known.and_then(|w| w.quantile(quantile))
+    }
+
     /// Replaces the set of targets. Recorded state is kept for targets that stay configured.
     pub fn configure(&mut self, config: &Configuration) {
         self.views.retain(|id, _| config.targets.contains_key(id));
@@ -223,7 +246,7 @@
     }
 
     /// Picks one of `candidates`; the other eligible targets are its alternatives.
-    fn pick_among(
+    pub(super) fn pick_among(
         &mut self,
         candidates: &[TargetId],
         eligible: Vec<TargetId>,
@@ -283,6 +306,11 @@
             }
             // A failed answer changes the cost only through the share of failures in the report.
             AttemptResult::Failed => {}
+            AttemptResult::Lost(Loss::Cancelled) if self.hedges => {
+                let window = self.latency.get(&view.service);
+                let longest = window.and_then(|w| w.quantile(1.0));
+                view.record_loser(sent, longest, now);
+            }
             AttemptResult::Lost(loss) => record_loss(view, loss, sent, now),
             AttemptResult::Refused(refusal) => record_refusal(view, refusal, now),
         }
@@ -342,8 +370,13 @@
     }
 
     /// Whether a target accepts new work and its failure domain isn't evacuated.
-    fn accepts_work(&self, view: &View, now: Time) -> bool {
-        !self.evacuated.contains(&view.domain) && view.accepts_work(now)
+    pub(super) fn accepts_work(&self, view: &View, now: Time) -> bool {
+        !self.is_evacuated(view) && view.accepts_work(now)
+    }
+
+    /// Whether the failure domain of a target is evacuated.
+    pub(super) fn is_evacuated(&self, view: &View) -> bool {
+        self.evacuated.contains(&view.domain)
     }
 
     /// Why no target of a service is eligible. What the targets of an evacuated domain last reported doesn't
@@ -429,7 +462,7 @@
             .map_or(0, |(r, _)| r.running + r.queued)
     }
 
-    fn mean(&self, service: ServiceId, now: Time) -> Mean {
+    pub(super) fn mean(&self, service: ServiceId, now: Time) -> Mean {
         let of_service = self.views.values().filter(|v| v.service == service);
         let fresh: Vec<_> = of_service
             .filter_map(|v| v.report)
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -5,14 +5,17 @@
 //! - a target that is leaving, has recently reported that it drains, or was already tried by the
 //!   call is never picked;
 //! - a load report never replaces one with a higher sequence number from the same instance;
+//! - a copy of a late request never goes to a target that is full, strained, starting or in backoff;
 //! - every issued ticket ends exactly once; `outstanding` counts the tickets that have not ended.
 
 mod balancer;
+mod hedge_targets;
 mod latency;
 mod policy;
 mod view;
 
 pub use balancer::{Balancer, Choice, Membership, Observation, PickRequest, Ticket};
+pub use hedge_targets::HedgeTargets;
 pub use latency::LatencyWindow;
 pub use policy::Policy;
 pub use view::Estimate;
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -57,6 +57,18 @@
 /// Time in which the weight of a reported slowdown falls by a factor of e.
 const STRAIN_DECAY: Duration = Duration::from_millis(150);
 
+/// Share of a target's slots that may be occupied with a copy of a late request. Targets may need longer for
+/// each request when more are occupied.
+const COPY_SLOT_SHARE: f64 = 0.8;
+/// Greatest slowdown, in percent, of a target that gets a copy.
+const COPY_MAX_SLOWDOWN: u32 = 120;
+/// Share of failed answers above the mean from which a target gets no copy.
+const COPY_MAX_FAILURES: f64 = 0.1;
+/// Number of [`STRAIN_DECAY`] after which a reported slowdown is ignored.
+const STRAIN_DECAY_TIMES: u32 = 3;
+/// Cancelled attempts in a row, without a report of the target, that show that it has stalled.
+const STALLED_LOSERS: u32 = 2;
+
 /// A cost estimate and its inputs, as recorded in traces.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Estimate {
@@ -97,6 +109,8 @@
     pub former: Option<InstanceId>,
     pub instance: Option<InstanceId>,
     pub leaving: bool,
+    /// Cancelled attempts since the last report that took longer than usual, while hedges are expected.
+    pub losers: u32,
     /// Until when the link of the target's daemon counts as busy.
     pub link_busy_until: Time,
     /// When the current instance replaced an earlier one; `None` for the first instance.
@@ -122,6 +136,7 @@
             former: None,
             instance: None,
             leaving: false,
+            losers: 0,
             link_busy_until: Time::ZERO,
             ramp: None,
             report: None,
@@ -165,6 +180,7 @@
             return;
         }
         self.report = Some((*report, now));
+        self.losers = 0;
         self.slots = report.slots.max(1);
     }
 
@@ -219,6 +235,24 @@
         }
     }
 
+    /// Records an attempt that was cancelled while hedges are expected. It took longer than most, or else no
+    /// hedge would have been sent, so that it shows a stalled target only if it took longer than any recent
+    /// answer (`longest`), or if another one has ended so without a report in between.
+    pub fn record_loser(&mut self, sent: Time, longest: Option<Duration>, now: Time) {
+        let reported_since = self.report.is_some_and(|(_, at)| at > sent);
+        let service = self.service_time(&Mean::default(), now);
+        let elapsed = now - sent;
+        if reported_since || elapsed <= service * 2 + self.rtt {
+            return;
+        }
+        self.losers += 1;
+        let exceeds_all = longest.is_some_and(|longest| elapsed > longest);
+        if exceeds_all || self.losers >= STALLED_LOSERS {
+            self.losers = 0;
+            self.back_off(now);
+        }
+    }
+
     /// Records an attempt whose deadline expired while it ran. It counts as a failure only if it
     /// lasted far longer than the service time, since a short deadline may expire at a target
     /// without a fault. A report since then makes no difference: the daemon may report while its target
@@ -262,6 +296,29 @@
         self.expected_occupancy(mean, service, now) + 1.0 <= f64::from(self.slots)
     }
 
+    /// Whether the target can take a copy of a late request without delaying other requests: it isn't in
+    /// backoff, starting, strained or failing, and has slots left beyond [`COPY_SLOT_SHARE`]. The occupancy of a
+    /// target that has not reported lately is taken to be the mean of the service.
+    pub fn has_room_for_copy(&self, mean: &Mean, now: Time) -> bool {
+        let service = self.service_time(mean, now);
+        let occupied = self.expected_occupancy(mean, service, now) + 1.0;
+        self.backoff_until <= now
+            && self.link_busy_until <= now
+            && !self.is_slowed(now)
+            && self.overdue_time(service, now).is_zero()
+            && self.ramp_factor(now) <= 1.0
+            && self.excess_failures(mean, now) < COPY_MAX_FAILURES
+            && occupied <= f64::from(self.slots) * COPY_SLOT_SHARE
+    }
+
+    /// Whether a recent report states a slowdown above [`COPY_MAX_SLOWDOWN`].
+    fn is_slowed(&self, now: Time) -> bool {
+        self.report.is_some_and(|(report, at)| {
+            now - at <= STRAIN_DECAY * STRAIN_DECAY_TIMES
+                && report.slowdown.is_some_and(|s| s > COPY_MAX_SLOWDOWN)
+        })
+    }
+
     /// Expected time to an answer, excluding the round trip, if all slots are occupied and no
     /// request is queued.
     pub fn busy_time(&self, mean: &Mean, now: Time) -> Duration {
--- a/crates/core/tests/misdirected.rs
+++ b/crates/core/tests/misdirected.rs
@@ -4,7 +4,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, PickKind, RetryBudget, Spec};
+use hawthornwall_core::calls::{
+    AttemptId, Call, Effect, Event, Hedge, PickKind, RetryBudget, Spec,
+};
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routing::{Choice, Estimate, Ticket};
 use insta::assert_snapshot;
@@ -29,7 +31,7 @@
         let spec = Spec {
             attempts: targets_limit,
             deadline: Time::ZERO + Duration::from_secs(1),
-            hedge: false,
+            hedge: Hedge::Never,
             idempotent: true,
             pinned: None,
         };
--- a/crates/core/tests/properties/call.rs
+++ b/crates/core/tests/properties/call.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, MAX_ATTEMPTS, Spec};
+use hawthornwall_core::calls::{
+    AttemptId, Call, Effect, Event, Hedge, MAX_ATTEMPTS, PickKind, Spec,
+};
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routing::{Choice, Estimate, Ticket};
 use hawthornwall_core::stop::StopLimits;
@@ -48,13 +50,19 @@
             answer: Time::from_micros(answer),
             send: Time::from_micros(send.min(answer)),
         })),
+        1 => Just(Event::HedgeSuppressed),
         4 => Just(Event::Timer),
     ]
 }
 
 fn spec() -> impl Strategy<Value = Spec> {
     let pinned = prop::option::of((0..6u32).prop_map(TargetId));
-    let flags = (any::<bool>(), any::<bool>());
+    let hedge = prop::sample::select(vec![
+        Hedge::After(Duration::from_millis(5)),
+        Hedge::AfterChoice,
+        Hedge::Never,
+    ]);
+    let flags = (hedge, any::<bool>());
     (1..5usize, flags, pinned).prop_map(|(attempts, (hedge, idempotent), pinned)| Spec {
         attempts,
         deadline: Time::from_micros(100_000),
@@ -72,6 +80,8 @@
     requests: Vec<(AttemptId, TargetId)>,
     cancelled: Vec<AttemptId>,
     finishes: Vec<Outcome>,
+    /// The kind of the last requested pick.
+    picked: Option<PickKind>,
     picks: usize,
     /// What the last stop allows, if there was one.
     stop: Option<StopLimits>,
@@ -91,6 +101,11 @@
                 let sent = self.attempts.get_mut(usize::from(id.0));
                 sent.map(|ended| *ended = ended.or(Some(*result))).is_some()
             }
+            Event::HedgeSuppressed => {
+                let expected = self.picks > 0 && self.picked == Some(PickKind::Hedge);
+                self.picks -= usize::from(expected);
+                expected
+            }
             Event::NotPicked(_) | Event::Picked(_) => {
                 let expected = self.picks > 0;
                 self.picks -= usize::from(expected);
@@ -108,7 +123,13 @@
             match effect {
                 Effect::Cancel(id) => self.cancelled.push(*id),
                 Effect::Finish(outcome, _) => self.finishes.push(*outcome),
-                Effect::Pick(_) => self.picks += 1,
+                Effect::Pick(kind) => {
+                    let hedge = *kind == PickKind::Hedge;
+                    let allowed = spec.idempotent && spec.hedge != Hedge::Never;
+                    assert!(!hedge || allowed, "a hedge that the call doesn't allow");
+                    self.picked = Some(*kind);
+                    self.picks += 1;
+                }
                 Effect::Send { target, .. } => {
                     let allowed = spec.pinned.is_none_or(|p| p == *target);
                     assert!(
--- a/crates/core/tests/scenarios/calls.rs
+++ b/crates/core/tests/scenarios/calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, Spec};
+use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, Hedge, Spec};
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routing::{Choice, Estimate, Ticket};
 use hawthornwall_core::stop::StopLimits;
@@ -18,7 +18,7 @@
         let spec = Spec {
             attempts: line.value("attempts", 4),
             deadline: Time::ZERO + line.span("deadline", Duration::from_secs(1)),
-            hedge: line.flag("hedge"),
+            hedge: hedge(line),
             idempotent: line.flag("idempotent"),
             pinned: line.text("pinned").map(|t| t.parse().unwrap()),
         };
@@ -34,6 +34,7 @@
                 let result: String = line.word(1);
                 Event::Ended(AttemptId(line.number(0) as u8), attempt_result(&result))
             }
+            "hedge-suppressed" => Event::HedgeSuppressed,
             "not-picked" => Event::NotPicked(variant(&line.word::<String>(0))),
             "picked" => Event::Picked(Choice {
                 alternatives: line.value("alternatives", 1),
@@ -56,6 +57,15 @@
     }
 }
 
+/// `hedge` for the delay of the choice, `hedge-after=TIME` for that of the route.
+fn hedge(line: &Line<'_>) -> Hedge {
+    match line.text("hedge-after") {
+        Some(_) => Hedge::After(line.span("hedge-after", Duration::ZERO)),
+        None if line.flag("hedge") => Hedge::AfterChoice,
+        None => Hedge::Never,
+    }
+}
+
 fn describe(call: &Call, effects: &[Effect]) -> Vec<String> {
     let mut output: Vec<_> = effects.iter().map(|e| format!("{e:?}")).collect();
     if !call.finished() {
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -132,6 +132,7 @@
             limit: caller.body_limit + caller.head_limit + MESSAGE_OVERHEAD,
             link_mbps: self.settings.machine.link_mbps,
             receiver,
+            router: self.senders.router.clone(),
             settings: &self.settings.peer,
             telemetry: self.senders.telemetry.clone(),
         })
@@ -164,6 +165,7 @@
             clock: self.clock,
             dialect: self.dialect,
             domain: &self.settings.domain,
+            hedge_percent: self.settings.routing.hedge_percent,
             policy: self.settings.routing.policy,
             receiver,
             seed: rand::rng().random(),
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -9,10 +9,10 @@
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
 use hawthornwall_core::admission::Priority;
-use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, MAX_SENDS, PickKind, Spec};
+use hawthornwall_core::calls::{AttemptId, Call, Effect, Event, Hedge, MAX_SENDS, PickKind, Spec};
 use hawthornwall_core::link::LARGE_BODY;
 use hawthornwall_core::prelude::*;
-use hawthornwall_core::routes::Repeatability;
+use hawthornwall_core::routes::{Repeatability, UsualTimes};
 use hawthornwall_core::routing::Choice;
 use hawthornwall_core::stop::{Expectation, StopPlan};
 use hawthornwall_wire::peer::HttpRequest;
@@ -22,9 +22,9 @@
 use super::reply::Reply;
 use super::request::RequestKind;
 use super::stop::StopNotice;
-use crate::messages::{OpenTicket, Opened, Picked, RouterMessage};
+use crate::messages::{HedgeDenied, LateRequest, OpenTicket, Opened, Picked, RouterMessage};
 use crate::telemetry::trace::{Hop, HopSpan};
-use crate::telemetry::{AttemptRecord, Event as Count};
+use crate::telemetry::{AttemptRecord, Event as Count, HedgeEvent};
 
 /// Parameters of [`CallDriver::new`].
 pub(super) struct CallStart<'a> {
@@ -45,6 +45,7 @@
 /// Result of an asynchronous operation that the call has started.
 enum Completion {
     Ended(AttemptId, TargetId, AttemptResult, AttemptOutput),
+    HedgePicked(Result<Picked, HedgeDenied>),
     Picked(PickKind, Result<Picked, Refusal>),
 }
 
@@ -88,6 +89,8 @@
     objective_deadline: Option<Time>,
     /// Target and output of the attempts that have ended.
     output: BTreeMap<AttemptId, (TargetId, AttemptOutput)>,
+    /// Times of recent requests of the route, if known.
+    usual: Option<UsualTimes>,
 }
 
 impl<'a> CallDriver<'a> {
@@ -111,7 +114,10 @@
         let spec = Spec {
             attempts: route.map_or(MAX_SENDS, |r| r.attempts),
             deadline: expectation.deadline,
-            hedge: opened.rules.hedge && request_kind == RequestKind::Plain,
+            hedge: match request_kind {
+                RequestKind::Plain => opened.hedge,
+                RequestKind::IssueKey | RequestKind::Keyed(_) => Hedge::Never,
+            },
             idempotent: repeats == Repeatability::Idempotent,
             pinned,
         };
@@ -140,6 +146,7 @@
             }),
             objective_deadline: route.map(|r| started + r.objective.saturating_sub(opened.spent)),
             output: BTreeMap::new(),
+            usual: opened.usual,
         }
     }
 
@@ -231,18 +238,58 @@
                 }
                 Event::Ended(attempt, result)
             }
-            Completion::Picked(kind, Ok(picked)) => {
-                let choice = picked.choice;
-                self.picked = Some((kind, choice));
-                self.ticket = Some(picked.ticket);
-                self.expects.insert(choice.target, picked.expect);
-                Event::Picked(choice)
+            Completion::HedgePicked(Ok(picked)) => self.use_pick(PickKind::Hedge, picked),
+            Completion::HedgePicked(Err(HedgeDenied::Refused(refusal))) => {
+                Event::NotPicked(refusal)
             }
+            Completion::HedgePicked(Err(HedgeDenied::Suppressed(reason))) => {
+                let event = HedgeEvent::Suppressed(reason);
+                self.backend.telemetry.record(Count::Hedge(event));
+                Event::HedgeSuppressed
+            }
+            Completion::Picked(kind, Ok(picked)) => self.use_pick(kind, picked),
             Completion::Picked(_, Err(refusal)) => Event::NotPicked(refusal),
         }
     }
 
+    /// Keeps a picked target for the next `Send` effect.
+    fn use_pick(&mut self, kind: PickKind, picked: Picked) -> Event {
+        let choice = picked.choice;
+        self.picked = Some((kind, choice));
+        self.ticket = Some(picked.ticket);
+        self.expects.insert(choice.target, picked.expect);
+        Event::Picked(choice)
+    }
+
     fn pick(&mut self, kind: PickKind) {
+        match kind {
+            PickKind::Hedge => self.pick_hedge(),
+            PickKind::First | PickKind::Reroute | PickKind::Retry => self.pick_attempt(kind),
+        }
+    }
+
+    fn pick_hedge(&mut self) {
+        let (reply, receiver) = oneshot::channel();
+        let body = body_length(&self.operation);
+        let late = LateRequest {
+            body,
+            expected: self.usual.map(|usual| usual.expected),
+            large: self.backend.link_mbps.is_some() && body >= LARGE_BODY,
+            left: self.backend.clock.until(self.call.deadline()),
+            service: self.service,
+            transfer: self.backend.transfer_time(body),
+            tried: self.call.tried(),
+        };
+        let message = RouterMessage::Hedge { late, reply };
+        let _ = self.backend.router.unbounded_send(message);
+        let completion = async move {
+            let denied = Err(HedgeDenied::Refused(Refusal::NotReady));
+            Completion::HedgePicked(receiver.await.unwrap_or(denied))
+        };
+        self.pending.push(completion.boxed_local());
+    }
+
+    fn pick_attempt(&mut self, kind: PickKind) {
         let (reply, receiver) = oneshot::channel();
         let (service, tried) = (self.service, self.call.tried());
         let length = body_length(&self.operation);
@@ -279,6 +326,11 @@
         }
         let kind = picked.map_or(PickKind::First, |(kind, _)| kind);
         self.backend.telemetry.record(Count::Sent(kind));
+        if kind == PickKind::Hedge {
+            self.backend
+                .telemetry
+                .record(Count::Hedge(HedgeEvent::Sent));
+        }
         let request = AttemptRequest {
             deadline: self.call.deadline(),
             expect: self.expects.get(&target).cloned().flatten(),
@@ -329,6 +381,10 @@
     }
 
     fn reply(&mut self, outcome: Outcome, answer: Option<AttemptId>) -> Reply {
+        let answered = answer.and_then(|id| self.records.get(usize::from(id.0)));
+        if answered.is_some_and(|record| record.kind == Some(PickKind::Hedge)) {
+            self.backend.telemetry.record(Count::Hedge(HedgeEvent::Won));
+        }
         let output = answer.and_then(|id| self.output.remove(&id));
         match (outcome, output) {
             (Outcome::Answered, Some((target, AttemptOutput::Answer(answer)))) => {
--- a/crates/node/src/messages/mod.rs
+++ b/crates/node/src/messages/mod.rs
@@ -15,6 +15,7 @@
 pub use peers::{PeerAddress, PeerFault, PeersMessage, PeersSender, PeersStatus};
 pub use probe::{ProbeMessage, ProbeResult, ProbeSender};
 pub use router::{
-    InFlightRequest, Observed, OpenTicket, Opened, Picked, Routed, RouterMessage, RouterSender,
+    HedgeDenied, InFlightRequest, LateRequest, Observed, OpenTicket, Opened, Picked, Routed,
+    RouterMessage, RouterSender,
 };
 pub use routing::{Member, RoutingState};
--- a/crates/node/src/messages/router.rs
+++ b/crates/node/src/messages/router.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use futures::channel::{mpsc, oneshot};
-use hawthornwall_core::calls::PickKind;
+use hawthornwall_core::calls::{Hedge, PickKind, Suppression};
 use hawthornwall_core::config::Rules;
+use hawthornwall_core::link::LinkChange;
 use hawthornwall_core::prelude::*;
 use hawthornwall_core::routes::{Route, RunningId, UsualTimes};
 use hawthornwall_core::routing::{Choice, Ticket};
@@ -97,6 +98,8 @@
 /// A request that the router accepted and counts as in flight.
 #[derive(Clone, Debug)]
 pub struct Opened {
+    /// Whether and when a second attempt may be sent, if the request may run more than once.
+    pub hedge: Hedge,
     /// What is returned when the request has ended.
     pub inflight: InFlightRequest,
     /// Time limit set by the caller, or the default of the service.
@@ -139,6 +142,35 @@
     pub ticket: OpenTicket,
 }
 
+/// Why no hedge is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HedgeDenied {
+    /// No target was picked, or the retry budget is used up. Without a share for hedges in the settings, this is
+    /// the only reason.
+    Refused(Refusal),
+    /// The conditions for a hedge aren't met.
+    Suppressed(Suppression),
+}
+
+/// A late request for which a hedge is due.
+#[derive(Debug)]
+pub struct LateRequest {
+    /// Length of the body in bytes.
+    pub body: usize,
+    /// Time that most requests of the route take, if known.
+    pub expected: Option<Duration>,
+    /// Whether the request has a large body and the rate of the own link is set.
+    pub large: bool,
+    /// Time until the deadline.
+    pub left: Duration,
+    /// The service whose targets are eligible.
+    pub service: ServiceId,
+    /// Time that the request's body takes on the way to a target of another machine.
+    pub transfer: Duration,
+    /// Targets that the call has already tried.
+    pub tried: Vec<TargetId>,
+}
+
 /// A message to the `router` task.
 #[derive(Debug)]
 pub enum RouterMessage {
@@ -149,6 +181,13 @@
         /// Whether the request was passed on and not refused.
         ran: bool,
     },
+    /// Pick a target for a hedge, if one may be sent.
+    Hedge {
+        /// The request.
+        late: LateRequest,
+        /// Receives the picked target, or the reason why there is none.
+        reply: oneshot::Sender<Result<Picked, HedgeDenied>>,
+    },
     /// An attempt ended.
     Observe {
         /// Measurements and result of the attempt.
@@ -167,9 +206,11 @@
         /// Receives the accepted request, or the refusal.
         reply: oneshot::Sender<Result<Opened, Refusal>>,
     },
-    /// Pick a target for an attempt.
+    /// The state of the own link changed.
+    OwnLink(LinkChange),
+    /// Pick a target for an attempt other than a hedge.
     Pick {
-        /// The reason for the attempt; hedges and retries use the retry budget.
+        /// The reason for the attempt; retries use the retry budget.
         kind: PickKind,
         /// Whether the request has a large body and the rate of the own link is set.
         large: bool,
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -7,7 +7,7 @@
 use hawthornwall_wire::peer::{Reply, Request};
 
 use crate::clock::Clock;
-use crate::messages::PeerFault;
+use crate::messages::{PeerFault, RouterSender};
 
 /// A request to a peer, with the channel for its reply.
 #[derive(Debug)]
@@ -21,11 +21,13 @@
 }
 
 /// The clock and the network link of this daemon's machine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct OwnMachine {
     pub clock: Clock,
     /// Rate of the link in each direction; `None` if it isn't set.
     pub link: Option<Rate>,
+    /// Learns of changes of the link.
+    pub router: RouterSender,
 }
 
 /// Payload bytes of one control request and its reply.
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -17,7 +17,8 @@
 use super::tcp::TcpLink;
 use crate::clock::Clock;
 use crate::messages::{
-    ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RoutingState,
+    ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RouterSender,
+    RoutingState,
 };
 use crate::start::StartError;
 use crate::telemetry::Telemetry;
@@ -57,6 +58,8 @@
     pub link_mbps: Option<f64>,
     /// Messages from other tasks.
     pub receiver: mpsc::UnboundedReceiver<PeersMessage>,
+    /// Learns of changes of the own link.
+    pub router: RouterSender,
     /// Addresses, kind of link, secret and silence timeout.
     pub settings: &'a PeerSettings,
     /// Receives counts of bodies admitted to the own link.
@@ -93,6 +96,7 @@
         let own = OwnMachine {
             clock: start.clock,
             link: start.link_mbps.map(Rate::from_mbps),
+            router: start.router,
         };
         let telemetry = &start.telemetry;
         let admit =
--- a/crates/node/src/peers/tcp/link.rs
+++ b/crates/node/src/peers/tcp/link.rs
@@ -62,6 +62,7 @@
             limit,
             outgoing: own.link.map(send),
             receiver,
+            router: own.router,
             silence,
             telemetry,
         };
--- a/crates/node/src/peers/tcp/pool.rs
+++ b/crates/node/src/peers/tcp/pool.rs
@@ -15,7 +15,7 @@
 use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
 use super::conn::{self, ConnEnd, ConnReport, ConnStart, LateDecision};
 use crate::clock::Clock;
-use crate::messages::PeerFault;
+use crate::messages::{PeerFault, RouterMessage, RouterSender};
 use crate::telemetry::{Event, LinkEvent, Telemetry, log};
 
 /// Maximum number of connections to one peer. A target runs and queues far fewer requests of one daemon.
@@ -78,6 +78,8 @@
     /// Orders large bodies on the own link; `None` if its rate isn't set.
     pub outgoing: Option<Bodies>,
     pub receiver: mpsc::UnboundedReceiver<PoolMessage>,
+    /// Learns of changes of the own link.
+    pub router: RouterSender,
     /// Time without received bytes, while a reply is expected, after which a connection is closed.
     pub silence: Duration,
     pub telemetry: Telemetry,
@@ -95,6 +97,7 @@
     peers: HashMap<SocketAddr, Peer>,
     receiver: mpsc::UnboundedReceiver<PoolMessage>,
     reports: mpsc::UnboundedReceiver<ConnReport>,
+    router: RouterSender,
     sender: mpsc::UnboundedSender<ConnReport>,
     silence: Duration,
     telemetry: Telemetry,
@@ -115,6 +118,7 @@
             peers: HashMap::new(),
             receiver: start.receiver,
             reports,
+            router: start.router,
             sender,
             silence: start.silence,
             telemetry: start.telemetry,
@@ -169,7 +173,11 @@
         let Some(link) = &mut self.own_link else {
             return;
         };
-        match link.on(peer, contact, self.clock.now()) {
+        let change = link.on(peer, contact, self.clock.now());
+        if let Some(change) = change {
+            let _ = self.router.unbounded_send(RouterMessage::OwnLink(change));
+        }
+        match change {
             Some(LinkChange::Saturated) => {
                 self.telemetry.record(Event::Link(LinkEvent::Saturated));
                 log::warn!("the own link is saturated: several peers are silent and none answers");
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -11,9 +11,12 @@
 
 use futures::StreamExt;
 use futures::channel::mpsc;
-use hawthornwall_core::calls::{PickKind, RetryBudget};
+use hawthornwall_core::calls::{
+    Hedge, HedgeConditions, Hedging, MIN_HEDGE_SAMPLES, PickKind, RetryBudget,
+};
+use hawthornwall_core::link::LinkChange;
 use hawthornwall_core::prelude::*;
-use hawthornwall_core::routes::{AnswerTimes, Route, Splitter, UsualBudgets};
+use hawthornwall_core::routes::{AnswerTimes, Repeatability, Route, Splitter, UsualBudgets};
 use hawthornwall_core::routing::{
     Balancer, Choice, Membership, Observation, PickRequest, Policy, Ticket,
 };
@@ -21,11 +24,15 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::messages::{
-    InFlightRequest, Observed, OpenTicket, Opened, Picked, Routed, RouterMessage, RouterSender,
-    RoutingState,
+    HedgeDenied, InFlightRequest, LateRequest, Observed, OpenTicket, Opened, Picked, Routed,
+    RouterMessage, RouterSender, RoutingState,
 };
 use crate::telemetry::log;
 
+/// Quantile of the recent answer times of a service that a hedge is expected to take, if the configuration has
+/// no routes.
+const USUAL_QUANTILE: f64 = 0.75;
+
 /// Parameters of the router task.
 #[derive(Debug)]
 pub struct RouterStart<'a> {
@@ -35,6 +42,8 @@
     pub dialect: Dialect,
     /// Failure domain of this instance.
     pub domain: &'a str,
+    /// Maximum number of second copies of late requests per hundred requests.
+    pub hedge_percent: u32,
     /// Algorithm that picks targets.
     pub policy: Policy,
     /// Messages from other tasks.
@@ -58,8 +67,12 @@
     clock: Clock,
     /// Picks refused since the evacuations last changed, because all targets were evacuated.
     evacuated_refusals: u64,
+    /// `None` if the settings have no share for hedges.
+    hedging: Option<Hedging>,
     inflight: BTreeMap<ServiceId, usize>,
     limit: usize,
+    /// Whether the own link is saturated.
+    link_saturated: bool,
     receiver: mpsc::UnboundedReceiver<RouterMessage>,
     sender: RouterSender,
     splitter: Splitter,
@@ -74,6 +87,10 @@
             Dialect::Own => {}
             Dialect::Platform => balancer.prefer_local(),
         }
+        let hedging = Hedging::new(start.hedge_percent);
+        if hedging.is_some() {
+            balancer.expect_hedges();
+        }
         Self {
             answer_times: AnswerTimes::default(),
             balancer,
@@ -81,8 +98,10 @@
             caller_budgets: UsualBudgets::default(),
             clock: start.clock,
             evacuated_refusals: 0,
+            hedging,
             inflight: BTreeMap::new(),
             limit: start.service_limit,
+            link_saturated: false,
             receiver: start.receiver,
             sender: start.sender,
             splitter: Splitter::default(),
@@ -95,6 +114,10 @@
         while let Some(message) = self.receiver.next().await {
             match message {
                 RouterMessage::Close { inflight, ran } => self.close(&inflight, ran),
+                RouterMessage::Hedge { late, reply } => {
+                    let picked = self.pick_hedge(&late);
+                    let _ = reply.send(picked.map(|choice| self.picked(choice)));
+                }
                 RouterMessage::Observe { observed, ticket } => self.observe(&observed, ticket),
                 RouterMessage::Open {
                     budget,
@@ -108,6 +131,12 @@
                         self.close(&opened.inflight, false);
                     }
                 }
+                RouterMessage::OwnLink(change) => {
+                    self.link_saturated = match change {
+                        LinkChange::Saturated => true,
+                        LinkChange::Free => false,
+                    };
+                }
                 RouterMessage::Pick {
                     kind,
                     large,
@@ -157,6 +186,9 @@
                 .entry(*id)
                 .or_insert_with(|| RetryBudget::new(percent));
             budget.set_percent(percent);
+            if self.hedging.is_some() {
+                budget.allow_hedges();
+            }
             if routing.routes.is_some() {
                 budget.share(routing.members.len());
             }
@@ -202,6 +234,7 @@
             (found.name.clone(), found.rules.clone())
         };
         let now = self.clock.now();
+        let hedge = self.hedge(&host, route.as_deref(), service, rules.hedge);
         let times = &mut self.answer_times;
         let usual = route
             .as_ref()
@@ -212,6 +245,7 @@
             route,
         });
         Ok(Opened {
+            hedge,
             inflight: InFlightRequest { routed, service },
             left: budget.unwrap_or(rules.deadline),
             name,
@@ -219,10 +253,35 @@
             rules,
             spent,
             usual,
-            version: config.version,
+            version: self.routing.config.version,
         })
     }
 
+    /// Whether and when a hedge of a new request is due. Routes come without rules of their services, so that
+    /// the setting alone allows hedges there.
+    fn hedge(
+        &mut self,
+        host: &str,
+        route: Option<&Route>,
+        service: ServiceId,
+        by_rules: bool,
+    ) -> Hedge {
+        let allowed = route.map_or(by_rules, |r| r.repeats == Repeatability::Idempotent);
+        let time = match (&self.hedging, route) {
+            (None, _) if by_rules => return Hedge::AfterChoice,
+            (Some(hedging), Some(route)) if allowed => {
+                let (times, quantile) = (&mut self.answer_times, hedging.quantile());
+                times.quantile(host, &route.prefix, quantile, MIN_HEDGE_SAMPLES)
+            }
+            (Some(hedging), None) if allowed => {
+                let quantile = hedging.quantile();
+                self.balancer.latency(service, quantile, MIN_HEDGE_SAMPLES)
+            }
+            (None | Some(_), _) => return Hedge::Never,
+        };
+        time.map_or(Hedge::Never, |time| Hedge::After(Hedging::delay(time)))
+    }
+
     /// The service of a request and the matching route, if routes are configured.
     fn find(&mut self, host: &str, path: &str) -> Option<(ServiceId, Option<Rc<Route>>)> {
         let config = &self.routing.config;
@@ -260,7 +319,12 @@
             .get_mut(&request.service)
             .ok_or(Refusal::UnknownService)?;
         match kind {
-            PickKind::First => budget.deposit(),
+            PickKind::First => {
+                budget.deposit();
+                if let Some(hedging) = &mut self.hedging {
+                    hedging.deposit(request.service);
+                }
+            }
             PickKind::Reroute => {}
             PickKind::Hedge | PickKind::Retry => {
                 if !budget.withdraw() {
@@ -280,6 +344,36 @@
         picked
     }
 
+    fn pick_hedge(&mut self, late: &LateRequest) -> Result<Choice, HedgeDenied> {
+        let request = PickRequest {
+            service: late.service,
+            transfer: late.transfer,
+            tried: &late.tried,
+        };
+        let (Some(hedging), Some(retries)) =
+            (&mut self.hedging, self.budgets.get_mut(&late.service))
+        else {
+            let picked = self.pick(PickKind::Hedge, &request, late.large);
+            return picked.map_err(HedgeDenied::Refused);
+        };
+        let now = self.clock.now();
+        let balancer = &mut self.balancer;
+        let of_service = || balancer.latency(late.service, USUAL_QUANTILE, MIN_HEDGE_SAMPLES);
+        let conditions = HedgeConditions {
+            body: late.body,
+            evacuated: balancer.evacuation_affects(late.service),
+            expected: late.expected.or_else(of_service),
+            left: late.left,
+            link_saturated: self.link_saturated,
+            targets: balancer.hedge_targets(&request, now),
+        };
+        hedging
+            .decide(late.service, &conditions, retries)
+            .map_err(HedgeDenied::Suppressed)?;
+        let picked = balancer.pick_for_copy(&request, now);
+        picked.map_err(HedgeDenied::Refused)
+    }
+
     fn picked(&self, choice: Choice) -> Picked {
         let member = self.routing.members.get(&choice.target);
         Picked {
@@ -302,6 +396,11 @@
             result: observed.result,
             ticket,
         };
+        if let Some(hedging) = &mut self.hedging
+            && let Some(service) = self.balancer.service_of(ticket)
+        {
+            hedging.record(service, observed.result);
+        }
         self.balancer.observe(&observation, self.clock.now());
     }
 }
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hawthornwall_core::calls::PickKind;
+use hawthornwall_core::calls::{PickKind, Suppression};
 use hawthornwall_core::prelude::*;
 use serde::Serialize;
 
@@ -21,6 +21,8 @@
     },
     /// The gate refused a request of this daemon or of another one.
     GateRefused(Refusal),
+    /// A second copy of a late request was sent, won or suppressed.
+    Hedge(HedgeEvent),
     /// A change of the own link, or a decision on a large body that was to cross it.
     Link(LinkEvent),
     /// A probe was due, but the measurement budget was used up.
@@ -38,6 +40,28 @@
     Sent(PickKind),
 }
 
+/// An event of a second copy of a late request that is counted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HedgeEvent {
+    /// The copy was sent.
+    Sent,
+    /// No copy was sent, although the request was late.
+    Suppressed(Suppression),
+    /// The caller got the answer to the copy.
+    Won,
+}
+
+impl HedgeEvent {
+    /// Name in counters: `sent`, `won`, or the reason why no copy was sent.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Suppressed(reason) => reason.name(),
+            Self::Won => "won",
+        }
+    }
+}
+
 /// An event of the own link that is counted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkEvent {
@@ -88,6 +112,9 @@
     pub attempts: BTreeMap<&'static str, u64>,
     /// Refusals by the local gate, by reason.
     pub gate_refusals: BTreeMap<&'static str, u64>,
+    /// Second copies of late requests: `sent`, `won`, or the reason why none was sent.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub hedges: BTreeMap<&'static str, u64>,
     /// Events of the own link: large bodies to receive that were `granted`, `refused` or `expired`, those to send
     /// that were `sent` or `send-refused`, and how often the link was found `saturated`.
     pub link: BTreeMap<&'static str, u64>,
@@ -110,6 +137,7 @@
             Event::Abandoned => add(&mut self.requests, "abandoned"),
             Event::Attempt { result, .. } => add(&mut self.attempts, attempt_name(result)),
             Event::GateRefused(refusal) => add(&mut self.gate_refusals, refusal.name()),
+            Event::Hedge(event) => add(&mut self.hedges, event.name()),
             Event::Link(event) => add(&mut self.link, event.name()),
             Event::ProbeSkipped => self.probes_skipped += 1,
             Event::ProbeSpent => self.probes_spent += 1,
@@ -129,6 +157,7 @@
         let groups = [
             ("attempts", &self.attempts, &earlier.attempts),
             ("gate_refusals", &self.gate_refusals, &earlier.gate_refusals),
+            ("hedges", &self.hedges, &earlier.hedges),
             ("link", &self.link, &earlier.link),
             ("refusals", &self.refusals, &earlier.refusals),
             ("requests", &self.requests, &earlier.requests),
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -37,6 +37,7 @@
     attempt_time: Histogram,
     attempts: Counters,
     gate_refusals: Counters,
+    hedges: Counters,
     link: Counters,
     probes: Counters,
     refusals: Counters,
@@ -56,6 +57,10 @@
         };
         let attempts = counters("attempts", "Ended attempts by result");
         let gate_refusals = counters("gate_refusals", "Requests that the gate refused, by reason");
+        let hedges = counters(
+            "hedges",
+            "Second copies of late requests: sent, won, or why there is none",
+        );
         let link = counters("link", "Events of the own link");
         let probes = counters("probes", "Questions to the target, by what became of them");
         let refusals = counters("refusals", "Requests told to be refused, by reason");
@@ -72,6 +77,7 @@
             attempt_time,
             attempts,
             gate_refusals,
+            hedges,
             link,
             probes,
             refusals,
@@ -93,6 +99,7 @@
                 observe(&self.attempt_time, elapsed);
             }
             Event::GateRefused(refusal) => count(&self.gate_refusals, "reason", refusal.name()),
+            Event::Hedge(event) => count(&self.hedges, "event", event.name()),
             Event::Link(event) => count(&self.link, "event", event.name()),
             Event::ProbeSkipped => count(&self.probes, "end", "skipped"),
             Event::ProbeSpent => count(&self.probes, "end", "spent"),
--- a/crates/node/src/telemetry/mod.rs
+++ b/crates/node/src/telemetry/mod.rs
@@ -16,7 +16,7 @@
 mod task;
 pub mod trace;
 
-pub use counters::{Counters, Event, LinkEvent};
+pub use counters::{Counters, Event, HedgeEvent, LinkEvent};
 pub use metrics::Metrics;
 pub use requests::{AttemptRecord, RequestLog, RequestRecord};
 pub use statsd::Statsd;
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -123,6 +123,7 @@
         Event::Request { elapsed, .. } => statsd.time("request", *elapsed),
         Event::Abandoned
         | Event::GateRefused(_)
+        | Event::Hedge(_)
         | Event::Link(_)
         | Event::ProbeSkipped
         | Event::ProbeSpent
--- a/crates/node/tests/common/ingress.rs
+++ b/crates/node/tests/common/ingress.rs
@@ -119,6 +119,7 @@
         clock,
         dialect: Dialect::Platform,
         domain: "a",
+        hedge_percent: 0,
         policy: Policy::Expected,
         receiver,
         seed: 1,
--- a/crates/node/tests/common/peer_daemon.rs
+++ b/crates/node/tests/common/peer_daemon.rs
@@ -81,6 +81,7 @@
         limit: MESSAGE_LIMIT,
         link_mbps,
         receiver,
+        router: mpsc::unbounded().0,
         settings: &settings,
         telemetry: Telemetry::channel().0,
     });
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -253,6 +253,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RoutingSettings {
+    /// Maximum number of second copies of late idempotent requests per 100 requests. With 0, only the rules of
+    /// the services decide.
+    pub hedge_percent: u32,
     /// Policy that selects a target. All policies except the default are baselines for experiments.
     pub policy: Policy,
 }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -287,6 +287,8 @@
 
     setting("routing.policy", ValueKind::Choice(POLICIES), DefaultValue::Text("expected"),
         "Policy that selects a target; all except the default are baselines for experiments."),
+    number("routing.hedge_percent", 0, Unit::Count, (0, 20),
+        "Maximum number of second copies of late idempotent requests per 100 requests; 0 turns them off on the platform."),
 
     setting("log.level", ValueKind::Choice(LEVELS), DefaultValue::Text("info"), "Minimum level of logged lines."),
 
