--- a/crates/core/src/routing/balancer.rs
+++ b/crates/core/src/routing/balancer.rs
@@ -308,7 +308,8 @@
             AttemptResult::Failed => {}
             AttemptResult::Lost(Loss::Cancelled) if self.hedges => {
                 let window = self.latency.get(&view.service);
-                let longest = window.and_then(|w| w.quantile(1.0));
+                let known = window.filter(|w| w.samples() >= HEDGE_MIN_SAMPLES);
+                let longest = known.and_then(|w| w.quantile(1.0));
                 view.record_loser(sent, longest, now);
             }
             AttemptResult::Lost(loss) => record_loss(view, loss, sent, now),
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -237,7 +237,7 @@
 
     /// Records an attempt that was cancelled while hedges are expected. It took longer than most, or else no
     /// hedge would have been sent, so that it shows a stalled target only if it took longer than any recent
-    /// answer (`longest`), or if another one has ended so without a report in between.
+    /// answer (`longest`; `None` if few are known), or if another one has ended so without a report in between.
     pub fn record_loser(&mut self, sent: Time, longest: Option<Duration>, now: Time) {
         let reported_since = self.report.is_some_and(|(_, at)| at > sent);
         let service = self.service_time(&Mean::default(), now);
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -7,6 +7,7 @@
 mod call;
 mod evacuation;
 mod gate;
+mod hedging;
 mod ledger;
 mod members;
 mod own_link;
--- a/crates/core/tests/scenarios/routing.rs
+++ b/crates/core/tests/scenarios/routing.rs
@@ -26,6 +26,9 @@
         if line.flag("prefer-local") {
             balancer.prefer_local();
         }
+        if line.flag("hedges") {
+            balancer.expect_hedges();
+        }
         Self {
             balancer,
             targets,
@@ -35,6 +38,7 @@
 
     pub fn apply(&mut self, line: &Line<'_>) -> Vec<String> {
         match line.verb {
+            "copy-targets" => return vec![self.copy_targets(line)],
             "evacuate" => {
                 let domains = line.text("domains").unwrap_or_default().split(',');
                 let domains = domains.filter(|d| !d.is_empty()).map(str::to_owned);
@@ -42,7 +46,7 @@
             }
             "member" => self.member(line),
             "observe" => self.observe(line),
-            "pick" | "pick-for-body" => {
+            "pick" | "pick-for-body" | "pick-for-copy" => {
                 let tried = tried(line);
                 let request = PickRequest {
                     service: ServiceId(0),
@@ -50,10 +54,10 @@
                     tried: &tried,
                 };
                 let own = line.text("own").map(|own| own.parse().unwrap());
-                let picked = if line.verb == "pick" {
-                    self.balancer.pick(&request, line.now)
-                } else {
-                    self.balancer.pick_for_body(&request, own, line.now)
+                let picked = match line.verb {
+                    "pick" => self.balancer.pick(&request, line.now),
+                    "pick-for-copy" => self.balancer.pick_for_copy(&request, line.now),
+                    _ => self.balancer.pick_for_body(&request, own, line.now),
                 };
                 if let (Ok(choice), Some(name)) = (&picked, line.text("as")) {
                     self.tickets.insert(name.to_owned(), choice.ticket);
@@ -81,6 +85,18 @@
         Vec::new()
     }
 
+    fn copy_targets(&self, line: &Line<'_>) -> String {
+        let tried = tried(line);
+        let request = PickRequest {
+            service: ServiceId(0),
+            transfer: Duration::ZERO,
+            tried: &tried,
+        };
+        let targets = self.balancer.hedge_targets(&request, line.now);
+        let evacuated = self.balancer.evacuation_affects(ServiceId(0));
+        format!("{targets:?} evacuated={evacuated}")
+    }
+
     pub fn state(&self) -> String {
         let outstanding = |t| (format!("target{t}"), self.balancer.outstanding(TargetId(t)));
         format!(
