--- a/crates/core/src/calls/hedging.rs
+++ b/crates/core/src/calls/hedging.rs
@@ -48,7 +48,7 @@
     LargeBody,
     /// The link of this daemon is saturated.
     Link,
-    /// No target for a copy: all others are strained, full, starting, in backoff, or in the same failure domain.
+    /// No target for a copy: all others are strained, full, cold, starting, in backoff, or in the same failure domain.
     NoTarget,
     /// Most targets of the service are busy, or they refuse requests.
     Overload,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -4,8 +4,9 @@
 //! Invariants:
 //! - a target that is leaving, has recently reported that it drains, or was already tried by the
 //!   call is never picked;
+//! - while a warm target is eligible, at most one of the targets compared for a pick is cold;
 //! - a load report never replaces one with a higher sequence number from the same instance;
-//! - a copy of a late request never goes to a target that is full, strained, starting or in backoff;
+//! - a copy of a late request never goes to a target that is full, strained, cold, starting or in backoff;
 //! - every issued ticket ends exactly once; `outstanding` counts the tickets that have not ended.
 
 mod balancer;
@@ -18,4 +19,4 @@
 pub use hedge_targets::HedgeTargets;
 pub use latency::LatencyWindow;
 pub use policy::Policy;
-pub use view::Estimate;
+pub use view::{ColdTarget, Estimate};
--- a/crates/core/tests/properties/evacuation.rs
+++ b/crates/core/tests/properties/evacuation.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{
-    Absence, Catalog, Change, ChangeLog, PublishedState, PublishedTarget, Snapshot, UpdatePayload,
+    Absence, Catalog, Change, ChangeLog, PublishedState, PublishedTarget, Revision, Snapshot,
+    UpdatePayload,
 };
 use hawthornwall_core::config::Rules;
 use hawthornwall_core::prelude::*;
@@ -90,7 +91,8 @@
 
 impl Daemon {
     fn replace(&mut self, contents: Snapshot, revision: u64, absence: Absence) {
-        self.log.restart(revision, contents.clone());
+        self.log
+            .restart(Revision::new(0, revision), contents.clone());
         self.catalog.replace(contents, absence, Time::ZERO);
         self.revision = Some(revision);
     }
@@ -181,7 +183,7 @@
                     let Some(revision) = daemons[from].revision.filter(|r| *r > held) else {
                         continue;
                     };
-                    match daemons[from].log.since(held) {
+                    match daemons[from].log.since(Revision::new(0, held)) {
                         UpdatePayload::Changes(changes) if daemons[to].revision.is_some() => {
                             let changes = daemons[to].log.resolve(changes).unwrap();
                             daemons[to].apply(changes, revision);
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -5,6 +5,8 @@
 mod balancer;
 mod body_grants;
 mod call;
+mod cold;
+mod eras;
 mod evacuation;
 mod gate;
 mod hedging;
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -38,6 +38,12 @@
     },
     /// An attempt was sent.
     Sent(PickKind),
+    /// Contents of the store after its return from an older copy are in use, from this source.
+    StoreEra(&'static str),
+    /// Content of the store has a value that this build doesn't know, in this field.
+    UnknownValue(&'static str),
+    /// The local target was found cold.
+    TargetCold,
 }
 
 /// An event of a second copy of a late request that is counted.
@@ -128,6 +134,13 @@
     pub requests: BTreeMap<&'static str, u64>,
     /// Attempts sent, by kind of pick: `first`, `hedge`, `reroute`, `retry`.
     pub sent: BTreeMap<&'static str, u64>,
+    /// Returns of the store from an older copy, by where their contents came from.
+    pub store_eras: BTreeMap<&'static str, u64>,
+    /// Values in decoded content of the store that this build doesn't know, by field.
+    pub unknown_values: BTreeMap<&'static str, u64>,
+    /// Number of times that the local target was found cold.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target_cold: u64,
 }
 
 impl Counters {
@@ -149,6 +162,9 @@
                 }
             }
             Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
+            Event::StoreEra(source) => add(&mut self.store_eras, source),
+            Event::UnknownValue(field) => add(&mut self.unknown_values, field),
+            Event::TargetCold => self.target_cold += 1,
         }
     }
 
@@ -162,6 +178,12 @@
             ("refusals", &self.refusals, &earlier.refusals),
             ("requests", &self.requests, &earlier.requests),
             ("sent", &self.sent, &earlier.sent),
+            ("store_eras", &self.store_eras, &earlier.store_eras),
+            (
+                "unknown_values",
+                &self.unknown_values,
+                &earlier.unknown_values,
+            ),
         ];
         let named = groups.into_iter().flat_map(|(group, now, before)| {
             now.iter().map(move |(name, count)| {
@@ -169,21 +191,30 @@
                 (format!("{group}.{name}"), count - before)
             })
         });
-        let probes = [
+        let single = [
+            ("target.cold", self.target_cold - earlier.target_cold),
             (
                 "probes.skipped",
                 self.probes_skipped - earlier.probes_skipped,
             ),
             ("probes.spent", self.probes_spent - earlier.probes_spent),
         ];
-        let probes = probes.map(|(name, count)| (name.to_owned(), count));
+        let single = single.map(|(name, count)| (name.to_owned(), count));
         named
-            .chain(probes)
+            .chain(single)
             .filter(|(_, count)| *count > 0)
             .collect()
     }
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 fn add(counts: &mut BTreeMap<&'static str, u64>, name: &'static str) {
     *counts.entry(name).or_default() += 1;
 }
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -45,6 +45,9 @@
     request_time: Histogram,
     requests: Counters,
     sent: Counters,
+    store_eras: Counters,
+    unknown_values: Counters,
+    target_states: Counters,
 }
 
 impl Default for Metrics {
@@ -66,6 +69,15 @@
         let refusals = counters("refusals", "Requests told to be refused, by reason");
         let requests = counters("requests", "Requests of callers by outcome");
         let sent = counters("sent", "Attempts sent, by why");
+        let store_eras = counters(
+            "store_eras",
+            "Returns of the store from an older copy, by source",
+        );
+        let unknown_values = counters("unknown_values", "Unknown values in the store, by field");
+        let target_states = counters(
+            "target_states",
+            "Changes of the target's state, by the new one",
+        );
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BOUNDS);
             registry.register(name, help, histogram.clone());
@@ -85,6 +97,9 @@
             request_time,
             requests,
             sent,
+            store_eras,
+            unknown_values,
+            target_states,
         }
     }
 }
@@ -111,6 +126,9 @@
                 }
             }
             Event::Sent(kind) => count(&self.sent, "why", pick_name(kind)),
+            Event::StoreEra(source) => count(&self.store_eras, "source", source),
+            Event::UnknownValue(field) => count(&self.unknown_values, "field", field),
+            Event::TargetCold => count(&self.target_states, "state", "cold"),
         }
     }
 
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -127,7 +127,10 @@
         | Event::Link(_)
         | Event::ProbeSkipped
         | Event::ProbeSpent
-        | Event::Sent(_) => {}
+        | Event::Sent(_)
+        | Event::StoreEra(_)
+        | Event::TargetCold
+        | Event::UnknownValue(_) => {}
     }
 }
 
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -18,6 +18,7 @@
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::gate::{GateStart, GateTask};
 use hawthornwall_node::messages::{GateMessage, ProbeMessage, RoutingState};
+use hawthornwall_node::self_report::SelfReport;
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{Header, HttpRequest, RequestId, RunReply, RunRequest, RunResult};
@@ -130,6 +131,9 @@
 fn results_every(address: SocketAddr, count: u64, pause: Duration) -> Vec<String> {
     block_on(async {
         let gate = start_gate(address);
+        // Targets of services without a limit for cold ones don't state whether they are cold. A gate that knows
+        // neither this nor the configuration would keep requests back.
+        let _ = gate.unbounded_send(GateMessage::LoadAnswer(Some(SelfReport::default())));
         let mut results = Vec::new();
         for id in 0..count {
             results.push(run_once(&gate, id, request()).await);
@@ -179,6 +183,22 @@
     assert_snapshot!(name, results(vec![script], 1));
 }
 
+/// Status lines whose status isn't one of a final answer, 200 to 599.
+const INVALID_STATUSES: [&str; 12] = [
+    "000", "099", "100", "199", "600", "999", "1000", "20", "2x0", "+200", "-200", "",
+];
+
+/// Guards against a caller that gets an answer with a status that it can't interpret.
+#[test]
+fn invalid_statuses() {
+    let results = INVALID_STATUSES.map(|status| {
+        let reply = answer(&format!("{status} X"), SEALED, "ab");
+        let script = Connection::closed_after(vec![reply]);
+        format!("{status:?}: {}", results(vec![script], 1))
+    });
+    assert_snapshot!(results.join("\n"));
+}
+
 /// Guards against an unsolicited second answer being used as the answer to the next request.
 #[test]
 fn unsolicited_answer() {
