--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod link;
 pub mod load;
 pub mod members;
+pub mod memory;
 pub mod outcome;
 pub mod pause;
 pub mod pipeline;
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -12,6 +12,7 @@
 mod hedging;
 mod ledger;
 mod members;
+mod memory;
 mod own_link;
 mod pipeline;
 mod probing;
--- a/crates/node/src/ingress/reply.rs
+++ b/crates/node/src/ingress/reply.rs
@@ -8,7 +8,7 @@
 use http::Method;
 
 use crate::dialect::Dialect;
-use crate::http::{ReadFault, encode_answer};
+use crate::http::{HttpMessage, ReadFault, encode_answer};
 
 /// An answer to a caller, with the headers that the daemon adds.
 #[derive(Debug)]
@@ -34,7 +34,7 @@
 
     /// Returns an issued idempotency key to the caller.
     pub fn issued(key: &str) -> Self {
-        let body = format!("{{\"key\":\"{key}\"}}\n").into_bytes();
+        let body = format!("{{\"key\":\"{key}\"}}\n").into_bytes().into();
         let extra = vec![
             header("hawthornwall-outcome", Outcome::Answered.name()),
             header("cache-control", "no-store"),
@@ -83,7 +83,7 @@
     }
 
     fn error(status: u16, outcome: Outcome, text: &str) -> Self {
-        let body = format!("{text}\n").into_bytes();
+        let body = format!("{text}\n").into_bytes().into();
         let extra = vec![
             header("hawthornwall-outcome", outcome.name()),
             header("hawthornwall-reason", outcome.reason().unwrap_or_default()),
@@ -107,7 +107,7 @@
 
     /// Encodes the answer to a request of the given method; `close` announces that the connection
     /// closes after it.
-    pub fn encode(&self, method: &Method, close: bool) -> Vec<u8> {
+    pub fn encode(&self, method: &Method, close: bool) -> HttpMessage {
         encode_answer(&self.answer, method, &self.extra, close)
     }
 }
@@ -129,6 +129,9 @@
             | HeadFault::TransferCoding,
         )
         | ReadFault::Malformed(_) => (400, Refusal::Malformed),
+        ReadFault::Memory => {
+            return Some(Reply::unanswered(Outcome::Refused(Refusal::Memory)));
+        }
         ReadFault::TooLarge => (413, Refusal::TooLarge),
     };
     let text = format!("The request was not run: {fault}.");
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -10,6 +10,7 @@
 };
 
 use super::bodies::{Bodies, BodyGrant};
+use crate::memory::Memory;
 use crate::messages::{ControlMessage, ControlSender, GateMessage, GateSender};
 
 /// The tasks that handle requests from peers.
@@ -21,6 +22,8 @@
     pub gate: GateSender,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
 }
 
 impl Inbound {
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -16,6 +16,7 @@
 use super::quic::QuicLink;
 use super::tcp::TcpLink;
 use crate::clock::Clock;
+use crate::memory::Memory;
 use crate::messages::{
     ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RouterSender,
     RoutingState,
@@ -54,6 +55,8 @@
     pub gate: GateSender,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     /// Rate of the network link in each direction, in megabits per second; `None` if it isn't set.
     pub link_mbps: Option<f64>,
     /// Messages from other tasks.
@@ -106,6 +109,7 @@
             control: start.control,
             gate: start.gate,
             limit: start.limit,
+            memory: start.memory,
         };
         let link = match settings.link {
             LinkKind::Quic => Link::Quic(Box::new(QuicLink::start(settings, inbound, sender)?)),
--- a/crates/node/src/peers/tcp/frame.rs
+++ b/crates/node/src/peers/tcp/frame.rs
@@ -2,12 +2,18 @@
 //! length of zero is a keep-alive frame.
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use hawthornwall_wire::peer::MessageParts;
+use monoio::buf::IoBuf;
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 
+use crate::http::take_front;
+use crate::memory::{Lease, Serving};
+
 /// Size of the length prefix in bytes.
 const LENGTH_SIZE: usize = 4;
 /// Maximum number of bytes per read from the socket.
@@ -22,7 +28,7 @@
 /// A received frame.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Frame {
-    Message(Vec<u8>),
+    Message(Bytes),
     KeepAlive,
 }
 
@@ -31,6 +37,7 @@
     buf: BytesMut,
     /// Keep-alive frames since the last read from the socket.
     keep_alives: u32,
+    lease: Rc<Lease>,
     /// Maximum message size in bytes.
     limit: usize,
     received: u64,
@@ -39,11 +46,12 @@
 }
 
 impl FrameStream {
-    pub fn new(tcp: TcpStream, limit: usize) -> Self {
+    pub fn new(tcp: TcpStream, limit: usize, lease: Rc<Lease>) -> Self {
         let _ = tcp.set_nodelay(true);
         Self {
             buf: BytesMut::new(),
             keep_alives: 0,
+            lease,
             limit,
             received: 0,
             sent: 0,
@@ -51,6 +59,16 @@
         }
     }
 
+    /// What the connection holds of the budget.
+    pub fn lease(&self) -> Rc<Lease> {
+        Rc::clone(&self.lease)
+    }
+
+    /// Accounts for the messages in progress; false if there is no memory for them.
+    pub async fn hold(&self, bytes: usize, serving: Serving) -> bool {
+        self.lease.hold(bytes, serving).await
+    }
+
     /// Number of bytes received since the connection opened.
     pub fn received(&self) -> u64 {
         self.received
@@ -65,13 +83,20 @@
     ///
     /// # Errors
     ///
-    /// If the connection closes or fails, the length of a message exceeds the limit, or keep-alive frames come
-    /// without pause.
+    /// If the connection closes or fails, the length of a message exceeds the limit, there is no memory for it, or
+    /// keep-alive frames come without pause.
     pub async fn read(&mut self) -> io::Result<Frame> {
         loop {
             if let Some(frame) = self.take()? {
+                match &frame {
+                    Frame::KeepAlive => {}
+                    Frame::Message(bytes) => self.lease.deliver(bytes.len()),
+                }
                 return Ok(frame);
             }
+            if !self.lease.read(self.buf.len()).await {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
             if self.fill().await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
@@ -83,17 +108,31 @@
     /// # Errors
     ///
     /// If the connection fails or a part is not written within `write_timeout`.
-    pub async fn write(&mut self, message: &[u8], write_timeout: Duration) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(LENGTH_SIZE + message.len());
+    pub async fn write(
+        &mut self,
+        message: &MessageParts,
+        write_timeout: Duration,
+    ) -> io::Result<()> {
         let length = u32::try_from(message.len()).map_err(|_| io::ErrorKind::InvalidInput)?;
-        bytes.extend_from_slice(&length.to_be_bytes());
-        bytes.extend_from_slice(message);
-        if bytes.len() <= WRITE_SIZE {
+        let mut bytes = length.to_be_bytes().to_vec();
+        bytes.extend_from_slice(&message.head);
+        // One write for a small message, so that it is sent as one segment.
+        if bytes.len() + message.body.len() + message.tail.len() <= WRITE_SIZE {
+            bytes.extend_from_slice(&message.body);
+            bytes.extend_from_slice(&message.tail);
             return self.write_part(bytes, write_timeout).await;
         }
         for part in bytes.chunks(WRITE_SIZE) {
             self.write_part(part.to_vec(), write_timeout).await?;
         }
+        let mut body = message.body.clone();
+        while !body.is_empty() {
+            let part = body.split_to(body.len().min(WRITE_SIZE));
+            self.write_part(part, write_timeout).await?;
+        }
+        for part in message.tail.chunks(WRITE_SIZE) {
+            self.write_part(part.to_vec(), write_timeout).await?;
+        }
         Ok(())
     }
 
@@ -113,11 +152,16 @@
         }
     }
 
-    async fn write_part(&mut self, part: Vec<u8>, write_timeout: Duration) -> io::Result<()> {
-        let size = part.len() as u64;
+    async fn write_part<T: IoBuf + 'static>(
+        &mut self,
+        part: T,
+        write_timeout: Duration,
+    ) -> io::Result<()> {
+        let size = part.bytes_init() as u64;
         let written = monoio::time::timeout(write_timeout, self.tcp.write_all(part)).await;
         written.map_err(|_| io::ErrorKind::TimedOut)?.0?;
         self.sent += size;
+        self.lease.progress();
         Ok(())
     }
 
@@ -130,11 +174,13 @@
             return Err(io::ErrorKind::InvalidData.into());
         }
         if self.buf.len() < LENGTH_SIZE + length {
+            // Avoids copies when the buffer grows. Pages that are never written take no memory.
+            self.buf.reserve(LENGTH_SIZE + length - self.buf.len());
             return Ok(None);
         }
         self.buf.advance(LENGTH_SIZE);
         if length > 0 {
-            return Ok(Some(Frame::Message(self.buf.split_to(length).to_vec())));
+            return Ok(Some(Frame::Message(take_front(&mut self.buf, length))));
         }
         self.keep_alives += 1;
         if self.keep_alives > MAX_KEEP_ALIVES {
--- a/crates/node/src/peers/tcp/link.rs
+++ b/crates/node/src/peers/tcp/link.rs
@@ -48,6 +48,7 @@
         let (pool, receiver) = mpsc::unbounded();
         let accepted = Rc::new(OpenCount::default());
         let (limit, silence) = (inbound.limit, settings.silence);
+        let memory = inbound.memory.clone();
         let accept = Accept {
             exchange_reports: exchange_reports.clone(),
             inbound,
@@ -60,6 +61,7 @@
             clock: own.clock,
             exchange_reports,
             limit,
+            memory,
             outgoing: own.link.map(send),
             receiver,
             router: own.router,
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -19,6 +19,10 @@
         /// How the attempt ended.
         result: AttemptResult,
     },
+    /// A connection was refused, or got no further bytes of the memory for requests in progress.
+    ClaimRefused,
+    /// A connection was closed to make room for others.
+    Evicted,
     /// The gate refused a request of this daemon or of another one.
     GateRefused(Refusal),
     /// A second copy of a late request was sent, won or suppressed.
@@ -114,6 +118,10 @@
 /// ```
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Counters {
+    /// Claims to connections and buffered bytes that were refused.
+    pub claims_refused: u64,
+    /// Connections that were closed to make room for others.
+    pub evicted: u64,
     /// Ended attempts by result: `answered`, `target-failed`, or the reason of a refusal or loss.
     pub attempts: BTreeMap<&'static str, u64>,
     /// Refusals by the local gate, by reason.
@@ -149,6 +157,8 @@
         match *event {
             Event::Abandoned => add(&mut self.requests, "abandoned"),
             Event::Attempt { result, .. } => add(&mut self.attempts, attempt_name(result)),
+            Event::ClaimRefused => self.claims_refused += 1,
+            Event::Evicted => self.evicted += 1,
             Event::GateRefused(refusal) => add(&mut self.gate_refusals, refusal.name()),
             Event::Hedge(event) => add(&mut self.hedges, event.name()),
             Event::Link(event) => add(&mut self.link, event.name()),
@@ -191,17 +201,22 @@
                 (format!("{group}.{name}"), count - before)
             })
         });
-        let single = [
+        let totals = [
             ("target.cold", self.target_cold - earlier.target_cold),
+            (
+                "memory.claims_refused",
+                self.claims_refused - earlier.claims_refused,
+            ),
+            ("memory.evicted", self.evicted - earlier.evicted),
             (
                 "probes.skipped",
                 self.probes_skipped - earlier.probes_skipped,
             ),
             ("probes.spent", self.probes_spent - earlier.probes_spent),
         ];
-        let single = single.map(|(name, count)| (name.to_owned(), count));
+        let totals = totals.map(|(name, count)| (name.to_owned(), count));
         named
-            .chain(single)
+            .chain(totals)
             .filter(|(_, count)| *count > 0)
             .collect()
     }
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -38,6 +38,7 @@
     attempts: Counters,
     gate_refusals: Counters,
     hedges: Counters,
+    memory: Counters,
     link: Counters,
     probes: Counters,
     refusals: Counters,
@@ -64,6 +65,10 @@
             "hedges",
             "Second copies of late requests: sent, won, or why there is none",
         );
+        let memory = counters(
+            "memory",
+            "Connections closed to make room, and refused claims to connections and buffered bytes",
+        );
         let link = counters("link", "Events of the own link");
         let probes = counters("probes", "Questions to the target, by what became of them");
         let refusals = counters("refusals", "Requests told to be refused, by reason");
@@ -90,6 +95,7 @@
             attempts,
             gate_refusals,
             hedges,
+            memory,
             link,
             probes,
             refusals,
@@ -113,6 +119,8 @@
                 count(&self.attempts, "result", attempt_name(result));
                 observe(&self.attempt_time, elapsed);
             }
+            Event::ClaimRefused => count(&self.memory, "end", "refused"),
+            Event::Evicted => count(&self.memory, "end", "evicted"),
             Event::GateRefused(refusal) => count(&self.gate_refusals, "reason", refusal.name()),
             Event::Hedge(event) => count(&self.hedges, "event", event.name()),
             Event::Link(event) => count(&self.link, "event", event.name()),
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -49,7 +49,7 @@
 /// A request with a body that needs a grant.
 fn large_run(size: usize) -> RunRequest {
     let mut run = run();
-    run.http.body = vec![7; size];
+    run.http.body = vec![7; size].into();
     run.time_left = LIMIT;
     run
 }
@@ -285,7 +285,7 @@
     while stream.read_exact(&mut length).is_ok() {
         let mut message = vec![0; u32::from_be_bytes(length) as usize];
         let _ = stream.read_exact(&mut message);
-        let Ok(Request::Run(id, run)) = decode_request(&message) else {
+        let Ok(Request::Run(id, run)) = decode_request(&message.into()) else {
             return;
         };
         let _ = sizes.send(run.http.body.len());
