--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -9,6 +9,7 @@
 mod eras;
 mod evacuation;
 mod gate;
+mod hedging;
 mod ledger;
 mod members;
 mod memory;
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -141,6 +141,7 @@
             link_mbps: self.settings.machine.link_mbps,
             memory: self.memory.clone(),
             receiver,
+            router: self.senders.router.clone(),
             settings: &self.settings.peer,
             telemetry: self.senders.telemetry.clone(),
         })
@@ -177,6 +178,7 @@
             clock: self.clock,
             dialect: self.dialect,
             domain: &self.settings.domain,
+            hedge_percent: self.settings.routing.hedge_percent,
             policy: self.settings.routing.policy,
             receiver,
             seed: rand::rng().random(),
--- a/crates/node/src/messages/mod.rs
+++ b/crates/node/src/messages/mod.rs
@@ -17,6 +17,7 @@
 pub use peers::{PeerAddress, PeerFault, PeersMessage, PeersSender, PeersStatus};
 pub use probe::{ProbeMessage, ProbeResult, ProbeSender};
 pub use router::{
-    InFlightRequest, Observed, OpenTicket, Opened, Picked, Routed, RouterMessage, RouterSender,
+    HedgeDenied, InFlightRequest, LateRequest, Observed, OpenTicket, Opened, Picked, Routed,
+    RouterMessage, RouterSender,
 };
 pub use routing::{IngressMessage, IngressSender, Member, RoutingState};
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -18,7 +18,8 @@
 use crate::clock::Clock;
 use crate::memory::Memory;
 use crate::messages::{
-    ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RoutingState,
+    ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RouterSender,
+    RoutingState,
 };
 use crate::start::StartError;
 use crate::telemetry::Telemetry;
@@ -60,6 +61,8 @@
     pub link_mbps: Option<f64>,
     /// Messages from other tasks.
     pub receiver: mpsc::UnboundedReceiver<PeersMessage>,
+    /// Learns of changes of the own link.
+    pub router: RouterSender,
     /// Addresses, kind of link, secret and silence timeout.
     pub settings: &'a PeerSettings,
     /// Receives counts of bodies admitted to the own link.
@@ -96,6 +99,7 @@
         let own = OwnMachine {
             clock: start.clock,
             link: start.link_mbps.map(Rate::from_mbps),
+            router: start.router,
         };
         let telemetry = &start.telemetry;
         let admit =
--- a/crates/node/src/peers/tcp/link.rs
+++ b/crates/node/src/peers/tcp/link.rs
@@ -64,6 +64,7 @@
             memory,
             outgoing: own.link.map(send),
             receiver,
+            router: own.router,
             silence,
             telemetry,
         };
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -37,6 +37,7 @@
     attempt_time: Histogram,
     attempts: Counters,
     gate_refusals: Counters,
+    hedges: Counters,
     memory: Counters,
     link: Counters,
     probes: Counters,
@@ -60,6 +61,10 @@
         };
         let attempts = counters("attempts", "Ended attempts by result");
         let gate_refusals = counters("gate_refusals", "Requests that the gate refused, by reason");
+        let hedges = counters(
+            "hedges",
+            "Second copies of late requests: sent, won, or why there is none",
+        );
         let memory = counters(
             "memory",
             "Connections closed to make room, and refused claims to connections and buffered bytes",
@@ -89,6 +94,7 @@
             attempt_time,
             attempts,
             gate_refusals,
+            hedges,
             memory,
             link,
             probes,
@@ -116,6 +122,7 @@
             Event::ClaimRefused => count(&self.memory, "end", "refused"),
             Event::Evicted => count(&self.memory, "end", "evicted"),
             Event::GateRefused(refusal) => count(&self.gate_refusals, "reason", refusal.name()),
+            Event::Hedge(event) => count(&self.hedges, "event", event.name()),
             Event::Link(event) => count(&self.link, "event", event.name()),
             Event::ProbeSkipped => count(&self.probes, "end", "skipped"),
             Event::ProbeSpent => count(&self.probes, "end", "spent"),
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -125,6 +125,7 @@
         | Event::ClaimRefused
         | Event::Evicted
         | Event::GateRefused(_)
+        | Event::Hedge(_)
         | Event::Link(_)
         | Event::ProbeSkipped
         | Event::ProbeSpent
