Check a configuration of the store before it is sent

Operators of the platform's store could not tell whether daemons accept a configuration, what of it has no effect, and what it changes.

The decoder of the daemons decides what is an error; the review lists all errors with line and column or host and prefix, warns of repeated entries, weights of 0, unused services, unknown values and contradicting limits, and compares limits, services and routes field by field. Errors, and a version that isn't newer, exit with 1; warnings alone exit with 0. Files are read up to 16 MiB instead of 2, since configurations of the store may exceed 2 MiB.

A test compares the review with the decoder.

Tests of other crates weren't run.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -49,8 +49,13 @@
 /// Arguments of `check`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CheckCommand {
-    /// Checks a configuration document and its patches.
-    Config(Input),
+    /// Checks a configuration.
+    Config {
+        /// A document with patches, or a configuration in the form of the platform's store.
+        file: Input,
+        /// The configuration of the platform's store to compare with.
+        against: Option<Input>,
+    },
     /// Prints the default settings; checks nothing.
     PrintDefaults,
     /// Checks the settings of a daemon.
--- a/crates/cli/src/parse/commands.rs
+++ b/crates/cli/src/parse/commands.rs
@@ -75,10 +75,11 @@
         let [] = self.positionals([])?;
         let raw = &mut self.raw;
         let found = (raw.settings.take(), raw.config.take(), raw.print_defaults);
-        match found {
-            (Some(file), None, false) => Ok(CheckCommand::Settings(file)),
-            (None, Some(file), false) => Ok(CheckCommand::Config(file)),
-            (None, None, true) => Ok(CheckCommand::PrintDefaults),
+        match (found, raw.against.take()) {
+            ((Some(file), None, false), None) => Ok(CheckCommand::Settings(file)),
+            ((None, Some(file), false), against) => Ok(CheckCommand::Config { file, against }),
+            ((None, None, true), None) => Ok(CheckCommand::PrintDefaults),
+            (_, Some(_)) => Err(self.fault("--against requires --config")),
             _ => Err(self.fault("one of --settings, --config and --print-defaults is required")),
         }
     }
--- a/crates/cli/src/parse/raw.rs
+++ b/crates/cli/src/parse/raw.rs
@@ -57,6 +57,7 @@
 /// An option of a command.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum CommandOption {
+    Against,
     Author,
     Config,
     Daemon,
@@ -68,6 +69,7 @@
 impl CommandOption {
     fn from_name(name: &str) -> Option<Self> {
         match name {
+            "against" => Some(Self::Against),
             "author" => Some(Self::Author),
             "config" => Some(Self::Config),
             "daemon" => Some(Self::Daemon),
@@ -80,7 +82,12 @@
 
     fn allowed(topic: Topic) -> &'static [Self] {
         match topic {
-            Topic::Check => &[Self::Config, Self::PrintDefaults, Self::Settings],
+            Topic::Check => &[
+                Self::Against,
+                Self::Config,
+                Self::PrintDefaults,
+                Self::Settings,
+            ],
             Topic::Compact | Topic::Log | Topic::PatchAdd => &[Self::Config],
             Topic::Diff | Topic::Patch | Topic::Tool => &[],
             Topic::PatchCheck | Topic::PatchDiff | Topic::Show => &[Self::Config, Self::Daemon],
@@ -94,6 +101,7 @@
 /// The arguments of one command before it is known whether they are complete.
 #[derive(Debug, Default)]
 pub(super) struct RawArgs {
+    pub(super) against: Option<Input>,
     pub(super) author: Option<String>,
     pub(super) config: Option<Input>,
     pub(super) daemons: Vec<SocketAddr>,
@@ -152,6 +160,7 @@
         (name, value): (&str, String),
     ) -> Result<(), UsageFault> {
         let old = match option {
+            CommandOption::Against => self.against.replace(Input(value.into())).is_some(),
             CommandOption::Author => self.author.replace(value).is_some(),
             CommandOption::Config => self.config.replace(Input(value.into())).is_some(),
             CommandOption::Daemon => {
--- a/crates/cli/src/print/mod.rs
+++ b/crates/cli/src/print/mod.rs
@@ -8,7 +8,9 @@
 use hawthornwall_wire::document::{print_document, print_patch};
 use serde_json::{Value, json};
 
-use crate::run::{Artifact, ChangeReport, ConfigCheck, Entry, Outcome, SettingsCheck};
+use crate::run::{
+    Artifact, ChangeReport, ConfigCheck, Entry, Outcome, RoutesCheck, SettingsCheck, Severity,
+};
 
 use self::table::{lines, table};
 
@@ -19,6 +21,7 @@
         Outcome::Defaults(text) => text.clone(),
         Outcome::Log(entries) => log(entries),
         Outcome::Patch(report, artifact) => return patch(report, artifact),
+        Outcome::Routes(check) => routes(check),
         Outcome::Settings(check) => settings(check),
         Outcome::Show(configuration) => show(configuration),
         Outcome::Status(daemons) => daemon::lines(daemons),
@@ -37,6 +40,7 @@
         Outcome::Defaults(text) => json!({ "defaults": text }),
         Outcome::Log(entries) => json!(entries),
         Outcome::Patch(report, artifact) => with_artifact(json!(report), report, artifact),
+        Outcome::Routes(check) => json!(check),
         Outcome::Settings(check) => json!(check),
         Outcome::Show(configuration) => json!(configuration),
         Outcome::Status(daemons) => daemons.iter().map(daemon::status_json).collect(),
@@ -105,6 +109,31 @@
     lines(faults.chain(skipped).chain(reached))
 }
 
+fn routes(check: &RoutesCheck) -> String {
+    let file = &check.file;
+    let findings = check.findings.iter();
+    let findings = findings.map(|f| (f.severity, &f.value.text));
+    let differences = check.differences.iter();
+    let differences = differences.map(|d| (d.severity, &d.value.text));
+    let all = findings.chain(differences).map(|(severity, text)| {
+        let label = match severity {
+            Severity::Difference => "",
+            Severity::Error => "error: ",
+            Severity::Warning => "warning: ",
+        };
+        format!("{file}: {label}{text}")
+    });
+    let errors = count(check.errors, "error");
+    let warnings = count(check.warnings, "warning");
+    let reached = check.version.map_or(String::new(), |version| {
+        let routes = count(check.routes, "route");
+        let services = count(check.services, "service");
+        format!("{version}, {routes}, {services}, ")
+    });
+    let summary = format!("{file}: {reached}{errors}, {warnings}");
+    lines(all.chain([summary]))
+}
+
 fn log(entries: &[Entry]) -> String {
     if entries.is_empty() {
         return "the document has no patches\n".to_owned();
--- a/crates/cli/src/run/check.rs
+++ b/crates/cli/src/run/check.rs
@@ -1,13 +1,15 @@
 //! Executes `check`.
 
 use error_stack::Report;
+use hawthornwall_core::config::Document;
 use hawthornwall_core::ids::Version;
+use hawthornwall_platform::is_routes_document;
 use hawthornwall_settings::{Fault, Settings};
 use hawthornwall_wire::document::parse_document;
 use serde::Serialize;
 
 use super::patch::Entry;
-use super::source;
+use super::{Outcome, routes, source};
 use crate::command::Input;
 use crate::exit::Failure;
 
@@ -62,26 +64,34 @@
     Ok(SettingsCheck { faults, file })
 }
 
-/// Checks the checkpoint of a document and all patches.
-pub(super) fn config(input: &Input) -> Result<ConfigCheck, Report<Failure>> {
+/// Checks a configuration. A file that isn't a document with patches is taken for one of the platform's
+/// store if it looks like one, or if another is to be compared with it.
+pub(super) fn config(input: &Input, against: Option<&Input>) -> Result<Outcome, Report<Failure>> {
+    let bytes = source::read_bytes(input)?;
     let file = input.to_string();
-    let document = match parse_document(&source::read_bytes(input)?) {
-        Ok(document) => document,
-        Err(error) => {
-            let faults = vec![error.to_string()];
-            return Ok(ConfigCheck {
-                faults,
-                file,
-                reached: None,
-                skipped: Vec::new(),
-            });
-        }
-    };
+    if let Some(against) = against {
+        let base = routes::base(against)?;
+        return Ok(Outcome::Routes(routes::check(&bytes, file, Some(&base))));
+    }
+    Ok(match parse_document(&bytes) {
+        Ok(document) => Outcome::Config(document_check(&document, file)),
+        Err(_) if is_routes_document(&bytes) => Outcome::Routes(routes::check(&bytes, file, None)),
+        Err(error) => Outcome::Config(ConfigCheck {
+            faults: vec![error.to_string()],
+            file,
+            reached: None,
+            skipped: Vec::new(),
+        }),
+    })
+}
+
+/// Checks the checkpoint of a document and all patches.
+fn document_check(document: &Document, file: String) -> ConfigCheck {
     let broken = document.checkpoint.verify().into_iter();
     let history = document.history();
     let skipped = history.iter().filter(|entry| entry.result.is_err());
     let reached = document.replay().configuration;
-    Ok(ConfigCheck {
+    ConfigCheck {
         faults: broken.map(|fault| format!("checkpoint: {fault}")).collect(),
         file,
         reached: Some(ConfigSummary {
@@ -90,5 +100,5 @@
             version: reached.version,
         }),
         skipped: skipped.map(Entry::from).collect(),
-    })
+    }
 }
--- a/crates/cli/src/run/mod.rs
+++ b/crates/cli/src/run/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod daemon;
 mod patch;
+mod routes;
 mod source;
 
 use std::time::SystemTime;
@@ -13,6 +14,7 @@
 pub use check::{ConfigCheck, ConfigSummary, SettingsCheck};
 pub use daemon::DaemonStatus;
 pub use patch::{Artifact, ChangeReport, Entry, WithText};
+pub use routes::{Reviewed, RoutesCheck, Severity};
 
 use crate::command::{CheckCommand, Command};
 use crate::exit::{Exit, Failure};
@@ -28,6 +30,8 @@
     Log(Vec<Entry>),
     /// A report on a change, and what is printed if the change has no faults.
     Patch(Box<ChangeReport>, Artifact),
+    /// Result of checking a configuration in the form of the platform's store.
+    Routes(RoutesCheck),
     /// Result of checking settings.
     Settings(SettingsCheck),
     /// The configuration to print.
@@ -43,6 +47,7 @@
             Self::Config(check) => check.is_good(),
             Self::Defaults(_) | Self::Log(_) | Self::Show(_) => true,
             Self::Patch(report, _) => report.faults.is_empty(),
+            Self::Routes(check) => check.errors == 0,
             Self::Settings(check) => check.faults.is_empty(),
             Self::Status(lines) => {
                 let unreachable = lines.iter().any(DaemonStatus::is_unreachable);
@@ -65,7 +70,9 @@
 /// parsed. Faults in the content are part of the outcome.
 pub fn run(command: &Command, now: SystemTime) -> Result<Outcome, Report<Failure>> {
     Ok(match command {
-        Command::Check(CheckCommand::Config(file)) => Outcome::Config(check::config(file)?),
+        Command::Check(CheckCommand::Config { file, against }) => {
+            check::config(file, against.as_ref())?
+        }
         Command::Check(CheckCommand::PrintDefaults) => {
             Outcome::Defaults(hawthornwall_settings::commented_defaults())
         }
--- a/crates/cli/src/run/source.rs
+++ b/crates/cli/src/run/source.rs
@@ -11,8 +11,9 @@
 use crate::exit::Failure;
 
 /// Number of bytes after which reading a file stops. It is above the document limit, so that a
-/// document that is too long is reported as such.
-const FILE_LIMIT: u64 = 2 * DOCUMENT_LIMIT as u64;
+/// document that is too long is reported as such, and above the 8 MiB of changes that daemons read
+/// from the platform's store at once.
+const FILE_LIMIT: u64 = 16 * DOCUMENT_LIMIT as u64;
 
 /// Reads a file or standard input, up to [`FILE_LIMIT`].
 pub(super) fn read_bytes(input: &Input) -> Result<Vec<u8>, Report<Failure>> {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -95,6 +95,42 @@
     assert_snapshot!(name, run(line));
 }
 
+/// Guards against a fault of a configuration in the form of the platform's store that goes unnoticed, and
+/// against a wrong location or exit code.
+#[rstest]
+#[case::good("good", "check --config routes.json")]
+#[case::good_json("good_json", "check --config routes.json --json")]
+#[case::warnings("warnings", "check --config routes-warnings.json")]
+#[case::warnings_json("warnings_json", "check --config routes-warnings.json --json")]
+#[case::errors("errors", "check --config routes-errors.json")]
+#[case::errors_json("errors_json", "check --config routes-errors.json --json")]
+#[case::no_weight("no_weight", "check --config routes-no-weight.json")]
+#[case::cut("cut", "check --config routes-cut.json")]
+#[case::against("against", "check --config routes-next.json --against routes.json")]
+#[case::against_json(
+    "against_json",
+    "check --config routes-next.json --against routes.json --json"
+)]
+#[case::against_newer(
+    "against_newer",
+    "check --config routes.json --against routes-next.json"
+)]
+#[case::against_same("against_same", "check --config routes.json --against routes.json")]
+#[case::against_of_errors(
+    "against_of_errors",
+    "check --config routes-errors.json --against routes.json"
+)]
+#[case::against_errors(
+    "against_errors",
+    "check --config routes.json --against routes-errors.json"
+)]
+#[case::against_other_form("against_other_form", "check --config routes.json --against now.json")]
+#[case::other_form("other_form", "check --config now.json --against routes.json")]
+#[case::against_no_file("against_no_file", "check --config routes.json --against nowhere.json")]
+fn routes(#[case] name: &str, #[case] line: &str) {
+    assert_snapshot!(format!("routes_{name}"), run(line));
+}
+
 /// Guards against a change that becomes a wrong patch, and against printing a patch with faults.
 #[rstest]
 #[case::create_service(
@@ -136,6 +172,9 @@
 #[case("check --settings")]
 #[case("check --settings settings.json --settings settings.json")]
 #[case("check --daemon 127.0.0.1:1")]
+#[case("check --against routes.json")]
+#[case("check --settings settings.json --against routes.json")]
+#[case("check --config routes.json --against")]
 #[case("show")]
 #[case("show --config now.json --daemon 127.0.0.1:1")]
 #[case("show --config now.json extra")]
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -17,6 +17,7 @@
 mod call;
 mod change_log;
 mod entry;
+mod review;
 mod route_delta;
 mod sources;
 mod sync;
@@ -28,6 +29,7 @@
     Change, PublishedRoutes, PublishedState, PublishedTarget, RequestLimits, ServiceLimits,
     UpdateChange,
 };
+pub use review::{Concern, Field, RoutesDifference, Subject, compare, review};
 pub use route_delta::RouteDelta;
 pub use sources::{Level, Sources};
 pub use sync::{StoreSync, WATCH_WAIT};
