--- a/crates/core/src/catalog/review.rs
+++ b/crates/core/src/catalog/review.rs
@@ -171,6 +171,8 @@
     Idle,
     /// Time within which an answer has its full value.
     Objective,
+    /// Whether the protocol is one that daemons speak.
+    Protocol,
     /// Rank among all routes.
     Rank,
     /// Whether requests may run more than once.
@@ -191,6 +193,7 @@
             Self::HeadTimeout => "head timeout",
             Self::Idle => "idle limit",
             Self::Objective => "latency objective",
+            Self::Protocol => "protocol",
             Self::Rank => "priority",
             Self::Repeats => "repeats",
             Self::Timeout => "timeout",
@@ -263,8 +266,9 @@
     }
 }
 
-/// Lists the differences from `old` to `new`: version, limits, services, then routes. A service without
-/// limits is not part of a decoded configuration, so that adding or removing one is no difference here.
+/// Lists the differences from `old` to `new`: version, limits, services, then routes. A service with a
+/// known protocol and without limits is not part of a decoded configuration, so that adding or removing one is no
+/// difference here.
 pub fn compare(old: &PublishedRoutes, new: &PublishedRoutes) -> Vec<RoutesDifference> {
     let (from, to) = (old.version, new.version);
     let stale = (to <= from).then_some(RoutesDifference::NotNewer { from, to });
@@ -304,17 +308,28 @@
     }
 }
 
-fn compare_services(old: &PublishedRoutes, new: &PublishedRoutes) -> Vec<RoutesDifference> {
-    let names: BTreeSet<&String> = old.services.keys().chain(new.services.keys()).collect();
+fn compare_services<'a>(
+    old: &'a PublishedRoutes,
+    new: &'a PublishedRoutes,
+) -> Vec<RoutesDifference> {
+    let names =
+        |published: &'a PublishedRoutes| published.services.keys().chain(&published.unsupported);
+    let names: BTreeSet<&String> = names(old).chain(names(new)).collect();
+    let protocol = |published: &PublishedRoutes, name: &String| {
+        let unknown = published.unsupported.contains(name);
+        if unknown { "unknown" } else { "known" }.to_owned()
+    };
     let text = |limits: Option<&ServiceLimits>, value: fn(&ServiceLimits) -> Duration| {
         limits.map_or("none".to_owned(), |limits| seconds(value(limits)))
     };
     let changed = names.into_iter().flat_map(|name| {
+        let protocols = (protocol(old, name), protocol(new, name));
         let (old, new) = (old.services.get(name), new.services.get(name));
         let service = name.clone();
         changes(
             &Subject::Service { service },
             [
+                (Field::Protocol, protocols.0, protocols.1),
                 (
                     Field::ColdTime,
                     text(old, |limits| limits.cold),
--- a/crates/core/tests/review.rs
+++ b/crates/core/tests/review.rs
@@ -1,6 +1,6 @@
 //! Concerns about a configuration, and differences between two.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hawthornwall_core::catalog::{PublishedRoutes, RequestLimits, ServiceLimits, compare, review};
@@ -52,6 +52,7 @@
         limits,
         routes: table,
         services: services.collect::<BTreeMap<_, _>>(),
+        unsupported: BTreeSet::new(),
         version: Version(version),
     }
 }
@@ -115,6 +116,10 @@
     idle: Duration::ZERO,
 }), &[("a", 50), ("b", 70)], &[route("/x/")]))]
 #[case::routes("routes", published(8, Some(LIMITS), &[("a", 70)], &[other("/x/"), route("/y/")]))]
+#[case::protocols("protocols", PublishedRoutes {
+    unsupported: ["a", "b"].map(str::to_owned).into(),
+    ..published(8, Some(LIMITS), &[("a", 70)], &[route("/x/")])
+})]
 #[case::empty("empty", PublishedRoutes::default())]
 fn differences(#[case] name: &str, #[case] new: PublishedRoutes) {
     let old = published(7, Some(LIMITS), &[("a", 70)], &[route("/x/")]);
