--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -40,6 +40,8 @@
     StoreEra(&'static str),
     /// Content of the store has a value that this build doesn't know, in this field.
     UnknownValue(&'static str),
+    /// The local target was found cold.
+    TargetCold,
 }
 
 /// An event of the own link that is counted.
@@ -109,6 +111,9 @@
     pub store_eras: BTreeMap<&'static str, u64>,
     /// Values in decoded content of the store that this build doesn't know, by field.
     pub unknown_values: BTreeMap<&'static str, u64>,
+    /// Number of times that the local target was found cold.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target_cold: u64,
 }
 
 impl Counters {
@@ -131,6 +136,7 @@
             Event::Sent(kind) => add(&mut self.sent, pick_name(kind)),
             Event::StoreEra(source) => add(&mut self.store_eras, source),
             Event::UnknownValue(field) => add(&mut self.unknown_values, field),
+            Event::TargetCold => self.target_cold += 1,
         }
     }
 
@@ -156,21 +162,30 @@
                 (format!("{group}.{name}"), count - before)
             })
         });
-        let probes = [
+        let single = [
+            ("target.cold", self.target_cold - earlier.target_cold),
             (
                 "probes.skipped",
                 self.probes_skipped - earlier.probes_skipped,
             ),
             ("probes.spent", self.probes_spent - earlier.probes_spent),
         ];
-        let probes = probes.map(|(name, count)| (name.to_owned(), count));
+        let single = single.map(|(name, count)| (name.to_owned(), count));
         named
-            .chain(probes)
+            .chain(single)
             .filter(|(_, count)| *count > 0)
             .collect()
     }
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 fn add(counts: &mut BTreeMap<&'static str, u64>, name: &'static str) {
     *counts.entry(name).or_default() += 1;
 }
--- a/crates/node/src/telemetry/task.rs
+++ b/crates/node/src/telemetry/task.rs
@@ -128,6 +128,7 @@
         | Event::ProbeSpent
         | Event::Sent(_)
         | Event::StoreEra(_)
+        | Event::TargetCold
         | Event::UnknownValue(_) => {}
     }
 }
