--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -11,6 +11,7 @@
 mod gate;
 mod ledger;
 mod members;
+mod memory;
 mod own_link;
 mod pipeline;
 mod probing;
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -22,6 +22,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::http;
+use crate::memory::Memory;
 use crate::messages::{
     GateMessage, GateStatus, ProbeMessage, ProbeResult, ProbeSender, RoutingState,
 };
@@ -51,6 +52,8 @@
     pub dialect: Dialect,
     /// Identifies this run of the daemon; part of issued keys and of load reports.
     pub instance: InstanceId,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     /// Sender to the probe task, which also receives each configuration from the gate.
     pub probe: ProbeSender,
     /// Messages from other tasks. The task ends when all senders are dropped.
@@ -85,6 +88,7 @@
     evacuated_refusals: u64,
     gate: Gate,
     idle: Vec<mpsc::UnboundedSender<Job>>,
+    memory: Memory,
     records: RequestRecords,
     pauses: PauseDetector,
     probe: ProbeSender,
@@ -108,7 +112,7 @@
         let settings = start.settings;
         let (conn_sender, conn_events) = mpsc::unbounded();
         let limits = http::Limits {
-            body: settings.caller.body_limit,
+            body: settings.body_limit(),
             head: settings.caller.head_limit,
             idle: settings.target.silence,
         };
@@ -141,6 +145,7 @@
             evacuated_refusals: 0,
             gate,
             idle: Vec::new(),
+            memory: start.memory,
             records: RequestRecords::new(start.instance, &settings.keys),
             pauses: PauseDetector::new(TICK_IDLE, start.clock.now()),
             probe: start.probe,
@@ -506,7 +511,8 @@
     /// delayed: a target takes about a millisecond to accept each connection.
     fn preconnect(&self, slots: u32) {
         for _ in 0..slots.min(MAX_PRECONNECTS) {
-            monoio::spawn(conn::preconnect(self.address, self.conn_sender.clone()));
+            let (memory, events) = (self.memory.clone(), self.conn_sender.clone());
+            monoio::spawn(conn::preconnect(self.address, memory, events));
         }
     }
 
@@ -519,7 +525,8 @@
                 Err(unsent) => job = unsent.into_inner(),
             }
         }
-        monoio::spawn(conn::run(self.address, job, self.conn_sender.clone()));
+        let (memory, events) = (self.memory.clone(), self.conn_sender.clone());
+        monoio::spawn(conn::run(self.address, memory, job, events));
     }
 
     fn status(&mut self) -> GateStatus {
--- a/crates/node/src/http/reader.rs
+++ b/crates/node/src/http/reader.rs
@@ -2,9 +2,10 @@
 
 use std::fmt;
 use std::io;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use hawthornwall_wire::chunks::{ChunkDecoder, ChunkFault};
 use hawthornwall_wire::head::{Framing, HeadFault, HeadKind, check_head, head_length};
 use http::request::Parts as RequestHead;
@@ -15,6 +16,7 @@
 use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
 
 use super::{Limits, ReadFault};
+use crate::memory::Lease;
 
 /// Size of one read from the socket, in bytes.
 const READ_SIZE: usize = 8 << 10;
@@ -29,6 +31,7 @@
     buf: BytesMut,
     /// When bytes last arrived.
     filled: Option<Instant>,
+    lease: Rc<Lease>,
     limits: Limits,
     scratch: Vec<u8>,
     tcp: OwnedReadHalf<TcpStream>,
@@ -43,10 +46,11 @@
 }
 
 impl HttpReader {
-    pub(super) fn new(tcp: OwnedReadHalf<TcpStream>, limits: Limits) -> Self {
+    pub(super) fn new(tcp: OwnedReadHalf<TcpStream>, limits: Limits, lease: Rc<Lease>) -> Self {
         Self {
             buf: BytesMut::new(),
             filled: None,
+            lease,
             limits,
             scratch: Vec::new(),
             tcp,
@@ -80,9 +84,9 @@
     /// # Errors
     ///
     /// If no complete body was read. The connection can't be used afterwards.
-    pub async fn read_body(&mut self, framing: Framing) -> Result<Vec<u8>, ReadFault> {
+    pub async fn read_body(&mut self, framing: Framing) -> Result<Bytes, ReadFault> {
         match framing {
-            Framing::None => Ok(Vec::new()),
+            Framing::None => Ok(Bytes::new()),
             Framing::Length(length) => self.read_fixed(length).await,
             Framing::Chunked => self.read_chunked().await,
         }
@@ -91,7 +95,7 @@
     /// Completes when the peer closes the connection. Bytes that arrive earlier, such as further requests,
     /// are buffered up to `limit`; after that nothing more is read, and a close isn't noticed.
     pub async fn closed(&mut self, limit: usize) {
-        while self.buf.len() < limit {
+        while self.buf.len() < limit && self.lease.read(self.buf.len()).await {
             match self.fill().await {
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
@@ -117,12 +121,12 @@
     /// # Errors
     ///
     /// If the connection fails, no bytes arrive within [`Limits::idle`], or the body is too large.
-    pub async fn read_to_end(&mut self) -> Result<Vec<u8>, ReadFault> {
+    pub async fn read_to_end(&mut self) -> Result<Bytes, ReadFault> {
         loop {
-            match self.fill_timed().await {
+            match self.fill_timed(0).await {
                 Ok(()) if self.buf.len() > self.limits.body => return Err(ReadFault::TooLarge),
                 Ok(()) => {}
-                Err(ReadFault::Incomplete) => return Ok(self.buf.split().to_vec()),
+                Err(ReadFault::Incomplete) => return Ok(std::mem::take(&mut self.buf).freeze()),
                 Err(fault) => return Err(fault),
             }
         }
@@ -143,6 +147,17 @@
         let _ = monoio::time::timeout(LINGER_TIMEOUT, discard).await;
     }
 
+    /// Applies other limits from the next message on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Drops what has been read of a message that won't be completed, so that there is room for its refusal.
+    pub async fn clear(&mut self) {
+        self.buf = BytesMut::new();
+        let _ = self.lease.read(0).await;
+    }
+
     /// Maximum size of a body, in bytes.
     pub fn body_limit(&self) -> usize {
         self.limits.body
@@ -160,37 +175,43 @@
                 return check_head(&self.buf[..length], kind).map_err(ReadFault::Head);
             }
             let at_start = self.buf.is_empty();
-            self.fill_timed().await.map_err(|fault| match fault {
+            self.fill_timed(0).await.map_err(|fault| match fault {
                 ReadFault::Incomplete if at_start => ReadFault::Closed,
                 other => other,
             })?;
         }
     }
 
-    async fn read_fixed(&mut self, length: usize) -> Result<Vec<u8>, ReadFault> {
+    async fn read_fixed(&mut self, length: usize) -> Result<Bytes, ReadFault> {
         if length > self.limits.body {
             return Err(ReadFault::TooLarge);
         }
         while self.buf.len() < length {
-            self.fill_timed().await?;
+            // Avoids copies when the buffer grows. Pages that are never written take no memory.
+            self.buf.reserve(length - self.buf.len());
+            self.fill_timed(0).await?;
         }
-        Ok(self.buf.split_to(length).to_vec())
+        Ok(take_front(&mut self.buf, length))
     }
 
-    async fn read_chunked(&mut self) -> Result<Vec<u8>, ReadFault> {
+    async fn read_chunked(&mut self) -> Result<Bytes, ReadFault> {
         let mut body = Vec::new();
         let mut chunks = ChunkDecoder::new(self.limits.body);
         loop {
             let used = chunks.decode(&self.buf, &mut body).map_err(chunk_fault)?;
             self.buf.advance(used);
             if chunks.is_done() {
-                return Ok(body);
+                return Ok(body.into());
             }
-            self.fill_timed().await?;
+            self.fill_timed(body.len()).await?;
         }
     }
 
-    async fn fill_timed(&mut self) -> Result<(), ReadFault> {
+    /// Reads the next bytes of a message of which `decoded` bytes are outside of the buffer.
+    async fn fill_timed(&mut self, decoded: usize) -> Result<(), ReadFault> {
+        if !self.lease.read(self.buf.len() + decoded).await {
+            return Err(ReadFault::Memory);
+        }
         let idle = self.limits.idle;
         match monoio::time::timeout(idle, self.fill()).await {
             Err(_) => Err(ReadFault::Idle),
@@ -212,6 +233,18 @@
     }
 }
 
+/// Takes the first `length` bytes off a buffer. A long body leaves with its allocation, which would otherwise stay
+/// with the connection.
+pub(crate) fn take_front(buf: &mut BytesMut, length: usize) -> Bytes {
+    if length <= READ_SIZE {
+        return buf.split_to(length).freeze();
+    }
+    let rest = BytesMut::from(&buf[length..]);
+    let mut front = std::mem::replace(buf, rest);
+    front.truncate(length);
+    front.freeze()
+}
+
 fn complete_head<T>(decoded: Result<Decoded<T>, String>) -> Result<T, ReadFault> {
     let malformed = |reason: String| ReadFault::Head(HeadFault::Malformed(reason));
     match decoded.map_err(malformed)? {
--- a/crates/node/src/peers/tcp/pool.rs
+++ b/crates/node/src/peers/tcp/pool.rs
@@ -15,6 +15,7 @@
 use super::super::link::{Delivery, ExchangeReports, LinkTraffic};
 use super::conn::{self, ConnEnd, ConnReport, ConnStart, LateDecision};
 use crate::clock::Clock;
+use crate::memory::Memory;
 use crate::messages::PeerFault;
 use crate::telemetry::{Event, LinkEvent, Telemetry, log};
 
@@ -75,6 +76,8 @@
     pub exchange_reports: ExchangeReports,
     /// Maximum message size in bytes.
     pub limit: usize,
+    /// Budget of buffered bytes and connections.
+    pub memory: Memory,
     /// Orders large bodies on the own link; `None` if its rate isn't set.
     pub outgoing: Option<Bodies>,
     pub receiver: mpsc::UnboundedReceiver<PoolMessage>,
@@ -89,6 +92,7 @@
     clock: Clock,
     exchange_reports: ExchangeReports,
     limit: usize,
+    memory: Memory,
     /// `None` if the rate of the own link isn't set.
     own_link: Option<OwnLink<SocketAddr>>,
     outgoing: Option<Bodies>,
@@ -110,6 +114,7 @@
             clock: start.clock,
             exchange_reports: start.exchange_reports,
             limit: start.limit,
+            memory: start.memory,
             own_link: start.outgoing.as_ref().map(|_| OwnLink::default()),
             outgoing: start.outgoing,
             peers: HashMap::new(),
@@ -244,6 +249,7 @@
             clock: self.clock,
             exchange_reports: self.exchange_reports.clone(),
             limit: self.limit,
+            memory: self.memory.clone(),
             outgoing: self.outgoing.clone(),
             peer: address,
             reports: self.sender.clone(),
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -37,6 +37,7 @@
     attempt_time: Histogram,
     attempts: Counters,
     gate_refusals: Counters,
+    memory: Counters,
     link: Counters,
     probes: Counters,
     refusals: Counters,
@@ -59,6 +60,10 @@
         };
         let attempts = counters("attempts", "Ended attempts by result");
         let gate_refusals = counters("gate_refusals", "Requests that the gate refused, by reason");
+        let memory = counters(
+            "memory",
+            "Connections closed to make room, and refused claims to connections and buffered bytes",
+        );
         let link = counters("link", "Events of the own link");
         let probes = counters("probes", "Questions to the target, by what became of them");
         let refusals = counters("refusals", "Requests told to be refused, by reason");
@@ -84,6 +89,7 @@
             attempt_time,
             attempts,
             gate_refusals,
+            memory,
             link,
             probes,
             refusals,
@@ -107,6 +113,8 @@
                 count(&self.attempts, "result", attempt_name(result));
                 observe(&self.attempt_time, elapsed);
             }
+            Event::ClaimRefused => count(&self.memory, "end", "refused"),
+            Event::Evicted => count(&self.memory, "end", "evicted"),
             Event::GateRefused(refusal) => count(&self.gate_refusals, "reason", refusal.name()),
             Event::Link(event) => count(&self.link, "event", event.name()),
             Event::ProbeSkipped => count(&self.probes, "end", "skipped"),
--- a/crates/node/tests/cold.rs
+++ b/crates/node/tests/cold.rs
@@ -153,7 +153,7 @@
     RunRequest {
         expected_target: Some("i-1".to_owned()),
         http: HttpRequest {
-            body: Vec::new(),
+            body: bytes::Bytes::new(),
             headers: vec![Header {
                 name: "x-request-id".to_owned(),
                 value: b"7".to_vec(),
@@ -185,6 +185,7 @@
         clock: Clock::start(),
         dialect: Dialect::Platform,
         instance: InstanceId(1),
+        memory: hawthornwall_node::memory::Memory::default(),
         probe,
         receiver,
         settings: &settings,
--- a/crates/node/tests/common/peer_daemon.rs
+++ b/crates/node/tests/common/peer_daemon.rs
@@ -75,6 +75,7 @@
         silence,
     };
     let started = Peers::start(PeersStart {
+        memory: hawthornwall_node::memory::Memory::default(),
         clock: Clock::start(),
         control,
         gate: GateSender::new(gate),
@@ -127,7 +128,7 @@
     RunRequest {
         expected_target: None,
         http: HttpRequest {
-            body: vec![7; 100],
+            body: vec![7; 100].into(),
             headers: Vec::new(),
             method: "GET".to_owned(),
             path: "/a".to_owned(),
