--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -22,6 +22,7 @@
 mod call;
 mod change_log;
 mod entry;
+mod review;
 mod revision;
 mod route_delta;
 mod sources;
@@ -34,6 +35,7 @@
     Change, PublishedRoutes, PublishedState, PublishedTarget, RequestLimits, ServiceLimits,
     UpdateChange,
 };
+pub use review::{Concern, Field, RoutesDifference, Subject, compare, review};
 pub use revision::Revision;
 pub use route_delta::RouteDelta;
 pub use sources::{Level, Sources};
