--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -275,16 +275,19 @@
             }
             Step::ReturnStore(age) => self.return_store(age).await,
             Step::Store(fault, time) => self.fail_store(None, fault, time).await,
-            Step::StorePart(fault, time) => {
-                for reader in (0..nodes.len()).step_by(3) {
-                    let one = Rc::clone(&self);
-                    monoio::spawn(async move { one.fail_store(Some(reader), fault, time).await });
-                }
-            }
+            Step::StorePart(fault, time) => self.fail_store_for_some(fault, time),
             Step::Terminate(index) => self.terminate(index, timed.planned),
         }
     }
 
+    /// Makes the store fail for every third daemon.
+    fn fail_store_for_some(self: &Rc<Self>, fault: StoreFault, time: Duration) {
+        for reader in (0..self.fleet.nodes.len()).step_by(3) {
+            let one = Rc::clone(self);
+            monoio::spawn(async move { one.fail_store(Some(reader), fault, time).await });
+        }
+    }
+
     fn terminate(&self, index: usize, planned: bool) {
         if planned {
             let now = Instant::now();
