--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -32,11 +32,11 @@
 
 /// Waits for the offer of a body and returns its size and the channel for the decision of the gate.
 async fn offer(daemon: &mut Daemon) -> (u64, oneshot::Sender<(Result<(), Refusal>, LoadReport)>) {
-    match daemon.gate_message().await {
-        GateMessage::Offer { offer, reply } => (offer.size, reply),
-        // The message may hold a large body.
-        _ => panic!("another message than an offer arrived"),
-    }
+    // The message isn't printed, since it may hold a large body.
+    let GateMessage::Offer { offer, reply } = daemon.gate_message().await else {
+        panic!("another message than an offer arrived");
+    };
+    (offer.size, reply)
 }
 
 /// Waits for the offer of a body, which the gate admits.
@@ -399,7 +399,14 @@
                     answered += 1;
                     let _ = to.send(reply(id));
                 }
-                _ => panic!("neither an offer nor a request arrived"),
+                GateMessage::Cancel(_)
+                | GateMessage::Drain(_)
+                | GateMessage::IssueKey { .. }
+                | GateMessage::LoadAnswer(_)
+                | GateMessage::Probed(_)
+                | GateMessage::RoutingState(_)
+                | GateMessage::Status(_)
+                | GateMessage::Stop(_) => panic!("neither an offer nor a request arrived"),
             }
         }
         for one in sent {
