--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -477,14 +477,20 @@
 
 // Store ----------------------------------------------------------------------------------------------------
 
+#[derive(Clone)]
 struct Item {
     created: u64,
     revision: u64,
     value: Vec<u8>,
 }
 
-#[derive(Default)]
-struct Contents {
+/// What the store holds at one moment.
+#[derive(Clone, Default)]
+pub struct Contents {
+    /// While set, connections are closed without an answer.
+    away: bool,
+    /// The era that all answers state; none is stated if 0.
+    era: u64,
     /// Revision, key, and the value unless the item was deleted.
     events: Vec<(u64, String, Option<Vec<u8>>)>,
     items: BTreeMap<String, Item>,
@@ -532,11 +538,43 @@
         self.shared.1.notify_all();
     }
 
+    /// States an era in all answers from now on.
+    pub fn state_era(&self, era: u64) {
+        self.shared.0.lock().unwrap().era = era;
+    }
+
+    /// A copy of what the store holds.
+    pub fn copy(&self) -> Contents {
+        self.shared.0.lock().unwrap().clone()
+    }
+
+    /// The store is away: it closes its connections and answers nothing.
+    pub fn leave(&self) {
+        self.shared.0.lock().unwrap().away = true;
+        self.shared.1.notify_all();
+    }
+
+    /// The store returns from an older copy; the era rises by one.
+    pub fn restore(&self, copy: Contents) {
+        let mut contents = self.shared.0.lock().unwrap();
+        let era = contents.era + 1;
+        *contents = Contents { away: false, era, ..copy };
+        self.shared.1.notify_all();
+    }
+
     fn serve(&self, mut reader: Reader) {
         while let Ok(message) = reader.message() {
             let (status, body) = self.answer(message.path());
+            let (away, era) = {
+                let contents = self.shared.0.lock().unwrap();
+                (contents.away, contents.era)
+            };
+            if away {
+                return;
+            }
+            let era = if era > 0 { format!("Store-Era: {era}\r\n") } else { String::new() };
             let head = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{era}Content-Length: {}\r\n\r\n",
                 body.len()
             );
             if reader.stream.write_all(format!("{head}{body}").as_bytes()).is_err() {
@@ -565,22 +603,29 @@
             "/api/kv-watch" => {
                 let after: u64 = value("after").and_then(|v| v.parse().ok()).unwrap_or(0);
                 let wait: u64 = value("waitMs").and_then(|v| v.parse().ok()).unwrap_or(0);
-                ("200 OK", self.watch(&prefix, after, ms(wait)))
+                match self.watch(&prefix, after, ms(wait)) {
+                    Some(body) => ("200 OK", body),
+                    None => ("410 Gone", "{}".to_owned()),
+                }
             }
             _ => ("404 Not Found", "{}".to_owned()),
         }
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
+    /// The events after a revision; `None` if the store doesn't have that revision.
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Option<String> {
         let until = Instant::now() + wait;
         let mut contents = self.shared.0.lock().unwrap();
         loop {
+            if after > contents.revision {
+                return None;
+            }
             let events = contents.events.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
             let events: Vec<_> = events.map(|(at, key, value)| event_json(*at, key, value.as_deref())).collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            if !events.is_empty() || left.is_zero() || contents.away {
                 let revision = contents.revision;
-                return format!("{{\"events\":[{}],\"storeRevision\":{revision}}}", events.join(","));
+                return Some(format!("{{\"events\":[{}],\"storeRevision\":{revision}}}", events.join(",")));
             }
             contents = self.shared.1.wait_timeout(contents, left).unwrap().0;
         }
@@ -651,6 +696,8 @@
 /// An application worker.
 #[derive(Clone)]
 pub struct Worker {
+    /// When each request that isn't misdirected arrived, with its id.
+    pub arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
     pub id: String,
     pub service: String,
     behaviour: Arc<Behaviour>,
@@ -673,6 +720,7 @@
         behaviour: impl Fn(&Message, u64) -> Act + Send + Sync + 'static,
     ) -> Self {
         let worker = Self {
+            arrivals: Arc::default(),
             id: id.to_owned(),
             service: service.to_owned(),
             behaviour: Arc::new(behaviour),
@@ -709,13 +757,17 @@
     }
 
     pub fn register_born(&self, store: &Store, address: SocketAddr, zone: &str, state: &str, born: u64) {
+        store.put(&format!("servers/{}", self.id), &self.entry(address, zone, state, born, 1));
+    }
+
+    /// The text of an entry: a status report of this worker.
+    pub fn entry(&self, address: SocketAddr, zone: &str, state: &str, born: u64, sequence: u64) -> String {
         let (service, slots) = (&self.service, self.slots);
-        let entry = format!(
+        format!(
             "{{\"address\":\"{address}\",\"born\":{born},\"info\":{{\"service\":\"{service}\",\"version\":\"v1\",\
-             \"zone\":\"{zone}\",\"slots\":{slots}}},\"status\":{{\"state\":\"{state}\",\"sequence\":1,\
+             \"zone\":\"{zone}\",\"slots\":{slots}}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\
              \"coldRemainingS\":0}}}}"
-        );
-        store.put(&format!("servers/{}", self.id), &entry);
+        )
     }
 
     /// Ends the worker: its listener and its connections close.
@@ -757,6 +809,7 @@
             );
             return reader.stream.write_all(text.as_bytes()).is_ok();
         }
+        self.arrivals.lock().unwrap().push((Instant::now(), id.clone()));
         let count = {
             let mut runs = self.runs.lock().unwrap();
             runs.push(message.clone());
@@ -791,6 +844,51 @@
     .into_bytes()
 }
 
+/// Milliseconds of Unix time.
+pub fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.unwrap().as_millis() as u64
+}
+
+/// What became of a stream of requests.
+pub struct Sent {
+    pub answer: Answer,
+    pub at: Instant,
+    pub id: String,
+}
+
+/// Sends one request each `gap` to each of the addresses for a time, every one on a thread and a connection of its
+/// own, and returns what became of them.
+pub fn send_steadily(
+    to: &[SocketAddr],
+    gap: Duration,
+    length: Duration,
+    bytes: fn(&str) -> Vec<u8>,
+    record: &Record,
+) -> thread::JoinHandle<Vec<Sent>> {
+    let (to, record) = (to.to_vec(), record.clone());
+    thread::spawn(move || {
+        let (start, mut handles) = (Instant::now(), Vec::new());
+        for turn in 0.. {
+            if start.elapsed() >= length {
+                break;
+            }
+            for (client, to) in to.iter().enumerate() {
+                let (to, record) = (*to, record.clone());
+                let id = format!("c{client}-{turn}");
+                handles.push(thread::spawn(move || {
+                    let at = Instant::now();
+                    let answer = ask(to, &bytes(&id), ms(6_000));
+                    record.line(&format!("client got for {id}: {}", answer.text()));
+                    Sent { answer, at, id }
+                }));
+            }
+            thread::sleep(gap);
+        }
+        handles.into_iter().filter_map(|handle| handle.join().ok()).collect()
+    })
+}
+
 /// A configuration with one route a service: `/SERVICE/` on the host `SERVICE.example`.
 pub fn config(version: u64, routes: &[(&str, &str, f64, &str)]) -> String {
     let mut listeners = Vec::new();
