--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -143,6 +143,11 @@
         self.address(machine, 4)
     }
 
+    /// Where a machine's relay to the store listens.
+    pub fn relay(&self, machine: u8) -> SocketAddr {
+        self.address(machine + 100, 0)
+    }
+
     /// The store's address, on the last address of the block.
     pub fn store(&self) -> SocketAddr {
         self.address(250, 0)
@@ -186,6 +191,8 @@
 /// What a daemon's settings say of its machine.
 pub struct Machine<'a> {
     pub grace_s: u32,
+    /// Whether the machine reaches the store through its relay.
+    pub relayed: bool,
     pub machine: u8,
     pub service: &'a str,
     pub zone: &'a str,
@@ -208,7 +215,7 @@
         ("ip", net.ip(at)),
         ("internalPorts.0", net.admin(at).port().to_string()),
         ("internalPorts.1", net.peer(at).port().to_string()),
-        ("platform.address", net.store().to_string()),
+        ("platform.address", if machine.relayed { net.relay(at) } else { net.store() }.to_string()),
     ]);
     let path = folder.join(format!("settings-{at}.json"));
     std::fs::write(&path, render(&template.unwrap(), &values)).unwrap();
@@ -681,6 +688,68 @@
     out
 }
 
+// Relay ----------------------------------------------------------------------------------------------------
+
+/// A relay on the way to the store. While it is cut, it holds all bytes; what is held is lost if its sender closes the
+/// connection before the cut ends.
+#[derive(Clone)]
+pub struct Relay {
+    cut: Arc<Mutex<bool>>,
+    /// Number of connections that the side of the daemon has closed.
+    closed: Arc<Mutex<u64>>,
+}
+
+impl Relay {
+    pub fn start(at: SocketAddr, to: SocketAddr) -> Self {
+        let relay = Self { cut: Arc::default(), closed: Arc::default() };
+        let listener = TcpListener::bind(at).expect("the relay's address is free");
+        let serving = relay.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let Ok(far) = TcpStream::connect(to) else { continue };
+                let (out, back) = (serving.clone(), serving.clone());
+                let (near_2, far_2) = (near.try_clone().unwrap(), far.try_clone().unwrap());
+                thread::spawn(move || out.pass(near, far, true));
+                thread::spawn(move || back.pass(far_2, near_2, false));
+            }
+        });
+        relay
+    }
+
+    pub fn set_cut(&self, cut: bool) {
+        *self.cut.lock().unwrap() = cut;
+    }
+
+    pub fn closed(&self) -> u64 {
+        *self.closed.lock().unwrap()
+    }
+
+    fn pass(&self, mut from: TcpStream, mut to: TcpStream, outward: bool) {
+        let mut bytes = [0; 16384];
+        let _ = from.set_read_timeout(Some(ms(5)));
+        let _ = to.set_nodelay(true);
+        let mut held = Vec::new();
+        let open = loop {
+            match from.read(&mut bytes) {
+                Ok(0) => break false,
+                Ok(count) => held.extend_from_slice(&bytes[..count]),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => break false,
+            }
+            if !held.is_empty() && !*self.cut.lock().unwrap() {
+                if to.write_all(&held).is_err() {
+                    break true;
+                }
+                held.clear();
+            }
+        };
+        if outward && !open {
+            *self.closed.lock().unwrap() += 1;
+        }
+        let _ = to.shutdown(std::net::Shutdown::Both);
+    }
+}
+
 // Workers --------------------------------------------------------------------------------------------------
 
 /// What a worker does with a request.
@@ -829,7 +898,11 @@
             }
         };
         *self.running.lock().unwrap() -= 1;
-        reader.stream.write_all(&bytes).is_ok() && !close
+        let written = reader.stream.write_all(&bytes).is_ok();
+        if close {
+            let _ = reader.stream.shutdown(std::net::Shutdown::Both);
+        }
+        written && !close
     }
 }
 
