Show review case 6 with two overlapping pieces of planned work

Cause: a repeated SIGTERM ends the process at once, whatever is in flight. The requests run at the workers of the other machines.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,4 +1,4 @@
-//! A second SIGTERM while a planned stop is in progress; see claim.txt.
+//! A machine is stopped, and its worker, which was leaving, terminates meanwhile: a second SIGTERM; see claim.txt.
 
 #[path = "../common-2.rs"]
 mod common;
@@ -13,6 +13,7 @@
 /// Time that the clients wait.
 const BUDGET_MS: u64 = 2_500;
 const CLIENTS: usize = 6;
+const DRAIN_MS: u64 = 2_000;
 
 fn main() {
     run_case("review/6/record.txt", case);
@@ -37,9 +38,14 @@
         record.line("the daemons aren't ready: the case can't run");
         return End::NotRun;
     }
-    // Bounds with `touchS`: nothing disturbs the machines before the requests.
+    // Longer than `touchS`: nothing disturbs the machines before the requests.
     thread::sleep(ms(4_000));
-    record.line("SIGTERM to the daemon of machine 1");
+    if trouble() {
+        workers[0].register(&store, net.app(1), zones[0], "draining");
+        record.line("worker i-1 reports draining (scale_in); the store confirms");
+    }
+    thread::sleep(ms(DRAIN_MS));
+    record.line("SIGTERM to the daemon of machine 1 (roll_term)");
     daemons[0].signal(TERM);
     thread::sleep(ms(100));
     let clients: Vec<_> = (0..CLIENTS)
@@ -57,7 +63,9 @@
         .collect();
     thread::sleep(ms(400));
     if trouble() {
-        record.line("a second SIGTERM to the daemon of machine 1");
+        store.delete("servers/i-1");
+        workers[0].end();
+        record.line("worker i-1 terminates; a node receives SIGTERM after its worker has terminated: SIGTERM to the daemon of machine 1");
         daemons[0].signal(TERM);
     }
     let mut lost = 0;
