Keep the schedule of a stop when another stop is requested

Cause: Daemon::run took any second SIGTERM or SIGINT as an order to leave at once. SIGTERM and SIGINT are told apart now: during a stop only SIGINT, which a person sends from a terminal, ends the daemon sooner; a further SIGTERM and a reload are logged. The first signal keeps setting the schedule, as the platform counts the grace from it. The soak sends a further SIGTERM during half of its stops.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -29,7 +29,8 @@
 
 Signals:
   HUP              reread the settings and log what a restart would change
-  TERM, INT        finish the requests in flight, then exit; a second signal exits at once
+  TERM, INT        finish the requests in flight, then exit; a TERM during the stop changes nothing
+  INT, later       during a stop: exit at once and cut the requests in flight
 
 Exit codes:
   0  stopped by a signal
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -3,7 +3,8 @@
 //! Rules kept here:
 //! - all listeners are bound before the first task starts, so that a daemon never runs with only some of
 //!   them;
-//! - a planned stop first refuses new work, then finishes the requests in flight, and then exits.
+//! - a planned stop first refuses new work, then finishes the requests in flight, and then exits; only an interrupt
+//!   (`SIGINT`) during the stop ends it sooner.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -392,13 +393,12 @@
         }
         .fuse();
         let drain = async { futures::join!(stopping, ingress) };
-        // A second signal ends the drain at once.
-        let second = signals.stop().fuse();
+        let interrupted = wait_for_interrupt(&mut signals, &self.reload).fuse();
         let limited = monoio::time::timeout(self.clock.until(plan.end()), drain).fuse();
-        pin_mut!(second, limited);
+        pin_mut!(interrupted, limited);
         select_biased! {
             _ = limited => {}
-            () = second => {}
+            () = interrupted => log::warn!("interrupted during the stop; requests in flight are cut"),
         }
         let (closed, done) = oneshot::channel();
         let _ = self
@@ -428,12 +428,24 @@
     Memory::limited(sender)
 }
 
-/// Rereads the settings on each reload signal; ends on a stop signal.
+/// Rereads the settings on each reload signal; ends on a signal to stop.
 async fn wait_for_stop(signals: &mut Signals, reload: &Reload) {
     loop {
         match signals.next().await {
             Signal::Reload => reload.run(),
-            Signal::Stop => return,
+            Signal::Interrupt | Signal::Terminate => return,
+        }
+    }
+}
+
+/// Handles signals during a stop; ends on an interrupt. Planned stops of one instance may overlap, each with its own
+/// `SIGTERM`: the first one has set the schedule, and the others must not cut the requests that it finishes.
+async fn wait_for_interrupt(signals: &mut Signals, reload: &Reload) {
+    loop {
+        match signals.next().await {
+            Signal::Interrupt => return,
+            Signal::Reload => reload.run(),
+            Signal::Terminate => log::info!("already stopping; the stop goes on as scheduled"),
         }
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -194,7 +194,7 @@
     /// Sends a signal to a daemon. Does nothing if the daemon isn't running.
     pub fn signal(&self, number: usize, signal: Signal) {
         let node = &self.nodes[number];
-        if signal == Signal::Terminate {
+        if signal == Signal::Terminate && !self.is_stopping(number) {
             node.stop_requested.set(Some(Instant::now()));
         }
         if let Some(child) = &*node.child.borrow() {
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Whether a daemon was told to stop and hasn't been seen to exit.
+    pub fn is_stopping(&self, number: usize) -> bool {
+        self.nodes[number].stop_requested.get().is_some()
+    }
+
     /// Kills a daemon; [`Fleet::supervise`] restarts it.
     pub fn kill(&self, number: usize) {
         let node = &self.nodes[number];
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -277,6 +277,7 @@
             Step::Store(fault, time) => self.fail_store(None, fault, time).await,
             Step::StorePart(fault, time) => self.fail_store_for_some(fault, time),
             Step::Terminate(index) => self.terminate(index, timed.planned),
+            Step::TerminateAgain(index) => self.terminate_again(index),
         }
     }
 
@@ -299,6 +300,14 @@
         self.fleet.signal(index, Signal::Terminate);
     }
 
+    /// Signals a daemon that stops already. One that has been restarted meanwhile isn't signalled: that would be a
+    /// stop of its own.
+    fn terminate_again(&self, index: usize) {
+        if self.fleet.is_stopping(index) {
+            self.fleet.signal(index, Signal::Terminate);
+        }
+    }
+
     /// Writes a new configuration to the store. It contains a route whose path states the version.
     fn configure(&self) {
         let mut versions = self.traffic.versions.borrow_mut();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -48,6 +48,12 @@
 const MAX_COPY_AGE_MS: u64 = 1_200;
 /// Distinguishes the random choices of returns of the store from all others of a seed.
 const RETURN_SEED: u64 = 0x65_7261;
+/// Share of the stops of a daemon that overlap with another stop.
+const OVERLAP_SHARE: f64 = 0.5;
+/// Maximum time between the signals of two stops that overlap, in milliseconds.
+const MAX_OVERLAP_MS: u64 = 2_500;
+/// Distinguishes the random choices of overlapping stops from all others of a seed.
+const OVERLAP_SEED: u64 = 0x7374_6f70;
 
 /// Failure mode of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -104,6 +110,8 @@
     StorePart(StoreFault, Duration),
     /// The daemon process receives a termination signal and is restarted after it exits.
     Terminate(usize),
+    /// The daemon process receives another termination signal, unless it has exited since the first one.
+    TerminateAgain(usize),
 }
 
 /// Direction in which connections to a daemon carry no data.
@@ -138,7 +146,8 @@
             | Self::SlowPeer(index, _)
             | Self::SlowWorker(index, _)
             | Self::StallPeers(index)
-            | Self::Terminate(index) => Some(*index),
+            | Self::Terminate(index)
+            | Self::TerminateAgain(index) => Some(*index),
         }
     }
 }
@@ -189,6 +198,7 @@
         let mut evacuations = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
         let mut cold = StdRng::seed_from_u64(seed ^ COLD_SEED);
         let mut returns = StdRng::seed_from_u64(seed ^ RETURN_SEED);
+        let mut overlaps = StdRng::seed_from_u64(seed ^ OVERLAP_SEED);
         let (mut calm, mut steps) = (Vec::new(), Vec::new());
         let mut start = Duration::from_secs(1);
         while calm.is_empty() || start < length {
@@ -220,6 +230,7 @@
             calm.push((from, from + CALM_PERIOD));
             start = from + CALM_PERIOD;
         }
+        steps.extend(random_overlaps(&mut overlaps, &steps));
         steps.sort_by_key(|step| step.at);
         Self {
             calm,
@@ -292,6 +303,24 @@
     (0..count).map(cold_time).collect()
 }
 
+/// Further termination signals for a share of the stops of daemons.
+fn random_overlaps(rng: &mut StdRng, steps: &[TimedStep]) -> Vec<TimedStep> {
+    let mut overlaps = Vec::new();
+    for timed in steps {
+        let Step::Terminate(index) = timed.step else {
+            continue;
+        };
+        if rng.random_bool(OVERLAP_SHARE) {
+            overlaps.push(TimedStep {
+                at: timed.at + Duration::from_millis(rng.random_range(1..=MAX_OVERLAP_MS)),
+                planned: timed.planned,
+                step: Step::TerminateAgain(index),
+            });
+        }
+    }
+    overlaps
+}
+
 /// Evacuations that begin among the faults and are revoked before the calm period; several may be in force at
 /// once.
 fn random_evacuations(rng: &mut StdRng, start: Duration) -> Vec<TimedStep> {
--- a/crates/testkit/src/launcher/child.rs
+++ b/crates/testkit/src/launcher/child.rs
@@ -49,6 +49,10 @@
 pub enum Signal {
     /// Resumes the process after [`Signal::Stop`].
     Continue,
+    /// Asks to exit as a terminal's Ctrl-C does.
+    Interrupt,
+    /// Asks to reread the settings.
+    Reload,
     /// Pauses the process.
     Stop,
     /// Requests a graceful shutdown.
@@ -59,6 +63,8 @@
     const fn option(self) -> &'static str {
         match self {
             Self::Continue => "-CONT",
+            Self::Interrupt => "-INT",
+            Self::Reload => "-HUP",
             Self::Stop => "-STOP",
             Self::Terminate => "-TERM",
         }
