Send the answers of other daemons' requests before a stop ends

Callers saw: 502 for a request that had run at the target of a stopping daemon, when its answer was still on the way to the daemon of the caller as the process exited.

Cause: a stop waited for the daemon's own callers and for its gate, which is empty once the target has answered. The link counts pending requests of callers from peers now, and the stop waits for them within the grace, 30 s at most. A first form that counted all requests never exited, as a query for store updates waits for the next change; it was seen in the new test and not committed.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -392,7 +392,14 @@
             let _ = drained.send(());
         }
         .fuse();
-        let drain = async { futures::join!(stopping, ingress) };
+        let peers = self.senders.peers.clone();
+        let drain = async {
+            futures::join!(stopping, ingress);
+            // The target has finished, but its answers may still be on their way to other daemons.
+            let (finished, done) = oneshot::channel();
+            let _ = peers.unbounded_send(PeersMessage::Finish(finished));
+            let _ = done.await;
+        };
         let interrupted = wait_for_interrupt(&mut signals, &self.reload).fuse();
         let limited = monoio::time::timeout(self.clock.until(plan.end()), drain).fuse();
         pin_mut!(interrupted, limited);
--- a/crates/node/src/messages/peers.rs
+++ b/crates/node/src/messages/peers.rs
@@ -59,6 +59,9 @@
     /// Stop the link; reply when done. Over TCP, pending replies may still be sent for a limited time;
     /// over QUIC, all connections are closed at once.
     Close(oneshot::Sender<()>),
+    /// Reply once the replies to all requests of callers have been sent to the peers from which they came, so that
+    /// [`Self::Close`] cuts none.
+    Finish(oneshot::Sender<()>),
     /// Send a request to a peer.
     Send {
         /// Receives the reply of the peer, or the reason why there is none.
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -1,5 +1,7 @@
 //! Dispatch of requests from peers to the tasks of this daemon.
 
+use std::rc::Rc;
+
 use futures::channel::oneshot;
 use hawthornwall_core::admission::WorkId;
 use hawthornwall_core::ids::{ServiceId, TargetId};
@@ -11,6 +13,7 @@
 use crate::clock::Clock;
 use crate::memory::Memory;
 use crate::messages::{ControlMessage, ControlSender, GateMessage, GateSender};
+use crate::open_count::{OpenCount, OpenGuard};
 
 /// The tasks that handle requests from peers.
 #[derive(Clone, Debug)]
@@ -24,6 +27,8 @@
     pub limit: usize,
     /// Budget of buffered bytes and connections.
     pub memory: Memory,
+    /// Number of requests of callers that peers have sent, and whose replies have not been sent.
+    pub pending: Rc<OpenCount>,
 }
 
 impl Inbound {
@@ -59,6 +64,17 @@
         }
     }
 
+    /// Counts a request as pending until the returned guard is dropped. Requests for the state of this daemon aren't
+    /// counted: their senders need no reply at the end of a stop, and some wait for the next change.
+    pub fn enter(&self, request: &Request) -> Option<OpenGuard> {
+        match request {
+            Request::IssueKey { .. } | Request::OfferBody(..) | Request::Run(..) => {
+                Some(self.pending.enter())
+            }
+            Request::Exchange(_) | Request::StoreUpdate(_) => None,
+        }
+    }
+
     /// Decides on a large body that a peer offers; `None` if the gate has ended, or if the body is longer than any
     /// message may be. Returns the reply, and the grant, which ends when it is dropped. Dropping the future withdraws
     /// the offer.
--- a/crates/node/src/peers/quic/accept.rs
+++ b/crates/node/src/peers/quic/accept.rs
@@ -46,14 +46,15 @@
         let Ok(request) = decode_request(&bytes) else {
             return;
         };
+        let _pending = self.inbound.enter(&request);
         let is_control = matches!(request, Request::StoreUpdate(_) | Request::Exchange(_));
         let reply = {
             let work = self.inbound.answer(request).fuse();
-            let stopped_by_receiver = writer.stopped_by_receiver().fuse();
-            pin_mut!(work, stopped_by_receiver);
+            let closed = writer.closed_by_receiver().fuse();
+            pin_mut!(work, closed);
             select_biased! {
                 reply = work => reply,
-                () = stopped_by_receiver => None,
+                () = closed => None,
             }
         };
         let Some(reply) = reply else { return };
@@ -64,6 +65,9 @@
                 sent: message.len(),
             });
         }
-        let _ = writer.write(&message).await;
+        if writer.write(&message).await.is_ok() {
+            // What is not acknowledged is lost if the endpoint closes.
+            writer.closed_by_receiver().await;
+        }
     }
 }
--- a/crates/node/src/peers/quic/stream.rs
+++ b/crates/node/src/peers/quic/stream.rs
@@ -31,8 +31,9 @@
         Ok(())
     }
 
-    /// Returns once the receiver has stopped the stream or the connection has closed.
-    pub async fn stopped_by_receiver(&self) {
+    /// Returns once the receiver has stopped the stream, has acknowledged the whole message, or the connection has
+    /// closed.
+    pub async fn closed_by_receiver(&self) {
         let _ = self.stream.stopped().await;
     }
 }
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use error_stack::Report;
 use futures::channel::{mpsc, oneshot};
@@ -21,8 +22,14 @@
     ControlSender, GateSender, PeerAddress, PeerFault, PeersMessage, PeersStatus, RouterSender,
     RoutingState,
 };
+use crate::open_count::OpenCount;
 use crate::start::StartError;
-use crate::telemetry::Telemetry;
+use crate::telemetry::{Telemetry, log};
+
+/// Interval at which pending replies are counted at the end of a planned stop.
+const FINISH_POLL: Duration = Duration::from_millis(10);
+/// Maximum time to send pending replies. A peer that has failed may never acknowledge its replies.
+const FINISH_LIMIT: Duration = Duration::from_secs(30);
 
 /// Payload bytes of control messages since the start.
 #[derive(Clone, Copy, Debug, Default)]
@@ -75,6 +82,8 @@
     exchange_sizes: mpsc::UnboundedReceiver<ExchangeSize>,
     link: Link,
     own: SocketAddr,
+    /// Number of requests of callers that peers have sent, and whose replies have not been sent.
+    pending: Rc<OpenCount>,
     receiver: mpsc::UnboundedReceiver<PeersMessage>,
     routing: Rc<RoutingState>,
 }
@@ -104,6 +113,7 @@
         let telemetry = &start.telemetry;
         let admit =
             |rate| Bodies::start(rate, Direction::Receiving, start.clock, telemetry.clone());
+        let pending = Rc::new(OpenCount::default());
         let inbound = Inbound {
             bodies: own.link.map(admit),
             clock: start.clock,
@@ -111,6 +121,7 @@
             gate: start.gate,
             limit: start.limit,
             memory: start.memory,
+            pending: Rc::clone(&pending),
         };
         let link = match settings.link {
             LinkKind::Quic => Link::Quic(Box::new(QuicLink::start(settings, inbound, sender)?)),
@@ -127,6 +138,7 @@
             exchange_sizes,
             link,
             own: settings.advertise.unwrap_or(settings.listen),
+            pending,
             receiver: start.receiver,
             routing: Rc::default(),
         })
@@ -151,6 +163,9 @@
                     let _ = done.send(());
                     return;
                 }
+                Some(PeersMessage::Finish(done)) => {
+                    monoio::spawn(finish(Rc::clone(&self.pending), done));
+                }
                 Some(PeersMessage::Send { reply, request, to }) => self.send(to, request, reply),
                 Some(PeersMessage::Status(reply)) => {
                     let _ = reply.send(self.status().await);
@@ -217,3 +232,17 @@
         }
     }
 }
+
+/// Replies on `done` once the replies to all requests of callers have been sent to peers, or after [`FINISH_LIMIT`].
+async fn finish(pending: Rc<OpenCount>, done: oneshot::Sender<()>) {
+    let sent = async {
+        while pending.get() > 0 {
+            monoio::time::sleep(FINISH_POLL).await;
+        }
+    };
+    if monoio::time::timeout(FINISH_LIMIT, sent).await.is_err() {
+        let pending = pending.get();
+        log::warn!("stopping with unsent replies to other daemons", kv: { pending });
+    }
+    let _ = done.send(());
+}
--- a/crates/node/src/peers/tcp/accept.rs
+++ b/crates/node/src/peers/tcp/accept.rs
@@ -117,6 +117,7 @@
         grant: &mut Option<BodyGrant>,
     ) -> Option<()> {
         let request = decode_request(bytes).ok()?;
+        let _pending = self.inbound.enter(&request);
         let _ = stream.hold(bytes.len(), Serving::Running).await;
         let is_control = matches!(request, Request::StoreUpdate(_) | Request::Exchange(_));
         let reply = match request {
--- a/crates/testkit/tests/system/daemon.rs
+++ b/crates/testkit/tests/system/daemon.rs
@@ -30,16 +30,45 @@
     instance: u8,
     service: &str,
     sections: &str,
+) -> Child {
+    let listeners = Listeners {
+        caller: "",
+        peer: r#", "link": "tcp""#,
+        peer_port: 7000,
+    };
+    start_daemon_at(folder, (case, instance), service, sections, listeners)
+}
+
+/// Settings of a daemon's listeners.
+#[derive(Clone, Copy)]
+pub struct Listeners {
+    /// Further fields of the section for callers, each after a comma.
+    pub caller: &'static str,
+    /// Further fields of the section for other daemons, each after a comma.
+    pub peer: &'static str,
+    /// Port for other daemons.
+    pub peer_port: u16,
+}
+
+/// Starts the daemon of a case's instance with these listeners.
+pub fn start_daemon_at(
+    folder: &Folder,
+    (case, instance): (u8, u8),
+    service: &str,
+    sections: &str,
+    listeners: Listeners,
 ) -> Child {
     let at = |port| address(case, instance, port);
     let text = format!(
-        r#"{{ "name": "daemon-{instance}", "domain": "a", {sections}"caller": {{ "listen": "{}" }},
+        r#"{{ "name": "daemon-{instance}", "domain": "a", {sections}"caller": {{ "listen": "{}"{} }},
         "target": {{ "address": "{}", "service": "{service}" }},
-        "peer": {{ "listen": "{}", "link": "tcp" }}, "platform": {{ "store": "{}" }},
+        "peer": {{ "listen": "{}"{} }}, "platform": {{ "store": "{}" }},
         "admin": {{ "listen": "{}" }}, "probe": {{ "per_100s": 5000, "slot_share": 10000 }} }}"#,
         at(8000),
+        listeners.caller,
         at(9000),
-        at(7000),
+        at(listeners.peer_port),
+        listeners.peer,
         address(case, 0, 8500),
         at(8001)
     );
--- a/crates/testkit/tests/system/main.rs
+++ b/crates/testkit/tests/system/main.rs
@@ -5,3 +5,4 @@
 mod endless;
 mod link;
 mod older_copy;
+mod stop;
