Read the timer of the open connection in idle_connection_is_probed

The test took the first line of the kernel's table with the target's port. After many other tests that can be a closed connection in TIME_WAIT, whose timer is 03. It fails for Some("03") then: once in a run of all tests, and 4 of 60 alone beside a loop of other tests.

--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -453,15 +453,20 @@
     assert_eq!(end, expected);
 }
 
-/// Timer of the kernel for the connection to `address`: `02` means that it waits to send a keepalive probe.
+/// State of an established connection in the kernel's table.
+const ESTABLISHED: &str = "01";
+
+/// Timer of the kernel for the open connection to `address`: `02` means that it waits to send a keepalive probe.
+/// Closed connections of earlier tests to the same port may still be in the table.
 fn kernel_timer(address: SocketAddr) -> Option<String> {
     let table = std::fs::read_to_string("/proc/self/net/tcp").ok()?;
     let port = format!(":{:04X}", address.port());
     let timer = |line: &str| {
         let fields: Vec<_> = line.split_whitespace().collect();
         let to_target = fields.get(2).is_some_and(|remote| remote.ends_with(&port));
+        let is_open = fields.get(3) == Some(&ESTABLISHED);
         let timer = fields.get(5)?.split(':').next()?;
-        to_target.then(|| timer.to_owned())
+        (to_target && is_open).then(|| timer.to_owned())
     };
     table.lines().find_map(timer)
 }
