Use one reading of the clock for each decision of the gate

A request was refused as target-cold, and the report that went with the refusal read the clock again. When the last health answer became too old, or the cold time ended, in between, the report stated free slots, which attract requests. The task keeps the time at which it took up its input, and all of a decision uses it.

--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -89,6 +89,9 @@
     gate: Gate,
     idle: Vec<mpsc::UnboundedSender<Job>>,
     memory: Memory,
+    /// Time at which the input in progress was taken up. All of a decision uses this one reading of the clock: what a
+    /// request was refused for must still hold in the report that goes with the refusal.
+    now: Time,
     records: RequestRecords,
     pauses: PauseDetector,
     probe: ProbeSender,
@@ -146,6 +149,7 @@
             gate,
             idle: Vec::new(),
             memory: start.memory,
+            now: start.clock.now(),
             records: RequestRecords::new(start.instance, &settings.keys),
             pauses: PauseDetector::new(TICK_IDLE, start.clock.now()),
             probe: start.probe,
@@ -178,7 +182,8 @@
                 message = self.receiver.next() => Input::Message(message),
                 () = tick => Input::Tick,
             };
-            if let Some(length) = self.pauses.observe(self.clock.now()) {
+            self.now = self.clock.now();
+            if let Some(length) = self.pauses.observe(self.now) {
                 let ms = length.as_millis() as u64;
                 log::warn!("this process was paused", kv: { ms });
             }
@@ -230,11 +235,10 @@
                 run,
                 work,
             } => {
-                let arrived = self.clock.now();
                 self.admit(
                     run,
                     Waiter {
-                        arrived,
+                        arrived: self.now,
                         id,
                         reply,
                         work,
@@ -250,7 +254,7 @@
 
     /// Whether a request with this body would be admitted now, and the load report.
     fn check_offer(&mut self, offer: &BodyOffer) -> (Result<(), Refusal>, LoadReport) {
-        let now = self.clock.now();
+        let now = self.now;
         let arrival = Arrival {
             deadline: now + offer.time_left,
             // The id decides nothing before the request is queued.
@@ -303,7 +307,7 @@
         };
         self.apply(&Event::Configure(limits));
         if let Some(until) = routing.cold_until.get(&id) {
-            self.gate.observe_cold_entry(*until, self.clock.now());
+            self.gate.observe_cold_entry(*until, self.now);
             self.report_cold();
         }
         let published = routing.members.get(&id).filter(|m| m.expect.is_some());
@@ -324,7 +328,7 @@
             return;
         };
         let limits = routing.service_limits.get(&service).copied();
-        self.gate.limit_cold(limits, self.clock.now());
+        self.gate.limit_cold(limits, self.now);
     }
 
     /// Tells the gate whether the target's failure domain is evacuated, and logs changes.
@@ -356,15 +360,15 @@
         if self.gate.is_evacuated() {
             return RunResult::Refused(Refusal::Evacuated);
         }
-        match self.gate.state(self.clock.now()) {
+        match self.gate.state(self.now) {
             TargetState::Draining => RunResult::Refused(Refusal::Draining),
             TargetState::Down => RunResult::Refused(Refusal::Down),
-            TargetState::Serving => self.records.issue(service, self.clock.now()),
+            TargetState::Serving => self.records.issue(service, self.now),
         }
     }
 
     fn admit(&mut self, mut run: Box<RunRequest>, waiter: Waiter) {
-        let now = self.clock.now();
+        let now = self.now;
         let delay = self.delay(&mut run, now);
         run.time_left = run.time_left.saturating_sub(delay);
         run.objective_left = run.objective_left.map(|left| left.saturating_sub(delay));
@@ -406,7 +410,7 @@
     }
 
     fn enqueue(&mut self, run: Box<RunRequest>, waiter: Waiter, record_id: Option<RecordId>) {
-        let now = self.clock.now();
+        let now = self.now;
         let serves = self.serves(&run);
         let (work, deadline) = (waiter.work, now + run.time_left);
         let arrival = Arrival {
@@ -443,12 +447,12 @@
     fn is_misdirected(&self, inflight: &InFlight) -> bool {
         let run = inflight.run.as_ref();
         let expected = run.and_then(|run| run.expected_target.as_deref());
-        expected.is_some_and(|name| self.gate.is_misdirected(name, self.clock.now()))
+        expected.is_some_and(|name| self.gate.is_misdirected(name, self.now))
     }
 
     fn tick(&mut self) {
         self.apply(&Event::Tick);
-        let now = self.clock.now();
+        let now = self.now;
         if now - self.last_expiry >= EXPIRY_INTERVAL {
             self.last_expiry = now;
             self.records.expire(now);
@@ -456,7 +460,7 @@
     }
 
     fn apply(&mut self, event: &Event) {
-        let effects = self.gate.on(event, self.clock.now());
+        let effects = self.gate.on(event, self.now);
         for effect in effects {
             match effect {
                 Effect::Abort(work) => {
@@ -533,7 +537,7 @@
         GateStatus {
             evacuated: self.gate.is_evacuated(),
             keys: self.records.key_count(),
-            report: self.gate.report(self.clock.now()),
+            report: self.gate.report(self.now),
             target: self.target,
         }
     }
--- a/crates/node/src/gate/task/ends.rs
+++ b/crates/node/src/gate/task/ends.rs
@@ -67,7 +67,7 @@
 
     /// Passes what an answer states about the target to the gate, except for its load.
     pub(super) fn record_report(&mut self, report: &SelfReport) {
-        let now = self.clock.now();
+        let now = self.now;
         if let Some(name) = report.name.as_deref()
             && self.gate.observe_name(name, now)
         {
@@ -88,7 +88,7 @@
 
     /// Passes what the answer to a load check states about the cold time to the gate.
     pub(super) fn record_cold(&mut self, report: &SelfReport) {
-        self.gate.observe_cold(report.cold, self.clock.now());
+        self.gate.observe_cold(report.cold, self.now);
         self.report_cold();
     }
 
@@ -109,7 +109,7 @@
     /// Passes the reported load to the gate. Without a configured target, the reported number of
     /// slots becomes the limit.
     fn record_load(&mut self, load: TargetLoad) {
-        self.gate.observe_load(load, self.clock.now());
+        self.gate.observe_load(load, self.now);
         if self.target.is_none() && load.slots > 0 {
             let limits = Limits {
                 queue_wait: Duration::ZERO,
@@ -124,7 +124,7 @@
             return;
         };
         if let Some(record_id) = inflight.record_id {
-            self.records.record_end(record_id, result, self.clock.now());
+            self.records.record_end(record_id, result, self.now);
         }
         for waiter in inflight.waiters {
             self.reply(waiter, result.clone());
@@ -138,7 +138,7 @@
                 self.evacuated_refusals += 1;
             }
         }
-        let held = self.clock.now() - waiter.arrived;
+        let held = self.now - waiter.arrived;
         self.send_reply(waiter.reply, waiter.id, result, held);
     }
 
@@ -149,7 +149,7 @@
         result: RunResult,
         held: Duration,
     ) {
-        let report = self.gate.report(self.clock.now());
+        let report = self.gate.report(self.now);
         let _ = reply.send(RunReply {
             result,
             held,
