Limit requests to targets before the configuration has been read

Cause: an answer without a cold time lifted all limits while no configuration was known. It states a warm target now, which may turn cold; the lowest quota applies until the configuration has been read. The gate's tests with scripted answers relied on the fault to send many requests at once; their daemon has read a configuration without a limit now, and what they check is unchanged.

--- a/crates/core/src/admission/cold.rs
+++ b/crates/core/src/admission/cold.rs
@@ -163,8 +163,6 @@
     /// There has been no answer, or the last load check was not answered.
     #[default]
     Unknown,
-    /// No limit is known, the last answer states no cold time, and neither does the store.
-    Unstated,
     /// The target is warm.
     Warm,
 }
@@ -288,8 +286,8 @@
         }
     }
 
-    /// Records what an answer to a load check states: the time for which the target stays cold, zero if it is
-    /// warm.
+    /// Records what an answer to a load check states: the time for which the target stays cold; zero if it is warm, or
+    /// if the answer states no cold time, as targets state it only while they are cold.
     pub fn observe(&mut self, remaining: Duration, now: Time) {
         let sent = self.check_sent.take();
         self.unanswered = None;
@@ -305,20 +303,6 @@
         self.answered = Some(sent.unwrap_or(now));
     }
 
-    /// Records an answer to a load check that states no cold time. Targets state it only while they are cold.
-    /// Without a known limit, the target may also be one that never states it.
-    pub fn observe_unstated(&mut self, now: Time) {
-        match self.limit {
-            Limit::Rate { .. } => return self.observe(Duration::ZERO, now),
-            Limit::None | Limit::Unread => {}
-        }
-        let sent = self.check_sent.take().unwrap_or(now);
-        (self.answered, self.unanswered, self.warm_since) = (Some(sent), None, None);
-        if self.until <= now {
-            self.knowledge = Knowledge::Unstated;
-        }
-    }
-
     /// Records that an outstanding load check has ended without an answer.
     pub fn fail_check(&mut self, now: Time) {
         if self.check_sent.take().is_some() {
@@ -430,16 +414,12 @@
         }
     }
 
-    /// The quota in force. Without a configuration it applies unless the target doesn't state whether it is
-    /// cold, as the targets of services without a limit.
+    /// The quota in force. It applies to warm targets too, which may turn cold at any time.
     fn quota(&self) -> Option<Quota> {
         match self.limit {
             Limit::None => None,
             Limit::Rate { quota, .. } => Some(quota),
-            Limit::Unread => match self.knowledge {
-                Knowledge::Cold | Knowledge::Unknown | Knowledge::Warm => Some(UNCONFIGURED),
-                Knowledge::Unstated => None,
-            },
+            Limit::Unread => Some(UNCONFIGURED),
         }
     }
 
@@ -450,8 +430,8 @@
         let is_fresh = self.answered.is_some_and(|at| now - at < ANSWER_MAX_AGE);
         let known = match self.knowledge {
             Knowledge::Cold if self.until > now => Some(Phase::Cold),
-            Knowledge::Unstated | Knowledge::Warm if is_fresh => Some(Phase::Warm),
-            Knowledge::Cold | Knowledge::Unknown | Knowledge::Unstated | Knowledge::Warm => None,
+            Knowledge::Warm if is_fresh => Some(Phase::Warm),
+            Knowledge::Cold | Knowledge::Unknown | Knowledge::Warm => None,
         };
         let may_ask = match (self.check_sent, self.unanswered) {
             (Some(sent), _) => now - sent < CHECK_TIMEOUT,
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -197,10 +197,7 @@
     /// Records for how long the target stays cold according to its answer to a load check, zero if it is warm;
     /// `None` if the answer states no cold time. The [`Event::LoadAnswer`] of that check follows.
     pub fn observe_cold(&mut self, remaining: Option<Duration>, now: Time) {
-        match remaining {
-            Some(remaining) => self.cold.observe(remaining, now),
-            None => self.cold.observe_unstated(now),
-        }
+        self.cold.observe(remaining.unwrap_or_default(), now);
     }
 
     /// Whether the target was last stated to be cold, and its service limits the requests to cold targets.
--- a/crates/node/tests/target.rs
+++ b/crates/node/tests/target.rs
@@ -18,7 +18,6 @@
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::gate::{GateStart, GateTask};
 use hawthornwall_node::messages::{GateMessage, ProbeMessage, RoutingState};
-use hawthornwall_node::self_report::SelfReport;
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{Header, HttpRequest, RequestId, RunReply, RunRequest, RunResult};
@@ -36,7 +35,7 @@
 fn settings(target: SocketAddr) -> Settings {
     let text = format!(
         r#"{{ "name": "t1", "domain": "a", "caller": {{ "listen": "127.0.0.1:1" }},
-        "target": {{ "address": "{target}", "silence_ms": 300 }},
+        "target": {{ "address": "{target}", "service": "calendar", "silence_ms": 300 }},
         "peer": {{ "listen": "127.0.0.1:2", "secret": "{}" }},
         "platform": {{ "store": "127.0.0.1:3" }}, "admin": {{ "listen": "127.0.0.1:4" }} }}"#,
         "0".repeat(64)
@@ -107,10 +106,23 @@
     gate
 }
 
-/// Starts a gate whose daemon has read a store that doesn't list the target.
+/// Starts a gate whose daemon has read a store that doesn't list the target. Its service has no limit for cold targets.
 fn start_gate(address: SocketAddr) -> mpsc::UnboundedSender<GateMessage> {
     let gate = start_gate_unread(address);
-    let _ = gate.unbounded_send(GateMessage::RoutingState(Rc::default()));
+    let service = Service {
+        hosts: BTreeSet::new(),
+        name: "calendar".to_owned(),
+        rules: Rules::default(),
+    };
+    let routing = RoutingState {
+        config: Configuration {
+            services: BTreeMap::from([(ServiceId(0), service)]),
+            version: Version(1),
+            ..Configuration::default()
+        },
+        ..RoutingState::default()
+    };
+    let _ = gate.unbounded_send(GateMessage::RoutingState(Rc::new(routing)));
     gate
 }
 
@@ -132,9 +144,6 @@
 fn results_every(address: SocketAddr, count: u64, pause: Duration) -> Vec<String> {
     block_on(async {
         let gate = start_gate(address);
-        // Targets of services without a limit for cold ones don't state whether they are cold. A gate that knows
-        // neither this nor the configuration would keep requests back.
-        let _ = gate.unbounded_send(GateMessage::LoadAnswer(Some(SelfReport::default())));
         let mut results = Vec::new();
         for id in 0..count {
             results.push(run_once(&gate, id, request()).await);
