Ignore a status report that the store does after a later one

Cause: the number of a status report was decoded and dropped, so that what was written last counted. Entries keep it now, also in updates between daemons, and an earlier report of the same run than the listed one is ignored with a warning. A removed entry and the time after a return from an older copy are left as they were, since a live target's next report may not change the entry.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -43,6 +43,15 @@
     missing: Option<Missing>,
 }
 
+impl TargetRecord {
+    /// Whether an entry is an earlier status report of the same run than the one that is listed, and what it states is
+    /// out of date. An entry that was missing is another matter: a target that lives may report what the earlier one
+    /// states, and such a report doesn't change the entry.
+    fn is_overwritten_by(&self, entry: &PublishedTarget) -> bool {
+        self.listed && self.missing.is_none() && is_older_report(entry, &self.entry)
+    }
+}
+
 /// How long a missing entry counts as present.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Missing {
@@ -73,6 +82,9 @@
     EvacuationEnded(String),
     /// Routes older than those in force were received and ignored.
     OlderRoutes(Version),
+    /// An entry of a target was received and ignored, since a later status report of the same run is known. The store
+    /// may do a write late.
+    OlderEntry(String),
     /// Routes of a new version are in force.
     Routes(Version),
     /// The end of a target's cold time is another one than was known, and its service limits requests to cold
@@ -405,6 +417,9 @@
         if restoring && known.is_some_and(|r| is_earlier_run(&entry, &r.entry)) {
             return self.mark_missing(name, Absence::Left, now);
         }
+        if !restoring && known.is_some_and(|r| r.is_overwritten_by(&entry)) {
+            return Some(CatalogEvent::OlderEntry(name.to_owned()));
+        }
         let before = known.filter(|r| is_same_run(&r.entry, &entry));
         let has_left = before.is_some_and(|r| r.left_at.is_some());
         let held_back = restoring && has_left && entry.state.takes_work();
@@ -536,6 +551,12 @@
     a.started_ms.is_some() && a.started_ms < b.started_ms
 }
 
+/// Whether `a` is an earlier status report than `b` of the same run. Only a target that states its start numbers the
+/// reports of each run anew.
+fn is_older_report(a: &PublishedTarget, b: &PublishedTarget) -> bool {
+    a.started_ms.is_some() && is_same_run(a, b) && a.sequence < b.sequence
+}
+
 /// End of the cold time after an entry was read. An entry that is read once more states nothing new, and nearly
 /// the same end is kept, since it differs only by the time that the entries took.
 fn cold_until(before: Option<&TargetRecord>, entry: &PublishedTarget, now: Time) -> Time {
--- a/crates/core/src/catalog/entry.rs
+++ b/crates/core/src/catalog/entry.rs
@@ -46,6 +46,8 @@
     pub cold: Duration,
     /// Failure domain of the target.
     pub domain: String,
+    /// Number of the status report that wrote the entry; it rises within a run of the target.
+    pub sequence: u64,
     /// Name of the service that the target runs.
     pub service: String,
     /// Number of requests that the target runs at once.
--- a/crates/core/tests/properties/eras.rs
+++ b/crates/core/tests/properties/eras.rs
@@ -129,6 +129,7 @@
             started_ms: Some(run),
             cold: Duration::ZERO,
             domain: "dk-1".to_owned(),
+            sequence: 0,
             service: "calendar".to_owned(),
             slots: 2,
             state,
--- a/crates/core/tests/properties/evacuation.rs
+++ b/crates/core/tests/properties/evacuation.rs
@@ -71,6 +71,7 @@
         started_ms: Some(1),
         cold: Duration::ZERO,
         domain: DOMAINS[n].to_owned(),
+        sequence: 0,
         service: "calendar".to_owned(),
         slots: 2,
         state: PublishedState::Ready,
--- a/crates/core/tests/scenarios/catalog.rs
+++ b/crates/core/tests/scenarios/catalog.rs
@@ -123,6 +123,7 @@
         started_ms: line.text("started").map(|s| s.parse().unwrap()),
         cold: line.span("cold", Duration::ZERO),
         domain: "a".to_owned(),
+        sequence: line.value("sequence", 0),
         service: line.value("service", "calendar".to_owned()),
         slots: 4,
         state,
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -63,7 +63,8 @@
     source: EventSource,
 ) {
     let Revision { era, number } = revision;
-    let (mut cold, mut held_back, mut leaving, mut missing, mut ready) = (
+    let (mut cold, mut held_back, mut leaving, mut missing, mut older, mut ready) = (
+        TargetNames::default(),
         TargetNames::default(),
         TargetNames::default(),
         TargetNames::default(),
@@ -78,6 +79,7 @@
             CatalogEvent::EvacuationEnded(domain) => {
                 log::info!("evacuation of a failure domain revoked", kv: { domain:, era, revision = number, source: });
             }
+            CatalogEvent::OlderEntry(target) => older.0.push(target),
             CatalogEvent::OlderRoutes(offered) => {
                 let in_force = catalog.version();
                 log::warn!("ignored routes older than those in force", kv: { offered:, in_force:, era, revision = number, source: });
@@ -97,6 +99,10 @@
         let targets = held_back.joined();
         log::warn!("targets that have left are listed in the store's older copy and aren't used yet", kv: { targets, era, revision = number, source: });
     }
+    if !older.0.is_empty() {
+        let targets = older.joined();
+        log::warn!("ignored entries of targets that are older than their last reports", kv: { targets, era, revision = number, source: });
+    }
     if !ready.0.is_empty() {
         let targets = ready.joined();
         log::info!("targets take work", kv: { targets, era, revision = number, source: });
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -168,6 +168,7 @@
             address: self.worker_address(number),
             born: 1_000_000 + u64::from(self.nodes[number].worker_starts.get()),
             draining,
+            sequence: 1,
             service: service(number),
             slots: SLOTS,
             zone: ZONES[zone(number)],
--- a/crates/testkit/src/store/documents.rs
+++ b/crates/testkit/src/store/documents.rs
@@ -13,6 +13,8 @@
     pub born: u64,
     /// Whether the state is `draining` instead of `ready`.
     pub draining: bool,
+    /// Number of the status report; it rises while the worker runs.
+    pub sequence: u64,
     /// Service that the worker belongs to.
     pub service: &'a str,
     /// Maximum number of requests that run at once.
@@ -31,7 +33,7 @@
             "info": {
                 "service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots,
             },
-            "status": { "state": state, "sequence": 1, "coldRemainingS": 0 },
+            "status": { "state": state, "sequence": self.sequence, "coldRemainingS": 0 },
         })
     }
 }
--- a/crates/testkit/tests/system/catch_up.rs
+++ b/crates/testkit/tests/system/catch_up.rs
@@ -82,6 +82,7 @@
         address: address(case, 0, 9000),
         born: 1,
         draining: false,
+        sequence: 1,
         service: SERVICES[1],
         slots: SLOTS,
         zone: "a",
--- a/crates/testkit/tests/system/endless/mod.rs
+++ b/crates/testkit/tests/system/endless/mod.rs
@@ -113,6 +113,7 @@
             address: address(case, instance, 9000),
             born: 1,
             draining: false,
+            sequence: 1,
             service,
             slots: CALLERS,
             zone: "a",
--- a/crates/testkit/tests/system/main.rs
+++ b/crates/testkit/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod catch_up;
 mod daemon;
 mod endless;
+mod late_report;
 mod link;
 mod older_copy;
 mod stop;
--- a/crates/testkit/tests/system/older_copy.rs
+++ b/crates/testkit/tests/system/older_copy.rs
@@ -63,6 +63,7 @@
         address: address(case, instance, 9000),
         born: 1,
         draining: false,
+        sequence: 1,
         service: SERVICES[usize::from(instance)],
         slots: SLOTS,
         zone: "a",
--- a/crates/testkit/tests/system/stop.rs
+++ b/crates/testkit/tests/system/stop.rs
@@ -81,6 +81,7 @@
         address: address(case, 1, 9000),
         born: 1,
         draining: false,
+        sequence: 1,
         service: "large",
         slots: 4,
         zone: "a",
--- a/crates/testkit/tests/untrusted/main.rs
+++ b/crates/testkit/tests/untrusted/main.rs
@@ -136,6 +136,7 @@
         address: address(case, 0, 9000),
         born: 1,
         draining: false,
+        sequence: 1,
         service: "sound",
         slots: SLOTS,
         zone: "a",
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -136,6 +136,7 @@
                 started_ms,
                 cold,
                 domain: "a".to_owned(),
+                sequence: 3,
                 service: name.clone(),
                 slots: 4,
                 state: PublishedState::Draining,
