--- a/crates/testkit/src/launcher/mod.rs
+++ b/crates/testkit/src/launcher/mod.rs
@@ -16,4 +16,4 @@
 pub use cluster::{Cluster, ClusterOptions, Node};
 pub use deployment::{Deployment, Plan, ServicePlan, TargetPlan};
 pub use records::{daemon_party, log_records};
-pub use resources::{Folder, Network, NodeAddresses, free_address};
+pub use resources::{Folder, NodeAddresses, free_address};
--- a/crates/testkit/src/launcher/resources.rs
+++ b/crates/testkit/src/launcher/resources.rs
@@ -31,11 +31,7 @@
 
 impl NodeAddresses {
     /// Selects free addresses for the instance with this index.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no port is free.
-    pub fn allocate(network: Network, index: u8) -> io::Result<Self> {
+    pub(super) fn allocate(network: Network, index: u8) -> io::Result<Self> {
         let real = network.address(0, index + 1);
         let relayed = network.address(RELAYED, index + 1);
         Ok(Self {
@@ -60,11 +56,11 @@
 /// Loopback addresses of one deployment. Daemons of other deployments send from ports of their own addresses, which
 /// would otherwise include selected ones.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Network(u8, u8);
+pub(super) struct Network(u8, u8);
 
 impl Network {
     /// Returns another network than the last ones of this process, and than those of processes that run now.
-    pub fn next() -> Self {
+    pub(super) fn next() -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed) % NETWORKS_PER_PROCESS;
         let [.., high, low] = process::id()
--- a/crates/testkit/tests/stop.rs
+++ b/crates/testkit/tests/stop.rs
@@ -63,10 +63,9 @@
     };
     while started() < requests.len() as u64 {
         let answered = requests.iter().filter(|r| r.is_finished()).count();
-        let folder = cluster.folder().display();
         assert!(
             Instant::now() < end,
-            "{} requests started, {answered} answered, {folder}",
+            "{} requests started, {answered} answered",
             started()
         );
         sleep(Duration::from_millis(10));
@@ -88,9 +87,8 @@
 ) -> String {
     let mut answers = BTreeMap::<_, usize>::new();
     for request in requests {
-        *answers
-            .entry(request.join().expect("no panic"))
-            .or_default() += 1;
+        let answer = request.join().expect("no panic");
+        *answers.entry(answer).or_default() += 1;
     }
     let mut exits = BTreeSet::new();
     for index in stopped {
