Await the acknowledgement of a reply over QUIC for 2 s at most

TCP isn't affected.

Measured: killed_peer_delays_no_stop failed over QUIC before ("still running" after 10 s) and passes; the 14 tests of stop.rs pass.

--- a/crates/node/src/peers/quic/accept.rs
+++ b/crates/node/src/peers/quic/accept.rs
@@ -1,5 +1,7 @@
 //! Requests from peers over QUIC: one task per connection and one per stream.
 
+use std::time::Duration;
+
 use futures::{FutureExt, pin_mut, select_biased};
 use hawthornwall_wire::peer::{Request, decode_request, encode_reply};
 use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
@@ -8,6 +10,10 @@
 use super::super::link::{ExchangeReports, ExchangeSize};
 use super::stream::{MessageWriter, read_message};
 
+/// Time for which the acknowledgement of a reply is awaited. A peer that was killed acknowledges nothing, and must not
+/// delay the end of a planned stop.
+const ACKNOWLEDGE_LIMIT: Duration = Duration::from_secs(2);
+
 /// The state shared by the tasks of accepted connections.
 #[derive(Clone)]
 pub(super) struct Accept {
@@ -67,7 +73,8 @@
         }
         if writer.write(&message).await.is_ok() {
             // What is not acknowledged is lost if the endpoint closes.
-            writer.closed_by_receiver().await;
+            let closed = writer.closed_by_receiver();
+            let _ = monoio::time::timeout(ACKNOWLEDGE_LIMIT, closed).await;
         }
     }
 }
--- a/crates/node/src/peers/task.rs
+++ b/crates/node/src/peers/task.rs
@@ -28,7 +28,7 @@
 
 /// Interval at which pending replies are counted at the end of a planned stop.
 const FINISH_POLL: Duration = Duration::from_millis(10);
-/// Maximum time to send pending replies. A peer that has failed may never acknowledge its replies.
+/// Maximum time to send pending replies.
 const FINISH_LIMIT: Duration = Duration::from_secs(30);
 
 /// Payload bytes of control messages since the start.
--- a/crates/testkit/tests/stop.rs
+++ b/crates/testkit/tests/stop.rs
@@ -129,6 +129,22 @@
     }
 }
 
+/// Guards against a daemon that waits long for another one, which was killed, to receive the answers of its requests
+/// before it ends its own stop.
+#[rstest]
+fn killed_peer_delays_no_stop(#[values(LinkKind::Quic, LinkKind::Tcp)] link: LinkKind) {
+    let mut cluster = start(link, SERVICE_TIME);
+    let to = cluster.nodes[ENROLMENT.start].addresses.caller;
+    let requests: Vec<_> = (0..REQUESTS).map(|_| post(to)).collect();
+    wait_for_runs(&cluster, &requests);
+    cluster.kill_daemon(ENROLMENT.start);
+    signal_all(&cluster, CALENDAR, Signal::Terminate);
+    let outcome = outcome(&mut cluster, CALENDAR, requests);
+    allow_duplicates! {
+        assert_snapshot!(outcome, @r#"answers {"the connection ended within a message": 6}, daemons {"exit status: 0"}"#);
+    }
+}
+
 /// Guards against a daemon that can't be ended from a terminal while a long request runs: an interrupt during a
 /// stop ends it at once.
 #[rstest]
