--- a/crates/testkit/tests/system/stop.rs
+++ b/crates/testkit/tests/system/stop.rs
@@ -110,9 +110,9 @@
 /// Guards against a daemon that exits at the end of a planned stop while the answer of a request that it ran for
 /// another daemon is still being sent: the request has run, and its caller gets 502.
 #[rstest]
-#[case::slow_tcp(40, LINKED_PORT, r#", "link": "tcp""#, LARGE)]
+#[case::slow_tcp(70, LINKED_PORT, r#", "link": "tcp""#, LARGE)]
 #[case::quic(
-    41,
+    71,
     PEER_PORT,
     r#", "secret": "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f""#,
     MEDIUM
