Give the test of load checks a time limit that a busy machine keeps

Cause: two times of the test depended on the scheduler. The probe of the test had the daemon's time limit of 20 ms, which the test's own target thread missed on a busy machine, so that the check had no answer.

The time limit of a probe is now a parameter. The daemon passes the same 20 ms as before; the tests pass 10 s, so that a check without an answer fails them for no other reason. The target of the test says when it has sent all that belongs to a check, and the next check is requested after that.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -35,7 +35,7 @@
     PeersMessage, PeersSender, ProbeMessage, ProbeSender, RouterMessage, RouterSender,
 };
 use crate::peers::{Peers, PeersStart};
-use crate::probe::{Probe, ProbeStart};
+use crate::probe::{PROBE_TIMEOUT, Probe, ProbeStart};
 use crate::reload::Reload;
 use crate::router::{Router, RouterStart};
 use crate::signals::{Signal, Signals};
@@ -215,6 +215,7 @@
             receiver,
             settings: self.settings,
             telemetry: self.senders.telemetry.clone(),
+            timeout: PROBE_TIMEOUT,
         })
     }
 
--- a/crates/node/src/probe/mod.rs
+++ b/crates/node/src/probe/mod.rs
@@ -9,4 +9,4 @@
 mod endpoint;
 mod task;
 
-pub use task::{Probe, ProbeStart};
+pub use task::{PROBE_TIMEOUT, Probe, ProbeStart};
--- a/crates/node/src/probe/task.rs
+++ b/crates/node/src/probe/task.rs
@@ -14,8 +14,8 @@
 use crate::messages::{GateMessage, GateSender, ProbeMessage, ProbeResult, RoutingState};
 use crate::telemetry::{Event, Telemetry};
 
-/// Maximum time of a probe, which prevents a stalled target from using up the budget.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(20);
+/// Maximum time of a daemon's probe, which prevents a stalled target from using up the budget.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Maximum size of the head and of the body of a response, in bytes each.
 const ANSWER_LIMIT: usize = 16 << 10;
 /// The period that the budget's number of probes refers to.
@@ -36,6 +36,8 @@
     pub settings: &'a Settings,
     /// Counts performed and skipped probes.
     pub telemetry: Telemetry,
+    /// Maximum time of a probe.
+    pub timeout: Duration,
 }
 
 /// The state of the probe task.
@@ -49,6 +51,7 @@
     interval: Duration,
     receiver: mpsc::UnboundedReceiver<ProbeMessage>,
     telemetry: Telemetry,
+    timeout: Duration,
 }
 
 impl Probe {
@@ -64,7 +67,7 @@
         let read = Limits {
             body: ANSWER_LIMIT,
             head: ANSWER_LIMIT,
-            idle: PROBE_TIMEOUT,
+            idle: start.timeout,
         };
         let paths = match start.dialect {
             Dialect::Own => [target.load.as_str(), target.health.as_str()],
@@ -79,6 +82,7 @@
             interval: BUDGET_PERIOD / probe.per_100s.max(1),
             receiver: start.receiver,
             telemetry: start.telemetry,
+            timeout: start.timeout,
         }
     }
 
@@ -134,7 +138,7 @@
     async fn probe(&mut self) -> Option<Option<ProbeResult>> {
         let started = self.clock.now();
         // A small budget permits only shorter probes.
-        let longest = PROBE_TIMEOUT.min(self.budget.longest());
+        let longest = self.timeout.min(self.budget.longest());
         match self.budget.ask(longest, started) {
             Permit::Granted => {}
             Permit::SkippedCount | Permit::SkippedTime => {
--- a/crates/node/tests/cold.rs
+++ b/crates/node/tests/cold.rs
@@ -20,7 +20,7 @@
 use hawthornwall_node::dialect::Dialect;
 use hawthornwall_node::gate::{GateStart, GateTask};
 use hawthornwall_node::messages::{GateMessage, GateSender, RoutingState};
-use hawthornwall_node::probe::{Probe, ProbeStart};
+use hawthornwall_node::probe::{PROBE_TIMEOUT, Probe, ProbeStart};
 use hawthornwall_node::telemetry::Telemetry;
 use hawthornwall_settings::Settings;
 use hawthornwall_wire::peer::{Header, HttpRequest, RequestId, RunReply, RunRequest, RunResult};
@@ -198,6 +198,7 @@
         receiver: checks,
         settings: &settings,
         telemetry,
+        timeout: PROBE_TIMEOUT,
     });
     monoio::spawn(probe.run());
     monoio::spawn(async move {
--- a/crates/node/tests/probe.rs
+++ b/crates/node/tests/probe.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Sender, channel};
 use std::thread;
 use std::time::Duration;
 
@@ -20,7 +21,9 @@
 
 use runtime::block_on;
 
-/// Pause between two checks of the load.
+/// Maximum time of a probe. The daemon's own limit is shorter than a busy machine may take to run the target.
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for the runtime to notice what the target has sent or closed.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Delay of what the target sends after its answer.
 const DELAY: Duration = Duration::from_millis(20);
@@ -57,20 +60,20 @@
     Nothing,
 }
 
-/// Serves checks on each connection that is opened.
-fn serve(extra: Extra) -> SocketAddr {
+/// Serves checks on each connection that is opened, and sends to `done` after all that belongs to a check.
+fn serve(extra: Extra, done: Sender<()>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
     thread::spawn(move || {
         let mut running = 0;
         for stream in listener.incoming().flatten() {
-            serve_connection(stream, extra, &mut running);
+            serve_connection(stream, extra, &mut running, &done);
         }
     });
     address
 }
 
-fn serve_connection(mut stream: TcpStream, extra: Extra, running: &mut usize) {
+fn serve_connection(mut stream: TcpStream, extra: Extra, running: &mut usize, done: &Sender<()>) {
     let mut buffer = [0; 4096];
     while let Ok(1..) = stream.read(&mut buffer) {
         *running += 1;
@@ -81,7 +84,11 @@
         let answer = answer(*running, headers);
         let _ = stream.write_all(&answer);
         match extra {
-            Extra::Close => return,
+            Extra::Close => {
+                drop(stream);
+                let _ = done.send(());
+                return;
+            }
             Extra::Copy => {
                 let _ = stream.write_all(&answer);
             }
@@ -91,6 +98,7 @@
             }
             Extra::Nothing => {}
         }
+        let _ = done.send(());
     }
 }
 
@@ -102,8 +110,8 @@
 #[case::late_copy(Extra::LateCopy)]
 #[case::close(Extra::Close)]
 fn each_check_gets_its_own_answer(#[case] extra: Extra) {
-    let address = serve(extra);
-    let settings = settings(address);
+    let (done, finished) = channel();
+    let settings = settings(serve(extra, done));
     let loads = block_on(async {
         let (gate, mut messages) = mpsc::unbounded();
         let (checks, receiver) = mpsc::unbounded();
@@ -115,6 +123,7 @@
             receiver,
             settings: &settings,
             telemetry,
+            timeout: TIMEOUT,
         });
         monoio::spawn(probe.run());
         let mut loads = Vec::new();
@@ -124,6 +133,10 @@
                 panic!("each check is answered");
             };
             loads.push(report.and_then(|r| r.load).map(|load| load.running));
+            // A copy that arrives after the next check has been sent can't be told from its answer.
+            finished
+                .recv_timeout(TIMEOUT)
+                .expect("the target has sent all");
             monoio::time::sleep(PAUSE).await;
         }
         drop(events);
@@ -155,6 +168,7 @@
             receiver,
             settings: &settings,
             telemetry,
+            timeout: TIMEOUT,
         });
         monoio::spawn(probe.run());
         let _ = checks.unbounded_send(ProbeMessage::CheckLoad);
