Give each state of a target a variant of its own, in an aggregate of targets

A target's state was a combination of left_at, held_back, listed and missing, most of whose combinations meant nothing, and two invariants were checked only in debug builds. It is now one enum with the times that belong to each state, and what an entry shows is decided in one place, Record::compare.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -10,8 +10,8 @@
 //! - an entry that is missing when the store recovers from an outage counts as present for
 //!   [`RETURN_GRACE`], because entries lapse during an outage although their targets run;
 //! - when the store returns from an older copy of its contents, targets that the copy lacks stay in use, and
-//!   targets that have left or drain stay out of use, and evacuations that the copy lacks stay in force, for
-//!   [`RETURN_GRACE`], because everybody writes again what the store has lost;
+//!   evacuations that it lacks stay in force, for [`RETURN_GRACE`], because everybody writes again what the store has
+//!   lost; targets that have left or drain stay out of use as long;
 //! - a daemon that can't reach the store keeps targets that its peers report as removed until it reaches
 //!   the store again: the targets may be cut off together with it, and daemons that reach the store send
 //!   them no work;
@@ -27,8 +27,9 @@
 mod route_delta;
 mod sources;
 mod sync;
+mod targets;
 
-pub use aggregate::{Absence, Catalog, CatalogEvent, RETURN_GRACE, Snapshot};
+pub use aggregate::{Catalog, CatalogEvent, Snapshot};
 pub use call::{Call, CallEnd, Published, StorePosition, UpdateHead};
 pub use change_log::{ChangeLog, UpdatePayload};
 pub use entry::{
@@ -40,3 +41,4 @@
 pub use route_delta::RouteDelta;
 pub use sources::{Level, Sources};
 pub use sync::{EraOrder, StoreSync, WATCH_WAIT};
+pub use targets::{Absence, RETURN_GRACE};
--- /dev/null
+++ b/crates/core/src/catalog/targets.rs
@@ -0,0 +1,462 @@
+//! Targets, and which of them take work.
+//!
+//! Evidence of a target's state comes from the store, from the store's older copies and from other daemons, late or
+//! out of order. It is compared here and nowhere else: [`Targets::upsert`] for an entry, [`Targets::mark_missing`] for
+//! the absence of one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{CatalogEvent, PublishedTarget};
+use crate::ids::TargetId;
+use crate::time::Time;
+
+/// Time for which an entry that is missing after an outage of the store counts as present, and for which an
+/// entry from an older copy doesn't put a target back in use. Targets write their entries again within two
+/// seconds.
+pub const RETURN_GRACE: Duration = Duration::from_secs(2);
+
+/// Time for which a target that left stays in the catalog, so that its last answers are still processed.
+const LEFT_RETENTION: Duration = Duration::from_secs(30);
+
+/// Difference between two stated ends of a target's cold time up to which they are the same one. Entries take up
+/// to a second from the target to this daemon.
+const COLD_STEP: Duration = Duration::from_secs(1);
+
+/// How the absence of an entry is interpreted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Absence {
+    /// The entry may have lapsed during an outage of the store, which ended at this time.
+    Lapsed(Time),
+    /// The target has left.
+    #[default]
+    Left,
+    /// This daemon can't reach the store. Peers report that the entry is gone, which doesn't show
+    /// whether the target has left or runs and is cut off from the store as well.
+    Unverified,
+}
+
+/// How long a missing entry counts as present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Missing {
+    /// Until this daemon reaches the store again.
+    StoreUnreachable,
+    Until(Time),
+}
+
+/// Whether a target takes new work, with the times that belong to it.
+#[derive(Clone, Copy, Debug)]
+enum State {
+    /// Listed as ready, and not used: the entry may have been written before the target left. `since` is when it
+    /// left; the entry is followed if it is still listed at `until`.
+    HeldBack { since: Time, until: Time },
+    /// Listed, and takes no new work from this time on.
+    Leaving(Time),
+    /// Not listed, and takes no new work from this time on.
+    Left(Time),
+    /// Not listed, but may still run; takes work.
+    Missing(Missing),
+    /// Listed, and takes work.
+    Ready,
+}
+
+impl State {
+    const fn takes_work(self) -> bool {
+        match self {
+            Self::HeldBack { .. } | Self::Leaving(_) | Self::Left(_) => false,
+            Self::Missing(_) | Self::Ready => true,
+        }
+    }
+
+    /// Whether the entry is in the contents last received.
+    const fn is_listed(self) -> bool {
+        match self {
+            Self::HeldBack { .. } | Self::Leaving(_) | Self::Ready => true,
+            Self::Left(_) | Self::Missing(_) => false,
+        }
+    }
+
+    /// Since when the target takes no new work; `None` if it takes work.
+    const fn left_at(self) -> Option<Time> {
+        match self {
+            Self::HeldBack { since, .. } | Self::Leaving(since) | Self::Left(since) => Some(since),
+            Self::Missing(_) | Self::Ready => None,
+        }
+    }
+
+    /// The state once the entry is gone and the target has left.
+    fn left(self, now: Time) -> Self {
+        Self::Left(self.left_at().unwrap_or(now))
+    }
+
+    /// The state once another target has started at the same address.
+    fn replaced(self, now: Time) -> Self {
+        match self {
+            Self::HeldBack { since, .. } | Self::Leaving(since) => Self::Leaving(since),
+            Self::Left(since) => Self::Left(since),
+            Self::Missing(_) => Self::Left(now),
+            Self::Ready => Self::Leaving(now),
+        }
+    }
+
+    /// When a missing entry no longer counts as present; `None` if it isn't missing, or if the store has to be reached
+    /// first.
+    const fn expiry(self) -> Option<Time> {
+        match self {
+            Self::Missing(Missing::Until(at)) => Some(at),
+            Self::HeldBack { .. }
+            | Self::Leaving(_)
+            | Self::Left(_)
+            | Self::Missing(Missing::StoreUnreachable)
+            | Self::Ready => None,
+        }
+    }
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    /// End of the cold time according to the entry; [`Time::ZERO`] if it states none.
+    cold_until: Time,
+    entry: PublishedTarget,
+    id: TargetId,
+    state: State,
+}
+
+impl Record {
+    pub fn cold_until(&self) -> Time {
+        self.cold_until
+    }
+
+    pub fn entry(&self) -> &PublishedTarget {
+        &self.entry
+    }
+
+    pub fn id(&self) -> TargetId {
+        self.id
+    }
+
+    pub fn takes_work(&self) -> bool {
+        self.state.takes_work()
+    }
+
+    /// What an entry shows about the target. While the store is `restoring` what it has lost, an entry may state less
+    /// than is known here.
+    fn compare(&self, entry: &PublishedTarget, restoring: bool) -> Evidence {
+        if restoring && is_earlier_run(entry, &self.entry) {
+            return Evidence::EarlierRun;
+        }
+        if !is_same_run(entry, &self.entry) {
+            return Evidence::Current;
+        }
+        let ready = entry.state.takes_work();
+        let older = entry.started_ms.is_some() && entry.sequence < self.entry.sequence;
+        // A target that is missing may have reported again what an earlier report states: only an entry that changes
+        // is read.
+        if !restoring && older && self.state.is_listed() {
+            Evidence::Overwritten
+        } else if restoring && ready && !self.state.takes_work() {
+            Evidence::Doubtful(self.entry.sequence)
+        } else {
+            Evidence::Current
+        }
+    }
+}
+
+/// What an entry shows about a target that is known.
+#[derive(Clone, Copy, Debug)]
+enum Evidence {
+    /// What the target states now.
+    Current,
+    /// That it takes work, although it left: the entry may have been written before that. With the number of the
+    /// latest status report known.
+    Doubtful(u64),
+    /// An earlier run, which the store's older copy lists.
+    EarlierRun,
+    /// An earlier status report of the run than the one that is listed. The store may do a write late.
+    Overwritten,
+}
+
+/// All targets, by name.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Targets {
+    last_id: u32,
+    records: BTreeMap<String, Record>,
+    /// When the store last returned from an older copy; `None` once everybody has had time to write again what it has
+    /// lost.
+    returned_at: Option<Time>,
+}
+
+impl Targets {
+    pub fn get(&self, name: &str) -> Option<&Record> {
+        self.records.get(name)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Record)> {
+        self.records.iter().map(|(name, r)| (name.as_str(), r))
+    }
+
+    /// The last id that was assigned.
+    pub fn last_id(&self) -> TargetId {
+        TargetId(self.last_id)
+    }
+
+    /// The newest target at an address; targets that have left come last.
+    pub fn at(&self, address: SocketAddr) -> Option<TargetId> {
+        let all = self.records.values();
+        all.filter(|r| r.entry.address == address)
+            .max_by_key(|r| (r.takes_work(), r.id))
+            .map(|r| r.id)
+    }
+
+    /// Names of the targets whose absence from `present` is news.
+    pub fn absent(&self, present: &BTreeMap<String, PublishedTarget>) -> Vec<String> {
+        let is_known = |state| match state {
+            State::Left(_) => true,
+            State::HeldBack { .. } | State::Leaving(_) | State::Missing(_) | State::Ready => false,
+        };
+        let all = self.records.iter();
+        all.filter(|(name, r)| !present.contains_key(*name) && !is_known(r.state))
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Records that the store has returned from an older copy at a time: no entry that is missing expires before
+    /// everybody has written again.
+    pub fn begin_era(&mut self, at: Time) {
+        let at = self.returned_at.map_or(at, |earlier| earlier.max(at));
+        self.returned_at = Some(at);
+        for record in self.records.values_mut() {
+            if let State::Missing(Missing::Until(end)) = &mut record.state {
+                *end = (at + RETURN_GRACE).max(*end);
+            }
+        }
+    }
+
+    /// Whether the store may still lack what was written before its return from an older copy.
+    pub fn is_restoring(&self, now: Time) -> bool {
+        self.returned_at.is_some_and(|at| now < at + RETURN_GRACE)
+    }
+
+    /// Ends the time after the store's return if a read of the store, at `read`, is later; returns whether it ended now.
+    pub fn end_return(&mut self, read: Time) -> bool {
+        let ended = self.returned_at.take_if(|at| *at + RETURN_GRACE <= read);
+        ended.is_some()
+    }
+
+    /// Records that this daemon reaches the store again.
+    pub fn reconnect(&mut self, now: Time) {
+        for record in self.records.values_mut() {
+            if let State::Missing(Missing::StoreUnreachable) = record.state {
+                record.state = State::Missing(Missing::Until(now + RETURN_GRACE));
+            }
+        }
+    }
+
+    /// When [`Targets::expire`] next changes a target.
+    pub fn next_expiry(&self) -> Option<Time> {
+        let all = self.records.values();
+        all.filter_map(|r| r.state.expiry()).min()
+    }
+
+    /// Marks targets as left whose missing entries have expired, and removes targets that left long ago.
+    pub fn expire(&mut self, now: Time) -> Vec<CatalogEvent> {
+        self.records.retain(|_, r| match r.state {
+            State::Left(at) => now - at < LEFT_RETENTION,
+            State::HeldBack { .. } | State::Leaving(_) | State::Missing(_) | State::Ready => true,
+        });
+        let mut events = Vec::new();
+        for (name, record) in &mut self.records {
+            if record.state.expiry().is_some_and(|at| at <= now) {
+                record.state = State::Left(now);
+                events.push(CatalogEvent::TargetLeaving(name.clone()));
+            }
+        }
+        events
+    }
+
+    /// Uses the targets whose entries were held back and are listed by a read of the store, at `read`, after they
+    /// would have lapsed.
+    pub fn release(&mut self, read: Time, now: Time) -> Vec<CatalogEvent> {
+        let mut released = Vec::new();
+        for (name, record) in &mut self.records {
+            if let State::HeldBack { until, .. } = record.state
+                && until <= read
+            {
+                record.state = State::Ready;
+                released.push(name.clone());
+            }
+        }
+        for name in &released {
+            self.retire_replaced(name, now);
+        }
+        released.retain(|name| self.records[name].takes_work());
+        let released = released.into_iter();
+        released.map(CatalogEvent::TargetReady).collect()
+    }
+
+    /// Handles an entry. A change of the cold time is reported if `limits_cold` says that it matters.
+    pub fn upsert(
+        &mut self,
+        name: &str,
+        mut entry: PublishedTarget,
+        limits_cold: bool,
+        now: Time,
+    ) -> Option<CatalogEvent> {
+        let restoring = self.is_restoring(now);
+        let known = self.records.get(name);
+        let evidence = known.map_or(Evidence::Current, |r| r.compare(&entry, restoring));
+        let before = known.filter(|r| is_same_run(&r.entry, &entry));
+        let since = before.and_then(|r| r.state.left_at()).unwrap_or(now);
+        let state = match evidence {
+            Evidence::Current if entry.state.takes_work() => State::Ready,
+            Evidence::Current => State::Leaving(since),
+            Evidence::Doubtful(sequence) => {
+                entry.sequence = entry.sequence.max(sequence);
+                let until = self.held_until(before, now);
+                State::HeldBack { since, until }
+            }
+            Evidence::EarlierRun => return self.mark_missing(name, Absence::Left, now),
+            Evidence::Overwritten => return Some(CatalogEvent::OlderEntry(name.to_owned())),
+        };
+        let earlier = before.map(|r| r.state);
+        let id = before.map_or(TargetId(self.last_id + 1), |r| r.id);
+        let cold_until = cold_until(before, &entry, now);
+        let cold_changed = limits_cold && before.is_some_and(|r| r.cold_until != cold_until);
+        self.last_id = self.last_id.max(id.0);
+        let record = Record {
+            cold_until,
+            entry,
+            id,
+            state,
+        };
+        self.records.insert(name.to_owned(), record);
+        self.retire_replaced(name, now);
+        self.change(name, earlier)
+            .or_else(|| cold_changed.then(|| CatalogEvent::TargetCold(name.to_owned())))
+    }
+
+    /// Until when an entry that is received now is held back: until everybody has had time to write again what
+    /// the store has lost. One that is held back already isn't held longer because it was read once more.
+    fn held_until(&self, before: Option<&Record>, now: Time) -> Time {
+        let returned = self.returned_at.filter(|_| self.is_restoring(now));
+        let until = returned.unwrap_or(now) + RETURN_GRACE;
+        match (before.map(|r| r.state), returned) {
+            (Some(State::HeldBack { until, .. }), None) => until,
+            (Some(State::HeldBack { until: held, .. }), Some(_)) => held.max(until),
+            (
+                Some(State::Leaving(_) | State::Left(_) | State::Missing(_) | State::Ready) | None,
+                _,
+            ) => until,
+        }
+    }
+
+    /// The event that results from a target's state after an entry; `None` if it is the same as before.
+    fn change(&self, name: &str, earlier: Option<State>) -> Option<CatalogEvent> {
+        let used = earlier.map(State::takes_work);
+        let event = match (self.records[name].state, earlier) {
+            (State::HeldBack { .. }, Some(State::HeldBack { .. })) => return None,
+            (State::HeldBack { .. }, _) => CatalogEvent::TargetHeldBack,
+            (State::Missing(_) | State::Ready, _) if used != Some(true) => {
+                CatalogEvent::TargetReady
+            }
+            (State::Leaving(_) | State::Left(_), _) if used != Some(false) => {
+                CatalogEvent::TargetLeaving
+            }
+            (State::Leaving(_) | State::Left(_) | State::Missing(_) | State::Ready, _) => {
+                return None;
+            }
+        };
+        Some(event(name.to_owned()))
+    }
+
+    /// Marks all targets at the address of `name` as left except the one that started last, since only
+    /// that target can still run. The entries of the other targets lapse seconds later.
+    fn retire_replaced(&mut self, name: &str, now: Time) {
+        let Some(address) = self.records.get(name).map(|r| r.entry.address) else {
+            return;
+        };
+        let at_address = |r: &Record| r.entry.address == address && r.entry.started_ms.is_some();
+        let all = self.records.values().filter(|r| at_address(r));
+        let Some(last) = all.map(|r| r.entry.started_ms).max() else {
+            return;
+        };
+        let replaced = |r: &&mut Record| at_address(r) && r.entry.started_ms < last;
+        for record in self.records.values_mut().filter(replaced) {
+            record.state = record.state.replaced(now);
+        }
+    }
+
+    /// Handles a missing entry: marks the target as left, or only as missing if it may still run.
+    pub fn mark_missing(
+        &mut self,
+        name: &str,
+        absence: Absence,
+        now: Time,
+    ) -> Option<CatalogEvent> {
+        let returned = self.returned_at.filter(|_| self.is_restoring(now));
+        let missing = match absence {
+            Absence::Lapsed(_) | Absence::Left if let Some(at) = returned => {
+                Some(Missing::Until(at + RETURN_GRACE))
+            }
+            Absence::Lapsed(at) if at + RETURN_GRACE > now => {
+                Some(Missing::Until(at + RETURN_GRACE))
+            }
+            Absence::Lapsed(_) | Absence::Left => None,
+            Absence::Unverified => Some(Missing::StoreUnreachable),
+        };
+        let record = self.records.get_mut(name)?;
+        let used = record.state.takes_work();
+        let name = name.to_owned();
+        match (record.state, missing) {
+            (State::Missing(_), Some(_)) => None,
+            (State::Ready, Some(missing)) => {
+                record.state = State::Missing(missing);
+                Some(CatalogEvent::TargetMissing(name))
+            }
+            (
+                State::HeldBack { .. }
+                | State::Leaving(_)
+                | State::Left(_)
+                | State::Missing(_)
+                | State::Ready,
+                _,
+            ) => {
+                record.state = record.state.left(now);
+                used.then_some(CatalogEvent::TargetLeaving(name))
+            }
+        }
+    }
+}
+
+/// Whether two entries describe the same run of a target. A restarted target may keep its name, and no
+/// state of the previous run applies to it.
+fn is_same_run(a: &PublishedTarget, b: &PublishedTarget) -> bool {
+    a.started_ms == b.started_ms && a.address == b.address && a.service == b.service
+}
+
+/// Whether `a` describes an earlier run than `b` of a target that keeps its name.
+fn is_earlier_run(a: &PublishedTarget, b: &PublishedTarget) -> bool {
+    a.started_ms.is_some() && a.started_ms < b.started_ms
+}
+
+/// End of the cold time after an entry was read. An entry that is read once more states nothing new, and nearly
+/// the same end is kept, since it differs only by the time that the entries took.
+fn cold_until(before: Option<&Record>, entry: &PublishedTarget, now: Time) -> Time {
+    let stated = if entry.cold.is_zero() {
+        Time::ZERO
+    } else {
+        now + entry.cold
+    };
+    let Some(before) = before else {
+        return stated;
+    };
+    let known = before.cold_until;
+    let step = stated.max(now) - known.max(now) + (known.max(now) - stated.max(now));
+    if before.entry == *entry || step <= COLD_STEP {
+        known
+    } else {
+        stated
+    }
+}
