Hold back what an older copy lists until it would have lapsed

Cause: an entry that was held back was followed RETURN_GRACE, 2 s, after the return. That is the time in which what is missing is written again; an entry that nobody writes stays for three heartbeats, 4.5 s.

Change: such an entry is followed if it is still listed by a read 5 s after the return, or if, after the grace, its status report has a higher number than any known. A read of all contents in between changes nothing.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -127,8 +127,9 @@
     }
 
     /// Records that the store has returned from an older copy of its contents at a time. Until [`RETURN_GRACE`](super::RETURN_GRACE)
-    /// has passed, an entry that is missing doesn't show that its target has left, one that is present doesn't show
-    /// that its target, which has left, takes work again, and an evacuation that is missing isn't revoked.
+    /// has passed, an entry that is missing doesn't show that its target has left, and an evacuation that is missing
+    /// isn't revoked. Until [`LAPSE_TIME`](super::LAPSE_TIME) has passed, an entry of the copy doesn't show that its target, which has left,
+    /// takes work again.
     pub fn begin_era(&mut self, at: Time) {
         self.targets.begin_era(at);
     }
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -11,7 +11,9 @@
 //!   [`RETURN_GRACE`], because entries lapse during an outage although their targets run;
 //! - when the store returns from an older copy of its contents, targets that the copy lacks stay in use, and
 //!   evacuations that it lacks stay in force, for [`RETURN_GRACE`], because everybody writes again what the store has
-//!   lost; targets that have left or drain stay out of use as long;
+//!   lost;
+//! - an entry that may have been written before its target left doesn't put the target back in use before it would
+//!   have lapsed, after [`LAPSE_TIME`];
 //! - a daemon that can't reach the store keeps targets that its peers report as removed until it reaches
 //!   the store again: the targets may be cut off together with it, and daemons that reach the store send
 //!   them no work;
@@ -41,4 +43,4 @@
 pub use route_delta::RouteDelta;
 pub use sources::{Level, Sources};
 pub use sync::{EraOrder, StoreSync, WATCH_WAIT};
-pub use targets::{Absence, RETURN_GRACE};
+pub use targets::{Absence, LAPSE_TIME, RETURN_GRACE};
--- a/crates/core/src/catalog/targets.rs
+++ b/crates/core/src/catalog/targets.rs
@@ -17,6 +17,11 @@
 /// seconds.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which an entry that may be out of date is held back. An entry that nobody writes lapses after three
+/// missed heartbeats, 4.5 s, so that one which is still listed then is that of a target that runs. Half a second is
+/// for the removal to be read.
+pub const LAPSE_TIME: Duration = Duration::from_secs(5);
+
 /// Time for which a target that left stays in the catalog, so that its last answers are still processed.
 const LEFT_RETENTION: Duration = Duration::from_secs(30);
 
@@ -151,13 +156,21 @@
             return Evidence::Current;
         }
         let ready = entry.state.takes_work();
-        let older = entry.started_ms.is_some() && entry.sequence < self.entry.sequence;
+        let order = entry.sequence.cmp(&self.entry.sequence);
+        let numbered = entry.started_ms.is_some();
+        // Each status report of a target that runs has a higher number than all before it.
+        let doubtful = match self.state {
+            State::HeldBack { .. } => restoring || order.is_le(),
+            State::Leaving(_) | State::Left(_) => restoring,
+            State::Missing(_) | State::Ready => false,
+        };
         // A target that is missing may have reported again what an earlier report states: only an entry that changes
         // is read.
-        if !restoring && older && self.state.is_listed() {
-            Evidence::Overwritten
-        } else if restoring && ready && !self.state.takes_work() {
+        let overwritten = self.state.is_listed() && numbered && order.is_lt() && !restoring;
+        if ready && doubtful {
             Evidence::Doubtful(self.entry.sequence)
+        } else if overwritten {
+            Evidence::Overwritten
         } else {
             Evidence::Current
         }
@@ -337,11 +350,11 @@
             .or_else(|| cold_changed.then(|| CatalogEvent::TargetCold(name.to_owned())))
     }
 
-    /// Until when an entry that is received now is held back: until everybody has had time to write again what
-    /// the store has lost. One that is held back already isn't held longer because it was read once more.
+    /// Until when an entry that is received now is held back: until the entries that the store's copy had have
+    /// lapsed, or this entry has. One that is held back already isn't held longer because it was read once more.
     fn held_until(&self, before: Option<&Record>, now: Time) -> Time {
         let returned = self.returned_at.filter(|_| self.is_restoring(now));
-        let until = returned.unwrap_or(now) + RETURN_GRACE;
+        let until = returned.unwrap_or(now) + LAPSE_TIME;
         match (before.map(|r| r.state), returned) {
             (Some(State::HeldBack { until, .. }), None) => until,
             (Some(State::HeldBack { until: held, .. }), Some(_)) => held.max(until),
--- a/crates/testkit/tests/system/main.rs
+++ b/crates/testkit/tests/system/main.rs
@@ -3,7 +3,7 @@
 mod catch_up;
 mod daemon;
 mod endless;
-mod late_report;
+mod leaving;
 mod link;
 mod older_copy;
 mod stop;
