Hold back a status report from before the removal of its entry

Cause: a report was compared with an earlier one only while the entry was listed. It couldn't simply be ignored, as a target that runs may report the same, which doesn't change the entry and isn't read.

Change: an entry of a target that was seen to leave, whose report has no higher number than the last one known, is held back for LAPSE_TIME, 5 s. It is followed if it is still listed then, or once a later report is read. A target whose missing entry expired was never seen to leave; it has a state of its own, and any report puts it in use, as before.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -32,8 +32,8 @@
     TargetCold(String),
     /// A target takes no new work from now on.
     TargetLeaving(String),
-    /// A target that has left is listed in the store's older copy; it isn't used until the store has had time to
-    /// learn of that.
+    /// A target that has left is listed by an entry that may have been written before that; it isn't used until the
+    /// entry would have lapsed.
     TargetHeldBack(String),
     /// The entry of a target is missing; the target is used until its removal is confirmed.
     TargetMissing(String),
--- a/crates/core/src/catalog/targets.rs
+++ b/crates/core/src/catalog/targets.rs
@@ -56,6 +56,9 @@
     /// Listed as ready, and not used: the entry may have been written before the target left. `since` is when it
     /// left; the entry is followed if it is still listed at `until`.
     HeldBack { since: Time, until: Time },
+    /// Not listed, and takes no new work from this time on: its entry was missing for too long. Nobody has seen the
+    /// target leave.
+    Lapsed(Time),
     /// Listed, and takes no new work from this time on.
     Leaving(Time),
     /// Not listed, and takes no new work from this time on.
@@ -69,7 +72,7 @@
 impl State {
     const fn takes_work(self) -> bool {
         match self {
-            Self::HeldBack { .. } | Self::Leaving(_) | Self::Left(_) => false,
+            Self::HeldBack { .. } | Self::Lapsed(_) | Self::Leaving(_) | Self::Left(_) => false,
             Self::Missing(_) | Self::Ready => true,
         }
     }
@@ -78,19 +81,22 @@
     const fn is_listed(self) -> bool {
         match self {
             Self::HeldBack { .. } | Self::Leaving(_) | Self::Ready => true,
-            Self::Left(_) | Self::Missing(_) => false,
+            Self::Lapsed(_) | Self::Left(_) | Self::Missing(_) => false,
         }
     }
 
     /// Since when the target takes no new work; `None` if it takes work.
     const fn left_at(self) -> Option<Time> {
         match self {
-            Self::HeldBack { since, .. } | Self::Leaving(since) | Self::Left(since) => Some(since),
+            Self::HeldBack { since, .. }
+            | Self::Lapsed(since)
+            | Self::Leaving(since)
+            | Self::Left(since) => Some(since),
             Self::Missing(_) | Self::Ready => None,
         }
     }
 
-    /// The state once the entry is gone and the target has left.
+    /// The state once the entry was removed because the target has left.
     fn left(self, now: Time) -> Self {
         Self::Left(self.left_at().unwrap_or(now))
     }
@@ -99,7 +105,7 @@
     fn replaced(self, now: Time) -> Self {
         match self {
             Self::HeldBack { since, .. } | Self::Leaving(since) => Self::Leaving(since),
-            Self::Left(since) => Self::Left(since),
+            Self::Lapsed(since) | Self::Left(since) => Self::Left(since),
             Self::Missing(_) => Self::Left(now),
             Self::Ready => Self::Leaving(now),
         }
@@ -111,6 +117,7 @@
         match self {
             Self::Missing(Missing::Until(at)) => Some(at),
             Self::HeldBack { .. }
+            | Self::Lapsed(_)
             | Self::Leaving(_)
             | Self::Left(_)
             | Self::Missing(Missing::StoreUnreachable)
@@ -161,7 +168,8 @@
         // Each status report of a target that runs has a higher number than all before it.
         let doubtful = match self.state {
             State::HeldBack { .. } => restoring || order.is_le(),
-            State::Leaving(_) | State::Left(_) => restoring,
+            State::Lapsed(_) | State::Leaving(_) => restoring,
+            State::Left(_) => restoring || numbered && order.is_le(),
             State::Missing(_) | State::Ready => false,
         };
         // A target that is missing may have reported again what an earlier report states: only an entry that changes
@@ -226,7 +234,7 @@
     /// Names of the targets whose absence from `present` is news.
     pub fn absent(&self, present: &BTreeMap<String, PublishedTarget>) -> Vec<String> {
         let is_known = |state| match state {
-            State::Left(_) => true,
+            State::Lapsed(_) | State::Left(_) => true,
             State::HeldBack { .. } | State::Leaving(_) | State::Missing(_) | State::Ready => false,
         };
         let all = self.records.iter();
@@ -273,16 +281,16 @@
         all.filter_map(|r| r.state.expiry()).min()
     }
 
-    /// Marks targets as left whose missing entries have expired, and removes targets that left long ago.
+    /// Takes targets out of use whose missing entries have expired, and removes those that left long ago.
     pub fn expire(&mut self, now: Time) -> Vec<CatalogEvent> {
         self.records.retain(|_, r| match r.state {
-            State::Left(at) => now - at < LEFT_RETENTION,
+            State::Lapsed(at) | State::Left(at) => now - at < LEFT_RETENTION,
             State::HeldBack { .. } | State::Leaving(_) | State::Missing(_) | State::Ready => true,
         });
         let mut events = Vec::new();
         for (name, record) in &mut self.records {
             if record.state.expiry().is_some_and(|at| at <= now) {
-                record.state = State::Left(now);
+                record.state = State::Lapsed(now);
                 events.push(CatalogEvent::TargetLeaving(name.clone()));
             }
         }
@@ -359,7 +367,14 @@
             (Some(State::HeldBack { until, .. }), None) => until,
             (Some(State::HeldBack { until: held, .. }), Some(_)) => held.max(until),
             (
-                Some(State::Leaving(_) | State::Left(_) | State::Missing(_) | State::Ready) | None,
+                Some(
+                    State::Lapsed(_)
+                    | State::Leaving(_)
+                    | State::Left(_)
+                    | State::Missing(_)
+                    | State::Ready,
+                )
+                | None,
                 _,
             ) => until,
         }
@@ -374,10 +389,17 @@
             (State::Missing(_) | State::Ready, _) if used != Some(true) => {
                 CatalogEvent::TargetReady
             }
-            (State::Leaving(_) | State::Left(_), _) if used != Some(false) => {
+            (State::Lapsed(_) | State::Leaving(_) | State::Left(_), _) if used != Some(false) => {
                 CatalogEvent::TargetLeaving
             }
-            (State::Leaving(_) | State::Left(_) | State::Missing(_) | State::Ready, _) => {
+            (
+                State::Lapsed(_)
+                | State::Leaving(_)
+                | State::Left(_)
+                | State::Missing(_)
+                | State::Ready,
+                _,
+            ) => {
                 return None;
             }
         };
@@ -430,6 +452,7 @@
             }
             (
                 State::HeldBack { .. }
+                | State::Lapsed(_)
                 | State::Leaving(_)
                 | State::Left(_)
                 | State::Missing(_)
--- a/crates/node/src/catalog/report.rs
+++ b/crates/node/src/catalog/report.rs
@@ -97,7 +97,7 @@
     }
     if !held_back.0.is_empty() {
         let targets = held_back.joined();
-        log::warn!("targets that have left are listed in the store's older copy and aren't used yet", kv: { targets, era, revision = number, source: });
+        log::warn!("targets that have left are listed again by entries that may be out of date, and aren't used yet", kv: { targets, era, revision = number, source: });
     }
     if !older.0.is_empty() {
         let targets = older.joined();
--- a/crates/testkit/tests/system/leaving.rs
+++ b/crates/testkit/tests/system/leaving.rs
@@ -23,8 +23,8 @@
 const UNUSED_TIME: Duration = Duration::from_secs(2);
 /// Time after which an entry that nobody writes lapses: three missed heartbeats.
 const LAPSE: Duration = Duration::from_millis(4_500);
-/// Time within which a target that runs, and whose entry hasn't lapsed, is used again.
-const RELEASE_LIMIT: Duration = Duration::from_secs(8);
+/// Time after [`LAPSE`] within which a target that runs, and whose entry is still there, is used again.
+const RELEASE_LIMIT: Duration = Duration::from_millis(3_500);
 /// Interval of requests, and at which the store's thread checks for the next step.
 const INTERVAL: Duration = Duration::from_millis(20);
 
@@ -145,6 +145,18 @@
             assert!(!self.is_used(), "used after {:?}", start.elapsed());
         }
     }
+
+    /// Expects that the target isn't used before its entry would lapse, and is used afterwards if it `runs`. The entry
+    /// of one that has left lapses.
+    fn expect_use_after_lapse(&mut self, runs: bool) {
+        self.expect_unused(LAPSE);
+        if runs {
+            self.wait_used(true, RELEASE_LIMIT);
+        } else {
+            self.perform(Step::Remove);
+            self.expect_unused(UNUSED_TIME);
+        }
+    }
 }
 
 /// Guards against requests to a draining target that is put back in use by a report from before the drain, which the
@@ -173,11 +185,24 @@
     deployment.perform(Step::Remove);
     deployment.wait_used(false, FOLLOW_LIMIT);
     deployment.perform(Step::Return);
-    deployment.expect_unused(LAPSE);
-    if runs {
-        deployment.wait_used(true, RELEASE_LIMIT - LAPSE);
-    } else {
-        deployment.perform(Step::Remove);
-        deployment.expect_unused(UNUSED_TIME);
-    }
+    deployment.expect_use_after_lapse(runs);
+}
+
+/// Guards against requests to a target that has left and is put back in use by a report from before that, which the
+/// store does after the removal of the entry. Guards also against one that is left out for good although it runs and
+/// reports the same without a change of the entry, and against one whose later report isn't followed.
+#[rstest]
+#[case::has_left(65, false)]
+#[case::runs(66, true)]
+fn report_from_before_a_removal(#[case] case: u8, #[case] runs: bool) {
+    let folder = Folder::create(false).expect("the folder is created");
+    let mut deployment = Deployment::start(&folder, case);
+    deployment.perform(Step::Remove);
+    deployment.wait_used(false, FOLLOW_LIMIT);
+    deployment.report(false, FIRST);
+    deployment.expect_use_after_lapse(runs);
+    deployment.perform(Step::Remove);
+    deployment.wait_used(false, FOLLOW_LIMIT);
+    deployment.report(false, FIRST + 1);
+    deployment.wait_used(true, FOLLOW_LIMIT);
 }
