Verify a removal heard in a cut as soon as the cut ends

Cause: two waits in a row. A daemon that queries peers backs off for up to 2 s, and only then the 2 s begin in which the target, if it was cut off too, writes its entry again.

Change: while a removal that a peer reported isn't verified, the backoff is 0.4 s at most, 0.8 s while the store rejects calls, as for a daemon without peers to query. Without such a removal it is as before.

The fixture of node/tests/store.rs has a file of its own.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -163,6 +163,11 @@
         self.targets.reconnect(now);
     }
 
+    /// Whether a target is used until this daemon reaches the store, as a peer has reported its removal.
+    pub fn has_unverified(&self) -> bool {
+        self.targets.has_unverified()
+    }
+
     /// Failure domains whose targets take no requests.
     pub fn evacuated(&self) -> &BTreeSet<String> {
         &self.evacuated
--- a/crates/core/src/catalog/call.rs
+++ b/crates/core/src/catalog/call.rs
@@ -56,6 +56,8 @@
     pub routes: bool,
     /// Number of targets that take work.
     pub targets: usize,
+    /// Whether a target is used although a peer has reported its removal, until this daemon reaches the store.
+    pub unverified: bool,
 }
 
 impl Published {
--- a/crates/core/src/catalog/sync.rs
+++ b/crates/core/src/catalog/sync.rs
@@ -18,6 +18,8 @@
 //!   never return a change;
 //! - after failures the backoff doubles, with random jitter, so that daemons don't all call a recovering
 //!   store at once;
+//! - a daemon that queries peers backs off as briefly as the others while a removal that a peer reported isn't verified,
+//!   since the target gets work until then, and the time to write its entry again counts from there;
 //! - a query of a peer lasts no longer than the backoff after a failed call, since removals that peers report
 //!   take effect only once the store has been reached;
 //! - an answer of the store of a later era than the contents held makes a read of all contents necessary, and one of
@@ -92,7 +94,7 @@
 /// assert_eq!(store_sync.next(Time::ZERO), (Time::ZERO, Call::Load { stale: true }));
 /// store_sync.end(CallEnd::ReadStale { revision: Revision::new(0, 7) }, Time::ZERO);
 /// assert!(!store_sync.is_confirmed());
-/// let published = Published { own: true, routes: true, targets: 1 };
+/// let published = Published { own: true, routes: true, targets: 1, unverified: false };
 /// store_sync.set_sources(published, Sources::default());
 /// let confirm = Call::Watch { after: 7, wait: Duration::ZERO };
 /// assert_eq!(store_sync.next(Time::ZERO), (Time::ZERO, confirm));
@@ -139,6 +141,8 @@
     store_first: bool,
     /// End of the backoff after failed calls to the store.
     store_due: Time,
+    /// End of the backoff while a removal that a peer reported has to be verified.
+    verify_due: Time,
     /// Whether no call has ended yet.
     first_call: bool,
 }
@@ -167,6 +171,7 @@
             reload: false,
             sources: Sources::default(),
             store_due: Time::ZERO,
+            verify_due: Time::ZERO,
             store_first: false,
             first_call: true,
         }
@@ -288,12 +293,12 @@
 
     /// The next call and when it is due.
     pub fn next(&self, now: Time) -> (Time, Call) {
-        let at_store = self.due.max(self.store_due).max(self.batch_end);
+        let at_store = self.due.max(self.backoff_end()).max(self.batch_end);
         let Some(after) = self.revision else {
             let stale = self.first_call;
             return (at_store, Call::Load { stale });
         };
-        let backing_off = self.store_due > now;
+        let backing_off = self.backoff_end() > now;
         let fresh = now < self.stale_at();
         let ask_peer = !self.store_first && (backing_off || fresh);
         match self.peer(now, backing_off) {
@@ -376,7 +381,7 @@
     /// When a query of a peer that starts now times out.
     fn query_end(&self) -> Time {
         match self.failing_since {
-            Some(_) => self.store_due,
+            Some(_) => self.backoff_end(),
             None => self.stale_at(),
         }
     }
@@ -485,7 +490,7 @@
     /// Ends a query without an update. If the end of the backoff after a failed call cut it short, that shows
     /// nothing about the peer.
     fn end_query(&mut self, peer: SocketAddr, now: Time) {
-        let cut_short = self.failing_since.is_some() && now >= self.store_due;
+        let cut_short = self.failing_since.is_some() && now >= self.backoff_end();
         if cut_short && now < self.stale_at() {
             self.due = now;
         } else {
@@ -515,14 +520,25 @@
         self.failing_since.get_or_insert(now);
         // Peers may have the contents of the later era meanwhile.
         self.store_first &= self.awaited_era.is_none();
-        let limit = match self.sources.level {
+        let level_limit = match self.sources.level {
             Level::Head | Level::Root => limit,
             Level::Member => MEMBER_BACKOFF_LIMIT,
         };
-        let backoff = (BACKOFF_FIRST * (1 << self.failures.min(8))).min(limit);
+        let backoff = BACKOFF_FIRST * (1 << self.failures.min(8));
+        let jitter = self.rng.random_range(0.5..1.0);
         self.failures += 1;
         self.due = now;
-        self.store_due = now + backoff.mul_f64(self.rng.random_range(0.5..1.0));
+        self.store_due = now + backoff.min(level_limit).mul_f64(jitter);
+        self.verify_due = now + backoff.min(limit).mul_f64(jitter);
+    }
+
+    /// When the store may be called again after failed calls.
+    fn backoff_end(&self) -> Time {
+        if self.published.unverified {
+            self.verify_due
+        } else {
+            self.store_due
+        }
     }
 
     fn recover(&mut self, now: Time) {
@@ -530,5 +546,6 @@
         self.failures = 0;
         self.answered = Some(now);
         self.store_due = now;
+        self.verify_due = now;
     }
 }
--- a/crates/core/src/catalog/targets.rs
+++ b/crates/core/src/catalog/targets.rs
@@ -266,6 +266,20 @@
         ended.is_some()
     }
 
+    /// Whether a target is used until this daemon reaches the store, as a peer has reported its removal.
+    pub fn has_unverified(&self) -> bool {
+        let unverified = |r: &Record| match r.state {
+            State::Missing(Missing::StoreUnreachable) => true,
+            State::HeldBack { .. }
+            | State::Lapsed(_)
+            | State::Leaving(_)
+            | State::Left(_)
+            | State::Missing(Missing::Until(_))
+            | State::Ready => false,
+        };
+        self.records.values().any(unverified)
+    }
+
     /// Records that this daemon reaches the store again.
     pub fn reconnect(&mut self, now: Time) {
         for record in self.records.values_mut() {
--- a/crates/core/tests/scenarios/store_sync.rs
+++ b/crates/core/tests/scenarios/store_sync.rs
@@ -23,6 +23,7 @@
                 own: true,
                 routes: true,
                 targets: 1,
+                unverified: false,
             };
             store_sync.set_sources(published, Sources::default());
         }
@@ -68,6 +69,7 @@
                     own: !line.flag("own-missing"),
                     routes: !line.flag("no-routes"),
                     targets: line.word(0),
+                    unverified: line.flag("unverified"),
                 };
                 self.store_sync.set_sources(published, sources(line));
                 None
--- a/crates/node/src/catalog/task.rs
+++ b/crates/node/src/catalog/task.rs
@@ -458,6 +458,7 @@
         self.store_sync.end(end, now);
         if let Some(since) = self.failing_since.take() {
             self.catalog.reconnect(now);
+            self.update_sources();
             self.store_health
                 .record_success(self.store_sync.revision(), now - since);
         }
@@ -515,6 +516,7 @@
             own: self.catalog.target_at(self.start.own_target).is_some(),
             routes: self.catalog.version() > Version(0),
             targets: count,
+            unverified: self.catalog.has_unverified(),
         };
         self.store_sync.set_sources(published, sources);
     }
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -1,165 +1,44 @@
 //! The catalog task against a scripted store over loopback.
 
+#[path = "common/catalog.rs"]
+mod catalog;
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
+use std::io::{Read, Write};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use futures::StreamExt;
-use futures::channel::{mpsc, oneshot};
+use futures::channel::oneshot;
 use hawthornwall_core::catalog::{
     PublishedRoutes, Revision, RouteDelta, Snapshot, Sources, StorePosition, UpdateChange,
-    UpdateHead, UpdatePayload,
+    UpdatePayload,
 };
 use hawthornwall_core::ids::Version;
-use hawthornwall_node::catalog::{CatalogStart, run};
-use hawthornwall_node::clock::Clock;
-use hawthornwall_node::messages::{
-    ControlMessage, GateSender, PeerAddress, PeerFault, PeersMessage, RouterMessage,
-};
-use hawthornwall_node::telemetry::Telemetry;
-use hawthornwall_wire::peer::{Reply, Request, StoreUpdate};
+use hawthornwall_node::messages::ControlMessage;
+use hawthornwall_wire::peer::StoreUpdate;
 use insta::assert_snapshot;
 use rstest::rstest;
 
+use catalog::{
+    LIMIT, PEER_PORT, ROUTES_2, daemon, entry, events, ok, page, parent, status, update, update_at,
+};
 use common::runtime::block_on;
 use common::script::{Connection, serve};
 
-/// Time allowed for the next routing state or query.
-const LIMIT: Duration = Duration::from_secs(3);
-
-/// Base64 of routes at version 2, without listeners and clusters.
-const ROUTES_2: &str = "eyJ2ZXJzaW9uIjoicjIiLCJsaXN0ZW5lcnMiOltdLCJjbHVzdGVycyI6W119";
 const ROUTES_9: &str = "eyJ2ZXJzaW9uIjoicjkiLCJsaXN0ZW5lcnMiOltdLCJjbHVzdGVycyI6W119";
 const ROUTES_5: &str = "eyJ2ZXJzaW9uIjoicjUiLCJsaXN0ZW5lcnMiOltdLCJjbHVzdGVycyI6W119";
-/// Peer port of all daemons.
-const PEER_PORT: u16 = 7;
-
-/// A response of the store with items or events, all at one revision.
-fn content(kind: &str, items: &[(&str, &str)], revision: u64) -> String {
-    let items: Vec<_> = items
-        .iter()
-        .map(|(key, value)| format!(r#"{{"key":"{key}","value":"{value}","revision":{revision}}}"#))
-        .collect();
-    let items = items.join(",");
-    ok(&format!(
-        r#"{{"{kind}":[{items}],"hasMore":false,"storeRevision":{revision}}}"#
-    ))
-}
-
-fn page(items: &[(&str, &str)], revision: u64) -> String {
-    content("items", items, revision)
-}
-
-fn events(items: &[(&str, &str)], revision: u64) -> String {
-    content("events", items, revision)
-}
-
-fn ok(body: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
-fn status(code: u16) -> String {
-    format!("HTTP/1.1 {code} X\r\nContent-Length: 0\r\n\r\n")
-}
-
-/// Base64 of the entry of a target that shares the address `ip` with its daemon.
-fn entry(ip: IpAddr) -> String {
-    STANDARD.encode(format!(
-        r#"{{"address":"{ip}:80","info":{{"service":"s","version":"v1","zone":"a","slots":2}},"status":{{"state":"ready","sequence":1,"coldRemainingS":0}}}}"#
-    ))
-}
-
-/// The catalog task and the channels of the tasks around it.
-struct Daemon {
-    control: mpsc::UnboundedSender<ControlMessage>,
-    peers: mpsc::UnboundedReceiver<PeersMessage>,
-    router: mpsc::UnboundedReceiver<RouterMessage>,
-}
-
-fn daemon(store: SocketAddr) -> Daemon {
-    let (control, receiver) = mpsc::unbounded();
-    let (gate, _) = mpsc::unbounded();
-    let (ingress, _) = mpsc::unbounded();
-    let (peers, peer_messages) = mpsc::unbounded();
-    let (router, router_messages) = mpsc::unbounded();
-    monoio::spawn(run(CatalogStart {
-        clock: Clock::start(),
-        domain: "a".to_owned(),
-        gate: GateSender::new(gate),
-        ingress,
-        own_target: ([127, 0, 0, 1], 9).into(),
-        peer_port: PEER_PORT,
-        peers,
-        receiver,
-        router,
-        seed: 1,
-        store,
-        telemetry: Telemetry::channel().0,
-    }));
-    Daemon {
-        control,
-        peers: peer_messages,
-        router: router_messages,
-    }
-}
-
-impl Daemon {
-    async fn ready(&self) -> String {
-        let (reply, ready) = oneshot::channel();
-        let _ = self.control.unbounded_send(ControlMessage::Ready(reply));
-        format!("ready {}", ready.await.unwrap_or(false))
-    }
-
-    async fn routing(&mut self) -> String {
-        match monoio::time::timeout(LIMIT, self.router.next()).await {
-            Ok(Some(RouterMessage::RoutingState(routing))) => {
-                let targets = routing.members.len();
-                let used = routing.members.values().filter(|m| !m.leaving).count();
-                let version = routing.config.version;
-                let evacuated = routing.evacuated.iter();
-                let used = [format!("{used} used")].into_iter();
-                let all: Vec<_> = used
-                    .chain(evacuated.map(|d| format!("{d} evacuated")))
-                    .collect();
-                format!(
-                    "routing state {version}, {targets} targets, {}",
-                    all.join(", ")
-                )
-            }
-            Ok(Some(_) | None) | Err(_) => "no other routing state".to_owned(),
-        }
-    }
-
-    /// Describes the next query of a peer; returns the sender of its reply as well.
-    async fn query(&mut self) -> (String, oneshot::Sender<Result<Reply, PeerFault>>) {
-        loop {
-            let next = monoio::time::timeout(LIMIT, self.peers.next()).await;
-            if let PeersMessage::Send { reply, request, to } =
-                next.expect("a peer is queried").expect("the task runs")
-            {
-                let PeerAddress::Socket(to) = to else {
-                    panic!("the query went to a target");
-                };
-                let Request::StoreUpdate(position) = request else {
-                    panic!("{request:?} is no query for an update");
-                };
-                let confirmed = position.age.is_some();
-                let Revision { era, number } = position.revision;
-                let era = (era > 0).then(|| format!(" of era {era}"));
-                let era = era.unwrap_or_default();
-                let text = format!("{to} after {number}{era}, confirmed {confirmed}");
-                return (text, reply);
-            }
-        }
-    }
-}
+/// Time for which a daemon is cut off, after which it backs off for as long as it ever does.
+const CUT: Duration = Duration::from_secs(6);
+/// Interval at which the test checks for a call that was cut.
+const POLL: Duration = Duration::from_millis(2);
+/// Time within which a daemon that reaches the store again follows a removal that a peer reported during a cut.
+const FOLLOW_LIMIT: Duration = Duration::from_secs(3);
 
 /// Runs the task and describes the calls, the routing states that it sent, and whether it was ready before the
 /// first and after the last of them.
@@ -189,31 +68,6 @@
     lines.join("\n")
 }
 
-/// The address of a peer that the daemon of this test queries for store updates.
-fn parent() -> IpAddr {
-    let own = SocketAddr::from(([127, 0, 0, 1], PEER_PORT));
-    let before = |ip: &IpAddr| {
-        let daemons = [(SocketAddr::new(*ip, PEER_PORT), "a")];
-        !Sources::of(own, "a", &daemons).parents.is_empty()
-    };
-    let mut all = (1..=255).map(|n| IpAddr::from([10, 0, 0, n]));
-    all.find(before).expect("half of all addresses come before")
-}
-
-fn update(revision: u64, changes: Vec<(u64, UpdateChange)>) -> Reply {
-    let payload = UpdatePayload::Changes(changes);
-    update_at(Revision::new(0, revision), payload)
-}
-
-fn update_at(revision: Revision, payload: UpdatePayload) -> Reply {
-    let head = UpdateHead {
-        age: Duration::from_millis(1),
-        outage: None,
-        revision,
-    };
-    Reply::StoreUpdate(Box::new(StoreUpdate { head, payload }))
-}
-
 /// Guards against a daemon that becomes ready with contents from a stale read, and against missed changes.
 #[test]
 fn load_then_watch() {
@@ -696,6 +550,79 @@
     assert!(last.is_some_and(|call| call.contains("allowStale=1")));
 }
 
+/// Serves a store with one target at `first`, and closes connections while it is cut off. The channel receives a
+/// message for each call that is cut.
+fn serve_cuts(first: String, cut: Arc<AtomicBool>) -> (SocketAddr, mpsc::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let (failed, received) = mpsc::channel();
+    thread::spawn(move || {
+        let mut answers = [first].into_iter();
+        for stream in listener.incoming().flatten() {
+            serve_until_cut(stream, &mut answers, &cut);
+            let _ = failed.send(());
+        }
+    });
+    (address, received)
+}
+
+fn serve_until_cut(
+    mut stream: TcpStream,
+    answers: &mut impl Iterator<Item = String>,
+    cut: &AtomicBool,
+) {
+    while let Ok(1..) = stream.read(&mut [0; 4096]) {
+        if cut.load(Ordering::Relaxed) {
+            return;
+        }
+        let answer = answers.next().unwrap_or_else(|| events(&[], 5));
+        let _ = stream.write_all(answer.as_bytes());
+    }
+}
+
+/// Guards against requests for up to 4 s after a cut to a target that left during it, because the daemon backs off for
+/// up to 2 s and then waits for 2 s more: they are cut when the target ends.
+#[test]
+fn removal_during_a_cut() {
+    let peer = parent();
+    let contents = page(&[("op/config", ROUTES_2), ("servers/i-1", &entry(peer))], 4);
+    let cut = Arc::new(AtomicBool::new(false));
+    let (address, failed) = serve_cuts(contents, Arc::clone(&cut));
+    let (routing, took) = block_on(async {
+        let mut daemon = daemon(address);
+        let (_, reply) = daemon.query().await;
+        let _ = reply.send(Ok(update(4, Vec::new())));
+        assert_eq!(
+            daemon.routing().await,
+            "routing state v2, 1 targets, 1 used"
+        );
+        cut.store(true, Ordering::Relaxed);
+        let cut_at = Instant::now();
+        let mut unanswered = Vec::new();
+        while cut_at.elapsed() < CUT {
+            unanswered.push(daemon.query().await);
+        }
+        let gone = UpdateChange::TargetGone {
+            name: "i-1".to_owned(),
+        };
+        let (_, reply) = daemon.query().await;
+        let _ = reply.send(Ok(update(5, vec![(5, gone)])));
+        assert_eq!(
+            daemon.routing().await,
+            "routing state v2, 1 targets, 1 used"
+        );
+        failed.try_iter().for_each(drop);
+        while failed.try_recv().is_err() {
+            monoio::time::sleep(POLL).await;
+        }
+        cut.store(false, Ordering::Relaxed);
+        let healed = Instant::now();
+        (daemon.routing().await, healed.elapsed())
+    });
+    assert_eq!(routing, "routing state v2, 1 targets, 0 used");
+    assert!(took < FOLLOW_LIMIT, "in force {took:?} after the cut");
+}
+
 /// Guards against taking an idle connection that has broken for an outage of the store: a target whose removal
 /// a peer reports would stay in use as if it had lost its entry in the outage.
 #[rstest]
