Follow a report that an earlier one hides, and state the order of evidence

Found by the new property departed_target_stays_out_of_use: where the store had done an earlier status report late and a daemon ignored it, the target's next report of the same state changed nothing but its number, and no watch shows that. A target that took its departure back stayed out of use for good; one that drained stayed in use.

Cause: "Ignore a status report that the store does after a later one" left the daemon with another state than the store has, and watches show only changes of the latter.

--- a/crates/core/src/catalog/aggregate.rs
+++ b/crates/core/src/catalog/aggregate.rs
@@ -148,7 +148,7 @@
                 events.extend(self.end_evacuation(domain));
             }
         }
-        events.extend(self.targets.release(read, now));
+        events.extend(self.targets.settle(read, now));
         events
     }
 
--- a/crates/core/src/catalog/targets.rs
+++ b/crates/core/src/catalog/targets.rs
@@ -1,8 +1,8 @@
 //! Targets, and which of them take work.
 //!
 //! Evidence of a target's state comes from the store, from the store's older copies and from other daemons, late or
-//! out of order. It is compared here and nowhere else: [`Targets::upsert`] for an entry, [`Targets::mark_missing`] for
-//! the absence of one.
+//! out of order. It is compared here and nowhere else: [`Record::compare`] for an entry, [`Targets::mark_missing`] for
+//! the absence of one. `docs/design/target-state.md` lists each piece of evidence against each state.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -53,6 +53,9 @@
 /// Whether a target takes new work, with the times that belong to it.
 #[derive(Clone, Copy, Debug)]
 enum State {
+    /// Listed by an earlier report, which says that it takes no work, than one that says it does; takes work. If the
+    /// target hasn't reported again until this time, it doesn't take work now.
+    Disputed(Time),
     /// Listed as ready, and not used: the entry may have been written before the target left. `since` is when it
     /// left; the entry is followed if it is still listed at `until`.
     HeldBack { since: Time, until: Time },
@@ -73,14 +76,14 @@
     const fn takes_work(self) -> bool {
         match self {
             Self::HeldBack { .. } | Self::Lapsed(_) | Self::Leaving(_) | Self::Left(_) => false,
-            Self::Missing(_) | Self::Ready => true,
+            Self::Disputed(_) | Self::Missing(_) | Self::Ready => true,
         }
     }
 
     /// Whether the entry is in the contents last received.
     const fn is_listed(self) -> bool {
         match self {
-            Self::HeldBack { .. } | Self::Leaving(_) | Self::Ready => true,
+            Self::Disputed(_) | Self::HeldBack { .. } | Self::Leaving(_) | Self::Ready => true,
             Self::Lapsed(_) | Self::Left(_) | Self::Missing(_) => false,
         }
     }
@@ -92,7 +95,7 @@
             | Self::Lapsed(since)
             | Self::Leaving(since)
             | Self::Left(since) => Some(since),
-            Self::Missing(_) | Self::Ready => None,
+            Self::Disputed(_) | Self::Missing(_) | Self::Ready => None,
         }
     }
 
@@ -107,7 +110,7 @@
             Self::HeldBack { since, .. } | Self::Leaving(since) => Self::Leaving(since),
             Self::Lapsed(since) | Self::Left(since) => Self::Left(since),
             Self::Missing(_) => Self::Left(now),
-            Self::Ready => Self::Leaving(now),
+            Self::Disputed(_) | Self::Ready => Self::Leaving(now),
         }
     }
 
@@ -116,7 +119,8 @@
     const fn expiry(self) -> Option<Time> {
         match self {
             Self::Missing(Missing::Until(at)) => Some(at),
-            Self::HeldBack { .. }
+            Self::Disputed(_)
+            | Self::HeldBack { .. }
             | Self::Lapsed(_)
             | Self::Leaving(_)
             | Self::Left(_)
@@ -168,9 +172,11 @@
         // Each status report of a target that runs has a higher number than all before it.
         let doubtful = match self.state {
             State::HeldBack { .. } => restoring || order.is_le(),
-            State::Lapsed(_) | State::Leaving(_) => restoring,
+            State::Lapsed(_) => restoring,
+            // Once the store lists an earlier report, it shows no change when the target takes work again.
+            State::Leaving(_) => restoring || numbered && order.is_lt(),
             State::Left(_) => restoring || numbered && order.is_le(),
-            State::Missing(_) | State::Ready => false,
+            State::Disputed(_) | State::Missing(_) | State::Ready => false,
         };
         // A target that is missing may have reported again what an earlier report states: only an entry that changes
         // is read.
@@ -235,7 +241,11 @@
     pub fn absent(&self, present: &BTreeMap<String, PublishedTarget>) -> Vec<String> {
         let is_known = |state| match state {
             State::Lapsed(_) | State::Left(_) => true,
-            State::HeldBack { .. } | State::Leaving(_) | State::Missing(_) | State::Ready => false,
+            State::Disputed(_)
+            | State::HeldBack { .. }
+            | State::Leaving(_)
+            | State::Missing(_)
+            | State::Ready => false,
         };
         let all = self.records.iter();
         all.filter(|(name, r)| !present.contains_key(*name) && !is_known(r.state))
@@ -270,7 +280,8 @@
     pub fn has_unverified(&self) -> bool {
         let unverified = |r: &Record| match r.state {
             State::Missing(Missing::StoreUnreachable) => true,
-            State::HeldBack { .. }
+            State::Disputed(_)
+            | State::HeldBack { .. }
             | State::Lapsed(_)
             | State::Leaving(_)
             | State::Left(_)
@@ -299,7 +310,11 @@
     pub fn expire(&mut self, now: Time) -> Vec<CatalogEvent> {
         self.records.retain(|_, r| match r.state {
             State::Lapsed(at) | State::Left(at) => now - at < LEFT_RETENTION,
-            State::HeldBack { .. } | State::Leaving(_) | State::Missing(_) | State::Ready => true,
+            State::Disputed(_)
+            | State::HeldBack { .. }
+            | State::Leaving(_)
+            | State::Missing(_)
+            | State::Ready => true,
         });
         let mut events = Vec::new();
         for (name, record) in &mut self.records {
@@ -311,24 +326,34 @@
         events
     }
 
-    /// Uses the targets whose entries were held back and are listed by a read of the store, at `read`, after they
-    /// would have lapsed.
-    pub fn release(&mut self, read: Time, now: Time) -> Vec<CatalogEvent> {
-        let mut released = Vec::new();
+    /// Follows the entries that were in doubt and that a read of the store, at `read`, still lists after their time.
+    pub fn settle(&mut self, read: Time, now: Time) -> Vec<CatalogEvent> {
+        let (mut leaving, mut released) = (Vec::new(), Vec::new());
         for (name, record) in &mut self.records {
-            if let State::HeldBack { until, .. } = record.state
-                && until <= read
-            {
-                record.state = State::Ready;
-                released.push(name.clone());
+            match record.state {
+                State::Disputed(until) if until <= read => {
+                    record.state = State::Leaving(now);
+                    leaving.push(CatalogEvent::TargetLeaving(name.clone()));
+                }
+                State::HeldBack { until, .. } if until <= read => {
+                    record.state = State::Ready;
+                    released.push(name.clone());
+                }
+                State::Disputed(_)
+                | State::HeldBack { .. }
+                | State::Lapsed(_)
+                | State::Leaving(_)
+                | State::Left(_)
+                | State::Missing(_)
+                | State::Ready => {}
             }
         }
         for name in &released {
             self.retire_replaced(name, now);
         }
         released.retain(|name| self.records[name].takes_work());
-        let released = released.into_iter();
-        released.map(CatalogEvent::TargetReady).collect()
+        let released = released.into_iter().map(CatalogEvent::TargetReady);
+        leaving.into_iter().chain(released).collect()
     }
 
     /// Handles an entry. A change of the cold time is reported if `limits_cold` says that it matters.
@@ -353,7 +378,10 @@
                 State::HeldBack { since, until }
             }
             Evidence::EarlierRun => return self.mark_missing(name, Absence::Left, now),
-            Evidence::Overwritten => return Some(CatalogEvent::OlderEntry(name.to_owned())),
+            Evidence::Overwritten => {
+                self.overwrite(name, entry.state.takes_work(), now);
+                return Some(CatalogEvent::OlderEntry(name.to_owned()));
+            }
         };
         let earlier = before.map(|r| r.state);
         let id = before.map_or(TargetId(self.last_id + 1), |r| r.id);
@@ -372,6 +400,26 @@
             .or_else(|| cold_changed.then(|| CatalogEvent::TargetCold(name.to_owned())))
     }
 
+    /// Takes note of an earlier report that the store has done late. It states nothing about the target, but a later
+    /// report that states the same doesn't change the entry and isn't read.
+    fn overwrite(&mut self, name: &str, ready: bool, now: Time) {
+        let Some(record) = self.records.get_mut(name) else {
+            return;
+        };
+        record.state = match record.state {
+            State::Disputed(_) if ready => State::Ready,
+            State::HeldBack { since, .. } if !ready => State::Leaving(since),
+            State::Ready if !ready => State::Disputed(now + RETURN_GRACE),
+            State::Disputed(_)
+            | State::HeldBack { .. }
+            | State::Lapsed(_)
+            | State::Leaving(_)
+            | State::Left(_)
+            | State::Missing(_)
+            | State::Ready => record.state,
+        };
+    }
+
     /// Until when an entry that is received now is held back: until the entries that the store's copy had have
     /// lapsed, or this entry has. One that is held back already isn't held longer because it was read once more.
     fn held_until(&self, before: Option<&Record>, now: Time) -> Time {
@@ -382,7 +430,8 @@
             (Some(State::HeldBack { until: held, .. }), Some(_)) => held.max(until),
             (
                 Some(
-                    State::Lapsed(_)
+                    State::Disputed(_)
+                    | State::Lapsed(_)
                     | State::Leaving(_)
                     | State::Left(_)
                     | State::Missing(_)
@@ -400,14 +449,15 @@
         let event = match (self.records[name].state, earlier) {
             (State::HeldBack { .. }, Some(State::HeldBack { .. })) => return None,
             (State::HeldBack { .. }, _) => CatalogEvent::TargetHeldBack,
-            (State::Missing(_) | State::Ready, _) if used != Some(true) => {
+            (State::Disputed(_) | State::Missing(_) | State::Ready, _) if used != Some(true) => {
                 CatalogEvent::TargetReady
             }
             (State::Lapsed(_) | State::Leaving(_) | State::Left(_), _) if used != Some(false) => {
                 CatalogEvent::TargetLeaving
             }
             (
-                State::Lapsed(_)
+                State::Disputed(_)
+                | State::Lapsed(_)
                 | State::Leaving(_)
                 | State::Left(_)
                 | State::Missing(_)
@@ -459,13 +509,14 @@
         let used = record.state.takes_work();
         let name = name.to_owned();
         match (record.state, missing) {
-            (State::Missing(_), Some(_)) => None,
-            (State::Ready, Some(missing)) => {
+            (State::Lapsed(_) | State::Missing(_), Some(_)) => None,
+            (State::Disputed(_) | State::Ready, Some(missing)) => {
                 record.state = State::Missing(missing);
                 Some(CatalogEvent::TargetMissing(name))
             }
             (
-                State::HeldBack { .. }
+                State::Disputed(_)
+                | State::HeldBack { .. }
                 | State::Lapsed(_)
                 | State::Leaving(_)
                 | State::Left(_)
--- a/crates/core/tests/properties/main.rs
+++ b/crates/core/tests/properties/main.rs
@@ -16,3 +16,4 @@
 mod own_link;
 mod pipeline;
 mod probing;
+mod target_state;
