Let the soak test write outdated entries of workers that leave

The soak test had no late status report, and no worker that leaves while the store returns from an older copy that lists it. In calm periods in which no daemon restarts, half of the planned departures are followed by a late report of the state before, and half of the periods have a worker whose entry is removed, comes back with an older copy, and lapses. A daemon that starts in between knows only the outdated entry, which docs/design/target-state.md states.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -162,13 +162,13 @@
         format!("w{number}-{}", self.nodes[number].worker_starts.get())
     }
 
-    /// Writes the entry of the current worker to the store. `draining` marks it as leaving.
+    /// Writes the entry of the current worker to the store. `draining` marks it as leaving, in a later status report.
     pub fn write_entry(&self, number: usize, draining: bool) {
         let entry = Entry {
             address: self.worker_address(number),
             born: 1_000_000 + u64::from(self.nodes[number].worker_starts.get()),
             draining,
-            sequence: 1,
+            sequence: 1 + u64::from(draining),
             service: service(number),
             slots: SLOTS,
             zone: ZONES[zone(number)],
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -33,6 +33,10 @@
 const ADDRESS_REUSE: Duration = Duration::from_secs(2);
 /// Time for which watches receive no events before the store compacts its history.
 const WATCH_OUTAGE: Duration = Duration::from_secs(1);
+/// Time from the removal of an entry until the store returns from a copy that has it. All daemons read the removal in it.
+const REMOVAL_TIME: Duration = Duration::from_secs(1);
+/// Time after the store's return after which an entry of the copy that nobody writes lapses.
+const ENTRY_LAPSE: Duration = Duration::from_millis(4_500);
 /// Time for which the store gives no answer before it returns from an older copy.
 const RETURN_OUTAGE: Duration = Duration::from_millis(300);
 /// Time from the store's return until what it has lost is written again.
@@ -262,7 +266,9 @@
                 };
                 self.set_behaviour_for(index, faulty, time).await;
             }
+            Step::ReportLate(index) => self.report_late(index),
             Step::ResetPeers(index) => nodes[index].proxy.reset(),
+            Step::RetireWorker(index) => self.retire_worker(index).await,
             Step::StallPeers(index) => nodes[index].proxy.stall(),
             Step::CoolWorker(index, time) => self.cool_worker(index, time),
             Step::SlowWorker(index, time) => {
@@ -379,6 +385,39 @@
         self.replace_worker(index, &name, Duration::ZERO).await;
     }
 
+    /// Writes the entry of a worker that leaves as it was before, unless the worker has been replaced.
+    fn report_late(&self, index: usize) {
+        let worker = self.fleet.nodes[index].worker.borrow();
+        if worker.as_ref().is_some_and(|w| w.draining.get()) {
+            self.fleet.write_entry(index, false);
+        }
+    }
+
+    /// Removes the entry of a worker, which serves on, lets the store return from a copy that lists it, and replaces the
+    /// worker once the entry has lapsed.
+    async fn retire_worker(&self, index: usize) {
+        let name = self.fleet.worker_name(index);
+        let store = &self.fleet.store;
+        store.keep_copy();
+        self.fleet.delete_entry(&name);
+        let now = Instant::now();
+        self.traffic.history.borrow_mut().record_leaving(&name, now);
+        monoio::time::sleep(REMOVAL_TIME).await;
+        store.fail(None, Fault::Reset);
+        monoio::time::sleep(RETURN_OUTAGE).await;
+        store.return_to_copy();
+        // What is written since the return isn't lost, so that the removal isn't repeated.
+        self.fleet.write_entry(index, false);
+        store.fail(None, Fault::None);
+        monoio::time::sleep(REWRITE_TIME).await;
+        store.rewrite_lost();
+        monoio::time::sleep(ENTRY_LAPSE.saturating_sub(REWRITE_TIME)).await;
+        while self.is_running(index, &name) {
+            monoio::time::sleep(POLL).await;
+        }
+        self.replace_worker(index, &name, Duration::ZERO).await;
+    }
+
     fn cool_worker(&self, index: usize, time: Duration) {
         if let Some(worker) = &*self.fleet.nodes[index].worker.borrow() {
             worker.cold_until.set(Some(Instant::now() + time));
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use hawthornwall_testkit::worker::AnswerFault;
@@ -56,6 +57,15 @@
 /// Distinguishes the random choices of overlapping stops from all others of a seed.
 const OVERLAP_SEED: u64 = 0x7374_6f70;
 
+/// Share of the planned departures of a worker for which the store does an earlier status report late, and of calm
+/// periods in which a worker leaves and an older copy of the store lists it again.
+const OUTDATED_SHARE: f64 = 0.5;
+/// Time from the departure to the late report in milliseconds. Until then all daemons have read the departure; it ends
+/// before the worker is replaced.
+const LATE_REPORT_MS: RangeInclusive<u64> = 800..=1_500;
+/// Distinguishes the random choices of outdated entries from all others of a seed.
+const OUTDATED_SEED: u64 = 0x6f_7574;
+
 /// Failure mode of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFault {
@@ -97,8 +107,13 @@
     SlowPeer(usize, Duration),
     /// A share of the worker's requests is handled incorrectly.
     FaultyWorker(usize, AnswerFault, Duration),
+    /// The store does a status report late that the worker sent before it began to leave.
+    ReportLate(usize),
     /// Open connections from other daemons to this one are closed.
     ResetPeers(usize),
+    /// The worker's entry is removed and the worker serves on. The store returns from a copy that lists it, and the
+    /// entry lapses.
+    RetireWorker(usize),
     /// Open connections from other daemons to this one carry no more data; new connections work.
     StallPeers(usize),
     /// The service times of the worker are longer.
@@ -143,7 +158,9 @@
             | Self::KillWorker(index)
             | Self::Pause(index, _)
             | Self::CoolWorker(index, _)
+            | Self::ReportLate(index)
             | Self::ResetPeers(index)
+            | Self::RetireWorker(index)
             | Self::SlowPeer(index, _)
             | Self::SlowWorker(index, _)
             | Self::StallPeers(index)
@@ -200,6 +217,7 @@
         let mut cold = StdRng::seed_from_u64(seed ^ COLD_SEED);
         let mut returns = StdRng::seed_from_u64(seed ^ RETURN_SEED);
         let mut overlaps = StdRng::seed_from_u64(seed ^ OVERLAP_SEED);
+        let mut outdated = StdRng::seed_from_u64(seed ^ OUTDATED_SEED);
         let (mut calm, mut steps) = (Vec::new(), Vec::new());
         let mut start = Duration::from_secs(1);
         while calm.is_empty() || start < length {
@@ -223,6 +241,8 @@
                     step,
                 });
             }
+            planned.extend(random_retirement(&mut outdated, from, daemons, &planned));
+            steps.extend(random_late_reports(&mut outdated, &planned));
             steps.extend(random_cold_times(&mut cold, daemons, start));
             steps.extend(random_return(&mut returns, start));
             steps.extend(random_evacuations(&mut evacuations, start));
@@ -322,6 +342,54 @@
     overlaps
 }
 
+/// Whether a planned step restarts a daemon. A daemon that starts knows no departure from before that, so that it follows
+/// an outdated entry.
+fn restarts_daemon(planned: &[TimedStep]) -> bool {
+    let restarts = |timed: &TimedStep| matches!(timed.step, Step::Terminate(_));
+    planned.iter().any(restarts)
+}
+
+/// Late status reports of a share of the workers that leave in a calm period.
+fn random_late_reports(rng: &mut StdRng, planned: &[TimedStep]) -> Vec<TimedStep> {
+    let mut reports = Vec::new();
+    for timed in planned.iter().filter(|_| !restarts_daemon(planned)) {
+        let Step::DrainWorker(index) = timed.step else {
+            continue;
+        };
+        if rng.random_bool(OUTDATED_SHARE) {
+            reports.push(TimedStep {
+                at: timed.at + Duration::from_millis(rng.random_range(LATE_REPORT_MS)),
+                planned: true,
+                step: Step::ReportLate(index),
+            });
+        }
+    }
+    reports
+}
+
+/// A worker that leaves at the start of a calm period while the store returns from an older copy, if its service keeps a
+/// worker that no other planned change affects.
+fn random_retirement(
+    rng: &mut StdRng,
+    from: Duration,
+    daemons: usize,
+    planned: &[TimedStep],
+) -> Option<TimedStep> {
+    let affected: BTreeSet<_> = planned.iter().filter_map(|p| p.step.instance()).collect();
+    let unaffected = || (0..daemons).filter(|n| !affected.contains(n));
+    let replaceable =
+        |index: &usize| unaffected().any(|n| n != *index && service(n) == service(*index));
+    let indices: Vec<_> = unaffected().filter(replaceable).collect();
+    let index = *indices.choose(rng)?;
+    let configures = planned.iter().any(|p| p.step == Step::Configure);
+    let allowed = !configures && !restarts_daemon(planned);
+    (allowed && rng.random_bool(OUTDATED_SHARE)).then_some(TimedStep {
+        at: from,
+        planned: true,
+        step: Step::RetireWorker(index),
+    })
+}
+
 /// Evacuations that begin among the faults and are revoked before the calm period; several may be in force at
 /// once.
 fn random_evacuations(rng: &mut StdRng, start: Duration) -> Vec<TimedStep> {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -25,6 +25,8 @@
 #[case::evacuations(181, 3, 5, 1)]
 // The store returns from an older copy between the ends of two daemons, while a worker leaves.
 #[case::older_copy(538, 4, 5, 1)]
+// A worker leaves and an older copy of the store lists it again: the daemons used it until its entry lapsed.
+#[case::departed_worker(905, 5, 6, 12)]
 fn invariants_hold(
     #[case] seed: u64,
     #[case] number: u8,
