--- a/crates/core/src/catalog/targets.rs
+++ b/crates/core/src/catalog/targets.rs
@@ -239,7 +239,7 @@
 
     /// Names of the targets whose absence from `present` is news.
     pub fn absent(&self, present: &BTreeMap<String, PublishedTarget>) -> Vec<String> {
-        let is_known = |state| match state {
+        let is_gone = |state| match state {
             State::Lapsed(_) | State::Left(_) => true,
             State::Disputed(_)
             | State::HeldBack { .. }
@@ -248,7 +248,7 @@
             | State::Ready => false,
         };
         let all = self.records.iter();
-        all.filter(|(name, r)| !present.contains_key(*name) && !is_known(r.state))
+        all.filter(|(name, r)| !present.contains_key(*name) && !is_gone(r.state))
             .map(|(name, _)| name.clone())
             .collect()
     }
